--- /dev/null
+++ b/admit/state.go
@@ -0,0 +1,231 @@
+// Package admit shares capacity among customers: weighted fair queues over tokens, one queue for each
+// customer, ordered by priority inside a customer.
+package admit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+// MaxQueue bounds the waiting requests of one customer at one host.
+const MaxQueue = 2000
+
+// Waiting is a request in the queue.
+type Waiting[T any] struct {
+	ID       string
+	Customer string
+	Share    int
+	Priority model.Priority
+	// Tokens is the estimate that is charged when the request starts.
+	Tokens float64
+	Since  time.Duration
+	// Deadline is when the request is given up.
+	Deadline time.Duration
+	// Request is what the caller of this package needs to start the request.
+	Request T
+}
+
+// Account is one customer's use of this host.
+type Account[T any] struct {
+	Customer string
+	Share    int
+	// Virtual is the customer's tokens divided by its share; the least goes first.
+	Virtual float64
+	// Running counts started requests.
+	Running int
+	// Queue is ordered by priority, then by arrival, and never written.
+	Queue []Waiting[T]
+}
+
+func (a Account[T]) active() bool { return a.Running > 0 || len(a.Queue) > 0 }
+
+// State is the accounts of a host. It is a value; its methods return changed copies.
+type State[T any] struct {
+	accounts *immutable.SortedMap[string, Account[T]]
+	// waiting is the number of queued requests.
+	waiting int
+	// rate is the decayed number of completed requests per second; finished is when the last one ended.
+	rate     float64
+	finished time.Duration
+}
+
+// NewState returns a state without accounts.
+func NewState[T any]() State[T] {
+	return State[T]{accounts: immutable.NewSortedMap[string, Account[T]](nil)}
+}
+
+// Account returns a customer's account.
+func (s State[T]) Account(customer string) (Account[T], bool) { return s.accounts.Get(customer) }
+
+// Accounts returns all accounts by customer.
+func (s State[T]) Accounts() []Account[T] {
+	var r []Account[T]
+	for i := s.accounts.Iterator(); !i.Done(); {
+		_, a, _ := i.Next()
+		r = append(r, a)
+	}
+	return r
+}
+
+// Waiting returns the number of queued requests.
+func (s State[T]) Waiting() int { return s.waiting }
+
+func (s State[T]) with(a Account[T]) State[T] {
+	s.accounts = s.accounts.Set(a.Customer, a)
+	return s
+}
+
+// opened returns the customer's account. One that comes back from idleness starts level with the others,
+// so that it can't save up capacity it left unused.
+func (s State[T]) opened(customer string, share int) Account[T] {
+	a, _ := s.accounts.Get(customer)
+	a.Customer, a.Share = customer, max(1, share)
+	if !a.active() {
+		a.Virtual = math.Max(a.Virtual, s.level())
+	}
+	return a
+}
+
+// level returns the least virtual time of the active accounts.
+func (s State[T]) level() float64 {
+	l := math.Inf(1)
+	for _, a := range s.Accounts() {
+		if a.active() {
+			l = math.Min(l, a.Virtual)
+		}
+	}
+	if math.IsInf(l, 1) {
+		return 0
+	}
+	return l
+}
+
+// WithStarted charges a request that starts at once.
+func (s State[T]) WithStarted(customer string, share int, tokens float64) State[T] {
+	a := s.opened(customer, share)
+	a.Running++
+	a.Virtual += tokens / float64(a.Share)
+	return s.with(a)
+}
+
+// WithQueued appends a request behind the customer's requests of the same or a higher priority; ok is
+// false when the queue is full.
+func (s State[T]) WithQueued(w Waiting[T]) (next State[T], ok bool) {
+	a := s.opened(w.Customer, w.Share)
+	if len(a.Queue) >= MaxQueue {
+		return s, false
+	}
+	i := len(a.Queue)
+	for i > 0 && a.Queue[i-1].Priority < w.Priority {
+		i--
+	}
+	a.Queue = slices.Insert(slices.Clone(a.Queue), i, w)
+	s.waiting++
+	return s.with(a), true
+}
+
+// Next takes the first request that may start now out of the queue, from the customer with the least
+// virtual time that has one, and charges it.
+func (s State[T]) Next(may func(Waiting[T]) bool) (next State[T], w Waiting[T], ok bool) {
+	q := slices.DeleteFunc(s.Accounts(), func(a Account[T]) bool { return len(a.Queue) == 0 })
+	slices.SortStableFunc(q, func(a, b Account[T]) int {
+		if a.Virtual < b.Virtual {
+			return -1
+		}
+		return 1
+	})
+	for _, a := range q {
+		if i := slices.IndexFunc(a.Queue, may); i >= 0 {
+			w = a.Queue[i]
+			s = s.without(a, i)
+			return s.WithStarted(w.Customer, w.Share, w.Tokens), w, true
+		}
+	}
+	return s, w, false
+}
+
+func (s State[T]) without(a Account[T], index int) State[T] {
+	a.Queue = slices.Delete(slices.Clone(a.Queue), index, index+1)
+	s.waiting--
+	return s.with(a)
+}
+
+// WithCancelled drops a queued request; ok is false when it isn't queued.
+func (s State[T]) WithCancelled(customer, id string) (next State[T], ok bool) {
+	a, _ := s.accounts.Get(customer)
+	i := slices.IndexFunc(a.Queue, func(w Waiting[T]) bool { return w.ID == id })
+	if i < 0 {
+		return s, false
+	}
+	return s.without(a, i), true
+}
+
+// WithFinished ends a started request and corrects its charge from the estimate to the true tokens.
+func (s State[T]) WithFinished(customer string, estimate, tokens float64, now time.Duration) State[T] {
+	a, ok := s.accounts.Get(customer)
+	if !ok {
+		return s
+	}
+	a.Running = max(0, a.Running-1)
+	a.Virtual += (tokens - estimate) / float64(max(1, a.Share))
+	s = s.with(a)
+	s.rate = s.rate*decay(now-s.finished) + 1/rateWindow.Seconds()
+	s.finished = now
+	return s
+}
+
+// rateWindow is the time over which completions are averaged.
+const rateWindow = 5 * time.Second
+
+func decay(d time.Duration) float64 { return math.Exp(-d.Seconds() / rateWindow.Seconds()) }
+
+// Wait predicts how long a new request of the customer waits, from the completions of late and the
+// customer's part of them.
+func (s State[T]) Wait(customer string, share int, priority model.Priority, now time.Duration) time.Duration {
+	r := s.rate * decay(now-s.finished)
+	a, _ := s.accounts.Get(customer)
+	h := 0
+	for _, w := range a.Queue {
+		if w.Priority >= priority {
+			h++
+		}
+	}
+	if h == 0 || r <= 0 {
+		return 0
+	}
+	t := max(1, share)
+	for _, o := range s.Accounts() {
+		if o.Customer != customer && len(o.Queue) > 0 {
+			t += o.Share
+		}
+	}
+	p := r * float64(max(1, share)) / float64(t)
+	return time.Duration(float64(h+1) / p * float64(time.Second))
+}
+
+// Expired returns the requests whose deadline has passed and the state without them.
+func (s State[T]) Expired(now time.Duration) (next State[T], gone []Waiting[T]) {
+	if s.waiting == 0 {
+		return s, nil
+	}
+	for _, a := range s.Accounts() {
+		k := slices.DeleteFunc(slices.Clone(a.Queue), func(w Waiting[T]) bool { return now >= w.Deadline })
+		if len(k) == len(a.Queue) {
+			continue
+		}
+		for _, w := range a.Queue {
+			if now >= w.Deadline {
+				gone = append(gone, w)
+			}
+		}
+		s.waiting -= len(a.Queue) - len(k)
+		a.Queue = k
+		s = s.with(a)
+	}
+	return s, gone
+}
--- /dev/null
+++ b/admpb/doc.go
@@ -0,0 +1,2 @@
+// Package admpb is the generated code of the administration API.
+package admpb
--- /dev/null
+++ b/cmds/check.go
@@ -0,0 +1,74 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "checks a settings, contract, version or member file",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings file of a host"},
+			&cli.StringFlag{Name: "contract", Usage: "contract file"},
+			&cli.StringFlag{Name: "version", Usage: "version file"},
+			&cli.StringFlag{Name: "member", Usage: "member file"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			n := 0
+			for _, k := range []struct {
+				flag  string
+				check func(string) error
+			}{
+				{"settings", checkSettings},
+				{"contract", checkFile[model.Contract]},
+				{"version", checkFile[model.Version]},
+				{"member", checkFile[model.Member]},
+			} {
+				p := c.String(k.flag)
+				if p == "" {
+					continue
+				}
+				if err := k.check(p); err != nil {
+					return err
+				}
+				n++
+			}
+			if n == 0 {
+				return fmt.Errorf("nothing to check; name a file with --settings, --contract, --version or --member")
+			}
+			_, err := fmt.Fprintln(c.Root().Writer, "ok")
+			return err
+		},
+	}
+}
+
+func checkSettings(path string) error {
+	_, err := conf.Load(path)
+	return err
+}
+
+// checked is a document that can check itself.
+type checked interface{ Check() error }
+
+func checkFile[T checked](path string) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	v, err := conf.Decode[T](b)
+	if err == nil {
+		err = v.Check()
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmds/report.go
@@ -0,0 +1,124 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+
+	"github.com/hickoryshelf/hickoryshelf/admpb"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "describes all hosts", Flags: adminFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			a, err := adminClient(c)
+			if err != nil {
+				return err
+			}
+			u, err := a.Status(ctx, connect.NewRequest(&admpb.StatusRequest{}))
+			if err != nil {
+				return err
+			}
+			if c.String("output") == "json" {
+				return printJSON(c, u.Msg.GetHosts())
+			}
+			return printStatus(c, u.Msg.GetHosts())
+		},
+	}
+}
+
+func printStatus(c *cli.Command, hosts []*admpb.HostStatus) error {
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "HOST\tDATA CENTRE\tSTANDING\tREVISION\tLEADS\tVOTER\tRUNNING\tWAITING\tENDPOINTS\tPENDING")
+	for _, h := range hosts {
+		s := h.GetStanding()
+		if !h.GetReachable() {
+			s = "unreachable"
+		}
+		v := false
+		for _, n := range h.GetVoters() {
+			v = v || (n == h.GetNode() && n != "")
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\t%t\t%d\t%d\t%d\t%s\n", h.GetName(), h.GetDataCentre(), s, h.GetRevision(),
+			h.GetLeading(), v, h.GetRunning(), h.GetWaiting(), h.GetEndpoints(), strings.Join(h.GetPending(), " "))
+	}
+	return w.Flush()
+}
+
+func billsCommand() *cli.Command {
+	return &cli.Command{
+		Name: "bills", Usage: "lists the lines of requests that ran, or may have run",
+		Flags: adminFlags(&cli.StringFlag{Name: "customer", Usage: "only this customer's"}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			a, err := adminClient(c)
+			if err != nil {
+				return err
+			}
+			u, err := a.Bills(ctx, connect.NewRequest(&admpb.BillsRequest{Customer: c.String("customer")}))
+			if err != nil {
+				return err
+			}
+			if c.String("output") == "json" {
+				return printJSON(c, u.Msg)
+			}
+			return printBills(c, u.Msg)
+		},
+	}
+}
+
+func printBills(c *cli.Command, m *admpb.BillsResponse) error {
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "REQUEST\tCUSTOMER\tVERSION\tENDPOINT\tOUTCOME\tINPUT\tOUTPUT\tMICROS")
+	for _, l := range m.GetLines() {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n", l.GetRequestId(), l.GetCustomer(), l.GetVersion(),
+			l.GetEndpoint(), l.GetOutcome(), l.GetInputTokens(), l.GetOutputTokens(), l.GetMicros())
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if len(m.GetMissingHosts()) > 0 {
+		_, err := fmt.Fprintln(c.Root().Writer, "incomplete, no answer from:", strings.Join(m.GetMissingHosts(), ", "))
+		return err
+	}
+	return nil
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "tells which version a request would get, and why",
+		Flags: adminFlags(
+			&cli.StringFlag{Name: "customer", Required: true, Usage: "customer of the contract"},
+			&cli.StringFlag{Name: "class", Usage: "task class; the contract's first where none is given"},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			a, err := adminClient(c)
+			if err != nil {
+				return err
+			}
+			u, err := a.Explain(ctx, connect.NewRequest(&admpb.ExplainRequest{Customer: c.String("customer"), Class: c.String("class")}))
+			if err != nil {
+				return err
+			}
+			if c.String("output") == "json" {
+				return printJSON(c, u.Msg)
+			}
+			return printExplain(c, u.Msg)
+		},
+	}
+}
+
+func printExplain(c *cli.Command, m *admpb.ExplainResponse) error {
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "order: %s\nreason: %s\n", strings.Join(m.GetVersions(), ", "), m.GetReason())
+	_, _ = fmt.Fprintln(w, "VERSION\tCOST\tRATINGS\tLOWER\tUPPER\tHEALTH\tREFUSED")
+	for _, o := range m.GetCandidates() {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%.0f\t%.3f\t%.3f\t%s\t%s\n", o.GetVersion(), o.GetCostMicros(), o.GetRatings(),
+			o.GetLower(), o.GetUpper(), o.GetHealth(), o.GetRefused())
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/config/apply.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+// applyChange returns the configuration after a change, or an error that names the remedy.
+func applyChange(config model.Config, change Change) (model.Config, error) {
+	switch change.Operation {
+	case ApplyContract:
+		return applyContract(config, change.Contract)
+	case RemoveContract:
+		return removeContract(config, change.Name)
+	case DeclareVersion:
+		return declareVersion(config, change.Version)
+	case WithdrawVersion:
+		return withdrawVersion(config, change.Name)
+	case AddMember:
+		return addMember(config, change.Member)
+	case RemoveMember:
+		return removeMember(config, change.Name)
+	}
+	return config, fmt.Errorf("operation %v isn't known; upgrade the host", change.Operation)
+}
+
+func applyContract(config model.Config, contract *model.Contract) (model.Config, error) {
+	if contract == nil {
+		return config, fmt.Errorf("the change lacks a contract; give one")
+	}
+	if err := contract.Check(); err != nil {
+		return config, err
+	}
+	for _, k := range contract.KeyHashes {
+		if o, ok := config.ContractOf(k); ok && o.Customer != contract.Customer {
+			return config, fmt.Errorf("key-hashes holds a key of customer %s; give each customer its own keys", o.Customer)
+		}
+	}
+	for _, v := range contract.Versions {
+		if _, ok := config.Version(v); !ok {
+			return config, fmt.Errorf("versions names %s, which isn't declared; declare it first", v)
+		}
+	}
+	return config.WithContract(*contract), nil
+}
+
+func removeContract(config model.Config, name string) (model.Config, error) {
+	if _, ok := config.Contract(name); !ok {
+		return config, fmt.Errorf("no contract of %s; list the contracts", name)
+	}
+	config.Contracts = slices.DeleteFunc(slices.Clone(config.Contracts), func(c model.Contract) bool { return c.Customer == name })
+	return config, nil
+}
+
+func declareVersion(config model.Config, version *model.Version) (model.Config, error) {
+	if version == nil {
+		return config, fmt.Errorf("the change lacks a version; give one")
+	}
+	if err := version.Check(); err != nil {
+		return config, err
+	}
+	if o, ok := config.Version(version.Name); ok && o.State == model.VersionWithdrawn {
+		return config, fmt.Errorf("%s was withdrawn and stays so; declare a version of another name", version.Name)
+	}
+	v := *version
+	v.State = model.VersionLive
+	return config.WithVersion(v), nil
+}
+
+func withdrawVersion(config model.Config, name string) (model.Config, error) {
+	v, ok := config.Version(name)
+	if !ok {
+		return config, fmt.Errorf("no version %s; list the versions", name)
+	}
+	v.State = model.VersionWithdrawn
+	return config.WithVersion(v), nil
+}
+
+func addMember(config model.Config, member *model.Member) (model.Config, error) {
+	if member == nil {
+		return config, fmt.Errorf("the change lacks a member; give one")
+	}
+	if err := member.Check(); err != nil {
+		return config, err
+	}
+	return config.WithMember(*member), nil
+}
+
+func removeMember(config model.Config, name string) (model.Config, error) {
+	if _, ok := config.Member(name); !ok {
+		return config, fmt.Errorf("no member %s; list the members", name)
+	}
+	return config.WithoutMember(name), nil
+}
--- /dev/null
+++ b/config/errors.go
@@ -0,0 +1,9 @@
+package config
+
+import "errors"
+
+// ErrNoLeader is returned when no leader could be asked at all: the command has had no effect.
+var ErrNoLeader = errors.New("no leader of the control log can be reached; come back when a majority of voters is up")
+
+// ErrUnconfirmed is returned when a command was sent and not answered: it may have taken effect.
+var ErrUnconfirmed = errors.New("the control log did not confirm the command; resend it with the same id")
--- /dev/null
+++ b/core/record.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+// copies is how many other hosts are asked to keep a line; one of them must confirm.
+const copies = 2
+
+// pendingRecord is a line whose caller waits for a copy.
+type pendingRecord struct {
+	// key is the name under which copies and syncs are confirmed; id names the caller that waits.
+	key  string
+	id   string
+	line ledger.Line
+	// copied is true once another host keeps the line, or none exists; synced once the disk has it, or
+	// there is none.
+	copied bool
+	synced bool
+	// asked are the hosts that were asked; failed counts those that could not be reached.
+	asked  []string
+	failed int
+}
+
+// RecordKey is the name under which copies of a line are confirmed; a request may have two stages pending.
+func RecordKey(l ledger.Line) string { return l.RequestID + "/" + l.Stage.String() }
+
+// keep merges lines and has them synced under a key where there is a disk.
+func (r *reducer) keep(key string, lines ...ledger.Line) {
+	for _, l := range lines {
+		r.Ledger = r.Ledger.WithLine(l)
+	}
+	if r.HasDisk && len(lines) > 0 {
+		r.emit(SyncRecords{Key: key, Lines: lines})
+	}
+}
+
+func (r *reducer) recordRequested(e RecordRequested) {
+	p := pendingRecord{key: RecordKey(e.Line), id: e.ID, line: e.Line, synced: !r.HasDisk}
+	r.keep(p.key, e.Line)
+	p.asked = r.copyToPeers(e.Line)
+	p.copied = len(p.asked) == 0 && len(r.members()) <= 1
+	if len(p.asked) == 0 && !p.copied {
+		r.emit(AnswerRecord{ID: e.ID})
+		return
+	}
+	r.setRecord(p)
+}
+
+// setRecord stores a pending record, or answers it when nothing is missing.
+func (r *reducer) setRecord(p pendingRecord) {
+	if !p.copied || !p.synced {
+		r.records = r.records.Set(p.key, p)
+		return
+	}
+	r.records = r.records.Delete(p.key)
+	r.emit(AnswerRecord{ID: p.id, OK: true})
+}
+
+// copyToPeers sends a line to hosts of the data centre, or of others when too few of it are heard.
+func (r *reducer) copyToPeers(l ledger.Line) []string {
+	t := r.holders(nil)
+	if len(t) > 0 {
+		r.emit(CopyRecords{To: t, Line: l})
+	}
+	return t
+}
+
+// holders returns up to copies hosts that were heard of late, those of this data centre first.
+func (r *reducer) holders(exclude []string) []string {
+	var near, far []string
+	for _, m := range r.members() {
+		if m.Name == r.Members.Self.Name || !r.Members.Fresh(m.Name, r.Now) || slices.Contains(exclude, m.Name) {
+			continue
+		}
+		if m.DataCentre == r.Members.Self.DataCentre {
+			near = append(near, m.Name)
+			continue
+		}
+		far = append(far, m.Name)
+	}
+	t := append(near, far...)
+	return t[:min(copies, len(t))]
+}
+
+func (r *reducer) recordsReceived(e RecordsReceived) {
+	r.keep(e.ID, e.Lines...)
+	r.setRecord(pendingRecord{key: e.ID, id: e.ID, copied: true, synced: !r.HasDisk || len(e.Lines) == 0})
+}
+
+func (r *reducer) recordsCopied(e RecordsCopied) {
+	for _, k := range e.Keys {
+		if p, ok := r.records.Get(k); ok {
+			p.copied = true
+			r.setRecord(p)
+		}
+	}
+}
+
+func (r *reducer) recordsFailed(e RecordsFailed) {
+	for _, k := range e.Keys {
+		p, ok := r.records.Get(k)
+		if !ok || p.copied || !slices.Contains(p.asked, e.Host) {
+			continue
+		}
+		r.recordFailed(p)
+	}
+}
+
+// recordFailed asks another host once all that were asked have failed.
+func (r *reducer) recordFailed(p pendingRecord) {
+	p.failed++
+	if p.failed < len(p.asked) {
+		r.records = r.records.Set(p.key, p)
+		return
+	}
+	t := r.holders(p.asked)
+	if len(t) == 0 {
+		r.records = r.records.Delete(p.key)
+		r.emit(AnswerRecord{ID: p.id})
+		return
+	}
+	p.asked = slices.Concat(p.asked, t)
+	r.records = r.records.Set(p.key, p)
+	r.emit(CopyRecords{To: t, Line: p.line})
+}
+
+func (r *reducer) recordsSynced(e RecordsSynced) {
+	for _, k := range e.Keys {
+		if p, ok := r.records.Get(k); ok {
+			p.synced = true
+			r.setRecord(p)
+		}
+	}
+}
+
+// NewLine returns the line of a request that is about to be sent to an endpoint.
+func NewLine(requestID string, host string, incarnation uint64, decision Decision, at time.Time) ledger.Line {
+	v := decision.Version
+	if decision.Service.Name != "" {
+		v = decision.Service.Name
+	}
+	return ledger.Line{
+		RequestID: requestID, Customer: decision.Contract.Customer, Host: host, Incarnation: incarnation,
+		Version: v, Endpoint: decision.Endpoint.ID, Outcome: model.OutcomeUnknown, At: at,
+	}
+}
--- /dev/null
+++ b/fakes/order.go
@@ -0,0 +1,43 @@
+package fakes
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+)
+
+// Order tells an engine to load or unload a version.
+type Order struct {
+	// Fence is the fencing number; engines that check it refuse an order with a lower one than they have seen.
+	Fence  uint64 `json:"fence"`
+	Load   string `json:"load"`
+	Unload string `json:"unload"`
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.obey(o) {
+		http.Error(w, "the fencing number is old", http.StatusConflict)
+		return
+	}
+	e.announcer.now()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) obey(o Order) bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.options.ChecksFence && o.Fence < e.fence {
+		return false
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.holds = slices.DeleteFunc(e.holds, func(h string) bool { return h == o.Unload })
+	if o.Load != "" && !slices.Contains(e.holds, o.Load) {
+		e.holds = append(e.holds, o.Load)
+	}
+	return true
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,178 @@
+// Package gate serves callers, endpoints and probes over HTTP.
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/config"
+	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/member"
+	"github.com/hickoryshelf/hickoryshelf/model"
+	"github.com/hickoryshelf/hickoryshelf/route"
+	"github.com/hickoryshelf/hickoryshelf/token"
+)
+
+// Names of the headers that the gate reads and writes.
+const (
+	HeaderClass     = "Hickoryshelf-Class"
+	HeaderSession   = "Hickoryshelf-Session"
+	HeaderRequestID = "Hickoryshelf-Request-Id"
+	HeaderVersion   = "Hickoryshelf-Version"
+	HeaderOutcome   = "Hickoryshelf-Outcome"
+	// HeaderKey carries a caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderReplayed is set on answers that were stored by an earlier attempt.
+	HeaderReplayed = "Hickoryshelf-Replayed"
+	// HeaderNotRun is set to "true" by an endpoint that proves that it refused a request unstarted.
+	HeaderNotRun = "Hickoryshelf-Not-Run"
+)
+
+const (
+	// maxBodyBytes bounds a request's body.
+	maxBodyBytes = 1 << 20
+	// bodyTimeout bounds the time in which a caller sends its body.
+	bodyTimeout = 10 * time.Second
+	// AnnouncePath takes announcements of endpoints.
+	AnnouncePath = "/announce"
+)
+
+// Router is what the gate needs of the host.
+type Router interface {
+	Decide(ctx context.Context, ask core.Ask) (core.Decision, error)
+	Finish(finished core.Finished)
+	Record(ctx context.Context, line ledger.Line) error
+	Propose(ctx context.Context, command config.Command) (config.Result, error)
+	Announce(endpoint model.Endpoint)
+	Rate(rating route.Rating)
+	State() core.State
+	NewID() string
+	Incarnation() uint64
+}
+
+// Options are what a gate is made of.
+type Options struct {
+	Router  Router
+	Signer  token.Signer
+	Log     *logrus.Logger
+	Metrics *metrics.Set
+}
+
+// Gate is the HTTP side of an entry host.
+type Gate struct {
+	router  Router
+	signer  token.Signer
+	log     *logrus.Logger
+	metrics *metrics.Set
+	engines *engineClient
+	raters  *raterQueue
+	ready   atomic.Bool
+	mux     *http.ServeMux
+}
+
+// New returns a gate that is ready.
+func New(o Options) *Gate {
+	g := &Gate{
+		router: o.Router, signer: o.Signer, log: o.Log, metrics: o.Metrics,
+		engines: newEngineClient(), mux: http.NewServeMux(),
+	}
+	g.raters = newRaterQueue(g)
+	g.ready.Store(true)
+	g.mux.HandleFunc("POST /v1/chat/completions", g.chat)
+	g.mux.HandleFunc("GET /v1/models", g.models)
+	g.mux.HandleFunc("POST "+AnnouncePath, g.announce)
+	g.mux.HandleFunc("GET /livez", g.livez)
+	g.mux.HandleFunc("GET /readyz", g.readyz)
+	g.mux.HandleFunc("GET /metrics", g.writeMetrics)
+	g.mux.HandleFunc("/", g.service)
+	return g
+}
+
+// ServeHTTP serves one request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.mux.ServeHTTP(w, r) }
+
+// SetReady changes what the readiness probe answers.
+func (g *Gate) SetReady(ready bool) { g.ready.Store(ready) }
+
+// Close stops the gate's own work.
+func (g *Gate) Close() { g.raters.close() }
+
+func (g *Gate) livez(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (g *Gate) readyz(w http.ResponseWriter, _ *http.Request) {
+	s := g.router.State()
+	if !g.ready.Load() || s.Members.Self.Stopping || s.Standing() == member.Isolated {
+		http.Error(w, "not ready: "+s.Standing().String(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gate) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	g.metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// announce takes an endpoint's announcement.
+func (g *Gate) announce(w http.ResponseWriter, r *http.Request) {
+	b, f := readBody(w, r)
+	if f != nil {
+		f.write(w, "")
+		return
+	}
+	e, err := conf.Decode[model.Endpoint](b)
+	if err == nil {
+		err = e.Check()
+	}
+	if err != nil {
+		badRequest("announcement: "+err.Error()).write(w, "")
+		return
+	}
+	g.router.Announce(e)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Owner   string `json:"owned_by"` // OpenAI's format
+}
+
+func (g *Gate) models(w http.ResponseWriter, r *http.Request) {
+	s := g.router.State()
+	c, ok := s.Config.ContractOf(keyHash(r))
+	if !ok {
+		unknownKey().write(w, "")
+		return
+	}
+	l := modelList{Object: "list", Data: []modelItem{{ID: autoModel, Object: "model", Owner: "hickoryshelf"}}}
+	for _, n := range c.Versions {
+		if v, ok := s.Config.Version(n); ok && v.State == model.VersionLive {
+			l.Data = append(l.Data, modelItem{ID: n, Object: "model", Owner: "hickoryshelf"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l)
+}
+
+// keyHash returns the hash of the request's bearer key.
+func keyHash(r *http.Request) string {
+	k, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return model.HashKey(k)
+}
--- /dev/null
+++ b/gate/whole.go
@@ -0,0 +1,122 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+// maxAnswerBytes bounds an answer that is read whole.
+const maxAnswerBytes = 8 << 20
+
+// completion are the fields of an engine's answer that the router reads.
+type completion struct {
+	ID      string             `json:"id"`
+	Choices []completionChoice `json:"choices"`
+	Usage   *engineUsage       `json:"usage"`
+}
+
+type completionChoice struct {
+	Message completionMessage `json:"message"`
+}
+
+type completionMessage struct {
+	Content string `json:"content"`
+}
+
+// engineUsage is OpenAI's format.
+type engineUsage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`     // OpenAI's format
+	CompletionTokens int64 `json:"completion_tokens"` // OpenAI's format
+}
+
+func (u engineUsage) model() model.Usage {
+	return model.Usage{InputTokens: u.PromptTokens, OutputTokens: u.CompletionTokens}
+}
+
+// whole sends a completion that isn't streamed, and answers.
+func (j *job) whole(ctx context.Context, w http.ResponseWriter, once bool) model.Outcome {
+	for {
+		b, s, e := j.fetch(ctx, once)
+		if e.kind == core.EndedWell {
+			return j.answer(ctx, w, b, s, e)
+		}
+		if f := j.again(ctx, e, once); f != nil {
+			return j.fail(ctx, w, f)
+		}
+	}
+}
+
+// fetch makes one attempt and returns the answer's body and status.
+func (j *job) fetch(ctx context.Context, once bool) ([]byte, int, ending) {
+	b, err := j.x.upstream(j.decision.Version, j.decision.Contract.MaxOutputTokens, nil)
+	if err != nil {
+		return nil, 0, ending{kind: core.EndedFailed, err: err}
+	}
+	c, f := context.WithTimeoutCause(ctx, answerTimeout, errStalled)
+	defer f()
+	r, err := j.gate.engines.send(c, j.call(b, once))
+	if err != nil {
+		return nil, 0, classify(c, err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	if e := classifyStatus(r); e.kind != core.EndedWell {
+		return nil, 0, e
+	}
+	a, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, 0, classify(c, err)
+	}
+	return a, r.StatusCode, j.check(a, r.StatusCode)
+}
+
+// answerTimeout bounds the time for an answer that isn't streamed.
+const answerTimeout = 5 * time.Minute
+
+var errStalled = errors.New("the endpoint sent nothing for too long")
+
+func (j *job) call(body []byte, once bool) call {
+	return call{
+		endpoint: j.decision.Endpoint, method: http.MethodPost, path: "/v1/chat/completions", body: body,
+		header:  http.Header{"Content-Type": {"application/json"}},
+		attempt: j.attemptID(), priority: j.decision.Terms.Priority, once: once,
+	}
+}
+
+// check accepts only a whole answer to this attempt.
+func (j *job) check(answer []byte, status int) ending {
+	if status != http.StatusOK {
+		return ending{kind: core.EndedWell, started: true}
+	}
+	var c completion
+	if err := json.Unmarshal(answer, &c); err != nil {
+		return ending{kind: core.EndedFaulty, started: true, err: err}
+	}
+	if c.ID != j.attemptID() || len(c.Choices) == 0 || c.Usage == nil {
+		return ending{kind: core.EndedFaulty, started: true, err: errors.New("the endpoint's answer belongs to another request or isn't whole")}
+	}
+	j.usage = c.Usage.model()
+	j.rateAnswer(c.Choices[0].Message.Content)
+	return ending{kind: core.EndedWell, started: true}
+}
+
+// answer settles a request and passes the answer on under the request's id.
+func (j *job) answer(ctx context.Context, w http.ResponseWriter, body []byte, status int, e ending) model.Outcome {
+	j.finish(e)
+	j.settle(ctx, model.OutcomeRan)
+	a, q := j.attemptID(), j.x.id
+	body = bytes.Replace(body, []byte(`"`+a+`"`), []byte(`"`+q+`"`), 1)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, model.OutcomeRan.String())
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+	return model.OutcomeRan
+}
--- /dev/null
+++ b/host/link.go
@@ -0,0 +1,157 @@
+package host
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/member"
+	"github.com/hickoryshelf/hickoryshelf/peer"
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+)
+
+const (
+	beatTimeout   = time.Second
+	quorumTimeout = 2 * time.Second
+	recordTimeout = time.Second
+	pullTimeout   = 2 * time.Second
+	// linkQueue is how many messages may wait for one host; more are dropped, as a network may.
+	linkQueue = 1024
+)
+
+// link sends messages to one host, a batch at a time.
+type link struct {
+	host    *Host
+	name    string
+	client  *peer.Client
+	quorum  chan quorum.Message
+	records chan ledger.Line
+}
+
+// linkTo returns the link to a host, making it when it is first used or the address has changed.
+func (h *Host) linkTo(name string) (*link, bool) {
+	a, ok := h.addressOf(name)
+	if !ok {
+		return nil, false
+	}
+	if l, ok := h.links.Load(name); ok && l.(*link).client.Address() == a {
+		return l.(*link), true
+	}
+	n := &link{
+		host: h, name: name, client: peer.NewClient(a, h.tls, &h.traffic),
+		quorum: make(chan quorum.Message, linkQueue), records: make(chan ledger.Line, linkQueue),
+	}
+	h.links.Store(name, n)
+	go n.loopQuorum()
+	go n.loopRecords()
+	return n, true
+}
+
+// addressOf returns the address under which a host is reached from here.
+func (h *Host) addressOf(name string) (string, bool) {
+	i := slices.IndexFunc(h.settings.PeerRoutes, func(r conf.PeerRoute) bool { return r.Name == name })
+	if i >= 0 {
+		return h.settings.PeerRoutes[i].Address, true
+	}
+	s := h.State()
+	return s.Address(name)
+}
+
+func (l *link) loopQuorum() {
+	for {
+		select {
+		case <-l.host.done:
+			return
+		case m := <-l.quorum:
+			b := gather(m, l.quorum)
+			if err := l.client.Call("Quorum", b, &peer.Done{}, quorumTimeout); err != nil {
+				l.host.log.WithError(err).WithField("host", l.name).Debug("quorum: messages were not delivered")
+			}
+		}
+	}
+}
+
+func (l *link) loopRecords() {
+	for {
+		select {
+		case <-l.host.done:
+			return
+		case r := <-l.records:
+			l.sendRecords(gather(r, l.records))
+		}
+	}
+}
+
+func (l *link) sendRecords(lines []ledger.Line) {
+	var k []string
+	for _, r := range lines {
+		k = append(k, core.RecordKey(r))
+	}
+	if err := l.client.Call("Records", lines, &peer.Done{}, recordTimeout); err != nil {
+		l.host.log.WithError(err).WithField("host", l.name).Warn("ledger: lines were not copied, trying the next host")
+		l.host.post(core.RecordsFailed{Host: l.name, Keys: k})
+		return
+	}
+	l.host.post(core.RecordsCopied{Host: l.name, Keys: k})
+}
+
+// gather returns the first element and those that wait behind it.
+func gather[T any](first T, queue chan T) []T {
+	r := []T{first}
+	for len(r) < linkQueue {
+		select {
+		case v := <-queue:
+			r = append(r, v)
+		default:
+			return r
+		}
+	}
+	return r
+}
+
+// beatJob sends one heartbeat.
+type beatJob struct {
+	host *Host
+	link *link
+	beat core.SendBeat
+}
+
+func (j beatJob) run() {
+	var r member.Beat
+	if err := j.link.client.Call("Beat", j.beat.Beat, &r, beatTimeout); err != nil {
+		j.host.log.WithError(err).WithField("host", j.link.name).Debug("member: a heartbeat got no answer")
+		j.host.post(core.BeatFailed{Sent: j.beat.Sent})
+		return
+	}
+	j.host.post(core.BeatAnswered{Sent: j.beat.Sent, Beat: r})
+}
+
+// pullJob fetches the configuration of another host.
+type pullJob struct {
+	host *Host
+	link *link
+}
+
+func (j pullJob) run() {
+	var r peer.PullReply
+	v := j.host.State().Config.Revision
+	if err := j.link.client.Call("Pull", peer.PullRequest{Revision: v}, &r, pullTimeout); err != nil {
+		j.host.log.WithError(err).WithField("host", j.link.name).Warn("control: the configuration was not fetched")
+		return
+	}
+	j.host.post(core.ConfigPulled{From: j.link.name, Config: r.Config, Evidence: r.Evidence, Nodes: r.Nodes})
+}
+
+// proposeJob hands a command of the host itself to the control log.
+type proposeJob struct {
+	host    *Host
+	command core.Propose
+}
+
+func (j proposeJob) run() {
+	if _, err := j.host.ProposeWithin(j.command.Command, ownProposalTimeout); err != nil {
+		j.host.log.WithError(err).Warn("control: the host's own command was not confirmed, it is tried again")
+	}
+}
--- /dev/null
+++ b/model/config.go
@@ -0,0 +1,147 @@
+package model
+
+import (
+	"slices"
+	"strings"
+)
+
+// Revision numbers configurations; each accepted change raises it by one.
+type Revision uint64
+
+// Version is one declared version of a model.
+type Version struct {
+	// Name is unique among versions, such as "fitting-small@3".
+	Name  string       `json:"name"`
+	State VersionState `json:"state"`
+	// Cost is what the operators pay for the version.
+	Cost Price `json:"cost"`
+	// Trusted versions skip the ramp of new versions; set for those in use before the router came.
+	Trusted bool `json:"trusted"`
+}
+
+// Check returns an error that names the field, the fault and the remedy.
+func (v Version) Check() error {
+	if v.Name == "" {
+		return fault("name", "is empty", "name the version like \"fitting-small@3\"")
+	}
+	if v.Cost.InputMicros < 0 || v.Cost.OutputMicros < 0 {
+		return fault("cost", "is negative", "give millionths of the currency per 1,000 tokens")
+	}
+	return nil
+}
+
+// Member is an entry host that the operators count as part of the system.
+type Member struct {
+	// Name is unique among members.
+	Name       string `json:"name"`
+	DataCentre string `json:"data-centre"`
+	// Address is the IP and port of the host's peer listener.
+	Address string `json:"address"`
+	// Voter is true for hosts with a disk that hold the control log.
+	Voter bool `json:"voter"`
+}
+
+// Check returns an error that names the field, the fault and the remedy.
+func (m Member) Check() error {
+	if m.Name == "" || m.DataCentre == "" || m.Address == "" {
+		return fault("member", "lacks a name, a data centre or an address", "give all three")
+	}
+	return nil
+}
+
+// Config is the configuration at one revision. Its slices are sorted by name and never written after creation.
+type Config struct {
+	Revision  Revision   `json:"revision"`
+	Contracts []Contract `json:"contracts"`
+	Versions  []Version  `json:"versions"`
+	Members   []Member   `json:"members"`
+}
+
+// with returns a sorted copy of list in which value replaces the element of the same key.
+func with[T any](list []T, value T, key func(T) string) []T {
+	i, ok := slices.BinarySearchFunc(list, key(value), func(t T, k string) int { return strings.Compare(key(t), k) })
+	r := slices.Clone(list)
+	if ok {
+		r[i] = value
+		return r
+	}
+	return slices.Insert(r, i, value)
+}
+
+func find[T any](list []T, name string, key func(T) string) (T, bool) {
+	i, ok := slices.BinarySearchFunc(list, name, func(t T, k string) int { return strings.Compare(key(t), k) })
+	if !ok {
+		var z T
+		return z, false
+	}
+	return list[i], true
+}
+
+func contractKey(c Contract) string { return c.Customer }
+func versionKey(v Version) string   { return v.Name }
+func memberKey(m Member) string     { return m.Name }
+
+// WithRevision returns the configuration under another revision.
+func (c Config) WithRevision(revision Revision) Config {
+	c.Revision = revision
+	return c
+}
+
+// WithContract returns a copy that holds the contract.
+func (c Config) WithContract(contract Contract) Config {
+	c.Contracts = with(c.Contracts, contract, contractKey)
+	return c
+}
+
+// WithVersion returns a copy that holds the version.
+func (c Config) WithVersion(version Version) Config {
+	c.Versions = with(c.Versions, version, versionKey)
+	return c
+}
+
+// WithMember returns a copy that holds the member.
+func (c Config) WithMember(member Member) Config {
+	c.Members = with(c.Members, member, memberKey)
+	return c
+}
+
+// WithoutMember returns a copy without the named member.
+func (c Config) WithoutMember(name string) Config {
+	c.Members = slices.DeleteFunc(slices.Clone(c.Members), func(m Member) bool { return m.Name == name })
+	return c
+}
+
+// Contract returns a customer's contract.
+func (c Config) Contract(customer string) (Contract, bool) {
+	return find(c.Contracts, customer, contractKey)
+}
+
+// Version returns a declared version.
+func (c Config) Version(name string) (Version, bool) { return find(c.Versions, name, versionKey) }
+
+// Member returns a member by name.
+func (c Config) Member(name string) (Member, bool) { return find(c.Members, name, memberKey) }
+
+// ContractOf returns the contract that holds the hash of a bearer key.
+func (c Config) ContractOf(keyHash string) (Contract, bool) {
+	i := slices.IndexFunc(c.Contracts, func(t Contract) bool { return slices.Contains(t.KeyHashes, keyHash) })
+	if i < 0 {
+		return Contract{}, false
+	}
+	return c.Contracts[i], true
+}
+
+// DataCentres returns the sorted names of the members' data centres.
+func (c Config) DataCentres() []string {
+	var r []string
+	for _, m := range c.Members {
+		r = append(r, m.DataCentre)
+	}
+	slices.Sort(r)
+	return slices.Compact(r)
+}
+
+// MembersOf returns the members of one data centre.
+func (c Config) MembersOf(dataCentre string) []Member {
+	return slices.DeleteFunc(slices.Clone(c.Members), func(m Member) bool { return m.DataCentre != dataCentre })
+}
--- /dev/null
+++ b/proof/cluster.go
@@ -0,0 +1,276 @@
+// Package proof runs the system as real processes behind a fault-injecting proxy, for integration tests.
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/hickoryshelf/hickoryshelf/admpb"
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+// HostSpec describes one entry host of a cluster.
+type HostSpec struct {
+	Name       string
+	DataCentre string
+	// Voter hosts have a data folder.
+	Voter bool
+}
+
+// Host is one entry host process.
+type Host struct {
+	HostSpec
+	Settings conf.Settings
+	path     string
+	log      *os.File
+	cmd      *exec.Cmd
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	t       testing.TB
+	binary  string
+	folder  string
+	Hosts   []*Host
+	proxies map[[2]string]*toxiproxy.Proxy
+}
+
+// Build makes the program once for all tests of a process.
+func Build(folder string) (string, error) {
+	p := filepath.Join(folder, "hickoryshelf")
+	c := exec.Command("go", "build", "-o", p, "github.com/hickoryshelf/hickoryshelf")
+	if b, err := c.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, b)
+	}
+	return p, nil
+}
+
+// Start founds a system on the first voter and starts all hosts.
+func Start(t testing.TB, binary string, specs []HostSpec) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, binary: binary, folder: t.TempDir(), proxies: make(map[[2]string]*toxiproxy.Proxy)}
+	t.Cleanup(c.stop)
+	var m []model.Member
+	for _, s := range specs {
+		h := &Host{HostSpec: s}
+		h.Settings = conf.Settings{
+			Name: s.Name, DataCentre: s.DataCentre, PeerAddress: FreeAddress(t), CallerAddress: FreeAddress(t),
+			AdminAddress: FreeAddress(t), SessionKeys: []string{"proof-session-key"}, LogLevel: os.Getenv("PROOF_LOG_LEVEL"),
+		}
+		if s.Voter {
+			h.Settings.DataFolder = filepath.Join(c.folder, s.Name)
+		}
+		m = append(m, model.Member{Name: s.Name, DataCentre: s.DataCentre, Address: h.Settings.PeerAddress, Voter: s.Voter})
+		c.Hosts = append(c.Hosts, h)
+	}
+	f := false
+	for _, h := range c.Hosts {
+		h.Settings.Peers = m
+		c.connect(h)
+		c.write(h)
+		if h.Voter && !f {
+			f = true
+			c.run("init", "--settings", h.path)
+		}
+	}
+	for _, h := range c.Hosts {
+		c.StartHost(h)
+	}
+	return c
+}
+
+// FreeAddress finds a port that is free now.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// connect makes a proxy from a host to each other.
+func (c *Cluster) connect(h *Host) {
+	s := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	for _, o := range c.Hosts {
+		if o == h {
+			continue
+		}
+		p := toxiproxy.NewProxy(s, h.Name+"-"+o.Name, "127.0.0.1:0", o.Settings.PeerAddress)
+		if err := p.Start(); err != nil {
+			c.t.Fatal(err)
+		}
+		c.proxies[[2]string{h.Name, o.Name}] = p
+		h.Settings.PeerRoutes = append(h.Settings.PeerRoutes, conf.PeerRoute{Name: o.Name, Address: p.Listen})
+	}
+}
+
+func (c *Cluster) write(h *Host) {
+	b, err := json.Marshal(h.Settings)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	h.path = filepath.Join(c.folder, h.Name+".json")
+	if err := os.WriteFile(h.path, b, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// run runs the program to its end.
+func (c *Cluster) run(args ...string) {
+	c.t.Helper()
+	if b, err := exec.Command(c.binary, args...).CombinedOutput(); err != nil {
+		c.t.Fatalf("%v: %v: %s", args, err, b)
+	}
+}
+
+// StartHost starts a host's process.
+func (c *Cluster) StartHost(h *Host) {
+	c.t.Helper()
+	f, err := os.OpenFile(filepath.Join(c.folder, h.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	h.log = f
+	h.cmd = exec.Command(c.binary, "serve", "--settings", h.path)
+	h.cmd.Stdout, h.cmd.Stderr = f, f
+	if err := h.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Kill ends a host's process at once.
+func (c *Cluster) Kill(h *Host) {
+	if h.cmd == nil {
+		return
+	}
+	_ = h.cmd.Process.Kill()
+	_ = h.cmd.Wait()
+	_ = h.log.Close()
+	h.cmd = nil
+}
+
+// Terminate asks a host to stop as planned and returns how its process ended.
+func (c *Cluster) Terminate(h *Host) error {
+	if err := h.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	err := h.cmd.Wait()
+	_ = h.log.Close()
+	h.cmd = nil
+	return err
+}
+
+// Freeze stops a host's process without ending it.
+func (c *Cluster) Freeze(h *Host) { _ = h.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (c *Cluster) Thaw(h *Host) { _ = h.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Wipe removes a host's data folder.
+func (c *Cluster) Wipe(h *Host) {
+	if err := os.RemoveAll(h.Settings.DataFolder); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *Cluster) stop() {
+	for _, h := range c.Hosts {
+		if h.cmd != nil {
+			c.Thaw(h)
+			c.Kill(h)
+		}
+	}
+	for _, p := range c.proxies {
+		p.Stop()
+	}
+	if c.t.Failed() && os.Getenv("PROOF_KEEP") != "" {
+		for _, h := range c.Hosts {
+			b, _ := os.ReadFile(filepath.Join(c.folder, h.Name+".log"))
+			_ = os.WriteFile(filepath.Join(os.Getenv("PROOF_KEEP"), h.Name+".log"), b, 0o600)
+		}
+	}
+}
+
+// Cut stops all data between the hosts of a and those of b, silently.
+func (c *Cluster) Cut(a, b []*Host) {
+	c.between(a, b, func(p *toxiproxy.Proxy) {
+		for _, d := range []string{"upstream", "downstream"} {
+			j := fmt.Sprintf(`{"name":"cut-%s","type":"timeout","stream":%q,"attributes":{"timeout":0}}`, d, d)
+			if _, err := p.Toxics.AddToxicJson(strings.NewReader(j)); err != nil {
+				c.t.Logf("cut: %v", err)
+			}
+		}
+	})
+}
+
+// Heal lets data pass again between the hosts of a and those of b.
+func (c *Cluster) Heal(a, b []*Host) {
+	c.between(a, b, func(p *toxiproxy.Proxy) { p.Toxics.ResetToxics(context.Background()) })
+}
+
+func (c *Cluster) between(a, b []*Host, do func(*toxiproxy.Proxy)) {
+	for _, x := range a {
+		for _, y := range b {
+			if x != y {
+				do(c.proxies[[2]string{x.Name, y.Name}])
+				do(c.proxies[[2]string{y.Name, x.Name}])
+			}
+		}
+	}
+}
+
+// Of returns the hosts of a data centre, and all others.
+func (c *Cluster) Of(dataCentre string) (in, out []*Host) {
+	for _, h := range c.Hosts {
+		if h.DataCentre == dataCentre {
+			in = append(in, h)
+		} else {
+			out = append(out, h)
+		}
+	}
+	return in, out
+}
+
+// Except returns all hosts but the given one.
+func (c *Cluster) Except(host *Host) []*Host {
+	var r []*Host
+	for _, h := range c.Hosts {
+		if h != host {
+			r = append(r, h)
+		}
+	}
+	return r
+}
+
+// CallerAddresses returns the addresses that take callers and endpoints.
+func (c *Cluster) CallerAddresses(hosts []*Host) []string {
+	var r []string
+	for _, h := range hosts {
+		r = append(r, h.Settings.CallerAddress)
+	}
+	return r
+}
+
+// Admin returns a client of a host's administration API.
+func (h *Host) Admin() admpb.AdminServiceClient {
+	return admpb.NewAdminServiceClient(&http.Client{Timeout: 8 * time.Second}, "http://"+h.Settings.AdminAddress)
+}
+
+// Pid returns the process id of a running host.
+func (h *Host) Pid() int { return h.cmd.Process.Pid }
--- /dev/null
+++ b/proof/fixture.go
@@ -0,0 +1,130 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/admpb"
+	"github.com/hickoryshelf/hickoryshelf/fakes"
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+// Names used by the fixture.
+const (
+	Key      = "rollhilfe-key"
+	Customer = "rollhilfe"
+	Small    = "fitting-small@1"
+	Large    = "fitting-large@1"
+	Desk     = "desk"
+)
+
+// Three returns three hosts in two data centres, one of them a voter.
+func Three() []HostSpec {
+	return []HostSpec{
+		{Name: "bern1", DataCentre: "bern-halle", Voter: true},
+		{Name: "bern2", DataCentre: "bern-halle"},
+		{Name: "olten1", DataCentre: "olten-halle"},
+	}
+}
+
+// Nine returns nine hosts in three data centres, one voter in each.
+func Nine() []HostSpec {
+	var r []HostSpec
+	for _, d := range []string{"bern", "olten", "aarau"} {
+		for i := range 3 {
+			r = append(r, HostSpec{Name: fmt.Sprintf("%s%d", d, i+1), DataCentre: d + "-halle", Voter: i == 0})
+		}
+	}
+	return r
+}
+
+// Contract returns the fixture's contract.
+func Contract() model.Contract {
+	return model.Contract{
+		Customer: Customer, KeyHashes: []string{model.HashKey(Key)}, Versions: []string{Small, Large},
+		Classes: []model.ClassTerms{
+			{Class: "fitting", Quality: 0.6, Priority: model.PriorityInteractive},
+			{Class: "draft", Quality: 0.6, Priority: model.PriorityBatch},
+			{Class: "agreement", Quality: 0.6, Priority: model.PriorityNormal, RunsOnce: true},
+		},
+		Share: 1, MaxOutputTokens: 4000, Price: model.Price{InputMicros: 1000, OutputMicros: 2000},
+		Services: []model.Service{{Prefix: "/desk/", Name: Desk, NonRepeatable: []string{"book"}}},
+	}
+}
+
+// Configure declares the fixture's versions and puts its contract in force.
+func (c *Cluster) Configure(h *Host) {
+	c.t.Helper()
+	for _, v := range []model.Version{
+		{Name: Small, Cost: model.Price{InputMicros: 40, OutputMicros: 160}, Trusted: true},
+		{Name: Large, Cost: model.Price{InputMicros: 400, OutputMicros: 1600}, Trusted: true},
+	} {
+		c.MustChange(h, "declare-"+v.Name, admpb.Operation_OPERATION_DECLARE_VERSION, "", v)
+	}
+	c.MustChange(h, "contract-1", admpb.Operation_OPERATION_APPLY_CONTRACT, "", Contract())
+}
+
+// MustChange resends a change until it is in force everywhere.
+func (c *Cluster) MustChange(h *Host, id string, op admpb.Operation, name string, document any) {
+	c.t.Helper()
+	Eventually(c.t, 30*time.Second, func() error {
+		r, err := Change(context.Background(), h, id, 0, op, name, document)
+		if err == nil && !r.GetAccepted() {
+			err = fmt.Errorf("pending in %v", r.GetPending())
+		}
+		return err
+	})
+}
+
+// Engine starts an engine in a data centre that announces itself to that data centre's hosts.
+func (c *Cluster) Engine(id, dataCentre string, o fakes.EngineOptions) *fakes.Engine {
+	c.t.Helper()
+	in, _ := c.Of(dataCentre)
+	o.ID, o.DataCentre, o.Listener, o.Hosts = id, dataCentre, listen(c.t), c.CallerAddresses(in)
+	if o.Capacity == 0 {
+		o.Capacity = 16
+	}
+	e := fakes.NewEngine(o)
+	c.t.Cleanup(e.Close)
+	return e
+}
+
+// Service starts a plain service in a data centre.
+func (c *Cluster) Service(id, dataCentre string) *fakes.Service {
+	c.t.Helper()
+	in, _ := c.Of(dataCentre)
+	s := fakes.NewService(fakes.ServiceOptions{
+		ID: id, DataCentre: dataCentre, Name: Desk, Listener: listen(c.t), Hosts: c.CallerAddresses(in),
+	})
+	c.t.Cleanup(s.Close)
+	return s
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// Settled waits until the hosts know the given number of endpoints.
+func (c *Cluster) Settled(endpoints int) {
+	c.t.Helper()
+	Eventually(c.t, 20*time.Second, func() error {
+		s, err := Statuses(context.Background(), c.Hosts[0])
+		if err != nil {
+			return err
+		}
+		for _, h := range s {
+			if int(h.GetEndpoints()) < endpoints || h.GetStanding() != "connected" {
+				return fmt.Errorf("%s knows %d endpoints and is %s", h.GetName(), h.GetEndpoints(), h.GetStanding())
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/proof/path_test.go
@@ -0,0 +1,66 @@
+package proof_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/hickoryshelf/hickoryshelf/fakes"
+	"github.com/hickoryshelf/hickoryshelf/proof"
+)
+
+func client(h *proof.Host, o ...option.RequestOption) openai.Client {
+	return openai.NewClient(append([]option.RequestOption{
+		option.WithBaseURL("http://" + h.Settings.CallerAddress + "/v1"), option.WithAPIKey(proof.Key), option.WithMaxRetries(0),
+	}, o...)...)
+}
+
+func question(text string, tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model: "auto", MaxTokens: openai.Int(tokens),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+	}
+}
+
+// ask streams one completion and returns its text.
+func ask(ctx context.Context, h *proof.Host, text string, tokens int64, o ...option.RequestOption) (string, error) {
+	c := client(h, o...)
+	s := c.Chat.Completions.NewStreaming(ctx, question(text, tokens))
+	var b strings.Builder
+	for s.Next() {
+		if v := s.Current(); len(v.Choices) > 0 {
+			b.WriteString(v.Choices[0].Delta.Content)
+		}
+	}
+	return b.String(), s.Err()
+}
+
+// TestWholePath proves that a request entering any host is matched to its contract, answered and billed once.
+func TestWholePath(t *testing.T) {
+	i := is.New(t)
+	x := context.Background()
+	c := proof.Start(t, binary, proof.Three())
+	e := c.Engine("engine-bern", "bern-halle", fakes.EngineOptions{Versions: []string{proof.Small}})
+	f := c.Engine("engine-olten", "olten-halle", fakes.EngineOptions{Versions: []string{proof.Large}})
+	c.Configure(c.Hosts[1])
+	c.Settled(2)
+
+	a, err := ask(x, c.Hosts[2], "Which chair fits?", 30)
+	i.NoErr(err)
+	i.Equal(strings.Count(a, " "), 30) // streamed answer is whole
+
+	o := client(c.Hosts[1])
+	r, err := o.Chat.Completions.New(x, question("Summarise the inspection.", 20))
+	i.NoErr(err)
+	i.Equal(strings.Count(r.Choices[0].Message.Content, " "), 20) // plain answer is whole
+
+	b, err := proof.Bills(x, c.Hosts[0], "")
+	i.NoErr(err)
+	i.Equal(len(b), 2) // one line each
+	i.Equal(b[0].GetOutputTokens()+b[1].GetOutputTokens(), int64(50))
+	i.Equal(len(e.Runs())+len(f.Runs()), 2) // each ran once
+}
--- /dev/null
+++ b/quorum/step.go
@@ -0,0 +1,396 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+)
+
+// maxAppend bounds the entries of one Append.
+const maxAppend = 512
+
+// snapshotRetry is how long a leader waits before it sends a snapshot again.
+const snapshotRetry = 2 * time.Second
+
+// Step computes the next state and what has to be done. now is the node's monotonic clock.
+func Step(state State, now time.Duration, input Input) (State, Output) {
+	t := &step{State: state, now: now}
+	if t.ID == "" {
+		return t.State, t.out
+	}
+	b := t.Hard
+	switch i := input.(type) {
+	case Tick:
+		t.tick()
+	case Receive:
+		t.receive(i.Message)
+	case Propose:
+		t.propose(Entry{Data: i.Data})
+	case ProposePeers:
+		t.proposePeers(i.Peers)
+	case Persisted:
+		t.persisted(i)
+	case Compact:
+		t.compact(i)
+	}
+	if t.Hard != b {
+		h := t.Hard
+		t.out.Persist.Hard = &h
+	}
+	return t.State, t.out
+}
+
+// step collects the output while a copy of the state changes.
+type step struct {
+	State
+	now time.Duration
+	out Output
+}
+
+func (t *step) send(m Message) {
+	m.From = t.ID
+	if m.Term == 0 {
+		m.Term = t.Hard.Term
+	}
+	t.out.Messages = append(t.out.Messages, m)
+}
+
+func (t *step) append(entries []Entry) {
+	t.State = t.withEntries(entries)
+	t.out.Persist.Entries = append(t.out.Persist.Entries, entries...)
+}
+
+func (t *step) tick() {
+	if t.Role == Leader {
+		t.tickLeader()
+		return
+	}
+	if t.now >= t.deadline && t.Peers.IsVoter(t.ID) {
+		t.campaign(PreCandidate)
+	}
+}
+
+func (t *step) tickLeader() {
+	if t.now-t.elected > t.timing.Election && !t.Leased(t.now) {
+		t.follow(t.Hard.Term, "")
+		return
+	}
+	if t.now < t.deadline {
+		return
+	}
+	t.deadline = t.now + t.timing.Heartbeat
+	t.broadcast()
+}
+
+// campaign asks for votes; a pre-candidate asks without raising its term.
+func (t *step) campaign(role Role) {
+	t.Role = role
+	t.Leader = ""
+	t.votes = []NodeID{t.ID}
+	t.State = t.withDeadline(t.now)
+	k, e := PreVote, t.Hard.Term+1
+	if role == Candidate {
+		t.Hard = HardState{Term: t.Hard.Term + 1, Vote: t.ID}
+		k, e = Vote, t.Hard.Term
+	}
+	if t.won() {
+		t.advanceCampaign()
+		return
+	}
+	l, _ := t.termAt(t.LastIndex())
+	for _, n := range t.Peers.Voters {
+		if n != t.ID {
+			t.send(Message{Kind: k, To: n, Term: e, Index: t.LastIndex(), LogTerm: l})
+		}
+	}
+}
+
+func (t *step) won() bool { return 2*len(t.votes) > len(t.Peers.Voters) }
+
+func (t *step) advanceCampaign() {
+	if t.Role == PreCandidate {
+		t.campaign(Candidate)
+		return
+	}
+	t.lead()
+}
+
+func (t *step) lead() {
+	t.Role = Leader
+	t.Leader = t.ID
+	t.elected = t.now
+	t.progress = nil
+	t.propose(Entry{})
+	t.deadline = t.now + t.timing.Heartbeat
+}
+
+func (t *step) follow(term uint64, leader NodeID) {
+	if term > t.Hard.Term {
+		t.Hard = HardState{Term: term}
+	}
+	t.Role = Follower
+	t.Leader = leader
+	t.progress = nil
+	t.State = t.withDeadline(t.now)
+}
+
+func (t *step) receive(m Message) {
+	if m.To != t.ID {
+		return
+	}
+	switch m.Kind {
+	case PreVote, Vote:
+		t.receiveVote(m)
+	case PreVoteReply, VoteReply:
+		t.receiveVoteReply(m)
+	case Append, Install:
+		t.receiveEntries(m)
+	case AppendReply:
+		t.receiveAppendReply(m)
+	}
+}
+
+// hearsLeader reports whether a leader was heard so lately that no other may be elected.
+func (t *step) hearsLeader() bool {
+	if t.Role == Leader {
+		return t.Leased(t.now)
+	}
+	return t.Leader != "" && t.now < t.heard+t.timing.Election
+}
+
+func (t *step) receiveVote(m Message) {
+	if t.hearsLeader() || m.Term < t.Hard.Term {
+		t.refuseVote(m)
+		return
+	}
+	l, _ := t.termAt(t.LastIndex())
+	u := m.LogTerm > l || (m.LogTerm == l && m.Index >= t.LastIndex())
+	if m.Kind == PreVote && u && m.Term > t.Hard.Term {
+		t.send(Message{Kind: PreVoteReply, To: m.From, Term: m.Term})
+		return
+	}
+	if m.Kind == PreVote {
+		t.refuseVote(m)
+		return
+	}
+	if m.Term > t.Hard.Term {
+		t.follow(m.Term, "")
+	}
+	if !u || (t.Hard.Vote != "" && t.Hard.Vote != m.From) {
+		t.refuseVote(m)
+		return
+	}
+	t.Hard.Vote = m.From
+	t.State = t.withDeadline(t.now)
+	t.send(Message{Kind: VoteReply, To: m.From})
+}
+
+func (t *step) refuseVote(m Message) {
+	k := VoteReply
+	if m.Kind == PreVote {
+		k = PreVoteReply
+	}
+	t.send(Message{Kind: k, To: m.From, Reject: true})
+}
+
+func (t *step) receiveVoteReply(m Message) {
+	if m.Reject {
+		if m.Term > t.Hard.Term {
+			t.follow(m.Term, "")
+		}
+		return
+	}
+	w, e := Candidate, t.Hard.Term
+	if m.Kind == PreVoteReply {
+		w, e = PreCandidate, t.Hard.Term+1
+	}
+	if t.Role != w || m.Term != e || slices.Contains(t.votes, m.From) || !t.Peers.IsVoter(m.From) {
+		return
+	}
+	t.votes = append(slices.Clone(t.votes), m.From)
+	if t.won() {
+		t.advanceCampaign()
+	}
+}
+
+func (t *step) receiveEntries(m Message) {
+	if m.Term < t.Hard.Term {
+		t.send(Message{Kind: AppendReply, To: m.From, Reject: true, Index: t.LastIndex(), Stamp: m.Stamp})
+		return
+	}
+	t.follow(m.Term, m.From)
+	t.heard = t.now
+	if m.Kind == Install {
+		t.install(m)
+		return
+	}
+	p, ok := t.termAt(m.Index)
+	if !ok || p != m.LogTerm {
+		if m.Index < t.Snapshot.Index {
+			t.send(Message{Kind: AppendReply, To: m.From, Index: t.Snapshot.Index, Stamp: m.Stamp})
+			return
+		}
+		h := min(t.LastIndex(), m.Index-1)
+		t.send(Message{Kind: AppendReply, To: m.From, Reject: true, Index: h, Stamp: m.Stamp})
+		return
+	}
+	t.append(t.missing(m.Entries))
+	l := m.Index + uint64(len(m.Entries))
+	t.commitTo(min(m.Commit, l))
+	t.send(Message{Kind: AppendReply, To: m.From, Index: l, Stamp: m.Stamp})
+}
+
+// missing drops the leading entries that the log holds already.
+func (t *step) missing(entries []Entry) []Entry {
+	for i, e := range entries {
+		if p, ok := t.termAt(e.Index); !ok || p != e.Term {
+			return entries[i:]
+		}
+	}
+	return nil
+}
+
+func (t *step) install(m Message) {
+	if m.Snapshot == nil || m.Snapshot.Index <= t.Commit {
+		t.send(Message{Kind: AppendReply, To: m.From, Index: t.Commit, Stamp: m.Stamp})
+		return
+	}
+	t.Snapshot = *m.Snapshot
+	t.entries = t.entries.Slice(0, 0)
+	t.Commit = m.Snapshot.Index
+	t.Stable = m.Snapshot.Index
+	t.Peers = m.Snapshot.Peers
+	t.out.Persist.Snapshot = m.Snapshot
+	t.out.Restore = m.Snapshot
+	t.send(Message{Kind: AppendReply, To: m.From, Index: m.Snapshot.Index, Stamp: m.Stamp})
+}
+
+func (t *step) receiveAppendReply(m Message) {
+	if m.Term > t.Hard.Term {
+		t.follow(m.Term, "")
+		return
+	}
+	if t.Role != Leader || m.Term != t.Hard.Term || !t.Peers.Has(m.From) {
+		return
+	}
+	o := t.progressOf(m.From)
+	t.State = t.withProgress(m.From, func(p progress) progress {
+		p.acked = max(p.acked, m.Stamp)
+		if m.Reject {
+			p.next = max(p.match+1, min(p.next-1, m.Index+1))
+			return p
+		}
+		p.match = max(p.match, m.Index)
+		p.next = max(p.next, p.match+1)
+		return p
+	})
+	t.commitMatched()
+	if m.Reject || (t.progressOf(m.From).match > o.match && t.progressOf(m.From).next <= t.LastIndex()) {
+		t.sendEntries(m.From)
+	}
+}
+
+// commitMatched commits entries of this term that a majority has synced.
+func (t *step) commitMatched() {
+	c := majority(t.Peers.Voters, t.Match)
+	if e, ok := t.termAt(c); ok && e == t.Hard.Term && c > t.Commit {
+		t.commitTo(c)
+		t.broadcast()
+	}
+}
+
+func (t *step) commitTo(index uint64) {
+	index = min(index, t.LastIndex())
+	if index <= t.Commit {
+		return
+	}
+	t.out.Committed = append(t.out.Committed, t.from(t.Commit+1, int(index-t.Commit))...)
+	t.Commit = index
+	if t.Role == Leader && !t.Peers.IsVoter(t.ID) {
+		t.broadcast()
+		t.follow(t.Hard.Term, "")
+	}
+}
+
+func (t *step) propose(e Entry) {
+	if t.Role != Leader {
+		return
+	}
+	e.Index, e.Term = t.LastIndex()+1, t.Hard.Term
+	t.append([]Entry{e})
+	t.out.Proposed = e
+	t.broadcast()
+}
+
+func (t *step) proposePeers(p Peers) {
+	if t.Role != Leader || t.peersPending() || len(p.Voters) == 0 {
+		return
+	}
+	if d := len(p.Voters) - len(t.Peers.Voters); d < -1 || d > 1 {
+		return
+	}
+	t.propose(Entry{Peers: &p})
+}
+
+func (t *step) persisted(i Persisted) {
+	if e, ok := t.termAt(i.Index); !ok || e != i.Term || i.Index <= t.Stable {
+		return
+	}
+	t.Stable = i.Index
+	if t.Role == Leader {
+		t.commitMatched()
+	}
+}
+
+func (t *step) broadcast() {
+	for _, n := range t.Peers.All() {
+		if n != t.ID {
+			t.sendEntries(n)
+		}
+	}
+}
+
+// sendEntries sends what the node lacks, without waiting for earlier replies.
+func (t *step) sendEntries(node NodeID) {
+	p := t.progressOf(node)
+	l, ok := t.termAt(p.next - 1)
+	if !ok {
+		t.sendSnapshot(p)
+		return
+	}
+	e := t.from(p.next, maxAppend)
+	t.send(Message{Kind: Append, To: node, Index: p.next - 1, LogTerm: l, Entries: e, Commit: t.Commit, Stamp: t.now})
+	if p.match > 0 {
+		t.State = t.withProgress(node, func(p progress) progress { p.next += uint64(len(e)); return p })
+	}
+}
+
+func (t *step) sendSnapshot(p progress) {
+	if p.pending != 0 && t.now < p.pending+snapshotRetry {
+		return
+	}
+	s := t.Snapshot
+	t.send(Message{Kind: Install, To: p.node, Snapshot: &s, Stamp: t.now})
+	t.State = t.withProgress(p.node, func(p progress) progress { p.pending = t.now; return p })
+}
+
+func (t *step) compact(c Compact) {
+	e, ok := t.termAt(c.Index)
+	if !ok || c.Index > t.Commit || c.Index <= t.Snapshot.Index {
+		return
+	}
+	k := int(c.Index - t.Snapshot.Index)
+	s := Snapshot{Index: c.Index, Term: e, Peers: t.peersAt(c.Index), Data: c.Data}
+	t.entries = t.entries.Slice(k, t.entries.Len())
+	t.Snapshot = s
+	t.out.Persist.Snapshot = &s
+}
+
+// peersAt returns the peers as of an index that the log still holds.
+func (s State) peersAt(index uint64) Peers {
+	for i := int(index - s.Snapshot.Index - 1); i >= 0; i-- {
+		if e := s.entries.Get(i); e.Peers != nil {
+			return *e.Peers
+		}
+	}
+	return s.Snapshot.Peers
+}
--- /dev/null
+++ b/route/version.go
@@ -0,0 +1,188 @@
+// Package route chooses a version and an endpoint for each request: the cheapest allowed version whose
+// quality is proved for the task class, and an endpoint by its estimated load.
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+const (
+	// confidence is the number of deviations between a mean and the bounds used for choices.
+	confidence = 1.64
+	// minRatings is how many ratings a version needs before its bound counts.
+	minRatings = 30
+	// ExploreShare bounds the share of a class's requests given to versions without enough evidence.
+	ExploreShare = 0.02
+	// SuspectShare bounds the share of requests given to a suspect version.
+	SuspectShare = 0.01
+)
+
+// Query is what a request asks of the choice of a version.
+type Query struct {
+	Contract model.Contract
+	Terms    model.ClassTerms
+	// Pinned is the version of the request's session, or the one it names; empty lets the router choose.
+	Pinned string
+	// Draw is uniform in [0, 1) and decides about exploration.
+	Draw float64
+}
+
+// Candidate is one allowed version as the choice sees it.
+type Candidate struct {
+	Version string
+	// Cost is per 1,000 tokens, input and output added, in millionths of the currency.
+	Cost    int64
+	Ratings float64
+	Lower   float64
+	Upper   float64
+	Health  Health
+	// Refused says why the version can't be chosen; empty for a choice.
+	Refused string
+}
+
+// Choice is the result of choosing a version.
+type Choice struct {
+	// Versions are in the order in which they should be tried; empty when none may be used.
+	Versions []string
+	// Reason says in a few words why the first was chosen, or why none was.
+	Reason string
+	// Explored is true for a version chosen to gather evidence.
+	Explored   bool
+	Candidates []Candidate
+}
+
+// ChooseVersion returns the versions for a request in order of preference. held tells whether a usable
+// endpoint holds a version.
+func ChooseVersion(config model.Config, evidence Evidence, query Query, held func(string) bool, now time.Duration) Choice {
+	c := candidates(config, evidence, query, held, now)
+	if query.Pinned != "" {
+		return pinned(c, query.Pinned)
+	}
+	r := Choice{Candidates: c}
+	u := slices.DeleteFunc(slices.Clone(c), func(d Candidate) bool { return d.Refused != "" })
+	if len(u) == 0 {
+		r.Reason = "no allowed version is live, healthy and loaded"
+		return r
+	}
+	p, n := split(u, query.Terms.Quality)
+	if x, ok := explore(n, query.Draw); ok && (len(p) == 0 || x.Cost < p[0].Cost || x.Health == Suspect) {
+		r.Versions, r.Explored = append([]string{x.Version}, names(p)...), true
+		r.Reason = fmt.Sprintf("gathers evidence, %.0f ratings so far", x.Ratings)
+		return r
+	}
+	if len(p) > 0 {
+		r.Versions = names(p)
+		r.Reason = fmt.Sprintf("cheapest version with proved quality %.2f", p[0].Lower)
+		return r
+	}
+	return unproved(r, n, query.Terms.Quality)
+}
+
+// candidates lists the allowed versions, cheapest first.
+func candidates(config model.Config, evidence Evidence, query Query, held func(string) bool, now time.Duration) []Candidate {
+	var r []Candidate
+	for _, n := range query.Contract.Versions {
+		v, ok := config.Version(n)
+		if !ok {
+			continue
+		}
+		s := evidence.Stat(Subject{n, query.Terms.Class})
+		r = append(r, Candidate{
+			Version: n,
+			Cost:    v.Cost.InputMicros + v.Cost.OutputMicros,
+			Ratings: s.Count,
+			Lower:   s.LowerBound(confidence, now),
+			Upper:   s.UpperBound(confidence, now),
+			Health:  s.Health,
+			Refused: refusal(v, s, held),
+		})
+	}
+	slices.SortStableFunc(r, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
+	return r
+}
+
+func refusal(v model.Version, s Stat, held func(string) bool) string {
+	switch {
+	case v.State == model.VersionWithdrawn:
+		return "withdrawn"
+	case s.Health == Quarantined:
+		return "quarantined"
+	case !held(v.Name):
+		return "no usable endpoint holds it"
+	}
+	return ""
+}
+
+func pinned(candidates []Candidate, version string) Choice {
+	r := Choice{Candidates: candidates}
+	i := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Version == version })
+	switch {
+	case i < 0:
+		r.Reason = "version " + version + " isn't allowed by the contract"
+	case candidates[i].Refused != "":
+		r.Reason = "version " + version + ": " + candidates[i].Refused
+	default:
+		r.Versions = []string{version}
+		r.Reason = "the session or request names the version"
+	}
+	return r
+}
+
+// split separates the versions whose quality is proved from the others; both stay in order of cost.
+func split(candidates []Candidate, quality float64) (proved, unproved []Candidate) {
+	for _, c := range candidates {
+		if c.Health == Sound && c.Ratings >= minRatings && c.Lower >= quality {
+			proved = append(proved, c)
+		} else {
+			unproved = append(unproved, c)
+		}
+	}
+	return proved, unproved
+}
+
+// explore picks a version that lacks evidence, for a bounded share of the requests.
+func explore(candidates []Candidate, draw float64) (Candidate, bool) {
+	for _, c := range candidates {
+		s := 0.0
+		switch {
+		case c.Health == Suspect:
+			s = SuspectShare
+		case c.Ratings < minRatings:
+			s = ExploreShare
+		}
+		if draw < s {
+			return c, true
+		}
+		draw -= s
+	}
+	return Candidate{}, false
+}
+
+// unproved chooses while no version is proved: the one with the best bound that could still meet the
+// quality, and the costliest among those without any evidence.
+func unproved(r Choice, candidates []Candidate, quality float64) Choice {
+	u := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Upper < quality })
+	if len(u) == 0 {
+		r.Reason = fmt.Sprintf("no allowed version reaches quality %.2f", quality)
+		return r
+	}
+	slices.SortStableFunc(u, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Health, b.Health), cmp.Compare(b.Lower, a.Lower), cmp.Compare(b.Cost, a.Cost))
+	})
+	r.Versions = names(u)
+	r.Reason = "no version is proved yet, the most promising one serves"
+	return r
+}
+
+func names(candidates []Candidate) []string {
+	var r []string
+	for _, c := range candidates {
+		r = append(r, c.Version)
+	}
+	return r
+}
--- /dev/null
+++ b/store/disk.go
@@ -0,0 +1,180 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+)
+
+const (
+	identityFile = "disk-id"
+	quorumFile   = "quorum.log"
+	billsFile    = "bills.log"
+)
+
+// record is one element of the quorum log file.
+type record struct {
+	Hard     *quorum.HardState `json:"hard,omitempty"`
+	Entry    *quorum.Entry     `json:"entry,omitempty"`
+	Snapshot *quorum.Snapshot  `json:"snapshot,omitempty"`
+}
+
+// Disk is the data folder of a host.
+type Disk struct {
+	// Identity is drawn when the folder is first used; a wiped folder gets another.
+	Identity string
+	quorum   *Log
+	bills    *Log
+	held     Held
+}
+
+// Held is what a disk remembers for the control log.
+type Held struct {
+	Hard     quorum.HardState
+	Snapshot quorum.Snapshot
+	Entries  []quorum.Entry
+}
+
+// OpenDisk opens a data folder, making it where it is missing, and returns the bill records it holds.
+func OpenDisk(folder string) (*Disk, [][]byte, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("data folder: %w; name a folder that can be written", err)
+	}
+	i, err := identity(folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	q, r, err := Open(filepath.Join(folder, quorumFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	b, s, err := Open(filepath.Join(folder, billsFile))
+	if err != nil {
+		return nil, nil, errors.Join(err, q.Close())
+	}
+	h, err := decode(r)
+	if err != nil {
+		return nil, nil, errors.Join(err, q.Close(), b.Close())
+	}
+	return &Disk{Identity: i, quorum: q, bills: b, held: h}, s, nil
+}
+
+func identity(folder string) (string, error) {
+	p := filepath.Join(folder, identityFile)
+	b, err := os.ReadFile(p)
+	if err == nil && len(b) > 0 {
+		return string(b), nil
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return "", fmt.Errorf("read disk identity: %w; check the disk", err)
+	}
+	i := rand.Text()[:12]
+	if err := WriteFile(p, []byte(i)); err != nil {
+		return "", fmt.Errorf("write disk identity: %w; make the data folder writable", err)
+	}
+	return i, nil
+}
+
+func decode(records [][]byte) (Held, error) {
+	var h Held
+	for i, b := range records {
+		var r record
+		if err := json.Unmarshal(b, &r); err != nil {
+			return Held{}, fmt.Errorf("control record %d: %w; this build can't read the log, run the one that wrote it", i, err)
+		}
+		h = h.with(r)
+	}
+	return h, nil
+}
+
+func (h Held) with(r record) Held {
+	switch {
+	case r.Hard != nil:
+		h.Hard = *r.Hard
+	case r.Snapshot != nil:
+		h.Snapshot = *r.Snapshot
+		h.Entries = after(h.Entries, r.Snapshot.Index, r.Snapshot.Term)
+	case r.Entry != nil:
+		k := int(r.Entry.Index - h.Snapshot.Index - 1)
+		h.Entries = append(h.Entries[:min(k, len(h.Entries))], *r.Entry)
+	}
+	return h
+}
+
+// after returns the entries behind a snapshot, or none where they don't continue it.
+func after(entries []quorum.Entry, index, term uint64) []quorum.Entry {
+	for i, e := range entries {
+		if e.Index == index && e.Term == term {
+			return append([]quorum.Entry(nil), entries[i+1:]...)
+		}
+	}
+	return nil
+}
+
+// Held returns what the disk held when it was opened.
+func (d *Disk) Held() Held { return d.held }
+
+// Persist writes and syncs what the control log asks for.
+func (d *Disk) Persist(p quorum.Persist) error {
+	if p.Snapshot != nil {
+		return d.compact(p)
+	}
+	for _, r := range records(p) {
+		b, err := json.Marshal(r)
+		if err != nil {
+			return fmt.Errorf("encode control record: %w; report this as a fault", err)
+		}
+		d.quorum.Append(b)
+		d.held = d.held.with(r)
+	}
+	return d.quorum.Sync()
+}
+
+func records(p quorum.Persist) []record {
+	var r []record
+	if p.Snapshot != nil {
+		r = append(r, record{Snapshot: p.Snapshot})
+	}
+	if p.Hard != nil {
+		r = append(r, record{Hard: p.Hard})
+	}
+	for i := range p.Entries {
+		r = append(r, record{Entry: &p.Entries[i]})
+	}
+	return r
+}
+
+// compact rewrites the log as a snapshot, the hard state and the entries behind it.
+func (d *Disk) compact(p quorum.Persist) error {
+	for _, r := range records(p) {
+		d.held = d.held.with(r)
+	}
+	var w [][]byte
+	for _, r := range records(quorum.Persist{Snapshot: &d.held.Snapshot, Hard: &d.held.Hard, Entries: d.held.Entries}) {
+		b, err := json.Marshal(r)
+		if err != nil {
+			return fmt.Errorf("encode control record: %w; report this as a fault", err)
+		}
+		w = append(w, b)
+	}
+	return d.quorum.Rewrite(w)
+}
+
+// PersistBills writes and syncs bill records.
+func (d *Disk) PersistBills(records [][]byte) error {
+	for _, r := range records {
+		d.bills.Append(r)
+	}
+	return d.bills.Sync()
+}
+
+// Size returns the bytes that the control log takes up.
+func (d *Disk) Size() int64 { return d.quorum.Size() }
+
+// Close closes the files.
+func (d *Disk) Close() error { return errors.Join(d.quorum.Close(), d.bills.Close()) }
