--- /dev/null
+++ b/quorum/step_test.go
@@ -0,0 +1,289 @@
+package quorum_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+)
+
+var timing = quorum.Timing{Heartbeat: 50 * time.Millisecond, Election: 300 * time.Millisecond}
+
+// node is a quorum node with a disk that remembers only what was synced.
+type node struct {
+	state    quorum.State
+	hard     quorum.HardState
+	snapshot quorum.Snapshot
+	entries  []quorum.Entry
+	unsynced []quorum.Output
+	applied  []string
+	up       bool
+}
+
+// net passes messages between nodes; the test decides which are lost, late or doubled.
+type net struct {
+	nodes    map[quorum.NodeID]*node
+	ids      []quorum.NodeID
+	messages []quorum.Message
+	now      time.Duration
+	leaders  map[uint64]quorum.NodeID
+	// committed is the history that all nodes must share.
+	committed []string
+	fault     string
+	// group tells whether two nodes reach each other; nil means that all do.
+	group func(a, b quorum.NodeID) bool
+}
+
+func newNet(voters int) *net {
+	n := &net{nodes: make(map[quorum.NodeID]*node), leaders: make(map[uint64]quorum.NodeID)}
+	for k := range voters {
+		n.ids = append(n.ids, quorum.NodeID(fmt.Sprintf("n%d", k)))
+	}
+	s := quorum.Snapshot{Index: 1, Term: 1, Peers: quorum.Peers{Voters: n.ids}}
+	for k, i := range n.ids {
+		d := &node{hard: quorum.HardState{Term: 1}, snapshot: s, up: true}
+		d.state = quorum.New(i, timing, d.hard, s, nil, uint64(k+1))
+		n.nodes[i] = d
+	}
+	return n
+}
+
+func (n *net) step(id quorum.NodeID, input quorum.Input) quorum.Entry {
+	d := n.nodes[id]
+	if !d.up {
+		return quorum.Entry{}
+	}
+	s, o := quorum.Step(d.state, n.now, input)
+	d.state = s
+	if o.Restore != nil {
+		d.applied = slices.Clone(n.committed[:o.Restore.Index-1])
+	}
+	for _, e := range o.Committed {
+		d.applied = append(d.applied, fmt.Sprintf("%d/%d/%s", e.Index, e.Term, e.Data))
+	}
+	n.check(id, d)
+	d.unsynced = append(d.unsynced, o)
+	return o.Proposed
+}
+
+func (n *net) check(id quorum.NodeID, d *node) {
+	k := min(len(d.applied), len(n.committed))
+	if !slices.Equal(d.applied[:k], n.committed[:k]) {
+		n.fault = fmt.Sprintf("%s applied %v beside %v", id, d.applied, n.committed)
+	}
+	if len(d.applied) > len(n.committed) {
+		n.committed = slices.Clone(d.applied)
+	}
+	if d.state.Role != quorum.Leader {
+		return
+	}
+	if o, ok := n.leaders[d.state.Hard.Term]; ok && o != id {
+		n.fault = fmt.Sprintf("%s and %s lead in term %d", id, o, d.state.Hard.Term)
+	}
+	n.leaders[d.state.Hard.Term] = id
+}
+
+// sync makes the oldest output last, and lets its messages go.
+func (n *net) sync(id quorum.NodeID) {
+	d := n.nodes[id]
+	if len(d.unsynced) == 0 || !d.up {
+		return
+	}
+	o := d.unsynced[0]
+	d.unsynced = d.unsynced[1:]
+	if o.Persist.Snapshot != nil {
+		d.snapshot = *o.Persist.Snapshot
+		d.entries = slices.DeleteFunc(d.entries, func(e quorum.Entry) bool { return e.Index <= d.snapshot.Index })
+	}
+	if o.Persist.Hard != nil {
+		d.hard = *o.Persist.Hard
+	}
+	for _, e := range o.Persist.Entries {
+		d.entries = append(d.entries[:min(len(d.entries), int(e.Index-d.snapshot.Index-1))], e)
+	}
+	n.messages = append(n.messages, o.Messages...)
+	if k := len(o.Persist.Entries); k > 0 {
+		e := o.Persist.Entries[k-1]
+		n.step(id, quorum.Persisted{Index: e.Index, Term: e.Term})
+	}
+}
+
+func (n *net) crash(id quorum.NodeID) {
+	d := n.nodes[id]
+	d.up, d.unsynced = false, nil
+}
+
+func (n *net) restart(id quorum.NodeID, seed uint64) {
+	d := n.nodes[id]
+	if d.up {
+		return
+	}
+	d.up = true
+	d.state = quorum.New(id, timing, d.hard, d.snapshot, d.entries, seed)
+	d.applied = slices.Clone(n.committed[:d.snapshot.Index-1])
+}
+
+// settle lets everything run without faults for a while.
+func (n *net) settle(d time.Duration) {
+	for e := n.now + d; n.now < e; n.now += 10 * time.Millisecond {
+		for _, i := range n.ids {
+			n.step(i, quorum.Tick{})
+		}
+		for range 4 {
+			for _, i := range n.ids {
+				for len(n.nodes[i].unsynced) > 0 && n.nodes[i].up {
+					n.sync(i)
+				}
+			}
+			m := n.messages
+			n.messages = nil
+			for _, x := range m {
+				if n.group != nil && !n.group(x.From, x.To) {
+					continue
+				}
+				n.step(x.To, quorum.Receive{Message: x})
+			}
+		}
+	}
+}
+
+// TestSafety loses, doubles and reorders messages, and crashes nodes between any two steps: no two nodes
+// ever lead in one term, none applies another history, and after the faults all agree and go on.
+func TestSafety(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNet(rapid.SampledFrom([]int{3, 5}).Draw(t, "voters"))
+		id := rapid.SampledFrom(n.ids)
+		for k := range rapid.IntRange(20, 120).Draw(t, "steps") {
+			i := id.Draw(t, "node")
+			switch rapid.IntRange(0, 23).Draw(t, "act") {
+			case 20, 21, 22:
+				n.burst(t, k)
+			case 0:
+				n.crash(i)
+			case 1:
+				n.restart(i, uint64(k))
+			case 2, 3:
+				n.step(i, quorum.Propose{Data: fmt.Appendf(nil, "%d", k)})
+			case 4:
+				if d := n.nodes[i]; d.up {
+					n.step(i, quorum.Compact{Index: uint64(len(d.applied)) + 1})
+				}
+			case 5, 6, 7, 8:
+				n.now += time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond
+				n.step(i, quorum.Tick{})
+			case 9, 10, 11, 12, 13:
+				n.sync(i)
+			default:
+				n.deliver(t)
+			}
+			if n.fault != "" {
+				t.Fatal(n.fault)
+			}
+		}
+		n.heal(t)
+	})
+}
+
+// burst cuts the nodes into two groups, lets each run by itself for a while, and has all leaders append.
+func (n *net) burst(t *rapid.T, k int) {
+	g := rapid.SliceOfN(rapid.Bool(), len(n.ids), len(n.ids)).Draw(t, "group")
+	o := func(id quorum.NodeID) bool { return g[slices.Index(n.ids, id)] }
+	n.group = func(a, b quorum.NodeID) bool { return o(a) == o(b) }
+	d := time.Duration(rapid.IntRange(1, 80).Draw(t, "burst")) * 10 * time.Millisecond
+	n.settle(d / 2)
+	for _, i := range n.ids {
+		n.step(i, quorum.Propose{Data: fmt.Appendf(nil, "%d-%s", k, i)})
+	}
+	n.settle(d / 2)
+	n.group = nil
+}
+
+func (n *net) deliver(t *rapid.T) {
+	if len(n.messages) == 0 {
+		return
+	}
+	k := rapid.IntRange(0, len(n.messages)-1).Draw(t, "message")
+	m := n.messages[k]
+	f := rapid.IntRange(0, 9).Draw(t, "fate")
+	if f != 0 {
+		n.messages = slices.Delete(n.messages, k, k+1)
+	}
+	if f != 1 {
+		n.step(m.To, quorum.Receive{Message: m})
+	}
+}
+
+func (n *net) heal(t *rapid.T) {
+	for k, i := range n.ids {
+		n.restart(i, uint64(k+1000))
+	}
+	n.settle(5 * time.Second)
+	for _, i := range n.ids {
+		if n.nodes[i].state.Role == quorum.Leader {
+			n.step(i, quorum.Propose{Data: []byte("last")})
+		}
+	}
+	n.settle(time.Second)
+	for _, i := range n.ids {
+		if !slices.Equal(n.nodes[i].applied, n.committed) {
+			t.Fatalf("%s applied %v, others %v", i, n.nodes[i].applied, n.committed)
+		}
+	}
+	if n.fault != "" || len(n.committed) == 0 {
+		t.Fatalf("fault %q, %d committed", n.fault, len(n.committed))
+	}
+}
+
+// TestReplaceVoter adds a learner, promotes it and removes an old voter, one at a time.
+func TestReplaceVoter(t *testing.T) {
+	i := is.New(t)
+	n := newNet(3)
+	n.settle(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	d := &node{up: true}
+	d.state = quorum.New("new", timing, quorum.HardState{}, quorum.Snapshot{}, nil, 9)
+	n.nodes["new"] = d
+	n.ids = append(n.ids, "new")
+	p := n.nodes[l].state.Peers
+	i.True(n.step(l, quorum.ProposePeers{Peers: p.WithLearner("new")}).Index > 0)
+	n.settle(time.Second)
+	i.Equal(n.nodes[l].state.Match("new"), n.nodes[l].state.LastIndex()) // the learner has caught up
+	p = n.nodes[l].state.Peers.WithVoter("new")
+	i.True(n.step(l, quorum.ProposePeers{Peers: p}).Index > 0)
+	i.Equal(n.step(l, quorum.ProposePeers{Peers: p.Without("n0")}).Index, uint64(0)) // one change at a time
+	n.settle(time.Second)
+	i.Equal(len(n.nodes[l].state.Peers.Voters), 4)
+	i.Equal(n.fault, "")
+}
+
+func terms(n *net) []uint64 {
+	var r []uint64
+	for k := range n.leaders {
+		r = append(r, k)
+	}
+	return r
+}
+
+// TestLeaseEnds cuts the leader off: its lease ends before another leader is elected.
+func TestLeaseEnds(t *testing.T) {
+	i := is.New(t)
+	n := newNet(3)
+	n.settle(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	i.True(n.nodes[l].state.Ready(n.now))
+	n.nodes[l].up = false // frozen: neither receives nor ticks
+	for e := n.now + 3*time.Second; n.now < e; {
+		n.settle(10 * time.Millisecond)
+		for _, o := range n.ids {
+			if o != l && n.nodes[o].state.Role == quorum.Leader {
+				i.True(!n.nodes[l].state.Leased(n.now)) // never two leases
+			}
+		}
+	}
+	i.True(n.leaders[slices.Max(terms(n))] != l)
+}
