--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -93,15 +93,16 @@
 	return c
 }
 
-// FreeAddress finds a port that is free now.
+// addresses counts those handed out by this process.
+var addresses atomic.Uint32
+
+// FreeAddress returns a loopback address that no other process uses: outgoing connections never take ports
+// of an IP that is this process's own.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	const ports = 1000
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%250, (os.Getpid()/250)%250, 1+n/ports, 7000+n%ports)
 }
 
 // connect makes a proxy from a host to each other.
@@ -111,7 +112,7 @@
 		if o == h {
 			continue
 		}
-		p := toxiproxy.NewProxy(s, h.Name+"-"+o.Name, "127.0.0.1:0", o.Settings.PeerAddress)
+		p := toxiproxy.NewProxy(s, h.Name+"-"+o.Name, FreeAddress(c.t), o.Settings.PeerAddress)
 		if err := p.Start(); err != nil {
 			c.t.Fatal(err)
 		}
--- a/proof/wait.go
+++ b/proof/wait.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/hickoryshelf/hickoryshelf/admpb"
+	"github.com/hickoryshelf/hickoryshelf/model"
 )
 
 // Eventually tries until it succeeds, and fails the test after the given time.
@@ -62,3 +64,24 @@
 	}
 	return r.Msg.GetLines(), nil
 }
+
+// Versions returns the versions in force at a host, and the revision.
+func Versions(ctx context.Context, h *Host) ([]model.Version, uint64, error) {
+	r, err := h.Admin().Show(ctx, connect.NewRequest(&admpb.ShowRequest{}))
+	if err != nil {
+		return nil, 0, err
+	}
+	var c model.Config
+	err = json.Unmarshal(r.Msg.GetDocument(), &c)
+	return c.Versions, r.Msg.GetRevision(), err
+}
+
+// Get returns the status of a GET request to a host's caller address, or 0 without an answer.
+func Get(h *Host, path string) int {
+	r, err := http.Get("http://" + h.Settings.CallerAddress + path)
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
