Blame an endpoint, not its version, for a fault at one endpoint alone

Cause: TestForeignPart went red since garbage from one engine counted as faults of the version it held; ten answers later the version was in quarantine although its other engine was sound. Ruled out: the endpoint's suspicion, which worked. Change: a fault speaks against the version only when two endpoints have answered the same request with one; a request that no endpoint may get is refused at once instead of waiting out its class; a planned stop serves 3 s on by default.

--- a/conf/settings.go
+++ b/conf/settings.go
@@ -10,10 +10,13 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/model"
 )
 
+const defaultDrainDelay = model.Duration(3 * time.Second)
+
 // TLS names the files for mutual TLS between hosts and towards operators. They are read again when they
 // change.
 type TLS struct {
@@ -50,7 +53,8 @@
 	OperatorKeys []string `json:"operator-keys"`
 	// TLS is nil where hosts talk plain TCP, which is for trials on one machine.
 	TLS *TLS `json:"tls"`
-	// DrainDelay is how long a planned stop serves on after readiness fails, for the balancer to notice.
+	// DrainDelay is how long a planned stop serves on after readiness fails, for the balancer to notice;
+	// 3 s where none is given.
 	DrainDelay model.Duration `json:"drain-delay"`
 	// LogLevel is one of logrus's levels; empty means "info".
 	LogLevel string `json:"log-level"`
@@ -69,6 +73,9 @@
 	if err != nil {
 		return s, fmt.Errorf("settings %s: %w", path, err)
 	}
+	if s.DrainDelay == 0 {
+		s.DrainDelay = defaultDrainDelay
+	}
 	if err := s.Check(); err != nil {
 		return s, fmt.Errorf("settings %s: %w", path, err)
 	}
--- a/core/ask.go
+++ b/core/ask.go
@@ -55,9 +55,22 @@
 		r.start(a, p, h, s, 0)
 		return
 	}
+	if !r.reachable(a, p) {
+		m := "no endpoint that may get the request holds " + p.holds[0] + "; come back later"
+		r.refuse(a, &Refusal{Kind: RefusedCapacity, Message: m, RetryAfter: capacityRetry})
+		return
+	}
 	r.queue(a, p)
 }
 
+// reachable reports whether there is an endpoint worth waiting for.
+func (r *reducer) reachable(a Ask, p plan) bool {
+	return slices.ContainsFunc(p.holds, func(h string) bool {
+		_, ok := r.Routes.ChooseEndpoint(h, r.DataCentres(), a.Exclude, 1, p.terms.Priority, r.Now)
+		return ok
+	})
+}
+
 // mayOvertake reports whether a new request may start although others wait: those wait for other
 // versions, or have a lower priority.
 func (r *reducer) mayOvertake(p plan) bool {
@@ -321,20 +334,29 @@
 	switch e.Ending {
 	case EndedWell:
 		r.Routes = r.Routes.WithSuccess(d.Endpoint, d.Incarnation, r.Now)
-	case EndedRefused, EndedFailed:
+	case EndedRefused, EndedFailed, EndedFaulty:
 		r.Routes = r.Routes.WithFailure(d.Endpoint, d.Incarnation, e.Ending == EndedRefused, r.Now)
 		r.log("member", "an endpoint failed a request", Field{"endpoint", d.Endpoint}, Field{"ending", e.Ending})
 	}
-	if !d.Service && (e.Ending == EndedWell || e.Ending == EndedFaulty) {
-		v := 0.0
-		if e.Ending == EndedFaulty {
-			v = 1
-		}
-		r.rated(Rated{Rating: route.Rating{Kind: route.Fault, Version: d.Version, Class: d.Class, Value: v}})
-	}
+	r.rateFault(d, e)
 	r.startQueued()
 }
 
+// rateFault counts a request that two endpoints answered with faults against its version, and one that
+// ended well in its favour. A fault at one endpoint alone speaks against that endpoint.
+func (r *reducer) rateFault(d Dispatch, e Finished) {
+	v := 0.0
+	switch {
+	case d.Service:
+		return
+	case e.Ending == EndedFaulty && e.Faulty > 1:
+		v = 1
+	case e.Ending != EndedWell:
+		return
+	}
+	r.rated(Rated{Rating: route.Rating{Kind: route.Fault, Version: d.Version, Class: d.Class, Value: v}})
+}
+
 // abandoned forgets a caller that has gone.
 func (r *reducer) abandoned(e Abandoned) {
 	if n, ok := r.Admit.WithCancelled(e.Customer, e.ID); ok {
--- a/core/event.go
+++ b/core/event.go
@@ -108,6 +108,8 @@
 	Ending Ending
 	// Tokens is the true number of input and output tokens.
 	Tokens float64
+	// Faulty is how many endpoints have answered the request with a fault, this one included.
+	Faulty int
 }
 
 // Ending is how an attempt ended.
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -31,6 +31,8 @@
 	attempts int
 	// started is true once an endpoint may have started the request.
 	started bool
+	// faulty counts the endpoints that have answered with a fault.
+	faulty  int
 	exclude []string
 	usage   model.Usage
 }
@@ -122,8 +124,11 @@
 // finish tells the reducer how the current attempt ended.
 func (j *job) finish(e ending) {
 	j.started = j.started || e.started
+	if e.kind == core.EndedFaulty {
+		j.faulty++
+	}
 	t := float64(j.usage.InputTokens + j.usage.OutputTokens)
-	j.gate.router.Finish(core.Finished{ID: j.attemptID(), Ending: e.kind, Tokens: t})
+	j.gate.router.Finish(core.Finished{ID: j.attemptID(), Ending: e.kind, Tokens: t, Faulty: j.faulty})
 }
 
 // again decides about a further attempt after one that failed. It returns the final failure when there is
--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -69,7 +69,7 @@
 		h := &Host{HostSpec: s}
 		h.Settings = conf.Settings{
 			Name: s.Name, DataCentre: s.DataCentre, PeerAddress: FreeAddress(t), CallerAddress: FreeAddress(t),
-			AdminAddress: FreeAddress(t), SessionKeys: []string{"proof-session-key"}, LogLevel: os.Getenv("PROOF_LOG_LEVEL"),
+			AdminAddress: FreeAddress(t), SessionKeys: []string{"proof-session-key"}, DrainDelay: model.Duration(time.Second), LogLevel: os.Getenv("PROOF_LOG_LEVEL"),
 		}
 		if s.Voter {
 			h.Settings.DataFolder = filepath.Join(c.folder, s.Name)
