Measure the decisions against baselines on a seeded trace

hickoryshelf bench runs the real reducers of all hosts in virtual time against stand-ins for engines and the rating service.

--- /dev/null
+++ b/bench/product.go
@@ -0,0 +1,277 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/config"
+	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/member"
+	"github.com/hickoryshelf/hickoryshelf/model"
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/route"
+)
+
+const (
+	tickEvery = 50 * time.Millisecond
+	// controlEvery is how often the stand-in of the leader renews the hosts' leases.
+	controlEvery = 500 * time.Millisecond
+	maxAttempts  = 4
+)
+
+// product runs the real reducers of all entry hosts.
+type product struct {
+	world  *world
+	record *record
+	config model.Config
+	hosts  []*reducerHost
+	// open are the requests between a question and its answer, by the id of the question.
+	open map[string]*pending
+}
+
+// pending is a request on its way.
+type pending struct {
+	arrival  arrival
+	ask      core.Ask
+	attempts int
+	faulty   int
+	decision core.Decision
+}
+
+// reducerHost is one entry host.
+type reducerHost struct {
+	product    *product
+	name       string
+	dataCentre string
+	state      core.State
+	beats      map[string]beatReturn
+}
+
+// beatReturn leads the answer to a heartbeat back to its sender.
+type beatReturn struct {
+	from *reducerHost
+	sent core.BeatSent
+}
+
+func newProduct(w *world, r *record, seed uint64) *product {
+	p := &product{world: w, record: r, open: make(map[string]*pending)}
+	d := w.deployment
+	var m []model.Member
+	for i, c := range d.dataCentres {
+		for k := range d.hosts[i] {
+			h := &reducerHost{product: p, name: fmt.Sprintf("%s%d", c, k), dataCentre: c, beats: make(map[string]beatReturn)}
+			p.hosts = append(p.hosts, h)
+			m = append(m, model.Member{Name: h.name, DataCentre: c, Address: "stand-in"})
+		}
+	}
+	p.config = p.configuration(m)
+	for i, h := range p.hosts {
+		t := quorum.Timing{Heartbeat: time.Second, Election: time.Second}
+		h.state = core.NewState(core.Options{
+			Self: member.Self{Name: h.name, DataCentre: h.dataCentre, Incarnation: 1}, Seeds: m, Control: config.NewState(),
+			Ledger: ledger.NewState(), Quorum: quorum.New("", t, quorum.HardState{}, quorum.Snapshot{}, nil, 1), Seed: seed + uint64(i),
+		})
+		h.tick()
+		h.renew()
+	}
+	for _, e := range w.engines {
+		p.announce(e)
+	}
+	return p
+}
+
+// configuration makes one contract for each customer, all with the deployment's classes.
+func (p *product) configuration(m []model.Member) model.Config {
+	var c model.Config
+	d := p.world.deployment
+	for _, x := range m {
+		c = c.WithMember(x)
+	}
+	var n []string
+	for _, v := range p.world.versions {
+		c = c.WithVersion(v.version)
+		n = append(n, v.version.Name)
+	}
+	for _, u := range d.customers {
+		t := model.Contract{Customer: u.name, KeyHashes: []string{u.name}, Versions: n, Share: u.share, MaxOutputTokens: 4000}
+		for _, k := range d.classes {
+			t.Classes = append(t.Classes, k.terms)
+		}
+		c = c.WithContract(t)
+	}
+	return c.WithRevision(1)
+}
+
+func (h *reducerHost) tick() {
+	h.reduce(core.Tick{})
+	h.product.world.after(tickEvery, h.tick)
+}
+
+// renew stands in for the leader's answers.
+func (h *reducerHost) renew() {
+	w := h.product.world
+	h.reduce(core.ConfigPulled{From: "control", Config: h.product.config})
+	s := member.Self{Name: "control", Incarnation: 1, Revision: 1, Leading: true}
+	if !h.isCut() {
+		h.reduce(core.BeatAnswered{Sent: core.BeatSent{To: "control", At: w.now}, Beat: member.Beat{Self: s}})
+	}
+	w.after(controlEvery, h.renew)
+}
+
+func (h *reducerHost) isCut() bool {
+	w := h.product.world
+	return w.scenario.cut && w.turned() && h.dataCentre == w.deployment.dataCentres[0]
+}
+
+// reaches reports whether a message between two data centres arrives.
+func (p *product) reaches(a, b string) bool {
+	w := p.world
+	if !w.scenario.cut || !w.turned() {
+		return true
+	}
+	return (a == w.deployment.dataCentres[0]) == (b == w.deployment.dataCentres[0])
+}
+
+// announce has an engine announce itself to a host of its data centre, late.
+func (p *product) announce(e *engine) {
+	w := p.world
+	a := e.announcement()
+	w.after(announceEvery, func() { p.announce(e) })
+	if e.stopped {
+		return
+	}
+	var n []*reducerHost
+	for _, h := range p.hosts {
+		if h.dataCentre == e.dataCentre {
+			n = append(n, h)
+		}
+	}
+	h := n[w.random.IntN(len(n))]
+	w.after(reportLag, func() { h.reduce(core.Announced{Endpoint: a}) })
+}
+
+func (h *reducerHost) reduce(e core.Event) {
+	s, f := core.Reduce(h.state, h.product.world.now, e)
+	h.state = s
+	for _, x := range f {
+		h.carryOut(x)
+	}
+}
+
+func (h *reducerHost) carryOut(effect core.Effect) {
+	p := h.product
+	switch e := effect.(type) {
+	case core.SendBeat:
+		h.sendBeat(e)
+	case core.AnswerBeat:
+		b := h.beats[e.ID]
+		delete(h.beats, e.ID)
+		p.world.after(linkDelay, func() { b.from.reduce(core.BeatAnswered{Sent: b.sent, Beat: e.Beat}) })
+	case core.Decide:
+		p.decided(h, e)
+	}
+}
+
+func (h *reducerHost) sendBeat(e core.SendBeat) {
+	p := h.product
+	for _, o := range p.hosts {
+		if o.name != e.Sent.To || !p.reaches(h.dataCentre, o.dataCentre) {
+			continue
+		}
+		i := fmt.Sprintf("%s>%s@%d", h.name, o.name, p.world.count)
+		o.beats[i] = beatReturn{h, e.Sent}
+		p.world.after(linkDelay, func() { o.reduce(core.BeatReceived{ID: i, Beat: e.Beat}) })
+	}
+}
+
+func (p *product) submit(a arrival) {
+	k := p.world.deployment.classes[a.class]
+	x := &pending{arrival: a, ask: core.Ask{
+		RequestID: a.id, KeyHash: a.customer.name, Class: k.terms.Class, Tokens: float64(a.input + a.output),
+	}}
+	p.ask(p.hosts[a.host], x)
+}
+
+func (p *product) ask(h *reducerHost, x *pending) {
+	x.ask.ID = fmt.Sprintf("%s.%d", x.arrival.id, x.attempts)
+	x.attempts++
+	p.open[x.ask.ID] = x
+	h.reduce(core.Asked{Ask: x.ask})
+}
+
+func (p *product) decided(h *reducerHost, e core.Decide) {
+	x := p.open[e.ID]
+	delete(p.open, e.ID)
+	if e.Decision.Refusal != nil {
+		p.record.refuse(x.arrival)
+		return
+	}
+	x.decision = e.Decision
+	t := &task{arrival: x.arrival, version: p.versionIndex(e.Decision.Version), engine: p.engineOf(e.Decision.Endpoint.ID), sent: p.world.now}
+	t.done = func(r result) { p.ended(h, x, r) }
+	p.record.attempt()
+	p.world.after(linkDelay, func() { p.deliver(h, t) })
+}
+
+func (p *product) deliver(h *reducerHost, t *task) {
+	if !p.reaches(h.dataCentre, t.engine.dataCentre) {
+		p.world.after(700*time.Millisecond, func() { t.done(result{task: t, refused: true}) })
+		return
+	}
+	t.engine.submit(t)
+}
+
+func (p *product) versionIndex(name string) int {
+	for i, v := range p.world.versions {
+		if v.version.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (p *product) engineOf(id string) *engine {
+	for _, e := range p.world.engines {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func (p *product) ended(h *reducerHost, x *pending, r result) {
+	a := x.arrival
+	f := core.Finished{ID: x.ask.ID, Tokens: float64(a.input + a.output)}
+	switch {
+	case r.refused:
+		f.Ending, f.Tokens = core.EndedRefused, 0
+	case r.faulty:
+		x.faulty++
+		f.Ending, f.Tokens, f.Faulty = core.EndedFaulty, 0, x.faulty
+	}
+	h.reduce(f)
+	if f.Ending == core.EndedWell {
+		p.record.serve(a, r.task, r.quality)
+		p.rate(h, x, r)
+		return
+	}
+	if x.attempts >= maxAttempts {
+		p.record.fail(a, r.task)
+		return
+	}
+	x.ask.Again, x.ask.Version = true, x.decision.Version
+	x.ask.Exclude = append(x.ask.Exclude, x.decision.Endpoint.ID)
+	p.ask(h, x)
+}
+
+// rate has the answer rated, as far as the rating service allows.
+func (p *product) rate(h *reducerHost, x *pending, r result) {
+	w := p.world
+	if !w.mayRate(x.decision.Rate) {
+		return
+	}
+	v := w.rating(r.quality)
+	t := route.Rating{Kind: route.Quality, Version: x.decision.Version, Class: x.ask.Class, Value: v}
+	w.after(ratingDelay, func() { h.reduce(core.Rated{Rating: t}) })
+}
--- /dev/null
+++ b/bench/scenario.go
@@ -0,0 +1,99 @@
+package bench
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// scenario is what happens during a run.
+type scenario struct {
+	name   string
+	length time.Duration
+	// turn is when the trouble starts.
+	turn time.Duration
+	// load multiplies the rate of requests after the turn.
+	load float64
+	// drop, faulty and slow befall the cheapest proved version, by its index, after the turn.
+	bad    int
+	drop   float64
+	faulty float64
+	slow   float64
+	// fresh is a version declared at the turn and loaded on half of its engines only.
+	fresh bool
+	// raterDown stops the rating service after the turn.
+	raterDown bool
+	// lost is how many engines of the first data centre stop after the turn.
+	lost int
+	// greedy lets one customer send half of all requests after the turn.
+	greedy bool
+	// cut cuts off the first data centre after the turn.
+	cut bool
+	// only is the one class of the trace, or -1 for all.
+	only int
+}
+
+func (s scenario) loadAt(t time.Duration) float64 {
+	if t >= s.turn && s.load > 0 {
+		return s.load
+	}
+	return 1
+}
+
+const (
+	runLength = 6 * time.Minute
+	turnAt    = 4 * time.Minute
+	// badVersion is the index of the version that turns bad: the cheap one that most requests use.
+	badVersion = 2
+)
+
+// scenarios are those of a run by name.
+func scenarios() map[string]scenario {
+	m := make(map[string]scenario)
+	for _, s := range []scenario{
+		{name: "steady"},
+		{name: "burst", load: burstFactor},
+		{name: "bad-quality", drop: 0.3},
+		{name: "bad-errors", faulty: 0.5},
+		{name: "bad-slow", slow: 8},
+		{name: "rollout", fresh: true},
+		{name: "rater-down", raterDown: true},
+		{name: "out-of-capacity", lost: 3},
+		{name: "greedy", greedy: true, load: 3},
+		{name: "cut", cut: true},
+	} {
+		s.length, s.turn, s.bad, s.only = runLength, turnAt, badVersion, -1
+		m[s.name] = s
+	}
+	short := scenario{name: "short-alone", length: runLength, turn: turnAt, bad: badVersion, only: 0}
+	m[short.name] = short
+	return m
+}
+
+// Names lists the scenarios.
+func Names() []string {
+	var r []string
+	for n := range scenarios() {
+		r = append(r, n)
+	}
+	sort.Strings(r)
+	return r
+}
+
+func find(deploymentName, scenarioName string) (deployment, scenario, error) {
+	var d deployment
+	switch deploymentName {
+	case "rollhilfe":
+		d = rollhilfe()
+	case "savinja":
+		d = savinja()
+	default:
+		return d, scenario{}, fmt.Errorf("deployment %q isn't known; name rollhilfe or savinja", deploymentName)
+	}
+	s, ok := scenarios()[scenarioName]
+	if !ok {
+		return d, s, fmt.Errorf("scenario %q isn't known; name one of %s", scenarioName, strings.Join(Names(), ", "))
+	}
+	return d, s, nil
+}
--- /dev/null
+++ b/cmds/bench.go
@@ -0,0 +1,30 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hickoryshelf/hickoryshelf/bench"
+)
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "measures the decision policies against baselines on a seeded trace",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: "rollhilfe", Usage: "rollhilfe or savinja"},
+			&cli.StringFlag{Name: "scenario", Value: "steady", Usage: strings.Join(bench.Names(), ", ")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the trace"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			r, err := bench.Run(c.String("deployment"), c.String("scenario"), c.Uint64("seed"))
+			if err != nil {
+				return err
+			}
+			return json.NewEncoder(c.Root().Writer).Encode(r)
+		},
+	}
+}
