Explore versions that were in use before more than new ones

Cause: a version needs 30 ratings before its bound counts, and at 2% of a class's requests those took minutes; meanwhile the costliest version served. Ruled out: the limit of the rating service (12/s, half unused). Change: trusted versions get 10%.

--- a/route/version.go
+++ b/route/version.go
@@ -16,8 +16,10 @@
 	confidence = 1.64
 	// minRatings is how many ratings a version needs before its bound counts.
 	minRatings = 30
-	// ExploreShare bounds the share of a class's requests given to versions without enough evidence.
+	// ExploreShare bounds the share of a class's requests given to a new version without enough evidence.
 	ExploreShare = 0.02
+	// TrustedShare is the same for a version that was in use before the router came.
+	TrustedShare = 0.10
 	// SuspectShare bounds the share of requests given to a suspect version.
 	SuspectShare = 0.01
 )
@@ -41,6 +43,8 @@
 	Lower   float64
 	Upper   float64
 	Health  Health
+	// Trusted versions were in use before the router came.
+	Trusted bool
 	// Refused says why the version can't be chosen; empty for a choice.
 	Refused string
 }
@@ -99,6 +103,7 @@
 			Lower:   s.LowerBound(confidence, now),
 			Upper:   s.UpperBound(confidence, now),
 			Health:  s.Health,
+			Trusted: v.Trusted,
 			Refused: refusal(v, s, held),
 		})
 	}
@@ -152,6 +157,8 @@
 		switch {
 		case c.Health == Suspect:
 			s = SuspectShare
+		case c.Ratings < minRatings && c.Trusted:
+			s = TrustedShare
 		case c.Ratings < minRatings:
 			s = ExploreShare
 		}
