Explore a version until its evidence decides

Cause: a version whose first 30 ratings left its bound just below the quality was never tried again, for better or worse. Change: exploration goes on while the upper bound allows the quality, and a bound counts from 15 ratings on.

--- a/route/version.go
+++ b/route/version.go
@@ -15,7 +15,7 @@
 	// confidence is the number of deviations between a mean and the bounds used for choices.
 	confidence = 1.64
 	// minRatings is how many ratings a version needs before its bound counts.
-	minRatings = 30
+	minRatings = 15
 	// ExploreShare bounds the share of a class's requests given to a new version without enough evidence.
 	ExploreShare = 0.02
 	// TrustedShare is the same for a version that was in use before the router came.
@@ -74,7 +74,7 @@
 		return r
 	}
 	p, n := split(u, query.Terms.Quality)
-	if x, ok := explore(n, query.Draw); ok && (len(p) == 0 || x.Cost < p[0].Cost || x.Health == Suspect) {
+	if x, ok := explore(n, query.Terms.Quality, query.Draw); ok && (len(p) == 0 || x.Cost < p[0].Cost || x.Health == Suspect) {
 		r.Versions, r.Explored = append([]string{x.Version}, names(p)...), true
 		r.Reason = fmt.Sprintf("gathers evidence, %.0f ratings so far", x.Ratings)
 		return r
@@ -150,16 +150,19 @@
 	return proved, unproved
 }
 
-// explore picks a version that lacks evidence, for a bounded share of the requests.
-func explore(candidates []Candidate, draw float64) (Candidate, bool) {
+// explore picks a version whose evidence doesn't decide yet whether it reaches the quality, for a bounded
+// share of the requests.
+func explore(candidates []Candidate, quality, draw float64) (Candidate, bool) {
 	for _, c := range candidates {
 		s := 0.0
 		switch {
 		case c.Health == Suspect:
 			s = SuspectShare
-		case c.Ratings < minRatings && c.Trusted:
+		case c.Ratings >= minRatings && c.Upper < quality:
+			s = 0
+		case c.Trusted:
 			s = TrustedShare
-		case c.Ratings < minRatings:
+		default:
 			s = ExploreShare
 		}
 		if draw < s {
