Give a promising version half of its class's requests while its evidence is thin

Ruled out: the rating limit. Change: a trusted version whose mean reaches the quality after 5 ratings gets 50% until its bound decides.

--- a/route/version.go
+++ b/route/version.go
@@ -20,6 +20,10 @@
 	ExploreShare = 0.02
 	// TrustedShare is the same for a version that was in use before the router came.
 	TrustedShare = 0.10
+	// promisingShare is the same for one whose mean reaches the quality after minPromise ratings: it is more
+	// likely good than not, so the answers' mean doesn't suffer.
+	promisingShare = 0.50
+	minPromise     = 5
 	// SuspectShare bounds the share of requests given to a suspect version.
 	SuspectShare = 0.01
 )
@@ -40,6 +44,7 @@
 	// Cost is per 1,000 tokens, input and output added, in millionths of the currency.
 	Cost    int64
 	Ratings float64
+	Mean    float64
 	Lower   float64
 	Upper   float64
 	Health  Health
@@ -100,6 +105,7 @@
 			Version: n,
 			Cost:    v.Cost.InputMicros + v.Cost.OutputMicros,
 			Ratings: s.Count,
+			Mean:    s.Mean,
 			Lower:   s.LowerBound(confidence, now),
 			Upper:   s.UpperBound(confidence, now),
 			Health:  s.Health,
@@ -160,6 +166,8 @@
 			s = SuspectShare
 		case c.Ratings >= minRatings && c.Upper < quality:
 			s = 0
+		case c.Trusted && c.Ratings >= minPromise && c.Mean >= quality:
+			s = promisingShare
 		case c.Trusted:
 			s = TrustedShare
 		default:
