Let interactive requests wait at the engines, which honour priorities for all hosts

Cause: under a fourfold load interactive requests waited 1.5 s (p50) at their host while other hosts gave freed slots to drafts; a host only sees the slots it frees itself. Ruled out: the order of the queue (a lead of 1e9 tokens changed nothing). Change: interactive requests may exceed an endpoint's capacity by half.

--- a/admit/state.go
+++ b/admit/state.go
@@ -3,6 +3,7 @@
 package admit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -129,15 +130,22 @@
 	return s.with(a), true
 }
 
+// lead is how far, in tokens over its share, a customer may run ahead of the others with requests of a
+// priority: urgent requests are short, so they go first until their customer has used up its lead.
+func lead(p model.Priority) float64 {
+	const tokens = 20_000
+	return float64(p) * tokens
+}
+
+// due is the virtual time that decides whose request goes first.
+func (a Account[T]) due() float64 { return a.Virtual - lead(a.Queue[0].Priority) }
+
 // Next takes the first request that may start now out of the queue, from the customer with the least
 // virtual time that has one, and charges it.
 func (s State[T]) Next(may func(Waiting[T]) bool) (next State[T], w Waiting[T], ok bool) {
 	q := slices.DeleteFunc(s.Accounts(), func(a Account[T]) bool { return len(a.Queue) == 0 })
 	slices.SortStableFunc(q, func(a, b Account[T]) int {
-		if a.Virtual < b.Virtual {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.due(), b.due())
 	})
 	for _, a := range q {
 		if i := slices.IndexFunc(a.Queue, may); i >= 0 {
--- a/route/pool.go
+++ b/route/pool.go
@@ -39,13 +39,21 @@
 // Free returns how many more requests the endpoint runs at once.
 func (n Node) Free() int { return n.Capacity - n.Outstanding() }
 
-// reservePart is the part of an endpoint's capacity that batch requests leave to others.
-const reservePart = 8
+const (
+	// reservePart is the part of an endpoint's capacity that batch requests leave to others.
+	reservePart = 8
+	// excessPart is the part of its capacity by which interactive requests may exceed it: the engine lets
+	// them go before what waits there, whichever host sent it.
+	excessPart = 2
+)
 
 // FreeFor returns how many more requests of a priority the endpoint should be given.
 func (n Node) FreeFor(priority model.Priority) int {
-	if priority == model.PriorityBatch {
+	switch priority {
+	case model.PriorityBatch:
 		return n.Free() - n.Capacity/reservePart
+	case model.PriorityInteractive:
+		return n.Free() + n.Capacity/excessPart
 	}
 	return n.Free()
 }
