Doubt a version in all classes once it falls in one

Cause: each task class had to find out by itself that a version had turned bad. Change: a fall in one class makes the version suspect in the others, and a suspect version is sound again only when its sums are back at zero; ratings of doubted versions go first.

--- a/bench/product.go
+++ b/bench/product.go
@@ -268,7 +268,8 @@
 // rate has the answer rated, as far as the rating service allows.
 func (p *product) rate(h *reducerHost, x *pending, r result) {
 	w := p.world
-	if !w.mayRate(x.decision.Rate) {
+	s := h.state.Routes.Evidence.Stat(route.Subject{Version: x.decision.Version, Class: x.ask.Class})
+	if !w.mayRate(x.decision.Rate || s.Health != route.Sound) {
 		return
 	}
 	v := w.rating(r.quality)
--- a/gate/rater.go
+++ b/gate/rater.go
@@ -61,7 +61,8 @@
 func (j *job) rateAnswer(answer string) {
 	t := sample{Version: j.decision.Version, Class: j.decision.Terms.Class, Prompt: j.x.fields.Messages, Answer: answer}
 	c := j.gate.raters.usual
-	if j.decision.Rate {
+	s := j.gate.router.State().Routes.Evidence.Stat(route.Subject{Version: t.Version, Class: t.Class})
+	if j.decision.Rate || s.Health != route.Sound {
 		c = j.gate.raters.urgent
 	}
 	select {
--- a/proof/request_test.go
+++ b/proof/request_test.go
@@ -457,4 +457,6 @@
 }
 
 // withClass names a task class.
-func withClass(name string) option.RequestOption { return option.WithHeader("Hickoryshelf-Class", name) }
+func withClass(name string) option.RequestOption {
+	return option.WithHeader("Hickoryshelf-Class", name)
+}
--- a/route/evidence.go
+++ b/route/evidence.go
@@ -133,18 +133,28 @@
 	return s
 }
 
+// judged sets the health. A suspect version is sound again only once its sums have fallen to zero.
 func (s Stat) judged() Stat {
 	switch {
 	case s.Fall >= quarantineAt || s.Faults >= faultQuarantineAt:
 		s.Health = Quarantined
 	case s.Fall >= suspectAt || s.Faults >= faultSuspectAt:
 		s.Health = Suspect
-	default:
+	case s.Fall == 0 && s.Faults < faultSuspectAt:
 		s.Health = Sound
 	}
 	return s
 }
 
+// doubted returns the evidence after the version was found bad in another task class.
+func (s Stat) doubted() Stat {
+	if s.Health == Sound {
+		s.Health = Suspect
+		s.Fall = suspectAt
+	}
+	return s
+}
+
 // Subject is a version in a task class.
 type Subject struct {
 	Version string
@@ -196,15 +206,28 @@
 	o := e.Stat(k)
 	n := o.with(r, now)
 	e.stats = e.stats.Set(k, n)
+	if n.Health > o.Health {
+		e = e.withDoubt(k)
+	}
 	return e, o.Health, n.Health
 }
 
+// withDoubt makes a version suspect in all other task classes: what befalls it in one befalls it in others.
+func (e Evidence) withDoubt(s Subject) Evidence {
+	for _, t := range e.Entries() {
+		if t.Version == s.Version && t.Class != s.Class {
+			e.stats = e.stats.Set(t.Subject, t.Stat.doubted())
+		}
+	}
+	return e
+}
+
 // WithQuarantine returns the evidence with the subject in quarantine, on another host's word.
 func (e Evidence) WithQuarantine(s Subject) Evidence {
 	t := e.Stat(s)
 	t.Health = Quarantined
 	e.stats = e.stats.Set(s, t)
-	return e
+	return e.withDoubt(s)
 }
 
 // WithEntries returns evidence that starts from another host's, for a host that has none itself.
