Judge answers before they are delivered where the contract wants it or the version is in doubt

Cause of the exposure: a request that is running when a version turns bad is delivered before any rating of a bad answer can exist. Ruled out: detection speed (two ratings make a version suspect). Change: a class may ask that answers are held back and rated; a doubted version's plain answers are too. Real processes: TestJudgedAnswers.

--- a/bench/product.go
+++ b/bench/product.go
@@ -252,8 +252,7 @@
 	}
 	h.reduce(f)
 	if f.Ending == core.EndedWell {
-		p.record.serve(a, r.task, r.quality)
-		p.rate(h, x, r)
+		p.answered(h, x, r)
 		return
 	}
 	if x.attempts >= maxAttempts {
@@ -265,6 +264,41 @@
 	p.ask(h, x)
 }
 
+// answered delivers an answer and has it rated; one that can be held back is judged first where its class
+// wants that or its version is in doubt.
+func (p *product) answered(h *reducerHost, x *pending, r result) {
+	k := p.world.deployment.classes[x.arrival.class]
+	s := route.Subject{Version: x.decision.Version, Class: x.ask.Class}
+	d := !k.streamed && h.state.Routes.Evidence.Stat(s).Health != route.Sound
+	if (!k.terms.Judge && !d) || len(x.ask.Avoid) > 0 {
+		p.record.serve(x.arrival, r.task, r.quality)
+		p.rate(h, x, r)
+		return
+	}
+	if !p.world.mayRate(true) {
+		p.judge(h, x, r, 0, false)
+		return
+	}
+	v := p.world.rating(r.quality)
+	p.world.after(ratingDelay, func() {
+		h.reduce(core.Rated{Rating: route.Rating{Kind: route.Quality, Version: s.Version, Class: s.Class, Value: v}})
+		p.judge(h, x, r, v, true)
+	})
+}
+
+func (p *product) judge(h *reducerHost, x *pending, r result, score float64, rated bool) {
+	s := route.Subject{Version: x.decision.Version, Class: x.ask.Class}
+	q := p.world.deployment.classes[x.arrival.class].terms.Quality
+	r.task.first = p.world.now
+	if h.state.Routes.Evidence.Judge(s, q, score, rated) == route.Deliver {
+		p.record.serve(x.arrival, r.task, r.quality)
+		return
+	}
+	p.record.waste(x.arrival, r.task)
+	x.ask.Avoid = append(x.ask.Avoid, s.Version)
+	p.ask(h, x)
+}
+
 // rate has the answer rated, as far as the rating service allows.
 func (p *product) rate(h *reducerHost, x *pending, r result) {
 	w := p.world
--- a/bench/record.go
+++ b/bench/record.go
@@ -95,6 +95,13 @@
 	r.expose(a, t)
 }
 
+// waste counts the cost of an answer that is not delivered.
+func (r *record) waste(a arrival, t *task) {
+	if r.counts(a) {
+		r.cost += r.world.cost(t.version, a)
+	}
+}
+
 func (r *record) expose(a arrival, t *task) {
 	s := r.world.scenario
 	if s.drop+s.faulty+s.slow == 0 || t.version != s.bad || t.sent < s.turn {
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -30,6 +30,8 @@
 	greedy bool
 	// cut cuts off the first data centre after the turn.
 	cut bool
+	// judged has the answers of streamed classes held back until they are judged.
+	judged bool
 	// only is the one class of the trace, or -1 for all.
 	only int
 }
@@ -55,6 +57,8 @@
 		{name: "steady"},
 		{name: "burst", load: burstFactor},
 		{name: "bad-quality", drop: 0.3},
+		{name: "bad-quality-judged", drop: 0.3, judged: true},
+		{name: "steady-judged", judged: true},
 		{name: "bad-errors", faulty: 0.5},
 		{name: "bad-slow", slow: 8},
 		{name: "rollout", fresh: true},
@@ -95,5 +99,8 @@
 	if !ok {
 		return d, s, fmt.Errorf("scenario %q isn't known; name one of %s", scenarioName, strings.Join(Names(), ", "))
 	}
+	for i := range d.classes {
+		d.classes[i].terms.Judge = s.judged && d.classes[i].streamed
+	}
 	return d, s, nil
 }
--- a/bench/world.go
+++ b/bench/world.go
@@ -17,6 +17,8 @@
 	part   float64
 	input  int
 	output int
+	// streamed answers reach the caller while they are made, so that they can't be held back.
+	streamed bool
 }
 
 // versionSpec is a version with its true quality in each class, in the order of the classes.
@@ -72,9 +74,9 @@
 	return deployment{
 		name: "rollhilfe", dataCentres: []string{"bern-halle", "olten-halle", "aarau-halle"}, hosts: []int{3, 3, 3},
 		classes: []class{
-			{model.ClassTerms{Class: "fitting", Quality: 0.78, Priority: model.PriorityInteractive, FirstToken: model.Duration(400 * time.Millisecond)}, 0.6, 300, 60},
-			{model.ClassTerms{Class: "inspection", Quality: 0.78, Priority: model.PriorityNormal}, 0.25, 600, 200},
-			{model.ClassTerms{Class: "draft", Quality: 0.78, Priority: model.PriorityBatch}, 0.15, 800, 600},
+			{model.ClassTerms{Class: "fitting", Quality: 0.78, Priority: model.PriorityInteractive, FirstToken: model.Duration(400 * time.Millisecond)}, 0.6, 300, 60, true},
+			{model.ClassTerms{Class: "inspection", Quality: 0.78, Priority: model.PriorityNormal}, 0.25, 600, 200, false},
+			{model.ClassTerms{Class: "draft", Quality: 0.78, Priority: model.PriorityBatch}, 0.15, 800, 600, false},
 		},
 		versions: []versionSpec{
 			spec("large@1", 1600, 0.92, 0.92, 0.92), spec("medium@1", 600, 0.88, 0.86, 0.83),
@@ -89,9 +91,9 @@
 	return deployment{
 		name: "savinja", dataCentres: []string{"celje-hall", "mozirje-hall", "velenje-hall", "zalec-hall"}, hosts: []int{3, 2, 2, 2},
 		classes: []class{
-			{model.ClassTerms{Class: "parent", Quality: 0.75, Priority: model.PriorityInteractive, FirstToken: model.Duration(400 * time.Millisecond)}, 0.45, 200, 120},
-			{model.ClassTerms{Class: "reminder", Quality: 0.75, Priority: model.PriorityNormal}, 0.30, 100, 40},
-			{model.ClassTerms{Class: "summary", Quality: 0.78, Priority: model.PriorityBatch}, 0.25, 2000, 500},
+			{model.ClassTerms{Class: "parent", Quality: 0.75, Priority: model.PriorityInteractive, FirstToken: model.Duration(400 * time.Millisecond)}, 0.45, 200, 120, true},
+			{model.ClassTerms{Class: "reminder", Quality: 0.75, Priority: model.PriorityNormal}, 0.30, 100, 40, false},
+			{model.ClassTerms{Class: "summary", Quality: 0.78, Priority: model.PriorityBatch}, 0.25, 2000, 500, false},
 		},
 		versions: []versionSpec{
 			spec("large@1", 1600, 0.91, 0.92, 0.92), spec("medium@1", 500, 0.86, 0.88, 0.84),
--- a/core/ask.go
+++ b/core/ask.go
@@ -105,6 +105,9 @@
 
 // refuseHost refuses new requests that this host must not take.
 func (r *reducer) refuseHost(a Ask, c model.Contract) *Refusal {
+	if len(a.Avoid) > 0 {
+		return nil
+	}
 	if a.Again {
 		if r.retryBudget < 1 {
 			m := "the budget of further attempts is used up; come back later"
@@ -156,6 +159,7 @@
 	d := r.DataCentres()
 	h := func(n string) bool { return r.Routes.Holders(n, d) }
 	c := route.ChooseVersion(r.Config, r.Routes.Evidence, q, h, r.Now)
+	c.Versions = slices.DeleteFunc(c.Versions, func(n string) bool { return slices.Contains(a.Avoid, n) })
 	if len(c.Versions) == 0 {
 		return p, refuseChoice(c)
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -91,6 +91,8 @@
 	Path string
 	// Exclude lists endpoints that this request has failed at.
 	Exclude []string
+	// Avoid lists versions whose answers to this request were judged too low.
+	Avoid []string
 	// Tokens is an estimate of input and output tokens.
 	Tokens float64
 	// Again is true for further attempts, which go on where a new request would be refused.
--- a/gate/rater.go
+++ b/gate/rater.go
@@ -59,7 +59,10 @@
 
 // rateAnswer queues the answer for rating.
 func (j *job) rateAnswer(answer string) {
-	t := sample{Version: j.decision.Version, Class: j.decision.Terms.Class, Prompt: j.x.fields.Messages, Answer: answer}
+	if j.judged {
+		return
+	}
+	t := j.sample(answer)
 	c := j.gate.raters.usual
 	s := j.gate.router.State().Routes.Evidence.Stat(route.Subject{Version: t.Version, Class: t.Class})
 	if j.decision.Rate || s.Health != route.Sound {
@@ -72,13 +75,17 @@
 	}
 }
 
+func (j *job) sample(answer string) sample {
+	return sample{Version: j.decision.Version, Class: j.decision.Terms.Class, Prompt: j.x.fields.Messages, Answer: answer}
+}
+
 func (q *raterQueue) loop() {
 	for {
 		t, ok := q.next()
 		if !ok {
 			return
 		}
-		v, err := q.rate(t)
+		v, err := q.rate(q.ctx, t)
 		if err != nil {
 			q.gate.metrics.GetOrCreateCounter("hickoryshelf_ratings_failed_total").Inc()
 			q.pause()
@@ -111,7 +118,8 @@
 	}
 }
 
-func (q *raterQueue) rate(t sample) (float64, error) {
+// rate asks the rating service for the score of an answer, between 0 and 1.
+func (q *raterQueue) rate(ctx context.Context, t sample) (float64, error) {
 	s := q.gate.router.State()
 	p, ok := s.Routes.ChooseEndpoint(RaterHold, s.DataCentres(), nil, uint64(time.Now().UnixNano()), model.PriorityNormal, s.Now)
 	if !ok {
@@ -121,7 +129,7 @@
 	if err != nil {
 		return 0, err
 	}
-	c, f := context.WithTimeout(q.ctx, raterTimeout)
+	c, f := context.WithTimeout(ctx, raterTimeout)
 	defer f()
 	r, err := http.NewRequestWithContext(c, http.MethodPost, "http://"+p.Node.Address+"/v1/rate", bytes.NewReader(b))
 	if err != nil {
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -32,7 +32,12 @@
 	// started is true once an endpoint may have started the request.
 	started bool
 	// faulty counts the endpoints that have answered with a fault.
-	faulty  int
+	faulty int
+	// other is true while a decision for another version is wanted; judged once the answer has a rating.
+	other  bool
+	judged bool
+	// text is that of a whole answer that isn't streamed.
+	text    string
 	exclude []string
 	usage   model.Usage
 }
@@ -102,7 +107,7 @@
 	a := j.ask
 	a.ID = j.x.id + "." + strconv.Itoa(j.attempts)
 	a.Exclude = j.exclude
-	if a.Again = j.attempts > 0; a.Again {
+	if a.Again = j.attempts > 0 && !j.other; a.Again {
 		a.Version = j.decision.Version
 	}
 	d, err := j.gate.router.Decide(ctx, a)
@@ -169,6 +174,9 @@
 	l := j.line
 	l.Stage, l.Outcome, l.At = ledger.StageSettled, outcome, time.Now()
 	l.Endpoint = j.decision.Endpoint.ID
+	if j.decision.Version != "" {
+		l.Version = j.decision.Version
+	}
 	if outcome == model.OutcomeRan {
 		l.Usage = j.usage
 		l.Micros = j.decision.Contract.Price.Of(j.usage)
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/core"
 	"github.com/hickoryshelf/hickoryshelf/model"
+	"github.com/hickoryshelf/hickoryshelf/route"
 )
 
 const (
@@ -51,6 +52,9 @@
 	// usage was reported by the current engine; last holds the final parts, which wait for the bill.
 	usage *engineUsage
 	last  []byte
+	// hold keeps the parts back in held until the answer is judged.
+	hold bool
+	held []byte
 	// before is the number of output tokens delivered by earlier engines.
 	before    int64
 	deadline  time.Time
@@ -61,9 +65,14 @@
 // stream sends a streamed completion. When an engine fails in the middle, another engine of the same
 // version goes on from the last part that the caller has.
 func (j *job) stream(ctx context.Context, w http.ResponseWriter, once bool) model.Outcome {
-	p := &pipe{job: j, writer: w, flush: http.NewResponseController(w)}
+	p := &pipe{job: j, writer: w, flush: http.NewResponseController(w), hold: j.decision.Terms.Judge && j.mayJudge(once)}
 	for {
 		e := p.attempt(ctx, once)
+		if e.kind == core.EndedWell && p.hold && j.judge(ctx, unescape(p.delivered)) == route.Escalate && j.escalate(ctx) {
+			_ = j.head(w)
+			p = &pipe{job: j, writer: w, flush: p.flush}
+			continue
+		}
 		if e.kind == core.EndedWell {
 			return p.end(ctx, e)
 		}
@@ -172,7 +181,9 @@
 		p.last = render(p.last, p.job.x.id, o)
 		return nil
 	}
-	p.start()
+	if !p.hold {
+		p.start()
+	}
 	return p.write(o)
 }
 
@@ -242,6 +253,10 @@
 		p.deadline = n.Add(time.Second)
 		_ = p.flush.SetWriteDeadline(n.Add(writeWait))
 	}
+	if p.hold {
+		p.held = render(p.held, p.job.x.id, rest)
+		return nil
+	}
 	p.buffer = render(p.buffer[:0], p.job.x.id, rest)
 	if _, err := p.writer.Write(p.buffer); err != nil {
 		return errCallerGone
@@ -250,7 +265,7 @@
 }
 
 func (p *pipe) flushNow() {
-	if p.head {
+	if p.head && !p.hold {
 		_ = p.flush.Flush()
 	}
 }
@@ -261,8 +276,9 @@
 	j.usage = p.usage.model()
 	j.finish(e)
 	j.settle(ctx, model.OutcomeRan)
+	p.hold = false
 	p.start()
-	b := p.last
+	b := append(p.held, p.last...)
 	if j.x.fields.StreamOptions.IncludeUsage {
 		b = append(b, p.usagePart()...)
 	}
@@ -308,7 +324,7 @@
 // and no end mark.
 func (p *pipe) fail(ctx context.Context, f *failure) model.Outcome {
 	j := p.job
-	if p.sent > 0 {
+	if p.sent > 0 && !p.hold {
 		j.usage = model.Usage{InputTokens: int64(j.x.size / bytesPerToken), OutputTokens: p.sent}
 		f.outcome = model.OutcomeUnknown
 	}
--- a/gate/whole.go
+++ b/gate/whole.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/core"
 	"github.com/hickoryshelf/hickoryshelf/model"
+	"github.com/hickoryshelf/hickoryshelf/route"
 )
 
 // maxAnswerBytes bounds an answer that is read whole.
@@ -45,7 +46,14 @@
 func (j *job) whole(ctx context.Context, w http.ResponseWriter, once bool) model.Outcome {
 	for {
 		b, s, e := j.fetch(ctx, once)
+		if e.kind == core.EndedWell && s == http.StatusOK && j.mayJudge(once) && j.judge(ctx, j.text) == route.Escalate {
+			if j.escalate(ctx) {
+				_ = j.head(w)
+				continue
+			}
+		}
 		if e.kind == core.EndedWell {
+			j.rateAnswer(j.text)
 			return j.answer(ctx, w, b, s, e)
 		}
 		if f := j.again(ctx, e, once); f != nil {
@@ -103,7 +111,7 @@
 		return ending{kind: core.EndedFaulty, started: true, err: errors.New("the endpoint's answer belongs to another request or isn't whole")}
 	}
 	j.usage = c.Usage.model()
-	j.rateAnswer(c.Choices[0].Message.Content)
+	j.text = c.Choices[0].Message.Content
 	return ending{kind: core.EndedWell, started: true}
 }
 
--- a/model/contract.go
+++ b/model/contract.go
@@ -42,6 +42,9 @@
 	Priority Priority `json:"priority"`
 	// RunsOnce marks completions that must run at most once; they need an idempotency key.
 	RunsOnce bool `json:"runs-once"`
+	// Judge has answers rated before they are delivered, where the rating service has room; those rated too
+	// low are run again on another version. The first token then comes with the whole answer.
+	Judge bool `json:"judge"`
 	// MaxWait bounds the time in the router's queue; 0 means DefaultMaxWait.
 	MaxWait Duration `json:"max-wait"`
 }
--- /dev/null
+++ b/proof/judge_test.go
@@ -0,0 +1,56 @@
+package proof_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/admpb"
+	"github.com/hickoryshelf/hickoryshelf/fakes"
+	"github.com/hickoryshelf/hickoryshelf/proof"
+)
+
+// TestJudgedAnswers has the cheap version turn bad while answers of a judged class are asked for, streamed
+// and plain: the bad answers are held back and the other version runs the requests.
+func TestJudgedAnswers(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	x := context.Background()
+	c := proof.Start(t, binary, proof.Three())
+	o := fakes.EngineOptions{Versions: []string{proof.Small, proof.Large}, Interval: time.Millisecond, Quality: map[string]float64{proof.Small: 0.85, proof.Large: 0.95}}
+	e := c.Engine("engine-1", "bern-halle", o)
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	r := fakes.NewRater(fakes.RaterOptions{ID: "rater", DataCentre: "bern-halle", Listener: n, Hosts: c.CallerAddresses(c.Hosts), PerSecond: 1000})
+	defer r.Close()
+	c.Configure(c.Hosts[0])
+	k := proof.Contract()
+	k.Classes[0].Judge = true
+	c.MustChange(c.Hosts[0], "judge", admpb.Operation_OPERATION_APPLY_CONTRACT, "", k)
+	c.Settled(2)
+	for m := range 200 { // evidence gathers until the cheap version is proved
+		a := post(c.Hosts[m%3], chatPath, chat("auto", fmt.Sprint(m), 5))
+		i.Equal(a.status, 200)
+	}
+	i.Equal(post(c.Hosts[1], chatPath, chat("auto", "x", 5)).header.Get("Hickoryshelf-Version"), proof.Small)
+	e.SetFaults(fakes.EngineFaults{Version: proof.Small, QualityDrop: 0.4})
+	bad := 0
+	for m := range 300 {
+		a, err := ask(x, c.Hosts[m%3], fmt.Sprintf("after %d", m), 5)
+		i.NoErr(err)
+		i.NoErr(whole(a, 5))
+		if strings.Contains(a, proof.Small) {
+			bad++
+		}
+	}
+	t.Logf("%d of 300 answers came from the version that had turned bad", bad)
+	i.True(bad <= 3) // one in a hundred
+	b, err := proof.Bills(x, c.Hosts[0], "")
+	i.NoErr(err)
+	i.Equal(len(b), 501) // escalated requests have one line too
+}
--- a/route/evidence.go
+++ b/route/evidence.go
@@ -8,7 +8,7 @@
 	"github.com/benbjohnson/immutable"
 )
 
-//go:generate go tool stringer -type=Health,Observation -linecomment -output=enum_string.go
+//go:generate go tool stringer -type=Health,Observation,Verdict -linecomment -output=enum_string.go
 
 // Observation is what a rating is about.
 type Observation int
--- /dev/null
+++ b/route/judge.go
@@ -0,0 +1,34 @@
+package route
+
+// Verdict says what to do with a finished answer that hasn't been delivered.
+type Verdict int
+
+// Verdicts on an answer.
+const (
+	// Deliver passes the answer on.
+	Deliver Verdict = iota // deliver
+	// Escalate runs the request again on another version.
+	Escalate // escalate
+)
+
+// floorDeviations is how far below the agreed quality an answer may be rated, in deviations of a rating.
+const floorDeviations = 1.0
+
+// Judge decides about an answer of a version for a class with the given agreed quality. score is the
+// answer's own rating, which counts when rated is true; without one the version's health decides.
+func (e Evidence) Judge(s Subject, quality, score float64, rated bool) Verdict {
+	t := e.Stat(s)
+	if t.Health == Quarantined {
+		return Escalate
+	}
+	if !rated {
+		if t.Health == Suspect {
+			return Escalate
+		}
+		return Deliver
+	}
+	if score < quality-floorDeviations*t.deviation() {
+		return Escalate
+	}
+	return Deliver
+}
