Notice a version that turns slow early in its answers, and doubt less readily

Change: the time for a token is reported after 8 tokens, and one far above the usual counts as a fault unless it is the same endpoint again.

--- a/bench/engine.go
+++ b/bench/engine.go
@@ -17,6 +17,8 @@
 	// answerNoise is the deviation of answers' quality; ratingNoise that of ratings from it.
 	answerNoise = 0.10
 	ratingNoise = 0.05
+	// paceTokens is after how many tokens the pace of a streamed answer is known.
+	paceTokens  = 8
 	ratingDelay = 300 * time.Millisecond
 	// linkDelay is one way between hosts, and between a host and an engine.
 	linkDelay = time.Millisecond
@@ -79,6 +81,8 @@
 	sent  time.Duration
 	first time.Duration
 	done  func(result)
+	// paced is told the time for a token in milliseconds, after paceTokens of a streamed answer or at its end.
+	paced func(ms float64)
 }
 
 // result is how an attempt ended.
@@ -150,6 +154,14 @@
 	if f {
 		g = 0
 	}
+	n := t.arrival.output
+	if w.deployment.classes[t.arrival.class].streamed {
+		n = min(n, paceTokens)
+	}
+	if t.paced != nil && !f {
+		v := float64(tokenTime) * s * b
+		w.after(p+time.Duration(v*float64(n)), func() { t.paced(v / float64(time.Millisecond)) })
+	}
 	q := w.trueQuality(t.version, t.arrival.class) + answerNoise*r.NormFloat64()
 	w.after(p, func() { t.first = w.now })
 	w.after(p+g, func() { e.finish(t, result{task: t, faulty: f, quality: min(1, max(0, q))}) })
--- a/bench/product.go
+++ b/bench/product.go
@@ -210,6 +210,11 @@
 	x.decision = e.Decision
 	t := &task{arrival: x.arrival, version: p.versionIndex(e.Decision.Version), engine: p.engineOf(e.Decision.Endpoint.ID), sent: p.world.now}
 	t.done = func(r result) { p.ended(h, x, r) }
+	t.paced = func(v float64) {
+		h.reduce(core.Rated{Rating: route.Rating{
+			Kind: route.Pace, Version: e.Decision.Version, Class: x.ask.Class, Value: v, Endpoint: e.Decision.Endpoint.ID,
+		}})
+	}
 	p.record.attempt()
 	p.world.after(linkDelay, func() { p.deliver(h, t) })
 }
--- a/gate/rater.go
+++ b/gate/rater.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// ratePace reports the time for a token.
+func (j *job) ratePace(d time.Duration) {
+	j.gate.router.Rate(route.Rating{
+		Kind: route.Pace, Version: j.decision.Version, Class: j.decision.Terms.Class, Endpoint: j.decision.Endpoint.ID,
+		Value: float64(d) / float64(time.Millisecond),
+	})
+}
+
 func (j *job) sample(answer string) sample {
 	return sample{Version: j.decision.Version, Class: j.decision.Terms.Class, Prompt: j.x.fields.Messages, Answer: answer}
 }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -56,8 +56,10 @@
 	hold bool
 	held []byte
 	// before is the number of output tokens delivered by earlier engines.
-	before    int64
-	deadline  time.Time
+	before   int64
+	deadline time.Time
+	// first is when the current engine's first token came.
+	first     time.Time
 	attemptID []byte
 	buffer    []byte
 }
@@ -176,6 +178,7 @@
 	if c := content(v); len(c) > 0 {
 		p.delivered = append(p.delivered, c...)
 		p.sent++
+		p.pace()
 	}
 	if bytes.Contains(v, finishMark) {
 		p.last = render(p.last, p.job.x.id, o)
@@ -187,6 +190,19 @@
 	return p.write(o)
 }
 
+// paceTokens is after how many tokens of an attempt its pace is reported.
+const paceTokens = 8
+
+// pace reports the time for a token early in an answer, so that a slow version is noticed before it ends.
+func (p *pipe) pace() {
+	switch p.sent - p.before {
+	case 1:
+		p.first = time.Now()
+	case 1 + paceTokens:
+		p.job.ratePace(time.Since(p.first) / paceTokens)
+	}
+}
+
 // own returns what follows the id of a part, and whether the id is that of this attempt.
 func (p *pipe) own(v []byte) ([]byte, bool) {
 	r, ok := bytes.CutPrefix(v, idMark)
--- a/route/enum_string.go
+++ b/route/enum_string.go
@@ -30,11 +30,12 @@
 	var x [1]struct{}
 	_ = x[Quality-0]
 	_ = x[Fault-1]
+	_ = x[Pace-2]
 }
 
-const _Observation_name = "qualityfault"
+const _Observation_name = "qualityfaultpace"
 
-var _Observation_index = [...]uint8{0, 7, 12}
+var _Observation_index = [...]uint8{0, 7, 12, 16}
 
 func (i Observation) String() string {
 	idx := int(i) - 0
--- a/route/evidence.go
+++ b/route/evidence.go
@@ -19,6 +19,8 @@
 	Quality Observation = iota // quality
 	// Fault is 1 for a request that the engine failed or answered far too slowly, and 0 for another.
 	Fault // fault
+	// Pace is the time for a token of an answer, in milliseconds.
+	Pace // pace
 )
 
 // Rating is one observation of a version at work.
@@ -27,6 +29,8 @@
 	Version string
 	Class   string
 	Value   float64
+	// Endpoint is where a Pace was observed.
+	Endpoint string
 }
 
 // Health is the standing of a version in a task class.
@@ -54,13 +58,15 @@
 	// deviationFloor bounds the deviation of ratings from below.
 	deviationFloor = 0.05
 	// suspectAt and quarantineAt are the detector's thresholds in deviations of a rating.
-	suspectAt    = 2.5
+	suspectAt    = 3.5
 	quarantineAt = 8.0
 	// faultSlack is the share of faults that the fault detector tolerates.
 	faultSlack = 0.1
 	// faultSuspectAt and faultQuarantineAt are thresholds in faults above the tolerated share.
 	faultSuspectAt    = 2.0
 	faultQuarantineAt = 6.0
+	// slowFactor is how many times the usual time for a token counts as a fault.
+	slowFactor = 3.0
 	// ageing is how long without ratings halves the weight of the evidence.
 	ageing = 30 * time.Minute
 )
@@ -76,6 +82,11 @@
 	// Fall and Faults are cumulative sums of the change detectors, at least 0.
 	Fall   float64
 	Faults float64
+	// Pace is the usual time for a token in milliseconds, over Paces observations.
+	Pace  float64
+	Paces float64
+	// Slow is the endpoint that was last found slow.
+	Slow string
 	// Updated is the time of the last quality rating.
 	Updated time.Duration
 	Health  Health
@@ -106,6 +117,9 @@
 	if s.Health == Quarantined {
 		return s
 	}
+	if r.Kind == Pace {
+		return s.paced(r).judged()
+	}
 	if r.Kind == Fault {
 		s.Faults = math.Max(0, s.Faults+r.Value-faultSlack)
 		return s.judged()
@@ -123,6 +137,21 @@
 	return s.judged()
 }
 
+// paced counts a token time far above the usual one as a fault of the version, unless the same endpoint was
+// the last one found slow: then the endpoint is to blame.
+func (s Stat) paced(r Rating) Stat {
+	if s.Paces < warmUp || r.Value < slowFactor*s.Pace {
+		s.Paces = math.Min(s.Paces+1, halfLife)
+		s.Pace += (r.Value - s.Pace) / s.Paces
+		return s
+	}
+	if r.Endpoint != s.Slow {
+		s.Slow = r.Endpoint
+		s.Faults += 1 - faultSlack
+	}
+	return s
+}
+
 // detect adds a rating to the cumulative sum that grows when quality has fallen by more than half the shift.
 func (s Stat) detect(value float64) Stat {
 	if s.Count < warmUp {
