Let interactive requests exceed the capacity only while no customer with a better claim waits

Cause: with all customers backlogged, interactive requests took engines' slots without regard to shares, by a lead of 40,000 tokens in the queue and by the excess at the engines. Ruled out: refusals (in proportion to shares). Change: the lead is 1,000 tokens a step, and the excess is for those that go first by their share.

--- a/admit/state.go
+++ b/admit/state.go
@@ -133,22 +133,39 @@
 // lead is how far, in tokens over its share, a customer may run ahead of the others with requests of a
 // priority: urgent requests are short, so they go first until their customer has used up its lead.
 func lead(p model.Priority) float64 {
-	const tokens = 20_000
+	const tokens = 1_000
 	return float64(p) * tokens
 }
 
 // due is the virtual time that decides whose request goes first.
 func (a Account[T]) due() float64 { return a.Virtual - lead(a.Queue[0].Priority) }
 
-// Next takes the first request that may start now out of the queue, from the customer with the least
-// virtual time that has one, and charges it.
-func (s State[T]) Next(may func(Waiting[T]) bool) (next State[T], w Waiting[T], ok bool) {
-	q := slices.DeleteFunc(s.Accounts(), func(a Account[T]) bool { return len(a.Queue) == 0 })
-	slices.SortStableFunc(q, func(a, b Account[T]) int {
-		return cmp.Compare(a.due(), b.due())
+// First reports whether a new request would go before all waiting ones that rival it for the same capacity.
+func (s State[T]) First(customer string, share int, p model.Priority, rival func(Waiting[T]) bool) bool {
+	d := s.opened(customer, share).Virtual - lead(p)
+	return !slices.ContainsFunc(s.Accounts(), func(a Account[T]) bool {
+		if len(a.Queue) == 0 {
+			return false
+		}
+		if a.Customer == customer {
+			return a.Queue[0].Priority >= p && slices.ContainsFunc(a.Queue, rival)
+		}
+		return a.due() < d && slices.ContainsFunc(a.Queue, rival)
 	})
-	for _, a := range q {
-		if i := slices.IndexFunc(a.Queue, may); i >= 0 {
+}
+
+// Next takes the first request that may start now out of the queue and charges it. Customers are asked in
+// the order of their virtual time. may is told whether a rival of an earlier customer goes on waiting: the
+// request must not use more than the plain capacity then.
+func (s State[T]) Next(may func(w Waiting[T], behind bool) bool, rival func(a, b Waiting[T]) bool) (next State[T], w Waiting[T], ok bool) {
+	q := slices.DeleteFunc(s.Accounts(), func(a Account[T]) bool { return len(a.Queue) == 0 })
+	slices.SortStableFunc(q, func(a, b Account[T]) int { return cmp.Compare(a.due(), b.due()) })
+	for k, a := range q {
+		i := slices.IndexFunc(a.Queue, func(w Waiting[T]) bool {
+			b := slices.ContainsFunc(q[:k], func(o Account[T]) bool { return rival(o.Queue[0], w) })
+			return may(w, b)
+		})
+		if i >= 0 {
 			w = a.Queue[i]
 			s = s.without(a, i)
 			return s.WithStarted(w.Customer, w.Share, w.Tokens), w, true
--- a/bench/record.go
+++ b/bench/record.go
@@ -10,6 +10,9 @@
 // warmUp is the part of a run that isn't counted: no policy knows anything yet.
 const warmUp = 3 * time.Minute
 
+// settle is how long after the turn the customers' shares are counted.
+const settle = 30 * time.Second
+
 // record collects what became of the requests of one policy.
 type record struct {
 	world    *world
@@ -91,7 +94,9 @@
 	_ = c.first.RecordValue(int64((t.first - a.at) / time.Microsecond))
 	w := t.first - a.at - time.Duration(a.input)*prefillPerToken
 	_ = r.waits.RecordValue(max(0, int64(w/time.Microsecond)))
-	r.tokens[a.customer.name] += int64(a.input + a.output)
+	if s := r.world.scenario; a.at >= s.turn+settle && r.world.now < s.length {
+		r.tokens[a.customer.name] += int64(a.input + a.output)
+	}
 	r.expose(a, t)
 }
 
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -28,6 +28,8 @@
 	lost int
 	// greedy lets one customer send half of all requests after the turn.
 	greedy bool
+	// equal has all customers send as much as each other after the turn.
+	equal bool
 	// cut cuts off the first data centre after the turn.
 	cut bool
 	// judged has the answers of streamed classes held back until they are judged.
@@ -66,6 +68,7 @@
 		{name: "out-of-capacity", lost: 3},
 		{name: "greedy", greedy: true, load: 3},
 		{name: "cut", cut: true},
+		{name: "backlog", load: 8, equal: true},
 	} {
 		s.length, s.turn, s.bad, s.only = runLength, turnAt, badVersion, -1
 		m[s.name] = s
--- a/bench/world.go
+++ b/bench/world.go
@@ -160,6 +160,9 @@
 	if s.greedy && t > s.turn && r.Float64() < 0.5 {
 		return d.customers[len(d.customers)-1]
 	}
+	if s.equal && t > s.turn {
+		return d.customers[r.IntN(len(d.customers))]
+	}
 	x := r.Float64()
 	for _, c := range d.customers {
 		if x < c.part {
--- a/core/ask.go
+++ b/core/ask.go
@@ -50,7 +50,7 @@
 		r.refuse(a, f)
 		return
 	}
-	if s, h, ok := r.spot(a, p, false); ok && r.mayOvertake(p) {
+	if s, h, ok := r.spot(a, p, false, true); ok && r.mayOvertake(p) {
 		r.Admit = r.Admit.WithStarted(p.contract.Customer, p.contract.Share, a.Tokens)
 		r.start(a, p, h, s, 0)
 		return
@@ -66,21 +66,18 @@
 // reachable reports whether there is an endpoint worth waiting for.
 func (r *reducer) reachable(a Ask, p plan) bool {
 	return slices.ContainsFunc(p.holds, func(h string) bool {
-		_, ok := r.Routes.ChooseEndpoint(h, r.DataCentres(), a.Exclude, 1, p.terms.Priority, r.Now)
+		_, ok := r.Routes.ChooseEndpoint(r.wish(h, a.Exclude, p.terms.Priority, true), r.Now)
 		return ok
 	})
 }
 
-// mayOvertake reports whether a new request may start although others wait: those wait for other
-// versions, or have a lower priority.
+// mayOvertake reports whether a new request may start although others wait.
 func (r *reducer) mayOvertake(p plan) bool {
 	if r.Admit.Waiting() == 0 {
 		return true
 	}
-	return !slices.ContainsFunc(r.Admit.Accounts(), func(t admit.Account[Ask]) bool {
-		return slices.ContainsFunc(t.Queue, func(w admit.Waiting[Ask]) bool {
-			return w.Priority >= p.terms.Priority && slices.Contains(w.Request.planned, p.holds[0])
-		})
+	return r.Admit.First(p.contract.Customer, p.contract.Share, p.terms.Priority, func(w admit.Waiting[Ask]) bool {
+		return slices.Contains(w.Request.planned, p.holds[0])
 	})
 }
 
@@ -212,15 +209,21 @@
 	return t.Wait() / 2
 }
 
+func (r *reducer) wish(hold string, exclude []string, priority model.Priority, excess bool) route.Wish {
+	return route.Wish{
+		Hold: hold, DataCentres: r.DataCentres(), Exclude: exclude, Priority: priority, Excess: excess, Seed: r.draw(),
+	}
+}
+
 // spot looks for a free endpoint of the preferred version, or of any planned one when the request can't
 // wait for it.
-func (r *reducer) spot(a Ask, p plan, impatient bool) (model.Endpoint, string, bool) {
+func (r *reducer) spot(a Ask, p plan, impatient, excess bool) (model.Endpoint, string, bool) {
 	h := p.holds
 	if !impatient && !p.explored && r.Admit.Wait(p.contract.Customer, p.contract.Share, p.terms.Priority, r.Now) <= patience(p.terms) {
 		h = h[:1]
 	}
 	for _, n := range h {
-		s, ok := r.Routes.ChooseEndpoint(n, r.DataCentres(), a.Exclude, r.draw(), p.terms.Priority, r.Now)
+		s, ok := r.Routes.ChooseEndpoint(r.wish(n, a.Exclude, p.terms.Priority, excess), r.Now)
 		if ok && s.Free {
 			return s.Node.Endpoint, n, true
 		}
@@ -275,12 +278,12 @@
 	}
 	f := r.freeHolds()
 	for {
-		n, w, ok := r.Admit.Next(func(w admit.Waiting[Ask]) bool {
-			i := slices.IndexFunc(w.Request.planned, func(h string) bool { return f(h, w.Priority) })
+		n, w, ok := r.Admit.Next(func(w admit.Waiting[Ask], behind bool) bool {
+			i := slices.IndexFunc(w.Request.planned, func(h string) bool { return f(h, w.Priority, !behind) })
 			t, _ := r.Config.Contract(w.Customer)
 			c, _ := t.Terms(w.Request.Class)
 			return i == 0 || (i > 0 && r.Now-w.Since > patience(c))
-		})
+		}, rivals)
 		if !ok {
 			return
 		}
@@ -289,19 +292,23 @@
 	}
 }
 
+// rivals reports whether two waiting requests prefer the same version or service.
+func rivals(a, b admit.Waiting[Ask]) bool { return a.Request.planned[0] == b.Request.planned[0] }
+
 // freeHolds returns a test for free endpoints of a version or service, which remembers what it has found.
-func (r *reducer) freeHolds() func(string, model.Priority) bool {
+func (r *reducer) freeHolds() func(string, model.Priority, bool) bool {
 	type key struct {
 		hold     string
 		priority model.Priority
+		excess   bool
 	}
 	m := make(map[key]bool)
-	return func(h string, p model.Priority) bool {
-		k := key{h, p}
+	return func(h string, p model.Priority, excess bool) bool {
+		k := key{h, p, excess}
 		if f, ok := m[k]; ok {
 			return f
 		}
-		s, ok := r.Routes.ChooseEndpoint(h, r.DataCentres(), nil, r.draw(), p, r.Now)
+		s, ok := r.Routes.ChooseEndpoint(r.wish(h, nil, p, excess), r.Now)
 		m[k] = ok && s.Free
 		return m[k]
 	}
@@ -317,7 +324,7 @@
 	}
 	p, f := r.plan(a)
 	if f == nil {
-		if e, h, ok := r.spot(a, p, true); ok {
+		if e, h, ok := r.spot(a, p, true, true); ok {
 			r.start(a, p, h, e, r.Now-w.Since)
 			return
 		}
--- a/gate/rater.go
+++ b/gate/rater.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/hickoryshelf/hickoryshelf/model"
 	"github.com/hickoryshelf/hickoryshelf/route"
 )
 
@@ -129,7 +128,7 @@
 // rate asks the rating service for the score of an answer, between 0 and 1.
 func (q *raterQueue) rate(ctx context.Context, t sample) (float64, error) {
 	s := q.gate.router.State()
-	p, ok := s.Routes.ChooseEndpoint(RaterHold, s.DataCentres(), nil, uint64(time.Now().UnixNano()), model.PriorityNormal, s.Now)
+	p, ok := s.Routes.ChooseEndpoint(route.Wish{Hold: RaterHold, DataCentres: s.DataCentres(), Seed: uint64(time.Now().UnixNano())}, s.Now)
 	if !ok {
 		return 0, errors.New("no rating service has announced itself")
 	}
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -21,29 +21,39 @@
 // Spot is an endpoint chosen for a request.
 type Spot struct {
 	Node Node
-	// Free is true when the endpoint can start the request at once.
+	// Free is true when the endpoint may be given the request now.
 	Free bool
 }
 
+// Wish is what a request asks of the choice of an endpoint.
+type Wish struct {
+	Hold string
+	// DataCentres are tried in order.
+	DataCentres []string
+	Exclude     []string
+	Priority    model.Priority
+	// Excess allows an interactive request to exceed the endpoint's capacity.
+	Excess bool
+	Seed   uint64
+}
+
 // ChooseEndpoint returns an endpoint that holds the version or service: one of the first data centre that
 // has a free one. Of two drawn at random the less loaded is taken, so that hosts with the same reports
 // don't all choose the same one; the least loaded is taken where both are full.
-func (s State) ChooseEndpoint(hold string, dataCentres, exclude []string, seed uint64, priority model.Priority,
-	now time.Duration,
-) (Spot, bool) {
-	r := rand.New(rand.NewPCG(seed, uint64(len(exclude))))
+func (s State) ChooseEndpoint(wish Wish, now time.Duration) (Spot, bool) {
+	r := rand.New(rand.NewPCG(wish.Seed, uint64(len(wish.Exclude))))
 	var b Spot
 	f := false
-	for _, d := range dataCentres {
-		p, ok := s.pools.Get(poolKey{hold, d})
+	for _, d := range wish.DataCentres {
+		p, ok := s.pools.Get(poolKey{wish.Hold, d})
 		if !ok {
 			continue
 		}
-		n, ok := s.chooseIn(p, exclude, r, now)
+		n, ok := s.chooseIn(p, wish.Exclude, r, now)
 		if !ok {
 			continue
 		}
-		if n.FreeFor(priority) > 0 {
+		if n.FreeFor(wish.Priority, wish.Excess) > 0 {
 			return Spot{Node: n, Free: true}, true
 		}
 		if !f {
--- a/route/pool.go
+++ b/route/pool.go
@@ -47,12 +47,13 @@
 	excessPart = 2
 )
 
-// FreeFor returns how many more requests of a priority the endpoint should be given.
-func (n Node) FreeFor(priority model.Priority) int {
-	switch priority {
-	case model.PriorityBatch:
+// FreeFor returns how many more requests of a priority the endpoint should be given, with or without the
+// excess that interactive ones may use.
+func (n Node) FreeFor(priority model.Priority, excess bool) int {
+	switch {
+	case priority == model.PriorityBatch:
 		return n.Free() - n.Capacity/reservePart
-	case model.PriorityInteractive:
+	case priority == model.PriorityInteractive && excess:
 		return n.Free() + n.Capacity/excessPart
 	}
 	return n.Free()
