Let those behind in their share leave slots to those ahead

Ruled out: the excess alone. Change: while a customer with a better claim waits, others take a slot only beyond the reserve, as batch does.

--- a/core/ask.go
+++ b/core/ask.go
@@ -50,7 +50,7 @@
 		r.refuse(a, f)
 		return
 	}
-	if s, h, ok := r.spot(a, p, false, true); ok && r.mayOvertake(p) {
+	if s, h, ok := r.spot(a, p, false, true); ok && r.mayOvertake(a, p) {
 		r.Admit = r.Admit.WithStarted(p.contract.Customer, p.contract.Share, a.Tokens)
 		r.start(a, p, h, s, 0)
 		return
@@ -72,12 +72,14 @@
 }
 
 // mayOvertake reports whether a new request may start although others wait.
-func (r *reducer) mayOvertake(p plan) bool {
+func (r *reducer) mayOvertake(a Ask, p plan) bool {
 	if r.Admit.Waiting() == 0 {
 		return true
 	}
+	a.planned = p.holds
+	n := admit.Waiting[Ask]{Request: a}
 	return r.Admit.First(p.contract.Customer, p.contract.Share, p.terms.Priority, func(w admit.Waiting[Ask]) bool {
-		return slices.Contains(w.Request.planned, p.holds[0])
+		return rivals(w, n)
 	})
 }
 
@@ -279,7 +281,11 @@
 	f := r.freeHolds()
 	for {
 		n, w, ok := r.Admit.Next(func(w admit.Waiting[Ask], behind bool) bool {
-			i := slices.IndexFunc(w.Request.planned, func(h string) bool { return f(h, w.Priority, !behind) })
+			p := w.Priority
+			if behind {
+				p = model.PriorityBatch
+			}
+			i := slices.IndexFunc(w.Request.planned, func(h string) bool { return f(h, p, !behind) })
 			t, _ := r.Config.Contract(w.Customer)
 			c, _ := t.Terms(w.Request.Class)
 			return i == 0 || (i > 0 && r.Now-w.Since > patience(c))
@@ -292,8 +298,14 @@
 	}
 }
 
-// rivals reports whether two waiting requests prefer the same version or service.
-func rivals(a, b admit.Waiting[Ask]) bool { return a.Request.planned[0] == b.Request.planned[0] }
+// rivals reports whether two waiting requests compete for capacity: all completions do, since engines hold
+// several versions, and calls of the same plain service.
+func rivals(a, b admit.Waiting[Ask]) bool {
+	if a.Request.Path == "" || b.Request.Path == "" {
+		return a.Request.Path == b.Request.Path
+	}
+	return a.Request.planned[0] == b.Request.planned[0]
+}
 
 // freeHolds returns a test for free endpoints of a version or service, which remembers what it has found.
 func (r *reducer) freeHolds() func(string, model.Priority, bool) bool {
