Bound the faults and paces that a host spreads

Cause: a third of a host's allocations came from copying the list of ratings at each request. Ruled out: the log, the records.

--- a/core/beat.go
+++ b/core/beat.go
@@ -50,7 +50,7 @@
 		}
 	}
 	if d := r.ratingsTo - c.ratings; c.ratings <= r.ratingsTo && d > 0 {
-		b.Ratings = r.ratings[max(0, len(r.ratings)-int(d)):]
+		b.Ratings = r.lastRatings(int(d))
 	}
 	for _, e := range r.Routes.Evidence.Entries() {
 		if e.Stat.Health == route.Quarantined {
@@ -144,9 +144,38 @@
 	r.adopt(e.Config)
 }
 
+// maxObservations bounds the faults and paces that a host takes in and spreads, a second. More are dropped
+// whatever they say, so that the share of bad ones stays what it is.
+const maxObservations = 20
+
+func (r *reducer) sample(t route.Rating) bool {
+	if t.Kind == route.Quality {
+		return true
+	}
+	r.sampled = min(maxObservations, r.sampled+maxObservations*(r.Now-r.sampledAt).Seconds())
+	r.sampledAt = r.Now
+	if r.sampled < 1 {
+		return false
+	}
+	r.sampled--
+	return true
+}
+
+// lastRatings returns the last ratings of this host's own.
+func (r *reducer) lastRatings(count int) []route.Rating {
+	var l []route.Rating
+	for i := max(0, r.ratings.Len()-count); i < r.ratings.Len(); i++ {
+		l = append(l, r.ratings.Get(i))
+	}
+	return l
+}
+
 func (r *reducer) rated(e Rated) {
+	if !r.sample(e.Rating) {
+		return
+	}
 	r.ratingsTo++
-	r.ratings = append(r.ratings[:len(r.ratings):len(r.ratings)], e.Rating)
+	r.ratings = r.ratings.Append(e.Rating)
 	r.learnRating(e.Rating, r.Members.Self.Name)
 }
 
@@ -164,8 +193,8 @@
 		l = min(l, c.ratings)
 	}
 	k := min(maxRatings, int(r.ratingsTo-l))
-	if k < len(r.ratings) {
-		r.ratings = r.ratings[len(r.ratings)-k:]
+	if n := r.ratings.Len(); k < n {
+		r.ratings = r.ratings.Slice(n-k, n)
 	}
 }
 
--- a/core/state.go
+++ b/core/state.go
@@ -56,8 +56,11 @@
 	// direct holds when endpoints last announced to this host itself.
 	direct *immutable.Map[string, time.Duration]
 	// ratings are this host's own that some host may lack; the last has the number ratingsTo.
-	ratings   []route.Rating
+	ratings   *immutable.List[route.Rating]
 	ratingsTo uint64
+	// sampled is how many observations may still be taken now, refilled with time; see maxObservations.
+	sampled   float64
+	sampledAt time.Duration
 	// records are lines that wait for copies.
 	records *immutable.Map[string, pendingRecord]
 	// running are the requests that this host has sent to endpoints, by id.
@@ -121,6 +124,7 @@
 		proposals:   immutable.NewSortedMap[uint64, proposal](nil),
 		spread:      immutable.NewMap[string, cursor](nil),
 		direct:      immutable.NewMap[string, time.Duration](nil),
+		ratings:     immutable.NewList[route.Rating](),
 		records:     immutable.NewMap[string, pendingRecord](nil),
 		running:     immutable.NewMap[string, Dispatch](nil),
 		settling:    immutable.NewMap[string, time.Duration](nil),
