Place versions on engines by orders with fencing numbers

A version may say how many endpoints of each data centre hold it; the leader orders loads and unloads, at most two loads at a time, and unloads what was withdrawn.

--- a/core/reduce.go
+++ b/core/reduce.go
@@ -72,6 +72,8 @@
 		r.recordsFailed(e)
 	case RecordsSynced:
 		r.recordsSynced(e)
+	case OrderEnded:
+		r.orderEnded(e)
 	case Stopping:
 		r.stopping()
 	}
@@ -115,6 +117,7 @@
 	r.answerInForce()
 	r.settleOrphans()
 	r.mendVoters()
+	r.placeVersions()
 	r.compact()
 	r.forgetDirect(route.Expiry)
 }
--- a/core/state.go
+++ b/core/state.go
@@ -70,6 +70,12 @@
 	// retryBudget is how many further attempts may still be made.
 	retryBudget float64
 	seed        uint64
+
+	// orders are those given lately, by endpoint; placed is when endpoints were last compared with the
+	// configuration, and storeLimited when the weight store's limit was last met.
+	orders       *immutable.Map[string, order]
+	placed       time.Duration
+	storeLimited time.Duration
 }
 
 // proposal is a command whose caller waits for its result.
@@ -125,6 +131,7 @@
 		spread:      immutable.NewMap[string, cursor](nil),
 		direct:      immutable.NewMap[string, time.Duration](nil),
 		ratings:     immutable.NewList[route.Rating](),
+		orders:      immutable.NewMap[string, order](nil),
 		records:     immutable.NewMap[string, pendingRecord](nil),
 		running:     immutable.NewMap[string, Dispatch](nil),
 		settling:    immutable.NewMap[string, time.Duration](nil),
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -80,6 +80,7 @@
 	random    *rand.Rand
 	start     time.Time
 	fence     uint64
+	stale     int
 }
 
 // NewEngine starts an engine.
@@ -152,7 +153,7 @@
 	return model.Endpoint{
 		ID: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Listener.Addr().String(),
 		Incarnation: uint64(e.start.UnixMilli()), Holds: slices.Clone(e.holds), Capacity: e.options.Capacity,
-		Running: r, Waiting: w, ChecksFence: e.options.ChecksFence, Leaving: e.leaving,
+		Running: r, Waiting: w, ChecksFence: e.options.ChecksFence, TakesOrders: true, Leaving: e.leaving,
 	}
 }
 
--- a/fakes/order.go
+++ b/fakes/order.go
@@ -31,6 +31,9 @@
 func (e *Engine) obey(o Order) bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	if o.Fence < e.fence {
+		e.stale++
+	}
 	if e.options.ChecksFence && o.Fence < e.fence {
 		return false
 	}
@@ -41,3 +44,17 @@
 	}
 	return true
 }
+
+// Holds returns the versions that the engine holds.
+func (e *Engine) Holds() []string {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return slices.Clone(e.holds)
+}
+
+// Stale returns how many orders came with an old fencing number.
+func (e *Engine) Stale() int {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return e.stale
+}
--- a/host/effect.go
+++ b/host/effect.go
@@ -33,6 +33,9 @@
 		go j.run()
 	case core.Decide:
 		h.waits.answer(e.ID, e.Decision)
+	case core.SendOrder:
+		j := orderJob{h, e}
+		go j.run()
 	case core.CopyRecords:
 		h.copyRecords(e)
 	case core.SyncRecords:
--- a/host/host.go
+++ b/host/host.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -65,6 +66,7 @@
 	traffic peer.Traffic
 	tls     func() *tls.Config
 	links   sync.Map
+	orders  *http.Client
 	done    chan struct{}
 	stopped sync.Once
 }
@@ -78,6 +80,7 @@
 		waits:  waits{byID: make(map[string]chan any)},
 		done:   make(chan struct{}),
 		tls:    o.ClientTLS,
+		orders: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	if h.tls == nil {
 		h.tls = func() *tls.Config { return nil }
--- /dev/null
+++ b/host/order.go
@@ -0,0 +1,57 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/hickoryshelf/hickoryshelf/core"
+)
+
+// orderBody is the JSON form of an order.
+type orderBody struct {
+	Fence  uint64 `json:"fence"`
+	Load   string `json:"load"`
+	Unload string `json:"unload"`
+}
+
+// orderJob gives one order to an endpoint.
+type orderJob struct {
+	host  *Host
+	order core.SendOrder
+}
+
+func (j orderJob) run() {
+	e := core.OrderEnded{Endpoint: j.order.Order.Endpoint.ID}
+	s, err := j.send()
+	if err != nil {
+		j.host.log.WithError(err).WithField("endpoint", e.Endpoint).Warn("place: an order was not answered")
+	}
+	e.OK, e.Limited = s == http.StatusNoContent, s == http.StatusTooManyRequests
+	j.host.post(e)
+}
+
+func (j orderJob) send() (int, error) {
+	o := j.order.Order
+	b, err := json.Marshal(orderBody{Fence: o.Fence, Load: o.Load, Unload: o.Unload})
+	if err != nil {
+		return 0, err
+	}
+	c, f := context.WithTimeout(context.Background(), core.OrderTimeout)
+	defer f()
+	q, err := http.NewRequestWithContext(c, http.MethodPost, "http://"+o.Endpoint.Address+"/v1/orders", bytes.NewReader(b))
+	if err != nil {
+		return 0, err
+	}
+	q.GetBody = nil
+	if j.host.now() >= j.order.Before {
+		return 0, context.DeadlineExceeded
+	}
+	r, err := j.host.orders.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	_ = r.Body.Close()
+	return r.StatusCode, nil
+}
--- a/model/config.go
+++ b/model/config.go
@@ -17,6 +17,8 @@
 	Cost Price `json:"cost"`
 	// Trusted versions skip the ramp of new versions; set for those in use before the router came.
 	Trusted bool `json:"trusted"`
+	// Replicas is how many endpoints of each data centre are to hold the version; 0 leaves that to others.
+	Replicas int `json:"replicas"`
 }
 
 // Check returns an error that names the field, the fault and the remedy.
@@ -24,6 +26,9 @@
 	if v.Name == "" {
 		return fault("name", "is empty", "name the version like \"fitting-small@3\"")
 	}
+	if v.Replicas < 0 {
+		return fault("replicas", "is negative", "give the number of endpoints in each data centre, or 0")
+	}
 	if v.Cost.InputMicros < 0 || v.Cost.OutputMicros < 0 {
 		return fault("cost", "is negative", "give millionths of the currency per 1,000 tokens")
 	}
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -22,6 +22,8 @@
 	Waiting int `json:"waiting"`
 	// ChecksFence is true where the endpoint refuses orders with an old fencing number.
 	ChecksFence bool `json:"checks-fence"`
+	// TakesOrders is true for engines that load and unload versions on order.
+	TakesOrders bool `json:"takes-orders"`
 	// Leaving is true once the endpoint wants no new work; it never returns to false within an incarnation.
 	Leaving bool `json:"leaving"`
 }
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -68,7 +68,7 @@
 	f := false
 	for range min(2, len(p.ids)) {
 		n, ok := s.nodes.Get(p.ids[r.IntN(len(p.ids))])
-		if !ok || !n.usable(now) || slices.Contains(exclude, n.ID) {
+		if !ok || !n.Usable(now) || slices.Contains(exclude, n.ID) {
 			continue
 		}
 		if !f || slotOf(n).load < slotOf(b).load {
@@ -86,7 +86,7 @@
 	for i := slots.Iterator(); !i.Done(); {
 		k, _, _ := i.Next()
 		n, ok := s.nodes.Get(k.id)
-		if ok && n.usable(now) && !slices.Contains(exclude, n.ID) {
+		if ok && n.Usable(now) && !slices.Contains(exclude, n.ID) {
 			return n, true
 		}
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -59,8 +59,8 @@
 	return n.Free()
 }
 
-// usable reports whether the endpoint may get new work.
-func (n Node) usable(now time.Duration) bool {
+// Usable reports whether the endpoint may get new work.
+func (n Node) Usable(now time.Duration) bool {
 	return !n.Leaving && !n.Gone && now-n.Seen < Expiry && now >= n.Suspect
 }
 
@@ -136,7 +136,7 @@
 		s = s.withoutSlots(o)
 	}
 	s.nodes = s.nodes.Set(n.ID, n)
-	if !n.usable(now) {
+	if !n.Usable(now) {
 		return s
 	}
 	for _, h := range n.Holds {
@@ -227,7 +227,7 @@
 		case now-n.Seen > forgetAfter && n.Own == 0:
 			s = s.dropped(n)
 			s.nodes = s.nodes.Delete(n.ID)
-		case s.ordered(n) != n.usable(now):
+		case s.ordered(n) != n.Usable(now):
 			s = s.withNode(n, now)
 		}
 	}
