--- a/conf/settings.go
+++ b/conf/settings.go
@@ -118,6 +118,9 @@
 			return &Fault{Field: a.field, What: fmt.Sprintf("is %q", a.address), Remedy: "write an IP and a port like \"10.0.0.1:7000\""}
 		}
 	}
+	if a, err := netip.ParseAddrPort(s.AdminAddress); err == nil && !a.Addr().IsLoopback() && len(s.OperatorKeys) == 0 {
+		return &Fault{Field: "operator-keys", What: "is empty beside an admin-address that others reach", Remedy: "name the hash of an operator's key"}
+	}
 	return s.checkPeers()
 }
 
--- a/host/link.go
+++ b/host/link.go
@@ -40,7 +40,7 @@
 		return l.(*link), true
 	}
 	n := &link{
-		host: h, name: name, client: peer.NewClient(a, h.tls, &h.traffic),
+		host: h, name: name, client: peer.NewClient(name, a, h.tls, &h.traffic),
 		quorum: make(chan quorum.Message, linkQueue), records: make(chan ledger.Line, linkQueue),
 	}
 	h.links.Store(name, n)
--- a/peer/client.go
+++ b/peer/client.go
@@ -28,6 +28,7 @@
 
 // Client calls one host. It connects when it is first used, and again after a failure.
 type Client struct {
+	name    string
 	address string
 	tls     func() *tls.Config
 	lock    sync.Mutex
@@ -35,9 +36,10 @@
 	counter *Traffic
 }
 
-// NewClient returns a client of the host at address; tls may return nil for plain TCP.
-func NewClient(address string, tls func() *tls.Config, counter *Traffic) *Client {
-	return &Client{address: address, tls: tls, counter: counter}
+// NewClient returns a client of the named host at address; tls may return nil for plain TCP. The host's
+// certificate must carry its name.
+func NewClient(name, address string, tls func() *tls.Config, counter *Traffic) *Client {
+	return &Client{name: name, address: address, tls: tls, counter: counter}
 }
 
 // Address returns the address that the client calls.
@@ -80,6 +82,8 @@
 func (c *Client) dial() (net.Conn, error) {
 	d := &net.Dialer{Timeout: dialTimeout}
 	if t := c.tls(); t != nil {
+		t = t.Clone()
+		t.ServerName = c.name
 		return tls.DialWithDialer(d, "tcp", c.address, t)
 	}
 	return d.Dial("tcp", c.address)
--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -59,8 +59,8 @@
 	return p, nil
 }
 
-// Start founds a system on the first voter and starts all hosts.
-func Start(t testing.TB, binary string, specs []HostSpec) *Cluster {
+// Start founds a system on the first voter and starts all hosts, whose settings may be changed first.
+func Start(t testing.TB, binary string, specs []HostSpec, change ...func(*conf.Settings)) *Cluster {
 	t.Helper()
 	c := &Cluster{t: t, binary: binary, folder: t.TempDir(), proxies: make(map[[2]string]*toxiproxy.Proxy)}
 	t.Cleanup(c.stop)
@@ -80,6 +80,9 @@
 	f := false
 	for _, h := range c.Hosts {
 		h.Settings.Peers = m
+		for _, f := range change {
+			f(&h.Settings)
+		}
 		c.connect(h)
 		c.write(h)
 		if h.Voter && !f {
--- /dev/null
+++ b/proof/tls_test.go
@@ -0,0 +1,168 @@
+package proof_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/admpb"
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/model"
+	"github.com/hickoryshelf/hickoryshelf/proof"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	folder string
+	key    *ecdsa.PrivateKey
+	cert   *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	i := is.New(t)
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	i.NoErr(err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	b, err := x509.CreateCertificate(rand.Reader, c, c, &k.PublicKey, k)
+	i.NoErr(err)
+	a := &authority{folder: t.TempDir(), key: k, cert: c}
+	a.write(t, "authority.pem", "CERTIFICATE", b)
+	return a
+}
+
+func (a *authority) write(t *testing.T, name, kind string, b []byte) {
+	t.Helper()
+	p := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b})
+	if err := os.WriteFile(filepath.Join(a.folder, name), p, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// issue writes a certificate for a name and returns its files.
+func (a *authority) issue(t *testing.T, name string, serial int64) *conf.TLS {
+	t.Helper()
+	i := is.New(t)
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	i.NoErr(err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	b, err := x509.CreateCertificate(rand.Reader, c, a.cert, &k.PublicKey, a.key)
+	i.NoErr(err)
+	p, err := x509.MarshalECPrivateKey(k)
+	i.NoErr(err)
+	a.write(t, name+".key", "EC PRIVATE KEY", p)
+	a.write(t, name+".pem", "CERTIFICATE", b)
+	f := func(s string) string { return filepath.Join(a.folder, s) }
+	return &conf.TLS{Certificate: f(name + ".pem"), Key: f(name + ".key"), Authority: f("authority.pem")}
+}
+
+// operator returns a client of a host's administration API over TLS with an operator key.
+func operator(t *testing.T, h *proof.Host, f *conf.TLS, key string) admpb.AdminServiceClient {
+	t.Helper()
+	i := is.New(t)
+	c, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	i.NoErr(err)
+	b, err := os.ReadFile(f.Authority)
+	i.NoErr(err)
+	p := x509.NewCertPool()
+	p.AppendCertsFromPEM(b)
+	x := &http.Client{Transport: &http.Transport{
+		TLSClientConfig: &tls.Config{Certificates: []tls.Certificate{c}, RootCAs: p, ServerName: h.Name},
+	}}
+	o := connect.WithInterceptors(connect.UnaryInterceptorFunc(func(n connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+key)
+			return n(ctx, r)
+		}
+	}))
+	return admpb.NewAdminServiceClient(x, "https://"+h.Settings.AdminAddress, o)
+}
+
+// TestMutualTLS runs hosts that authenticate each other and their operators, and replaces a certificate
+// while they run.
+func TestMutualTLS(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	x := context.Background()
+	a := newAuthority(t)
+	c := proof.Start(t, binary, proof.Three(), func(s *conf.Settings) {
+		s.TLS = a.issue(t, s.Name, 2)
+		s.OperatorKeys = []string{model.HashKey("operator-key")}
+	})
+	f := a.issue(t, "operator", 3)
+	h := c.Hosts[2]
+	r := &admpb.ChangeRequest{ChangeId: "c", Operation: declare, Document: []byte(`{"name":"v@1","state":"live"}`)}
+	proof.Eventually(t, 20*time.Second, func() error {
+		_, err := operator(t, h, f, "operator-key").Change(x, connect.NewRequest(r))
+		return err
+	})
+	_, err := operator(t, h, f, "wrong").Change(x, connect.NewRequest(r))
+	i.Equal(connect.CodeOf(err), connect.CodeUnauthenticated)
+	n, err := tls.Dial("tcp", h.Settings.PeerAddress, &tls.Config{InsecureSkipVerify: true}) // no certificate of our own
+	if err == nil {
+		_ = n.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err = n.Read(make([]byte, 1))
+		_ = n.Close()
+	}
+	i.True(err != nil)
+	p, err := net.Dial("tcp", h.Settings.PeerAddress)
+	i.NoErr(err)
+	_, _ = p.Write([]byte("plain text"))
+	_ = p.SetReadDeadline(time.Now().Add(2 * time.Second))
+	b := make([]byte, 64)
+	m, _ := p.Read(b)
+	i.True(m == 0 || b[0] == 21) // closed, or a TLS alert
+
+	a.issue(t, h.Name, 77) // replaced while the host runs
+	proof.Eventually(t, 10*time.Second, func() error {
+		_, err := operator(t, h, f, "operator-key").Status(x, connect.NewRequest(&admpb.StatusRequest{}))
+		if err == nil && serial(t, h, f) != 77 {
+			err = os.ErrNotExist
+		}
+		return err
+	})
+	r.ChangeId, r.Document = "d", []byte(`{"name":"v@2","state":"live"}`)
+	proof.Eventually(t, 20*time.Second, func() error {
+		u, err := operator(t, h, f, "operator-key").Change(x, connect.NewRequest(r))
+		if err == nil && !u.Msg.GetAccepted() {
+			err = os.ErrNotExist
+		}
+		return err
+	})
+}
+
+// serial returns the number of the certificate that a host presents now.
+func serial(t *testing.T, h *proof.Host, f *conf.TLS) int64 {
+	t.Helper()
+	c, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := tls.Dial("tcp", h.Settings.AdminAddress, &tls.Config{Certificates: []tls.Certificate{c}, InsecureSkipVerify: true})
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = n.Close() }()
+	return n.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+}
