--- /dev/null
+++ b/proof/measure_test.go
@@ -0,0 +1,167 @@
+package proof_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/fakes"
+	"github.com/hickoryshelf/hickoryshelf/proof"
+)
+
+// clockTicks is the unit of processor time in /proc, a second's part.
+const clockTicks = 100
+
+// controlFigures are what control costs at one size; those of hosts are means with the largest behind.
+type controlFigures struct {
+	Hosts         int     `json:"hosts"`
+	Endpoints     int     `json:"endpoints"`
+	CorePercent   float64 `json:"core-percent"`
+	CoreMax       float64 `json:"core-percent-max"`
+	MegaBytes     float64 `json:"resident-mb"`
+	BytesASecond  float64 `json:"sent-bytes-a-second"`
+	BytesMax      float64 `json:"sent-bytes-a-second-max"`
+	AcceptedP50   float64 `json:"accepted-p50-ms"`
+	AcceptedP99   float64 `json:"accepted-p99-ms"`
+	FailoverP50   float64 `json:"failover-p50-ms"`
+	FailoverWorst float64 `json:"failover-worst-ms"`
+}
+
+// sample is a host's processor seconds and sent bytes.
+type sample struct {
+	cpu  float64
+	sent int64
+}
+
+func sampleOf(t *testing.T, c *proof.Cluster) []sample {
+	t.Helper()
+	s, err := proof.Statuses(context.Background(), c.Hosts[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := make([]sample, len(c.Hosts))
+	for k, h := range c.Hosts {
+		b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", h.Pid()))
+		f := strings.Fields(string(b))
+		u, _ := strconv.ParseFloat(f[13], 64)
+		v, _ := strconv.ParseFloat(f[14], 64)
+		r[k] = sample{(u + v) / clockTicks, 0}
+		for _, x := range s {
+			if x.GetName() == h.Name {
+				r[k].sent = x.GetBytesOut()
+			}
+		}
+	}
+	return r
+}
+
+func resident(h *proof.Host) float64 {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.Pid()))
+	for l := range strings.Lines(string(b)) {
+		if v, ok := strings.CutPrefix(l, "VmRSS:"); ok {
+			n, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
+			return n / 1024
+		}
+	}
+	return 0
+}
+
+// specs returns hosts spread over three data centres, one voter in each.
+func specs(hosts int) []proof.HostSpec {
+	var r []proof.HostSpec
+	for k := range hosts {
+		d := []string{"bern", "olten", "aarau"}[k%3]
+		r = append(r, proof.HostSpec{Name: fmt.Sprintf("%s%d", d, k/3+1), DataCentre: d + "-halle", Voter: k < 3})
+	}
+	return r
+}
+
+// TestMeasureControl measures what control costs at several sizes, when PROOF_MEASURE is set to a list of
+// sizes such as "3x12,9x12,27x12". It prints one JSON object for each.
+func TestMeasureControl(t *testing.T) {
+	if os.Getenv("PROOF_MEASURE") == "" {
+		t.Log("not measured; set PROOF_MEASURE to sizes such as 3x12,9x12,27x12")
+		return
+	}
+	for z := range strings.SplitSeq(os.Getenv("PROOF_MEASURE"), ",") {
+		var h, e int
+		if _, err := fmt.Sscanf(z, "%dx%d", &h, &e); err != nil {
+			t.Fatal(err)
+		}
+		t.Run(z, func(t *testing.T) {
+			b, err := json.Marshal(measureControl(t, h, e))
+			is.New(t).NoErr(err)
+			fmt.Println(string(b))
+		})
+	}
+}
+
+func measureControl(t *testing.T, hosts, endpoints int) controlFigures {
+	t.Helper()
+	x := context.Background()
+	c := proof.Start(t, binary, specs(hosts))
+	for k := range endpoints {
+		d := []string{"bern-halle", "olten-halle", "aarau-halle"}[k%3]
+		c.Engine(fmt.Sprintf("engine-%d", k), d, fakes.EngineOptions{Versions: []string{proof.Small}})
+	}
+	c.Configure(c.Hosts[0])
+	c.Settled(endpoints)
+	waitVoters(t, c, 3)
+	f := controlFigures{Hosts: hosts, Endpoints: endpoints}
+	const idle = 15 * time.Second
+	a := sampleOf(t, c)
+	time.Sleep(idle)
+	b := sampleOf(t, c)
+	for k, h := range c.Hosts {
+		p := 100 * (b[k].cpu - a[k].cpu) / idle.Seconds()
+		s := float64(b[k].sent-a[k].sent) / idle.Seconds()
+		f.CorePercent += p / float64(hosts)
+		f.BytesASecond += s / float64(hosts)
+		f.CoreMax, f.BytesMax = max(f.CoreMax, p), max(f.BytesMax, s)
+		f.MegaBytes = max(f.MegaBytes, resident(h))
+	}
+	var l []float64
+	for k := range 100 {
+		s := time.Now()
+		r, err := proof.Change(x, c.Hosts[k%hosts], fmt.Sprintf("m-%d", k), 0, declare, "", version(fmt.Sprintf("m@%d", k)))
+		if err != nil || !r.GetAccepted() {
+			t.Errorf("change %d: %v %v", k, r, err)
+		}
+		l = append(l, float64(time.Since(s).Microseconds())/1000)
+		time.Sleep(20 * time.Millisecond)
+	}
+	slices.Sort(l)
+	f.AcceptedP50, f.AcceptedP99 = l[50], l[98]
+	l = nil
+	for k := range 5 {
+		l = append(l, failover(t, c, k))
+	}
+	slices.Sort(l)
+	f.FailoverP50, f.FailoverWorst = l[2], l[4]
+	return f
+}
+
+// failover kills the leader and returns the milliseconds until a change is answered.
+func failover(t *testing.T, c *proof.Cluster, round int) float64 {
+	t.Helper()
+	l := leaderOf(t, c, c.Hosts[len(c.Hosts)-1])
+	c.Kill(l)
+	o := c.Except(l)
+	s := time.Now()
+	proof.Eventually(t, 20*time.Second, func() error {
+		_, err := proof.Change(context.Background(), o[len(o)-1], fmt.Sprintf("f-%d", round), 0, declare, "", version(fmt.Sprintf("f@%d", round)))
+		return err
+	})
+	d := float64(time.Since(s).Microseconds()) / 1000
+	c.StartHost(l)
+	waitVoters(t, c, 3)
+	return d
+}
