Bound the ledger's memory: hand settled lines over to two disks

Cause: lines stayed in memory; at 20 requests/s a host would pass 256 MB within hours. Change: a minute after they are settled, hosts without a disk hand lines over to two hosts with one and forget them once synced there; hosts with a disk forget them at once. Bills read the disks too.

--- a/bench/engine.go
+++ b/bench/engine.go
@@ -90,6 +90,8 @@
 	task    *task
 	faulty  bool
 	refused bool
+	// cut is true when the engine stopped in the middle: the attempt may have done its work.
+	cut     bool
 	quality float64
 }
 
@@ -104,6 +106,8 @@
 	waiting    []*task
 	stopped    bool
 	sequence   uint64
+	// incarnation counts the engine's restarts.
+	incarnation uint64
 }
 
 func (e *engine) has(version int) bool {
@@ -139,6 +143,8 @@
 func (e *engine) start(t *task) {
 	w := e.world
 	e.running++
+	w.note(t)
+	i := e.incarnation
 	r := rand.New(rand.NewPCG(t.arrival.draw, uint64(t.version)))
 	s := 1.0
 	f := false
@@ -164,7 +170,7 @@
 	}
 	q := w.trueQuality(t.version, t.arrival.class) + answerNoise*r.NormFloat64()
 	w.after(p, func() { t.first = w.now })
-	w.after(p+g, func() { e.finish(t, result{task: t, faulty: f, quality: min(1, max(0, q))}) })
+	w.after(p+g, func() { e.finish(t, result{task: t, faulty: f, cut: e.incarnation != i, quality: min(1, max(0, q))}) })
 }
 
 func (e *engine) finish(t *task, r result) {
@@ -174,17 +180,28 @@
 		e.waiting = e.waiting[1:]
 		e.start(n)
 	}
-	if e.stopped {
-		r = result{task: t, refused: true}
+	if e.stopped && !r.cut {
+		r = result{task: t, cut: true}
 	}
 	t.done(r)
 }
 
+// note counts how often a request was started at an engine.
+func (w *world) note(t *task) {
+	w.started[t.arrival.id]++
+	if t.arrival.once() && w.started[t.arrival.id] == 2 && t.arrival.at >= warmUp {
+		w.doubled++
+	}
+}
+
+// once reports whether the request must run at most once: half of them must, in the rolling scenario.
+func (a arrival) once() bool { return a.draw%2 == 0 }
+
 // announcement describes the engine as it is now.
 func (e *engine) announcement() model.Endpoint {
 	e.sequence++
 	a := model.Endpoint{
-		ID: e.id, DataCentre: e.dataCentre, Address: "stand-in", Incarnation: 1, Sequence: e.sequence,
+		ID: e.id, DataCentre: e.dataCentre, Address: "stand-in", Incarnation: 1 + e.incarnation, Sequence: e.sequence,
 		Capacity: e.capacity, Running: e.running, Waiting: len(e.waiting),
 	}
 	for _, h := range e.holds {
@@ -204,10 +221,13 @@
 	// tokens are the ratings that may be asked now; filled is when they were last counted.
 	tokens float64
 	filled time.Duration
+	// started counts the starts of each request; doubled the requests started twice that must run once.
+	started map[string]int
+	doubled int
 }
 
 func newWorld(d deployment, s scenario, seed uint64) *world {
-	w := &world{deployment: d, scenario: s, versions: d.versions, random: rand.New(rand.NewPCG(seed, 13)), tokens: d.ratings}
+	w := &world{deployment: d, scenario: s, versions: d.versions, random: rand.New(rand.NewPCG(seed, 13)), tokens: d.ratings, started: make(map[string]int)}
 	for _, c := range d.dataCentres {
 		for i := range d.enginesPerCentre {
 			w.engines = append(w.engines, &engine{
@@ -219,6 +239,9 @@
 		w.versions = append(append([]versionSpec(nil), d.versions...), freshVersion(d))
 	}
 	w.after(s.turn, w.turnNow)
+	if s.rolling {
+		w.after(s.turn, func() { w.restart(0) })
+	}
 	return w
 }
 
@@ -229,6 +252,26 @@
 	return v
 }
 
+const (
+	// restartTime is how long a restarting engine refuses connections; restartEvery the time from one
+	// engine's restart to the next one's.
+	restartTime  = 3 * time.Second
+	restartEvery = 4 * time.Second
+)
+
+// restart cuts off what an engine runs and brings it back a little later.
+func (w *world) restart(index int) {
+	e := w.engines[index%len(w.engines)]
+	e.stopped = true
+	e.incarnation++
+	for _, t := range e.waiting {
+		t.done(result{task: t, refused: true})
+	}
+	e.waiting = nil
+	w.after(restartTime, func() { e.stopped = false })
+	w.after(restartEvery, func() { w.restart(index + 1) })
+}
+
 func (w *world) turned() bool { return w.now >= w.scenario.turn }
 
 func (w *world) turnNow() {
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -20,9 +20,32 @@
 	engine  func(p *plain, e []*engine) *engine
 	random  *rand.Rand
 	next    int
+	// retry is what the policy does after an attempt that failed.
+	retry retry
 }
 
-func (p *plain) submit(a arrival) {
+// retry says when a plain policy tries again.
+type retry int
+
+const (
+	retryNone retry = iota
+	// retryAny tries again after any failure.
+	retryAny
+	// retryClassified tries again where nothing can have started, or the request may be repeated.
+	retryClassified
+)
+
+func (p *plain) submit(a arrival) { p.try(a, 1) }
+
+// again reports whether a failed attempt is followed by another.
+func (p *plain) again(a arrival, r result, attempts int) bool {
+	if attempts >= maxAttempts || p.retry == retryNone {
+		return false
+	}
+	return p.retry == retryAny || r.refused || !a.once()
+}
+
+func (p *plain) try(a arrival, attempts int) {
 	w := p.world
 	v := p.version(p, a)
 	var e []*engine
@@ -38,7 +61,12 @@
 	x := p.engine(p, e)
 	t := &task{arrival: a, version: v, engine: x, sent: w.now}
 	t.done = func(r result) {
-		if r.refused || r.faulty {
+		b := r.refused || r.faulty || r.cut
+		if b && p.again(a, r, attempts) {
+			p.try(a, attempts+1)
+			return
+		}
+		if b {
 			p.record.fail(a, t)
 			return
 		}
@@ -51,7 +79,7 @@
 // seen reports whether the policy still sends to an engine; it notices a stopped one late, as announcements
 // expire.
 func (p *plain) seen(e *engine) bool {
-	return !e.stopped || p.world.now < p.world.scenario.turn+5*time.Second
+	return !e.stopped || p.world.scenario.rolling || p.world.now < p.world.scenario.turn+5*time.Second
 }
 
 func best(*plain, arrival) int { return 0 }
--- a/bench/product.go
+++ b/bench/product.go
@@ -204,6 +204,10 @@
 	x := p.open[e.ID]
 	delete(p.open, e.ID)
 	if e.Decision.Refusal != nil {
+		if x.attempts > 1 {
+			p.record.failed++
+			return
+		}
 		p.record.refuse(x.arrival)
 		return
 	}
@@ -251,6 +255,8 @@
 	switch {
 	case r.refused:
 		f.Ending, f.Tokens = core.EndedRefused, 0
+	case r.cut:
+		f.Ending, f.Tokens = core.EndedFailed, 0
 	case r.faulty:
 		x.faulty++
 		f.Ending, f.Tokens, f.Faulty = core.EndedFaulty, 0, x.faulty
@@ -260,7 +266,7 @@
 		p.answered(h, x, r)
 		return
 	}
-	if x.attempts >= maxAttempts {
+	if x.attempts >= maxAttempts || (p.world.scenario.rolling && r.cut && a.once()) {
 		p.record.fail(a, r.task)
 		return
 	}
@@ -275,7 +281,8 @@
 	k := p.world.deployment.classes[x.arrival.class]
 	s := route.Subject{Version: x.decision.Version, Class: x.ask.Class}
 	d := !k.streamed && h.state.Routes.Evidence.Stat(s).Health != route.Sound
-	if (!k.terms.Judge && !d) || len(x.ask.Avoid) > 0 {
+	o := p.world.scenario.rolling && x.arrival.once()
+	if (!k.terms.Judge && !d) || o || len(x.ask.Avoid) > 0 {
 		p.record.serve(x.arrival, r.task, r.quality)
 		p.rate(h, x, r)
 		return
--- a/bench/record.go
+++ b/bench/record.go
@@ -140,14 +140,16 @@
 	Refused  int    `json:"refused"`
 	Failed   int    `json:"failed"`
 	// CostToBest and CostToOracle are costs a served request, as ratios.
-	CostToBest    float64       `json:"cost-to-best"`
-	CostToOracle  float64       `json:"cost-to-oracle"`
-	WaitP95       float64       `json:"wait-p95-ms"`
-	WaitP99       float64       `json:"wait-p99-ms"`
-	Exposure      float64       `json:"exposure-minute"`
-	ExposedLater  int           `json:"exposed-later"`
-	Amplification float64       `json:"amplification"`
-	Classes       []ClassReport `json:"classes"`
+	CostToBest    float64 `json:"cost-to-best"`
+	CostToOracle  float64 `json:"cost-to-oracle"`
+	WaitP95       float64 `json:"wait-p95-ms"`
+	WaitP99       float64 `json:"wait-p99-ms"`
+	Exposure      float64 `json:"exposure-minute"`
+	ExposedLater  int     `json:"exposed-later"`
+	Amplification float64 `json:"amplification"`
+	// Doubled counts requests that must run once and were started twice; see the rolling scenario.
+	Doubled int           `json:"double-runs"`
+	Classes []ClassReport `json:"classes"`
 	// Shares are the customers' parts of all tokens served.
 	Shares []ShareReport `json:"shares"`
 
@@ -188,6 +190,9 @@
 			FirstP50: ms(c.first, 50), FirstP95: ms(c.first, 95), FirstP99: ms(c.first, 99),
 		})
 	}
+	if r.world.scenario.rolling {
+		p.Doubled = r.world.doubled
+	}
 	p.Shares = r.shares()
 	return p
 }
@@ -218,17 +223,21 @@
 		name    string
 		version func(*plain, arrival) int
 		engine  func(*plain, []*engine) *engine
+		retry   retry
 	}{
-		{"product", nil, nil},
-		{"always-best", best, leastOutstanding},
-		{"always-cheapest", cheapest, leastOutstanding},
-		{"random", randomVersion, anyEngine},
-		{"oracle-round-robin", oracle, roundRobin},
-		{"oracle-least-outstanding", oracle, leastOutstanding},
+		{"product", nil, nil, 0},
+		{"always-best", best, leastOutstanding, retryNone},
+		{"always-cheapest", cheapest, leastOutstanding, retryNone},
+		{"random", randomVersion, anyEngine, retryNone},
+		{"oracle-round-robin", oracle, roundRobin, retryNone},
+		{"oracle-retry-any", oracle, anyEngine, retryAny},
+		{"oracle-retry-classified", oracle, anyEngine, retryClassified},
+		{"oracle-retry-none", oracle, anyEngine, retryNone},
+		{"oracle-least-outstanding", oracle, leastOutstanding, retryNone},
 	} {
 		w := newWorld(d, s, seed)
 		c := newRecord(w)
-		var p policy = &plain{world: w, record: c, version: b.version, engine: b.engine, random: rand.New(rand.NewPCG(seed, 17))}
+		var p policy = &plain{world: w, record: c, version: b.version, engine: b.engine, random: rand.New(rand.NewPCG(seed, 17)), retry: b.retry}
 		if b.version == nil {
 			p = newProduct(w, c, seed)
 		}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -34,6 +34,9 @@
 	cut bool
 	// judged has the answers of streamed classes held back until they are judged.
 	judged bool
+	// rolling restarts each engine in turn after the turn: what runs there is cut off, and for a while its
+	// address refuses connections.
+	rolling bool
 	// only is the one class of the trace, or -1 for all.
 	only int
 }
@@ -68,6 +71,7 @@
 		{name: "out-of-capacity", lost: 3},
 		{name: "greedy", greedy: true, load: 3},
 		{name: "cut", cut: true},
+		{name: "rolling", rolling: true},
 		{name: "backlog", load: 8, equal: true},
 	} {
 		s.length, s.turn, s.bad, s.only = runLength, turnAt, badVersion, -1
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -72,6 +72,8 @@
 		r.recordsFailed(e)
 	case RecordsSynced:
 		r.recordsSynced(e)
+	case Archived:
+		r.Ledger = r.Ledger.Without(e.RequestIDs)
 	case OrderEnded:
 		r.orderEnded(e)
 	case Stopping:
@@ -108,15 +110,23 @@
 	return n
 }
 
+func (r *reducer) expireEndpoints() {
+	if r.Now >= r.expired+expireEvery {
+		r.expired = r.Now
+		r.Routes = r.Routes.WithExpired(r.Now)
+	}
+}
+
 func (r *reducer) tick() {
 	r.stepQuorum(quorum.Tick{})
 	r.sendBeats()
-	r.Routes = r.Routes.WithExpired(r.Now)
+	r.expireEndpoints()
 	r.expireQueued()
 	r.startQueued()
 	r.answerInForce()
 	r.settleOrphans()
 	r.mendVoters()
+	r.archive()
 	r.placeVersions()
 	r.compact()
 	r.forgetDirect(route.Expiry)
--- a/core/state.go
+++ b/core/state.go
@@ -23,7 +23,9 @@
 	// farBeatEvery is the interval of heartbeats to other hosts.
 	farBeatEvery = 2 * time.Second
 	// inForceWait is how long an operator's change waits to be in force everywhere before it is answered.
-	inForceWait = 4 * time.Second
+	inForceWait = 2500 * time.Millisecond
+	// expireEvery is the interval at which endpoints are looked through for silent ones.
+	expireEvery = 500 * time.Millisecond
 	// compactAfter is how many entries the control log holds before a snapshot replaces them.
 	compactAfter = 2000
 )
@@ -76,6 +78,9 @@
 	orders       *immutable.Map[string, order]
 	placed       time.Duration
 	storeLimited time.Duration
+	// expired is when endpoints were last looked through, archived when lines were last handed over.
+	expired  time.Duration
+	archived time.Duration
 }
 
 // proposal is a command whose caller waits for its result.
--- a/host/effect.go
+++ b/host/effect.go
@@ -33,6 +33,9 @@
 		go j.run()
 	case core.Decide:
 		h.waits.answer(e.ID, e.Decision)
+	case core.ArchiveRecords:
+		j := archiveJob{h, e}
+		go j.run()
 	case core.SendOrder:
 		j := orderJob{h, e}
 		go j.run()
--- a/host/handler.go
+++ b/host/handler.go
@@ -63,7 +63,7 @@
 // Bills returns this host's copies of lines.
 func (h *handler) Bills(r peer.BillsRequest) []ledger.Line {
 	var k []ledger.Line
-	for _, l := range h.host.State().Ledger.Lines() {
+	for _, l := range h.host.lines().Lines() {
 		if r.Customer == "" || l.Customer == r.Customer {
 			k = append(k, l)
 		}
@@ -71,6 +71,28 @@
 	return k
 }
 
+// lines returns the lines in memory and those on the disk.
+func (h *Host) lines() ledger.State {
+	s := h.State().Ledger
+	if h.disk == nil {
+		return s
+	}
+	b, err := h.disk.Bills()
+	if err != nil {
+		h.log.WithError(err).Error("ledger: the lines on the disk can't be read")
+		return s
+	}
+	d, err := decodeLines(b)
+	if err != nil {
+		h.log.WithError(err).Error("ledger: the lines on the disk can't be read")
+		return s
+	}
+	for _, l := range s.Lines() {
+		d = d.WithLine(l)
+	}
+	return d
+}
+
 // Status describes this host.
 func (h *handler) Status() peer.Status {
 	s := h.host.State()
--- a/host/link.go
+++ b/host/link.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	beatTimeout   = time.Second
-	quorumTimeout = 2 * time.Second
-	recordTimeout = time.Second
-	pullTimeout   = 2 * time.Second
+	beatTimeout    = time.Second
+	quorumTimeout  = 2 * time.Second
+	recordTimeout  = time.Second
+	archiveTimeout = 5 * time.Second
+	pullTimeout    = 2 * time.Second
 	// linkQueue is how many messages may wait for one host; more are dropped, as a network may.
 	linkQueue = 1024
 )
@@ -128,6 +129,30 @@
 	j.host.post(core.BeatAnswered{Sent: j.beat.Sent, Beat: r})
 }
 
+// archiveJob hands lines over to hosts with a disk.
+type archiveJob struct {
+	host    *Host
+	archive core.ArchiveRecords
+}
+
+func (j archiveJob) run() {
+	var k []string
+	for _, r := range j.archive.Lines {
+		k = append(k, r.RequestID)
+	}
+	for _, n := range j.archive.To {
+		l, ok := j.host.linkTo(n)
+		if !ok {
+			return
+		}
+		if err := l.client.Call("Records", j.archive.Lines, &peer.Done{}, archiveTimeout); err != nil {
+			j.host.log.WithError(err).WithField("host", n).Warn("ledger: lines were not handed over, they are kept for now")
+			return
+		}
+	}
+	j.host.post(core.Archived{RequestIDs: k})
+}
+
 // pullJob fetches the configuration of another host.
 type pullJob struct {
 	host *Host
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"time"
+
 	"github.com/benbjohnson/immutable"
 
 	"github.com/hickoryshelf/hickoryshelf/model"
@@ -11,18 +13,29 @@
 	lines *immutable.Map[string, Line]
 	// open holds the ids of lines that are merely begun.
 	open *immutable.Map[string, Line]
+	// aged lists the ids of settled lines, the earliest settled first.
+	aged *immutable.List[string]
+	// newest is the latest time of any line.
+	newest time.Time
 }
 
 // NewState returns a ledger without lines.
 func NewState() State {
-	return State{lines: immutable.NewMap[string, Line](nil), open: immutable.NewMap[string, Line](nil)}
+	return State{lines: immutable.NewMap[string, Line](nil), open: immutable.NewMap[string, Line](nil), aged: immutable.NewList[string]()}
 }
 
 // WithLine merges a line.
 func (s State) WithLine(line Line) State {
-	if o, ok := s.lines.Get(line.RequestID); ok {
+	o, ok := s.lines.Get(line.RequestID)
+	if ok {
 		line = o.Merge(line)
 	}
+	if line.At.After(s.newest) {
+		s.newest = line.At
+	}
+	if line.Stage != StageBegun && (!ok || o.Stage == StageBegun) {
+		s.aged = s.aged.Append(line.RequestID)
+	}
 	s.lines = s.lines.Set(line.RequestID, line)
 	if line.Stage == StageBegun {
 		s.open = s.open.Set(line.RequestID, line)
@@ -32,6 +45,39 @@
 	return s
 }
 
+// Aged returns up to limit of the earliest settled lines that are at least as old as age, by the time of the
+// newest line.
+func (s State) Aged(limit int, age time.Duration) []Line {
+	var r []Line
+	for i := s.aged.Iterator(); !i.Done() && len(r) < limit; {
+		_, k := i.Next()
+		l, ok := s.lines.Get(k)
+		if ok && s.newest.Sub(l.At) < age {
+			return r
+		}
+		l.RequestID = k
+		r = append(r, l)
+	}
+	return r
+}
+
+// Without forgets lines that are kept elsewhere.
+func (s State) Without(requestIDs []string) State {
+	for _, k := range requestIDs {
+		s.lines = s.lines.Delete(k)
+		s.open = s.open.Delete(k)
+	}
+	n := 0
+	for n < s.aged.Len() {
+		if _, ok := s.lines.Get(s.aged.Get(n)); ok {
+			break
+		}
+		n++
+	}
+	s.aged = s.aged.Slice(n, s.aged.Len())
+	return s
+}
+
 // Line returns the copy of one line.
 func (s State) Line(requestID string) (Line, bool) { return s.lines.Get(requestID) }
 
--- /dev/null
+++ b/ledger/state_test.go
@@ -0,0 +1,54 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/model"
+)
+
+func draw(t *rapid.T) ledger.Line {
+	return ledger.Line{
+		RequestID: "r", Stage: ledger.Stage(rapid.IntRange(0, 2).Draw(t, "stage")),
+		Outcome: model.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")), At: time.Unix(rapid.Int64Range(0, 3).Draw(t, "at"), 0),
+	}
+}
+
+// TestMerge proves that copies merge to the same line in any order and however often.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := draw(t), draw(t), draw(t)
+		if a.Merge(b) != b.Merge(a) || a.Merge(a) != a || a.Merge(b).Merge(c) != a.Merge(b.Merge(c)) {
+			t.Fatalf("%v %v %v", a, b, c)
+		}
+	})
+}
+
+// TestAged forgets settled lines only, the earliest first, and takes a late copy in again without harm.
+func TestAged(t *testing.T) {
+	i := is.New(t)
+	s := ledger.NewState()
+	for k := range 10 {
+		l := ledger.Line{RequestID: fmt.Sprint(k), At: time.Unix(int64(k), 0)}
+		s = s.WithLine(l)
+		if k%2 == 0 {
+			l.Stage = ledger.StageSettled
+			s = s.WithLine(l)
+		}
+	}
+	a := s.Aged(100, 3*time.Second)
+	i.Equal(len(a), 4) // 0, 2, 4 and 6 are three seconds older than 9
+	var n []string
+	for _, l := range a {
+		n = append(n, l.RequestID)
+	}
+	s = s.Without(n)
+	i.Equal(s.Len(), 6)
+	i.Equal(len(s.Open()), 5)
+	i.Equal(len(s.Aged(100, 0)), 1) // 8 is left
+}
--- a/store/disk.go
+++ b/store/disk.go
@@ -173,6 +173,9 @@
 	return d.bills.Sync()
 }
 
+// Bills returns all bill records that the disk holds.
+func (d *Disk) Bills() ([][]byte, error) { return Read(d.bills.path) }
+
 // Size returns the bytes that the control log takes up.
 func (d *Disk) Size() int64 { return d.quorum.Size() }
 
--- a/store/log.go
+++ b/store/log.go
@@ -73,6 +73,16 @@
 	return l, r, nil
 }
 
+// Read returns the whole records of a log that may be written meanwhile.
+func Read(path string) ([][]byte, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read log: %w; check the disk", err)
+	}
+	r, _, err := parse(path, b)
+	return r, err
+}
+
 // cut drops what stands behind the last whole record.
 func (l *Log) cut() error {
 	if err := l.file.Truncate(l.size); err != nil {
