Close the connection of a caller that sends its body too slowly

Cause: TestSlowCallers went red: after the 408 the server went on to read the rest of the body, since the deadline had been lifted. Ruled out: slow headers (closed after 5 s). Change: the deadline stays and the connection closes after a failed body. Green after; others were served throughout.

--- a/core/reduce.go
+++ b/core/reduce.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/hickoryshelf/hickoryshelf/member"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 	"github.com/hickoryshelf/hickoryshelf/route"
 )
@@ -94,7 +95,7 @@
 	s.Leading = r.Quorum.Ready(r.Now)
 	s.Leader = r.Leader()
 	r.Members = r.Members.WithSelf(s)
-	s.Recovered = s.Recovered || r.Standing() != 0
+	s.Recovered = s.Recovered || r.Standing() != member.Isolated
 	r.Members = r.Members.WithSelf(s)
 }
 
--- a/gate/failure.go
+++ b/gate/failure.go
@@ -104,20 +104,22 @@
 	return &failure{status: http.StatusBadGateway, code: code, message: message, outcome: model.OutcomeUnknown}
 }
 
-// readBody reads a bounded body within a bounded time.
+// readBody reads a bounded body within a bounded time. The connection of a caller that fails to send one is
+// closed, and its deadline stays, so that the server waits for nothing more.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	_ = c.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = c.SetReadDeadline(time.Time{})
+		return b, nil
+	}
+	w.Header().Set("Connection", "close")
 	var t *http.MaxBytesError
-	switch {
-	case errors.As(err, &t):
+	if errors.As(err, &t) {
 		m := "the body is longer than 1 MiB; send a shorter request"
 		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: "body-too-large", message: m, outcome: model.OutcomeNotRun}
-	case err != nil:
-		m := "the body did not come in within 10 s; send it again"
-		return nil, &failure{status: http.StatusRequestTimeout, code: "body-incomplete", message: m, outcome: model.OutcomeNotRun}
 	}
-	return b, nil
+	m := "the body did not come in within 10 s; send it again"
+	return nil, &failure{status: http.StatusRequestTimeout, code: "body-incomplete", message: m, outcome: model.OutcomeNotRun}
 }
--- a/host/effect.go
+++ b/host/effect.go
@@ -13,7 +13,7 @@
 func (h *Host) carryOut(effect core.Effect) {
 	switch e := effect.(type) {
 	case core.QuorumOutput:
-		h.writer.outputs <- e
+		h.writer.put(e)
 	case core.SendBeat:
 		if l, ok := h.linkTo(e.Sent.To); ok {
 			j := beatJob{h, l, e}
@@ -42,7 +42,7 @@
 	case core.CopyRecords:
 		h.copyRecords(e)
 	case core.SyncRecords:
-		h.bills.queue <- e
+		h.bills.put(e)
 	case core.AnswerRecord:
 		h.waits.answer(e.ID, e.OK)
 	case core.Log:
@@ -58,9 +58,7 @@
 		if !ok {
 			continue
 		}
-		select {
-		case l.records <- e.Line:
-		default:
+		if !l.records.offer(e.Line) {
 			j := failedCopy{h, n, e}
 			go j.run()
 		}
@@ -85,10 +83,7 @@
 		if !ok {
 			continue
 		}
-		select {
-		case l.quorum <- m:
-		default:
-		}
+		l.quorum.offer(m)
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -60,8 +60,8 @@
 	prefix   string
 
 	disk    *store.Disk
-	writer  *writer
-	bills   *billWriter
+	writer  *batcher[core.QuorumOutput]
+	bills   *batcher[core.SyncRecords]
 	server  *peer.Server
 	traffic peer.Traffic
 	tls     func() *tls.Config
@@ -99,10 +99,9 @@
 	if err != nil {
 		return nil, err
 	}
-	h.writer = newWriter(h)
-	h.bills = newBillWriter(h)
-	go h.writer.loop()
-	go h.bills.loop()
+	w, b := &writer{host: h}, &billWriter{host: h}
+	h.writer = newBatcher(h.done, writerQueue, w.write)
+	h.bills = newBatcher(h.done, writerQueue, b.write)
 	go h.loop(s)
 	return h, nil
 }
--- a/host/link.go
+++ b/host/link.go
@@ -27,8 +27,8 @@
 	host    *Host
 	name    string
 	client  *peer.Client
-	quorum  chan quorum.Message
-	records chan ledger.Line
+	quorum  *batcher[quorum.Message]
+	records *batcher[ledger.Line]
 }
 
 // linkTo returns the link to a host, making it when it is first used or the address has changed.
@@ -40,13 +40,10 @@
 	if l, ok := h.links.Load(name); ok && l.(*link).client.Address() == a {
 		return l.(*link), true
 	}
-	n := &link{
-		host: h, name: name, client: peer.NewClient(name, a, h.tls, &h.traffic),
-		quorum: make(chan quorum.Message, linkQueue), records: make(chan ledger.Line, linkQueue),
-	}
+	n := &link{host: h, name: name, client: peer.NewClient(name, a, h.tls, &h.traffic)}
+	n.quorum = newBatcher(h.done, linkQueue, n.sendMessages)
+	n.records = newBatcher(h.done, linkQueue, n.sendRecords)
 	h.links.Store(name, n)
-	go n.loopQuorum()
-	go n.loopRecords()
 	return n, true
 }
 
@@ -60,28 +57,9 @@
 	return s.Address(name)
 }
 
-func (l *link) loopQuorum() {
-	for {
-		select {
-		case <-l.host.done:
-			return
-		case m := <-l.quorum:
-			b := gather(m, l.quorum)
-			if err := l.client.Call("Quorum", b, &peer.Done{}, quorumTimeout); err != nil {
-				l.host.log.WithError(err).WithField("host", l.name).Debug("quorum: messages were not delivered")
-			}
-		}
-	}
-}
-
-func (l *link) loopRecords() {
-	for {
-		select {
-		case <-l.host.done:
-			return
-		case r := <-l.records:
-			l.sendRecords(gather(r, l.records))
-		}
+func (l *link) sendMessages(messages []quorum.Message) {
+	if err := l.client.Call("Quorum", messages, &peer.Done{}, quorumTimeout); err != nil {
+		l.host.log.WithError(err).WithField("host", l.name).Debug("quorum: messages were not delivered")
 	}
 }
 
@@ -98,20 +76,6 @@
 	l.host.post(core.RecordsCopied{Host: l.name, Keys: k})
 }
 
-// gather returns the first element and those that wait behind it.
-func gather[T any](first T, queue chan T) []T {
-	r := []T{first}
-	for len(r) < linkQueue {
-		select {
-		case v := <-queue:
-			r = append(r, v)
-		default:
-			return r
-		}
-	}
-	return r
-}
-
 // beatJob sends one heartbeat.
 type beatJob struct {
 	host *Host
--- a/host/writer.go
+++ b/host/writer.go
@@ -12,59 +12,44 @@
 // writerQueue is how many outputs may wait for the disk.
 const writerQueue = 4096
 
-// writer syncs what the control log asks for, and sends its messages only after that.
+// writer syncs what the control log asks for, and sends its messages only after that. After a failed sync
+// the disk's content is unknown, so nothing more is written or sent in its name.
 type writer struct {
-	host    *Host
-	outputs chan core.QuorumOutput
+	host   *Host
+	failed bool
 }
 
-func newWriter(h *Host) *writer {
-	return &writer{host: h, outputs: make(chan core.QuorumOutput, writerQueue)}
-}
-
-// loop goes on to take outputs after a failed sync, and drops them.
-func (w *writer) loop() {
-	f := false
-	for {
-		select {
-		case <-w.host.done:
-			return
-		case o := <-w.outputs:
-			b := w.gather(o)
-			f = f || !w.write(b)
-		}
+// write writes a batch of outputs with as few syncs as their order allows.
+func (w *writer) write(batch []core.QuorumOutput) {
+	for len(batch) > 0 && !w.failed {
+		n := untilSnapshot(batch)
+		w.writeTogether(batch[:n])
+		batch = batch[n:]
 	}
 }
 
-// gather merges the outputs that wait, so that one sync serves them all. A snapshot ends the batch.
-func (w *writer) gather(o core.QuorumOutput) []core.QuorumOutput {
-	r := []core.QuorumOutput{o}
-	for o.Persist.Snapshot == nil {
-		select {
-		case o = <-w.outputs:
-			r = append(r, o)
-		default:
-			return r
+// untilSnapshot returns how many outputs may be synced together: a snapshot stands for the entries before
+// it, so it ends a group.
+func untilSnapshot(batch []core.QuorumOutput) int {
+	for i, o := range batch {
+		if o.Persist.Snapshot != nil {
+			return i + 1
 		}
 	}
-	return r
+	return len(batch)
 }
 
-// write returns false after a failed sync: the disk's content is unknown then, so nothing more is
-// written or sent in its name.
-func (w *writer) write(outputs []core.QuorumOutput) bool {
-	var p quorum.Persist
+func (w *writer) writeTogether(outputs []core.QuorumOutput) {
+	var p, s quorum.Persist
 	for _, o := range outputs {
 		p.Entries = append(p.Entries, o.Persist.Entries...)
 		if o.Persist.Hard != nil {
 			p.Hard = o.Persist.Hard
 		}
-		if o.Persist.Snapshot != nil {
-			p.Snapshot = o.Persist.Snapshot
-		}
+		s.Snapshot = o.Persist.Snapshot
 	}
-	if !p.Empty() && !w.persist(p) {
-		return false
+	if !w.persist(p) || !w.persist(s) {
+		return
 	}
 	for _, o := range outputs {
 		w.host.sendQuorum(o.Messages)
@@ -73,68 +58,37 @@
 		e := p.Entries[k-1]
 		w.host.post(core.QuorumPersisted{Persisted: quorum.Persisted{Index: e.Index, Term: e.Term}})
 	}
-	return true
 }
 
-// persist writes entries before a snapshot that comes after them, as the log produced them.
 func (w *writer) persist(p quorum.Persist) bool {
-	s := p.Snapshot
-	p.Snapshot = nil
-	err := w.host.disk.Persist(p)
-	if err == nil && s != nil {
-		err = w.host.disk.Persist(quorum.Persist{Snapshot: s})
-	}
-	if err == nil {
+	if p.Empty() {
 		return true
 	}
-	w.host.log.WithError(err).Error("quorum: the control log can't be written, this host no longer takes part in it")
-	return false
+	if err := w.host.disk.Persist(p); err != nil {
+		w.failed = true
+		w.host.log.WithError(err).Error("quorum: the control log can't be written, this host no longer takes part in it")
+	}
+	return !w.failed
 }
 
-// billWriter syncs lines of the ledger.
+// billWriter syncs lines of the ledger. After a failed sync it drops them: nobody is told that they are kept.
 type billWriter struct {
-	host  *Host
-	queue chan core.SyncRecords
+	host   *Host
+	failed bool
 }
 
-func newBillWriter(h *Host) *billWriter {
-	return &billWriter{host: h, queue: make(chan core.SyncRecords, writerQueue)}
-}
-
-// loop goes on to take lines after a failed sync, and drops them: nobody is told that they are kept.
-func (w *billWriter) loop() {
-	f := false
-	for {
-		select {
-		case <-w.host.done:
-			return
-		case o := <-w.queue:
-			b := w.gather(o)
-			if f {
-				continue
-			}
-			if err := w.write(b); err != nil {
-				f = true
-				w.host.log.WithError(err).Error("ledger: lines can't be written, this host takes no more requests")
-				w.host.post(core.Stopping{})
-			}
-		}
+func (w *billWriter) write(batch []core.SyncRecords) {
+	if w.failed {
+		return
 	}
-}
-
-func (w *billWriter) gather(o core.SyncRecords) []core.SyncRecords {
-	r := []core.SyncRecords{o}
-	for {
-		select {
-		case o = <-w.queue:
-			r = append(r, o)
-		default:
-			return r
-		}
+	if err := w.sync(batch); err != nil {
+		w.failed = true
+		w.host.log.WithError(err).Error("ledger: lines can't be written, this host takes no more requests")
+		w.host.post(core.Stopping{})
 	}
 }
 
-func (w *billWriter) write(batch []core.SyncRecords) error {
+func (w *billWriter) sync(batch []core.SyncRecords) error {
 	var r [][]byte
 	var k []string
 	for _, o := range batch {
--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -46,8 +46,8 @@
 	return n
 }
 
-// TestFrozenHost freezes a host, withdraws a version meanwhile, and lets the host go on: it gives the
-// withdrawn version nothing, not even what waited in its sockets.
+// TestFrozenHost freezes a host, withdraws a version meanwhile, and lets the host go on while it still hears
+// nobody: it gives the withdrawn version nothing, not even what waited in its sockets.
 func TestFrozenHost(t *testing.T) {
 	t.Parallel()
 	i := is.New(t)
@@ -61,6 +61,7 @@
 	c.MustChange(c.Hosts[0], "withdraw", admpb.Operation_OPERATION_WITHDRAW_VERSION, proof.Small, nil)
 	s := time.Now()
 	time.Sleep(10 * time.Second)
+	c.Cut([]*proof.Host{h}, c.Except(h)) // it can't learn of the withdrawal before it acts
 	c.Thaw(h)
 	for k := range 50 {
 		r := post(h, chatPath, chat(proof.Small, fmt.Sprint(k), 3))
@@ -69,6 +70,7 @@
 	}
 	g.Wait()
 	i.Equal(after(e, proof.Small, s), 0) // nothing ran on the withdrawn version
+	c.Heal([]*proof.Host{h}, c.Except(h))
 	proof.Eventually(t, 10*time.Second, func() error {
 		if r := post(h, chatPath, chat("auto", "x", 3)); r.status != 200 {
 			return errors.New(r.body)
--- a/proof/request_test.go
+++ b/proof/request_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -460,3 +461,49 @@
 func withClass(name string) option.RequestOption {
 	return option.WithHeader("Hickoryshelf-Class", name)
 }
+
+// TestSlowCallers opens connections that send headers or a body drop by drop, and some that read nothing:
+// they are ended in bounded time, and others are served meanwhile.
+func TestSlowCallers(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	c, _, _ := small(t)
+	h := c.Hosts[1]
+	ended := func(head string) {
+		n, err := net.Dial("tcp", h.Settings.CallerAddress)
+		i.NoErr(err)
+		defer func() { _ = n.Close() }()
+		_, _ = io.WriteString(n, head)
+		d := dropper{n}
+		go d.loop()
+		_ = n.SetReadDeadline(time.Now().Add(15 * time.Second))
+		b, err := io.ReadAll(n)
+		i.NoErr(err) // the host has ended the connection
+		if strings.Contains(head, "Content-Length") {
+			i.True(strings.Contains(string(b), "408"))
+		}
+	}
+	var w sync.WaitGroup
+	for range 50 {
+		w.Go(func() { ended("POST " + chatPath + " HTTP/1.1\r\nHost: x\r\nX-Slow: ") })
+		w.Go(func() {
+			ended("POST " + chatPath + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + proof.Key + "\r\nContent-Length: 1000\r\n\r\n{")
+		})
+	}
+	for range 100 {
+		i.Equal(post(h, chatPath, chat("auto", "x", 5)).status, 200) // others are served
+	}
+	w.Wait()
+}
+
+// dropper sends a byte now and then.
+type dropper struct{ conn net.Conn }
+
+func (d dropper) loop() {
+	for {
+		if _, err := d.conn.Write([]byte("x")); err != nil {
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
