--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -90,6 +90,9 @@
 			x := context.Background()
 			c, e := pool(t)
 			in, out := c.Of(d)
+			k := proof.Contract()
+			k.Customer, k.KeyHashes, k.CutOff = "strict", []string{model.HashKey("strict-key")}, model.CutOffRefuse
+			c.MustChange(c.Hosts[0], "strict", admpb.Operation_OPERATION_APPLY_CONTRACT, "", k)
 			c.Cut(in, out)
 			time.Sleep(4 * time.Second) // leases of the quorum are over, a leader is elected if need be
 			var r *admpb.ChangeResponse
@@ -102,6 +105,9 @@
 			i.Equal(post(out[0], chatPath, chat(proof.Small, "x", 3)).status, 410)
 			a := post(in[1], chatPath, chat(proof.Small, "x", 3))
 			i.Equal(a.status, 200) // the cut data centre serves what it can
+			a = post(in[1], chatPath, chat(proof.Small, "x", 3), "Authorization", "Bearer strict-key")
+			i.Equal(a.status, 503) // this contract says to refuse meanwhile
+			i.Equal(a.outcome(), "not-run")
 			b := post(in[1], "/desk/book", "{}", "Idempotency-Key", "k-"+d)
 			i.Equal(b.outcome(), "not-run") // what must run once is refused there
 			s := time.Now()
--- a/proof/request_test.go
+++ b/proof/request_test.go
@@ -333,13 +333,13 @@
 }
 
 // TestPlannedStop stops two hosts, one after the other, behind a balancer that watches readiness: of all
-// requests in progress and arriving none is cut off or refused.
+// requests in progress and arriving none is cut off or refused. Answers take longer than the drain delay.
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
 	i := is.New(t)
 	x := context.Background()
 	c := proof.Start(t, binary, proof.Nine())
-	o := fakes.EngineOptions{Versions: []string{proof.Small}, Interval: 10 * time.Millisecond, Capacity: 400}
+	o := fakes.EngineOptions{Versions: []string{proof.Small}, Interval: 25 * time.Millisecond, Capacity: 400}
 	c.Engine("engine-1", "bern-halle", o)
 	c.Engine("engine-2", "olten-halle", o)
 	c.Configure(c.Hosts[0])
@@ -351,7 +351,7 @@
 	var l sync.Mutex
 	var f error
 	n := 0
-	for range 120 {
+	for range 200 {
 		g.Go(func() {
 			for time.Now().Before(stop) {
 				a, err := ask(x, b.pick(), "question", 100)
