--- /dev/null
+++ b/gate/part.go
@@ -0,0 +1,76 @@
+package gate
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+)
+
+func (p *pipe) own(v []byte) ([]byte, bool) {
+	r, ok := bytes.CutPrefix(v, idMark)
+	if !ok {
+		return nil, false
+	}
+	r, ok = bytes.CutPrefix(r, p.attemptID)
+	return r, ok && len(r) > 0 && r[0] == '"'
+}
+
+func content(v []byte) []byte {
+	i := bytes.Index(v, contentMark)
+	if i < 0 {
+		return nil
+	}
+	v = v[i+len(contentMark):]
+	for k := 0; k < len(v); k++ {
+		switch v[k] {
+		case '\\':
+			k++
+		case '"':
+			return v[:k]
+		}
+	}
+	return nil
+}
+
+func render(b []byte, requestID string, rest []byte) []byte {
+	b = append(b, dataPrefix...)
+	b = append(b, idMark...)
+	b = append(b, requestID...)
+	b = append(b, rest...)
+	return append(b, "\n\n"...)
+}
+
+type usageChunk struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   engineTotals       `json:"usage"`
+}
+
+type engineTotals struct {
+	engineUsage
+	TotalTokens int64 `json:"total_tokens"` // OpenAI's format
+}
+
+func (p *pipe) usagePart() []byte {
+	u := usageChunk{
+		ID: p.job.x.id, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: p.job.decision.Version,
+		Choices: []completionChoice{},
+		Usage:   engineTotals{engineUsage: *p.usage, TotalTokens: p.usage.PromptTokens + p.usage.CompletionTokens},
+	}
+	b, err := json.Marshal(u)
+	if err != nil {
+		return nil
+	}
+	return append(append(bytes.Clone(dataPrefix), b...), "\n\n"...)
+}
+
+func unescape(b []byte) string {
+	var t string
+	if err := json.Unmarshal(append(append([]byte{'"'}, b...), '"'), &t); err != nil {
+		return ""
+	}
+	return t
+}
--- a/proof/request_test.go
+++ b/proof/request_test.go
@@ -63,12 +63,15 @@
 	return fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, tokens, text)
 }
 
+// other is a version that the contract doesn't allow.
+const other = "other@1"
+
 // small starts a cluster of three hosts with one engine for each version.
 func small(t *testing.T) (*proof.Cluster, *fakes.Engine, *fakes.Engine) {
 	t.Helper()
 	c := proof.Start(t, binary, proof.Three())
 	e := c.Engine("engine-small", "bern-halle", fakes.EngineOptions{Versions: []string{proof.Small}, Interval: 2 * time.Millisecond})
-	f := c.Engine("engine-large", "olten-halle", fakes.EngineOptions{Versions: []string{proof.Large}, Interval: 2 * time.Millisecond})
+	f := c.Engine("engine-large", "olten-halle", fakes.EngineOptions{Versions: []string{proof.Large, other}, Interval: 2 * time.Millisecond})
 	c.Configure(c.Hosts[0])
 	c.Settled(2)
 	return c, e, f
@@ -421,6 +424,7 @@
 	i := is.New(t)
 	c, _, _ := small(t)
 	h := c.Hosts[1]
+	c.MustChange(c.Hosts[0], "declare-other", declare, "", version(other))
 	for _, v := range []struct {
 		name, path, body string
 		pairs            []string
@@ -433,6 +437,7 @@
 		{"too long", chatPath, strings.Repeat("x", 2<<20), nil, 413, "body-too-large"},
 		{"unknown key", chatPath, chat("auto", "x", 1), []string{"Authorization", "Bearer no"}, 401, "unknown-key"},
 		{"unknown version", chatPath, chat("no@1", "x", 1), nil, 403, "version-not-allowed"},
+		{"version of others", chatPath, chat(other, "x", 1), nil, 403, "version-not-allowed"},
 		{"unknown class", chatPath, chat("auto", "x", 1), []string{"Hickoryshelf-Class", "no"}, 400, "unknown-class"},
 		{"no idempotency key", chatPath, chat("auto", "x", 1), []string{"Hickoryshelf-Class", "agreement"}, 400, "bad-request"},
 		{"unknown path", "/nowhere/x", "", nil, 404, "unknown-path"},
