--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -31,7 +31,9 @@
 	// Quality is the true mean quality of answers by version; 0.9 where a version isn't listed.
 	Quality     map[string]float64
 	ChecksFence bool
-	Seed        uint64
+	// NoOrders is set for engines that others place versions on.
+	NoOrders bool
+	Seed     uint64
 }
 
 // EngineFaults are switched on by POST /fake/faults. The zero value is no fault.
@@ -153,7 +155,7 @@
 	return model.Endpoint{
 		ID: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Listener.Addr().String(),
 		Incarnation: uint64(e.start.UnixMilli()), Holds: slices.Clone(e.holds), Capacity: e.options.Capacity,
-		Running: r, Waiting: w, ChecksFence: e.options.ChecksFence, TakesOrders: true, Leaving: e.leaving,
+		Running: r, Waiting: w, ChecksFence: e.options.ChecksFence, TakesOrders: !e.options.NoOrders, Leaving: e.leaving,
 	}
 }
 
--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -18,13 +18,14 @@
 	"github.com/hickoryshelf/hickoryshelf/proof"
 )
 
-// pool starts nine hosts with an engine for both versions in each data centre.
+// pool starts nine hosts with an engine for both versions in each data centre. The engines take no orders:
+// they stand outside the proxy, so that a leader beyond a cut could reach them.
 func pool(t *testing.T) (*proof.Cluster, []*fakes.Engine) {
 	t.Helper()
 	c := proof.Start(t, binary, proof.Nine())
 	var e []*fakes.Engine
 	for _, d := range []string{"bern", "olten", "aarau"} {
-		o := fakes.EngineOptions{Versions: []string{proof.Small, proof.Large}, Interval: time.Millisecond, Capacity: 64}
+		o := fakes.EngineOptions{Versions: []string{proof.Small, proof.Large}, Interval: time.Millisecond, Capacity: 64, NoOrders: true}
 		e = append(e, c.Engine("engine-"+d, d+"-halle", o))
 	}
 	c.Configure(c.Hosts[0])
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -182,7 +182,9 @@
 }
 
 // LeasedUntil returns when this leader's lease ends unless it is renewed.
-func (s State) LeasedUntil(now time.Duration) time.Duration { return s.quorumHeard(now) + s.timing.Election }
+func (s State) LeasedUntil(now time.Duration) time.Duration {
+	return s.quorumHeard(now) + s.timing.Election
+}
 
 // Ready reports whether this leader is leased and has committed an entry of its own term, so that it knows
 // of all committed entries.
--- a/route/judge.go
+++ b/route/judge.go
@@ -11,7 +11,8 @@
 	Escalate // escalate
 )
 
-// floorDeviations is how far below the agreed quality an answer may be rated, in deviations of a rating.
+// floorDeviations is how far below the agreed quality an answer of a sound version may be rated, in
+// deviations of a rating; one of a suspect version must reach it.
 const floorDeviations = 1.0
 
 // Judge decides about an answer of a version for a class with the given agreed quality. score is the
@@ -26,7 +27,11 @@
 	if !rated {
 		return Deliver
 	}
-	if score < quality-floorDeviations*t.deviation() {
+	f := quality - floorDeviations*t.deviation()
+	if t.Health == Suspect {
+		f = quality
+	}
+	if score < f {
 		return Escalate
 	}
 	return Deliver
