Read lines back from the disk as they were written

Ruled out: the hand-over itself. Change: stages read back; TestLineOnDisk was red before; the kill tests now require every host to be ready again at the end.

--- a/ledger/line.go
+++ b/ledger/line.go
@@ -23,6 +23,12 @@
 // MarshalText writes the generated name.
 func (s Stage) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText reads the generated name.
+func (s *Stage) UnmarshalText(text []byte) (err error) {
+	*s, err = model.ParseEnum[Stage](text, int(StageSettled)+1)
+	return err
+}
+
 // Line is the record of one request.
 type Line struct {
 	// RequestID is unique for all time and begins with the name of the host that minted it.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -52,10 +52,12 @@
 	for i := s.aged.Iterator(); !i.Done() && len(r) < limit; {
 		_, k := i.Next()
 		l, ok := s.lines.Get(k)
-		if ok && s.newest.Sub(l.At) < age {
+		if !ok {
+			continue
+		}
+		if s.newest.Sub(l.At) < age {
 			return r
 		}
-		l.RequestID = k
 		r = append(r, l)
 	}
 	return r
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -52,3 +53,16 @@
 	i.Equal(len(s.Open()), 5)
 	i.Equal(len(s.Aged(100, 0)), 1) // 8 is left
 }
+
+// TestLineOnDisk proves that a line reads back as it was written.
+func TestLineOnDisk(t *testing.T) {
+	i := is.New(t)
+	for _, s := range []ledger.Stage{ledger.StageBegun, ledger.StageOrphaned, ledger.StageSettled} {
+		l := ledger.Line{RequestID: "r", Stage: s, Outcome: model.OutcomeRan, At: time.Unix(1, 0).UTC()}
+		b, err := json.Marshal(l)
+		i.NoErr(err)
+		var d ledger.Line
+		i.NoErr(json.Unmarshal(b, &d))
+		i.Equal(d, l)
+	}
+}
--- a/model/enum.go
+++ b/model/enum.go
@@ -47,8 +47,8 @@
 	fmt.Stringer
 }
 
-// parseEnum finds the value whose generated name is text among the first count values.
-func parseEnum[E enum](text []byte, count int) (E, error) {
+// ParseEnum finds the value whose generated name is text among the first count values.
+func ParseEnum[E enum](text []byte, count int) (E, error) {
 	for i := range count {
 		if E(i).String() == string(text) {
 			return E(i), nil
@@ -66,7 +66,7 @@
 
 // UnmarshalText reads the generated name.
 func (p *Priority) UnmarshalText(text []byte) (err error) {
-	*p, err = parseEnum[Priority](text, int(PriorityInteractive)+1)
+	*p, err = ParseEnum[Priority](text, int(PriorityInteractive)+1)
 	return err
 }
 
@@ -75,7 +75,7 @@
 
 // UnmarshalText reads the generated name.
 func (c *CutOff) UnmarshalText(text []byte) (err error) {
-	*c, err = parseEnum[CutOff](text, int(CutOffRefuse)+1)
+	*c, err = ParseEnum[CutOff](text, int(CutOffRefuse)+1)
 	return err
 }
 
@@ -84,7 +84,7 @@
 
 // UnmarshalText reads the generated name.
 func (v *VersionState) UnmarshalText(text []byte) (err error) {
-	*v, err = parseEnum[VersionState](text, int(VersionWithdrawn)+1)
+	*v, err = ParseEnum[VersionState](text, int(VersionWithdrawn)+1)
 	return err
 }
 
@@ -93,6 +93,6 @@
 
 // UnmarshalText reads the generated name.
 func (o *Outcome) UnmarshalText(text []byte) (err error) {
-	*o, err = parseEnum[Outcome](text, int(OutcomeRan)+1)
+	*o, err = ParseEnum[Outcome](text, int(OutcomeRan)+1)
 	return err
 }
--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -208,6 +208,7 @@
 	w.Wait()
 	close(stop)
 	g.Wait()
+	allUp(t, c)
 	runs := make(map[string]bool)
 	for _, y := range e {
 		for _, r := range y.Runs() {
--- a/proof/request_test.go
+++ b/proof/request_test.go
@@ -236,11 +236,25 @@
 	w.Wait()
 	close(stop)
 	g.Wait()
+	allUp(t, c)
 	runs := append(s.Runs(), u.Runs()...)
 	checkOnce(t, a, runs)
 	i.True(len(runs) > 100) // most bookings ran
 }
 
+// allUp checks that every host answers again.
+func allUp(t *testing.T, c *proof.Cluster) {
+	t.Helper()
+	for _, h := range c.Hosts {
+		proof.Eventually(t, 20*time.Second, func() error {
+			if s := proof.Get(h, "/readyz"); s != 200 {
+				return fmt.Errorf("%s answers %d", h.Name, s)
+			}
+			return nil
+		})
+	}
+}
+
 func killSome(c *proof.Cluster, stop chan struct{}, seed uint64) {
 	d := rand.New(rand.NewPCG(seed, 1))
 	for {
