--- /dev/null
+++ b/proof/stop_test.go
@@ -0,0 +1,97 @@
+package proof_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/fakes"
+	"github.com/hickoryshelf/hickoryshelf/proof"
+)
+
+// TestPlannedStop stops two hosts, one after the other, behind a balancer that watches readiness: of all
+// requests in progress and arriving none is cut off or refused. Answers take longer than the drain delay.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	i := is.New(t)
+	x := context.Background()
+	c := proof.Start(t, binary, proof.Nine())
+	o := fakes.EngineOptions{Versions: []string{proof.Small}, Interval: 25 * time.Millisecond, Capacity: 400}
+	c.Engine("engine-1", "bern-halle", o)
+	c.Engine("engine-2", "olten-halle", o)
+	c.Configure(c.Hosts[0])
+	c.Settled(2)
+	b := newBalancer(c)
+	defer b.close()
+	stop := time.Now().Add(9 * time.Second)
+	var g sync.WaitGroup
+	var l sync.Mutex
+	var f error
+	n := 0
+	for range 200 {
+		g.Go(func() {
+			for time.Now().Before(stop) {
+				a, err := ask(x, b.pick(), "question", 100)
+				l.Lock()
+				f = errors.Join(f, err, whole(a, 100))
+				n++
+				l.Unlock()
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	i.NoErr(c.Terminate(c.Hosts[0])) // a voter, and perhaps the leader
+	i.NoErr(c.Terminate(c.Hosts[4]))
+	g.Wait()
+	i.NoErr(f)
+	t.Logf("%d requests, none cut off", n)
+	i.True(n >= 500)
+}
+
+// balancer picks hosts that are ready, as the platform's does.
+type balancer struct {
+	cluster *proof.Cluster
+	lock    sync.Mutex
+	ready   []*proof.Host
+	stop    chan struct{}
+}
+
+func newBalancer(c *proof.Cluster) *balancer {
+	b := &balancer{cluster: c, ready: c.Hosts, stop: make(chan struct{})}
+	go b.loop()
+	return b
+}
+
+func (b *balancer) close() { close(b.stop) }
+
+func (b *balancer) pick() *proof.Host {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.ready[rand.IntN(len(b.ready))]
+}
+
+func (b *balancer) loop() {
+	for {
+		var r []*proof.Host
+		for _, h := range b.cluster.Hosts {
+			if proof.Get(h, "/readyz") == 200 {
+				r = append(r, h)
+			}
+		}
+		b.lock.Lock()
+		if len(r) > 0 {
+			b.ready = r
+		}
+		b.lock.Unlock()
+		select {
+		case <-b.stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
