--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -35,8 +35,17 @@
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "runs an entry host",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "settings file of the host"}},
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Required: true, Usage: "settings file of the host", Sources: cli.EnvVars("HICKORYSHELF_BOOT"),
+		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := conf.IsNode(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if r {
+				return runNode(ctx, c.String("settings"))
+			}
 			s, err := conf.Load(c.String("settings"))
 			if err != nil {
 				return err
--- /dev/null
+++ b/ctrl/machine.go
@@ -0,0 +1,103 @@
+package ctrl
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/stage"
+)
+
+// Command is one change of the replicated state. Exactly one field is set.
+type Command struct {
+	Put   *Document      `json:"put,omitempty"`
+	Start *stage.Rollout `json:"start,omitempty"`
+	End   *stage.Rollout `json:"end,omitempty"`
+}
+
+// Document is a configuration as the operator wrote it.
+type Document struct {
+	Version int64  `json:"version"`
+	Content []byte `json:"content"`
+}
+
+// Machine is the state that all control hosts derive from the log. It is an immutable value.
+type Machine struct {
+	// Applied is the index of the last entry that was applied.
+	Applied uint64 `json:"applied"`
+	// Document is the configuration with the highest version.
+	Document Document `json:"document"`
+	// Rollouts are the newest of each service.
+	Rollouts map[string]stage.Rollout `json:"rollouts"`
+}
+
+// WithEntry returns the machine after an entry; entries that were applied before change nothing.
+func (m Machine) WithEntry(e quorum.Entry) (Machine, error) {
+	if e.Index <= m.Applied {
+		return m, nil
+	}
+	m.Applied = e.Index
+	if len(e.Data) == 0 {
+		return m, nil
+	}
+	var c Command
+	if err := json.Unmarshal(e.Data, &c); err != nil {
+		return m, fmt.Errorf("entry %d: %w; run the build that wrote it", e.Index, err)
+	}
+	return m.with(c, e.Index), nil
+}
+
+func (m Machine) with(c Command, index uint64) Machine {
+	switch {
+	case c.Put != nil && c.Put.Version > m.Document.Version:
+		m.Document = *c.Put
+	case c.Start != nil:
+		return m.withStart(*c.Start, index)
+	case c.End != nil:
+		return m.withEnd(*c.End)
+	}
+	return m
+}
+
+func (m Machine) withStart(r stage.Rollout, index uint64) Machine {
+	if o, ok := m.Rollouts[r.Service]; ok && o.Target == r.Target {
+		return m
+	}
+	r.Serial, r.Outcome = index, stage.Running
+	return m.withRollout(r)
+}
+
+func (m Machine) withEnd(r stage.Rollout) Machine {
+	o, ok := m.Rollouts[r.Service]
+	if !ok || o.Serial != r.Serial || o.Outcome != stage.Running {
+		return m
+	}
+	o.Outcome = r.Outcome
+	return m.withRollout(o)
+}
+
+func (m Machine) withRollout(r stage.Rollout) Machine {
+	n := maps.Clone(m.Rollouts)
+	if n == nil {
+		n = map[string]stage.Rollout{}
+	}
+	n[r.Service] = r
+	m.Rollouts = n
+	return m
+}
+
+// Restored returns the machine of a snapshot, unless the one held is as new.
+func (m Machine) Restored(s quorum.Snapshot) (Machine, error) {
+	if s.Index <= m.Applied {
+		return m, nil
+	}
+	n := Machine{Applied: s.Index}
+	if len(s.Data) == 0 {
+		return n, nil
+	}
+	if err := json.Unmarshal(s.Data, &n); err != nil {
+		return m, fmt.Errorf("snapshot %d: %w; run the build that wrote it", s.Index, err)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,136 @@
+// Package feed holds the messages between entry hosts and control hosts, and among control hosts.
+package feed
+
+import (
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/stage"
+)
+
+//go:generate go tool stringer -type=Verb,Status -linecomment -output=enum_string.go
+
+// ServiceName is the name under which control hosts register with net/rpc.
+const ServiceName = "Control"
+
+// Load is what entry hosts have under way at an endpoint.
+type Load struct {
+	Requests int
+	// Backlog is the estimated work, in milliseconds, of requests that haven't begun to answer.
+	Backlog int
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load { return Load{l.Requests + o.Requests, l.Backlog + o.Backlog} }
+
+// HostReport is what an entry host says of itself.
+type HostReport struct {
+	Host string
+	// Start tells the starts of a host apart; a later one is higher.
+	Start    int64
+	Sequence uint64
+	// Loads are the requests that the host has under way, by endpoint.
+	Loads map[string]Load
+	// Tallies are those that have changed since the last exchange that was answered.
+	Tallies []stage.Tally
+}
+
+// Known is what an entry host holds, so that the answer brings only news.
+type Known struct {
+	TableVersion int64
+	// Control and FleetRevision name the state of the fleet that a control host's start has sent.
+	Control       string
+	FleetRevision uint64
+}
+
+// Query is an entry host's side of an exchange.
+type Query struct {
+	Report HostReport
+	Known  Known
+	// Leaving are endpoints that the host knows to leave, for control hosts that have forgotten.
+	Leaving []fleet.Report
+	// Wait is how long the answer may be held back while there is no news.
+	Wait time.Duration
+}
+
+// News is a control host's side of an exchange.
+type News struct {
+	// Control names the control host's start.
+	Control string
+	// Sure is false while the control host hasn't caught up since its start.
+	Sure bool
+	// Document is the newest configuration where the entry host's is older.
+	TableVersion int64
+	Document     []byte
+	// Reports replace the fleet where FleetNew is set.
+	FleetNew      bool
+	FleetRevision uint64
+	Reports       []fleet.Report
+	Rollouts      []stage.View
+	// Loads are the requests that other entry hosts have under way, by endpoint.
+	Loads map[string]Load
+	// Entries is the number of entry hosts; Controls are the peer addresses of control hosts.
+	Entries  int
+	Controls []string
+}
+
+// Note is what control hosts tell each other: reports that came to the sender.
+type Note struct {
+	From    string
+	Reports []fleet.Report
+	Hosts   []HostReport
+}
+
+// Verb is what an order asks of the leader.
+type Verb int
+
+// Verbs of orders.
+const (
+	Put   Verb = iota // put
+	Read              // read
+	Start             // start-rollout
+	Look              // read-rollout
+	Join              // join
+)
+
+// Order is carried out by the leader, whichever control host took it.
+type Order struct {
+	Verb Verb
+	// Version and Document are for Put.
+	Version  int64
+	Document []byte
+	// Rollout is for Start; Service is for Look.
+	Rollout stage.Rollout
+	Service string
+	// Node is for Join.
+	Node quorum.NodeID
+	// Hops counts how often the order was passed on.
+	Hops int
+}
+
+// Status is what became of an order.
+type Status int
+
+// Results of orders.
+const (
+	// Unavailable means that no leader could answer; the order may be sent again.
+	Unavailable Status = iota // unavailable
+	Accepted                  // accepted
+	// Missing means that there is nothing of that name.
+	Missing // missing
+)
+
+// Receipt answers an order.
+type Receipt struct {
+	Status   Status
+	Version  int64
+	Document []byte
+	Rollout  stage.Rollout
+}
+
+// Done is the answer of a method that returns nothing.
+type Done struct{ OK bool }
+
+// Messages are messages of the control log to one host.
+type Messages struct{ Messages []quorum.Message }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,137 @@
+// Package fleet is what hosts know of endpoints: their own reports, merged so that late and repeated ones
+// change nothing. A State is an immutable value.
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+)
+
+//go:generate go tool stringer -type=Phase -linecomment -output=enum_string.go
+
+// Phase is where an endpoint stands in its life.
+type Phase int
+
+// Phases of an endpoint. Within one start an endpoint only moves on to later ones.
+const (
+	Ready    Phase = iota // ready
+	Leaving               // leaving
+	Departed              // departed
+)
+
+// Report is what an endpoint says of itself.
+type Report struct {
+	// ID names the endpoint; another start may use it again with a later Born.
+	ID string
+	// Born is the Unix millisecond of the endpoint's start, or 0 where it isn't known.
+	Born int64
+	// Sequence grows with each report of one start.
+	Sequence   int64
+	Service    string
+	Address    string
+	DataCentre string
+	Version    string
+	Slots      int
+	Phase      Phase
+	// ColdLeft is how much longer the endpoint stays slow after its start.
+	ColdLeft time.Duration
+}
+
+// Endpoint is the newest report of an endpoint and when it came.
+type Endpoint struct {
+	Report
+	// Heard is this host's clock at the newest report.
+	Heard time.Duration
+}
+
+// State holds the endpoints by their id.
+type State struct {
+	// Revision grows whenever an endpoint changes in more than its sequence.
+	Revision  uint64
+	endpoints *immutable.SortedMap[string, Endpoint]
+}
+
+// New returns a state without endpoints.
+func New() State { return State{endpoints: immutable.NewSortedMap[string, Endpoint](nil)} }
+
+// newer reports whether a report replaces the one held.
+func newer(r Report, o Endpoint) bool {
+	if r.Born != o.Born {
+		return r.Born > o.Born
+	}
+	if r.Phase != o.Phase {
+		return r.Phase > o.Phase
+	}
+	return r.Sequence > o.Sequence
+}
+
+// WithReport returns the state after a report that came at now; changed reports whether it was news.
+func (s State) WithReport(r Report, now time.Duration) (next State, changed bool) {
+	o, ok := s.endpoints.Get(r.ID)
+	if ok && !newer(r, o) {
+		return s, false
+	}
+	if ok && r.Phase == Departed && r.Address == "" {
+		i, b := o.Report, r.Sequence
+		i.Phase, i.Sequence = Departed, max(b, i.Sequence)
+		r = i
+	}
+	n := s
+	n.endpoints = s.endpoints.Set(r.ID, Endpoint{Report: r, Heard: now})
+	if !ok || visible(r) != visible(o.Report) {
+		n.Revision++
+	}
+	return n, true
+}
+
+// visible is the part of a report that changes where requests go.
+func visible(r Report) Report {
+	r.Sequence = 0
+	if r.ColdLeft > 0 {
+		r.ColdLeft = 1
+	}
+	return r
+}
+
+// WithoutSilent returns the state without endpoints that were last heard before the time given; departed
+// ones are kept as long, so that a late report can't bring them back.
+func (s State) WithoutSilent(before time.Duration) State {
+	n := s
+	for e := range s.All {
+		if e.Heard < before {
+			n.endpoints = n.endpoints.Delete(e.ID)
+			n.Revision++
+		}
+	}
+	return n
+}
+
+// Get returns an endpoint.
+func (s State) Get(id string) (Endpoint, bool) { return s.endpoints.Get(id) }
+
+// All yields the endpoints in the order of their ids.
+func (s State) All(yield func(Endpoint) bool) {
+	for i := s.endpoints.Iterator(); !i.Done(); {
+		_, e, _ := i.Next()
+		if !yield(e) {
+			return
+		}
+	}
+}
+
+// Reports returns the newest report of each endpoint.
+func (s State) Reports() []Report {
+	var r []Report
+	for e := range s.All {
+		r = append(r, e.Report)
+	}
+	return r
+}
+
+// Sort orders reports by id.
+func Sort(r []Report) {
+	slices.SortFunc(r, func(a, b Report) int { return strings.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,374 @@
+// Package pick chooses the endpoint of a request from what the host knows of endpoints: their own reports,
+// the load of all hosts, and how their answers went here.
+package pick
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryshelf/hickoryshelf/feed"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/stage"
+)
+
+const (
+	// banFirst and banMost bound how long an endpoint is passed over after failures in a row.
+	banFirst = 300 * time.Millisecond
+	banMost  = 5 * time.Second
+	// banAfter is how many faults in a row make an endpoint be passed over.
+	banAfter = 2
+	// faultWeight is the part of the newest answer in an endpoint's rate of faults.
+	faultWeight = 0.12
+	// faultCost is the expected loss of time through a fault.
+	faultCost = 2500 * time.Millisecond
+	// paceWeight is the part of the newest answer in an endpoint's pace.
+	paceWeight = 0.15
+	// awayCost is added for an endpoint in another data centre.
+	awayCost = 4 * time.Millisecond
+	// coldCost is added for an endpoint that says it is still slow after its start.
+	coldCost = 60 * time.Millisecond
+	// requestCost is what a request under way adds to the wait of the next one at an engine.
+	requestCost = 9 * time.Millisecond
+)
+
+// Need is what a request asks of an endpoint.
+type Need struct {
+	Service string
+	// Slots is how many requests an endpoint runs at once.
+	Slots int
+	// Work is the estimated time from the sending to the start of the answer on a free endpoint.
+	Work time.Duration
+	// Hold is the estimated time that a request occupies a slot.
+	Hold time.Duration
+	// Affinity names what the request shares with others, and Saved the work that an endpoint that holds
+	// it is spared.
+	Affinity uint64
+	Saved    time.Duration
+	// Draw is between 0 and 1 and Bound is set for requests of a session; both decide whether a version
+	// that is being rolled out takes the request.
+	Draw  float64
+	Bound bool
+	// Tried are endpoints that the request was sent to before.
+	Tried map[string]bool
+}
+
+// Choice is the endpoint for a request.
+type Choice struct {
+	fleet.Endpoint
+	// Wait is the estimated time to the start of the answer.
+	Wait time.Duration
+	// Load is what was known to be under way there, and Candidates how many endpoints were weighed.
+	Load       feed.Load
+	Candidates int
+}
+
+// node is what is known of an endpoint.
+type node struct {
+	report fleet.Report
+	mine   feed.Load
+	// others are the loads of other hosts as last told, and since are own sends after that.
+	others feed.Load
+	// faults is the smoothed rate of faults; row counts those since the last good answer.
+	faults float64
+	row    int
+	banned time.Time
+	// pace is how much slower than estimated the endpoint answers.
+	pace float64
+}
+
+// Set is the endpoints of a host. It is safe for concurrent use.
+type Set struct {
+	dataCentre string
+	lock       sync.Mutex
+	nodes      map[string]*node
+	rollouts   map[string]stage.View
+	// departed are endpoints that leave, kept so that a control host that has forgotten can't bring them back.
+	departed map[string]fleet.Report
+}
+
+// NewSet returns a set without endpoints for a host in a data centre.
+func NewSet(dataCentre string) *Set {
+	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, departed: map[string]fleet.Report{}}
+}
+
+// Replace takes the endpoints that control hosts know.
+func (s *Set) Replace(reports []fleet.Report) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	k := map[string]bool{}
+	for _, r := range reports {
+		k[r.ID] = true
+		s.take(r)
+	}
+	for i, n := range s.nodes {
+		if !k[i] && n.mine.Requests == 0 {
+			delete(s.nodes, i)
+		}
+	}
+}
+
+func (s *Set) take(r fleet.Report) {
+	if d, ok := s.departed[r.ID]; ok && d.Born >= r.Born && r.Phase == fleet.Ready {
+		return
+	}
+	if r.Phase != fleet.Ready {
+		s.departed[r.ID] = r
+	}
+	n, ok := s.nodes[r.ID]
+	if !ok || n.report.Born != r.Born || n.report.Address != r.Address {
+		o := n
+		n = &node{pace: 1}
+		if ok {
+			n.mine = o.mine
+		}
+		s.nodes[r.ID] = n
+	}
+	n.report = r
+}
+
+// Leaving returns the endpoints that this host knows to leave.
+func (s *Set) Leaving() []fleet.Report {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var r []fleet.Report
+	for _, d := range s.departed {
+		r = append(r, d)
+	}
+	return r
+}
+
+// Forget drops what is known of an endpoint that left, once no control host can bring it back.
+func (s *Set) Forget(id string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	delete(s.departed, id)
+}
+
+// SetLoads takes the loads of other hosts.
+func (s *Set) SetLoads(loads map[string]feed.Load) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for i, n := range s.nodes {
+		n.others = loads[i]
+	}
+}
+
+// SetRollouts takes the roll-outs. The share of a target never falls while its roll-out runs well.
+func (s *Set) SetRollouts(views []stage.View) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n := map[string]stage.View{}
+	for _, v := range views {
+		o, ok := s.rollouts[v.Service]
+		if ok && o.Serial > v.Serial || ok && o.Serial == v.Serial && o.Outcome != stage.Running && v.Outcome == stage.Running {
+			v = o
+		}
+		if ok && o.Serial == v.Serial && v.Outcome == stage.Running && v.Plan.Fresh > 0 {
+			v.Plan.Fresh, v.Plan.Bound = max(v.Plan.Fresh, o.Plan.Fresh), max(v.Plan.Bound, o.Plan.Bound)
+		}
+		n[v.Service] = v
+	}
+	s.rollouts = n
+}
+
+// Rollout returns the newest roll-out of a service.
+func (s *Set) Rollout(service string) (stage.View, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	v, ok := s.rollouts[service]
+	return v, ok
+}
+
+// Loads returns the requests that this host has under way.
+func (s *Set) Loads() map[string]feed.Load {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	r := map[string]feed.Load{}
+	for i, n := range s.nodes {
+		if n.mine.Requests > 0 {
+			r[i] = n.mine
+		}
+	}
+	return r
+}
+
+// Choose returns the endpoint with the shortest estimated wait and counts the request as under way there.
+// ok is false where no endpoint may take the request.
+func (s *Set) Choose(q Need, now time.Time) (c Choice, ok bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	l := s.candidates(q, now)
+	var b *node
+	for _, n := range l {
+		w := s.estimate(n, q)
+		if b == nil || w < c.Wait {
+			b, c.Wait = n, w
+		}
+	}
+	if b == nil {
+		return c, false
+	}
+	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.mine.Plus(b.others), len(l)
+	b.mine.Requests++
+	b.mine.Backlog += int(q.Work.Milliseconds())
+	return c, true
+}
+
+// candidates are the endpoints that may take the request; where all are passed over for faults, all are
+// weighed, and where all were tried, none.
+func (s *Set) candidates(q Need, now time.Time) []*node {
+	v, staged := s.rollouts[q.Service]
+	var a, b []*node
+	for _, on := range []bool{s.onTarget(v, q), !s.onTarget(v, q)} {
+		for _, n := range s.nodes {
+			if n.report.Service != q.Service || n.report.Phase != fleet.Ready || q.Tried[n.report.ID] {
+				continue
+			}
+			if staged && (n.report.Version == v.Target) != on {
+				continue
+			}
+			if b = append(b, n); now.After(n.banned) {
+				a = append(a, n)
+			}
+		}
+		if !staged || len(b) > 0 || !s.mayCross(v, on) {
+			break
+		}
+	}
+	if len(a) > 0 {
+		return a
+	}
+	return b
+}
+
+// onTarget reports whether a request goes to the version that is being rolled out.
+func (s *Set) onTarget(v stage.View, q Need) bool {
+	if q.Bound {
+		return q.Draw < v.Plan.Bound
+	}
+	return q.Draw < v.Plan.Fresh
+}
+
+// mayCross reports whether a request may go to the other side of a roll-out where its own has no endpoint.
+func (s *Set) mayCross(v stage.View, target bool) bool {
+	return target || v.Outcome != stage.RolledBack && v.Plan.Bound > 0
+}
+
+// estimate is the expected time to the start of the answer.
+func (s *Set) estimate(n *node, q Need) time.Duration {
+	l := n.mine.Plus(n.others)
+	w := q.Work + time.Duration(l.Backlog)*time.Millisecond + time.Duration(l.Requests)*requestCost
+	if q.Saved > 0 && s.home(n, q) {
+		w -= q.Saved
+	}
+	if k := l.Requests + 1 - q.Slots; q.Slots > 0 && k > 0 {
+		w += time.Duration(float64(q.Hold) * float64(k) / float64(q.Slots))
+	}
+	w = time.Duration(float64(w) * n.pace)
+	w += time.Duration(n.faults * float64(faultCost))
+	if n.report.DataCentre != s.dataCentre {
+		w += awayCost
+	}
+	if n.report.ColdLeft > 0 {
+		w += coldCost
+	}
+	return w
+}
+
+// home reports whether the endpoint is the one that requests with the same affinity prefer.
+func (s *Set) home(n *node, q Need) bool {
+	w := weight(n.report.ID, q.Affinity)
+	for _, o := range s.nodes {
+		if o != n && o.report.Service == q.Service && o.report.Phase == fleet.Ready && weight(o.report.ID, q.Affinity) > w {
+			return false
+		}
+	}
+	return true
+}
+
+func weight(id string, affinity uint64) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(id) // a hash can't fail
+	return mix(d.Sum64() ^ affinity)
+}
+
+// mix spreads the bits of a value.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Began tells that a request has begun to answer; work is what Choose was given.
+func (s *Set) Began(id string, work time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if n, ok := s.nodes[id]; ok {
+		n.mine.Backlog = max(0, n.mine.Backlog-int(work.Milliseconds()))
+	}
+}
+
+// Ended tells that a request is no longer under way.
+func (s *Set) Ended(id string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if n, ok := s.nodes[id]; ok {
+		n.mine.Requests = max(0, n.mine.Requests-1)
+	}
+}
+
+// Good tells of an answer that began after wait, where estimated was expected.
+func (s *Set) Good(id string, wait, estimated time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.nodes[id]
+	if !ok {
+		return
+	}
+	n.row, n.banned = 0, time.Time{}
+	n.faults *= 1 - faultWeight
+	if estimated > 0 {
+		r := min(8, max(0.5, float64(wait)/float64(estimated)*n.pace))
+		n.pace = min(8, max(0.5, n.pace*(1-paceWeight)+r*paceWeight))
+	}
+}
+
+// Faulty tells of a fault of an endpoint. It returns how long the endpoint is passed over.
+func (s *Set) Faulty(id string, now time.Time) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.nodes[id]
+	if !ok {
+		return 0
+	}
+	n.row++
+	n.faults = n.faults*(1-faultWeight) + faultWeight
+	if n.row < banAfter {
+		return 0
+	}
+	b := min(banMost, banFirst<<min(n.row-banAfter, 6))
+	n.banned = now.Add(b)
+	return b
+}
+
+// Load returns the requests at a service's endpoints as a part of their slots.
+func (s *Set) Load(service string, slots int) float64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, k := 0, 0
+	for _, e := range s.nodes {
+		if e.report.Service == service && e.report.Phase == fleet.Ready {
+			n += e.mine.Requests + e.others.Requests
+			k += max(1, slots)
+		}
+	}
+	if k == 0 {
+		return 1
+	}
+	return float64(n) / float64(k)
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -204,3 +204,11 @@
 
 // Elected returns when this leader was elected, on its own clock.
 func (s State) Elected() time.Duration { return s.elected }
+
+// Acked returns the leader's clock when it sent the newest message that a node has answered.
+func (s State) Acked(node NodeID) time.Duration { return s.progressOf(node).acked }
+
+// Reopened returns the state of a node whose disk was opened again at now, as after a restart.
+func (s State) Reopened(hard HardState, snapshot Snapshot, entries []Entry, now time.Duration) State {
+	return New(s.ID, s.timing, hard, snapshot, entries, s.seed).withDeadline(now)
+}
--- /dev/null
+++ b/relay/job.go
@@ -0,0 +1,454 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/sizes"
+	"github.com/hickoryshelf/hickoryshelf/table"
+)
+
+const (
+	// tableRetry is when a caller comes back to a host that doesn't know the configuration yet.
+	tableRetry = 400 * time.Millisecond
+	// emptyRetry is when a caller comes back where no endpoint is known.
+	emptyRetry = 500 * time.Millisecond
+	// answerMargin is how long before the deadline the last attempt has to be answered.
+	answerMargin = 15 * time.Millisecond
+	// mostSends bounds the sendings of a request, those that did not run among them.
+	mostSends = 5
+	// wholeBytes is the size up to which a plain answer is read whole before it is passed on.
+	wholeBytes = 512 << 10
+	// stepsPerPrompt is how many prompt tokens are read in the time of one generating step.
+	stepsPerPrompt = 257
+	// eventTokens is how many tokens an event is assumed to hold.
+	eventTokens = 5
+	// firstPause is the assumed pause between events before one was measured.
+	firstPause = 20 * time.Millisecond
+	// firstPlain is the assumed time of a plain answer before one was measured.
+	firstPlain = 40 * time.Millisecond
+	// startCost is the part of the wait for a first event that doesn't depend on the prompt.
+	startCost = 25 * time.Millisecond
+)
+
+// job is a request on its way.
+type job struct {
+	relay    *Relay
+	request  *Request
+	sink     Sink
+	route    table.Route
+	service  table.Service
+	version  int64
+	account  string
+	priority int
+	deadline time.Time
+	// caller ends when the caller leaves.
+	caller context.Context
+	draw   float64
+
+	tried map[string]bool
+	sends int
+	runs  int
+	// ran is set once the request may have run anywhere.
+	ran bool
+	// size is the model's place among the route's sizes.
+	size int
+	// last is the last event that was passed on; begun is set once the caller has got any of the answer.
+	last  string
+	begun bool
+	// failure is the newest failure that an endpoint answered with, to be passed on where nothing better comes.
+	failure *whole
+}
+
+func (j *job) log() *logrus.Entry {
+	return j.relay.Log.WithFields(logrus.Fields{
+		"id": j.request.ID, "route": j.route.Name, "account": j.account, "table": j.version,
+		"age": time.Since(j.request.Received).Milliseconds(), "left": time.Until(j.deadline).Milliseconds(),
+	})
+}
+
+// refuse ends the request with an answer of this host.
+func (j *job) refuse(why Reason, after time.Duration) {
+	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=%q}", j.route.Name, why)).Inc()
+	j.log().WithFields(logrus.Fields{"outcome": why.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs}).Warn("request: refused")
+	j.sink.Refuse(Refusal{Reason: why, RetryAfter: after})
+}
+
+func (j *job) run(ctx context.Context) {
+	if len(j.route.Sizes) > 0 {
+		j.size = sizes.First(j.ask())
+	}
+	for {
+		v := j.attempt(ctx)
+		if v == done {
+			return
+		}
+		if !j.mayRepeat(v) {
+			j.giveUp(v)
+			return
+		}
+	}
+}
+
+// next is what has to follow an attempt.
+type next int
+
+const (
+	// done means that the caller has its final answer.
+	done next = iota
+	// again means that the request did not run there.
+	again
+	// repeat means that it may have run, and another run is needed.
+	repeat
+	// larger means that a larger model is to answer.
+	larger
+	// nowhere means that no endpoint can take it.
+	nowhere
+	// over means that the time is over or the caller has left.
+	over
+	// full means that no endpoint can answer in time.
+	full
+)
+
+// mayRepeat reports whether the request is sent once more, and counts it.
+func (j *job) mayRepeat(v next) bool {
+	switch v {
+	case nowhere, over, full:
+		return false
+	case larger:
+		return true
+	case repeat:
+		if !j.route.Idempotent() || j.runs >= max(1, j.route.Attempts) {
+			return false
+		}
+	}
+	if j.sends >= mostSends || time.Until(j.deadline) < answerMargin {
+		return false
+	}
+	return j.relay.Budget.Take(j.service.Name, 0)
+}
+
+// giveUp gives the final answer where no attempt brought one.
+func (j *job) giveUp(v next) {
+	if j.caller.Err() != nil {
+		j.log().WithField("sends", j.sends).Info("request: the caller left")
+		return
+	}
+	if j.begun {
+		j.log().WithFields(logrus.Fields{"outcome": "broken-off", "last-event": j.last, "sends": j.sends}).Warn("request: the answer ends early")
+		j.sink.Break()
+		return
+	}
+	late := time.Until(j.deadline) <= 0
+	switch {
+	case j.failure != nil:
+		j.deliver(j.failure)
+	case late && j.ran:
+		j.refuse(TimedOut, 0)
+	case j.ran:
+		j.refuse(Broken, 0)
+	case late:
+		j.refuse(Expired, emptyRetry)
+	case v == full:
+		j.refuse(Overloaded, j.retryAfter())
+	default:
+		j.refuse(NoEndpoint, emptyRetry)
+	}
+}
+
+// retryAfter is when an endpoint can be expected to have room.
+func (j *job) retryAfter() time.Duration {
+	h := j.hold()
+	return h/2 + time.Duration(j.draw*float64(h))
+}
+
+// attempt sends the request to one endpoint.
+func (j *job) attempt(ctx context.Context) next {
+	n := j.need()
+	c, ok := j.relay.Set.Choose(n, time.Now())
+	if !ok && j.runs > 0 && len(j.tried) > 0 {
+		j.tried = map[string]bool{}
+		n.Tried = j.tried
+		c, ok = j.relay.Set.Choose(n, time.Now())
+	}
+	if !ok {
+		return nowhere
+	}
+	u := &use{job: j, choice: c, work: n.Work, sent: time.Now()}
+	defer u.end()
+	if w := c.Wait; time.Until(j.deadline) < w && !j.begun {
+		return full
+	}
+	j.sends++
+	a := Attempt{
+		Request: j.request, Endpoint: c.Report, Account: j.account, Left: time.Until(j.deadline),
+		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, Connections: j.connections(),
+	}
+	if len(j.route.Sizes) > 0 {
+		a.Model = j.route.Sizes[j.size]
+	}
+	if j.last != "" {
+		a.ResumeAfter = j.last
+	}
+	x, f := context.WithCancel(ctx)
+	defer f()
+	r := j.relay.Sender.Send(x, a)
+	if r.Body != nil {
+		defer r.Body.Close() //nolint:errcheck // closing ends the exchange; the answer has been judged by then
+	}
+	return u.judge(x, a, r)
+}
+
+// connections is this host's part of the connections that an endpoint takes.
+func (j *job) connections() int {
+	return max(2, j.service.MaxConnections*9/10/int(j.relay.entries.Load()))
+}
+
+func (j *job) ask() sizes.Ask {
+	return sizes.Ask{
+		Sizes: len(j.route.Sizes), Attempts: max(1, j.route.Attempts) - j.runs + 1, Load: j.relay.Set.Load(j.service.Name, j.service.Slots),
+		Left: time.Until(j.request.Received.Add(j.route.Objective)),
+	}
+}
+
+// need describes the request to the choice of an endpoint.
+func (j *job) need() pick.Need {
+	n := pick.Need{Service: j.service.Name, Slots: j.service.Slots, Work: j.work(), Hold: j.hold(), Draw: j.draw, Tried: j.tried}
+	if j.request.Session != "" {
+		n.Bound, n.Draw = true, draw(j.request.Session)
+	}
+	if j.route.Kind == table.Stream && len(j.request.Prompt.Parts) > 1 {
+		p := j.request.Prompt.Parts
+		d := xxhash.New()
+		t := 0
+		for _, v := range p[:len(p)-1] {
+			_, _ = d.WriteString(v.ID) // a hash can't fail
+			t += v.Tokens
+		}
+		n.Affinity, n.Saved = d.Sum64(), j.read(t)
+	}
+	return n
+}
+
+// model names the model that answers.
+func (j *job) model() string {
+	if len(j.route.Sizes) > 0 {
+		return j.route.Sizes[j.size]
+	}
+	return ""
+}
+
+// pause is the measured pause between events of the model that answers.
+func (j *job) pause() time.Duration { return j.relay.times.get("pause "+j.model(), firstPause) }
+
+// read is the time to read prompt tokens.
+func (j *job) read(tokens int) time.Duration {
+	return time.Duration(float64(j.pause()) / eventTokens * float64(tokens) / stepsPerPrompt)
+}
+
+// work is the estimated time to the start of the answer on a free endpoint.
+func (j *job) work() time.Duration {
+	if j.route.Kind != table.Stream {
+		return j.hold()
+	}
+	return startCost + j.read(j.request.Prompt.Tokens)
+}
+
+// hold is the estimated time that the request occupies an endpoint.
+func (j *job) hold() time.Duration {
+	return j.relay.times.get("hold "+j.route.Name, firstPlain)
+}
+
+// use is one sending of a job to an endpoint.
+type use struct {
+	job    *job
+	choice pick.Choice
+	work   time.Duration
+	sent   time.Time
+	began  bool
+}
+
+func (u *use) begin() {
+	if !u.began {
+		u.began = true
+		u.job.relay.Set.Began(u.choice.ID, u.work)
+	}
+}
+
+func (u *use) end() {
+	u.begin()
+	u.job.relay.Set.Ended(u.choice.ID)
+}
+
+func (u *use) log() *logrus.Entry {
+	return u.job.log().WithFields(logrus.Fields{
+		"endpoint": u.choice.ID, "address": u.choice.Address, "version": u.choice.Version, "model": u.job.model(), "send": u.job.sends,
+		"load": u.choice.Load.Requests, "backlog": u.choice.Load.Backlog, "estimate": u.choice.Wait.Milliseconds(), "candidates": u.choice.Candidates,
+		"took": time.Since(u.sent).Milliseconds(),
+	})
+}
+
+// judge decides what follows the head of an answer.
+func (u *use) judge(ctx context.Context, a Attempt, r Reply) next {
+	j := u.job
+	u.begin()
+	wait := time.Since(u.sent)
+	if ctx.Err() != nil && r.Body == nil {
+		j.ran = j.ran || r.Verdict != NotRun
+		u.silent()
+		return over
+	}
+	switch r.Verdict {
+	case NotRun:
+		return u.refused(r)
+	case Unknown:
+		u.fault(r, wait)
+		return repeat
+	case Failed:
+		u.fault(r, wait)
+		j.runs++
+		j.ran = true
+		if w, err := readWhole(r); err == nil {
+			j.failure = w
+		}
+		return repeat
+	}
+	j.runs++
+	j.ran = true
+	u.good(wait)
+	if j.route.Kind == table.Stream {
+		return u.stream(ctx, r)
+	}
+	return u.plain(r)
+}
+
+// refused notes an endpoint that did not run the request.
+func (u *use) refused(r Reply) next {
+	j := u.job
+	j.tried[u.choice.ID] = true
+	if _, err := readWhole(r); err != nil && r.Body != nil {
+		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
+	}
+	var b time.Duration
+	if r.Untouched || r.Status == 0 {
+		b = j.relay.Set.Faulty(u.choice.ID, time.Now())
+	}
+	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "cause": cause(r), "banned": b.Milliseconds()}).Info("attempt: the endpoint did not run the request")
+	return again
+}
+
+// fault notes a failure of an endpoint.
+func (u *use) fault(r Reply, wait time.Duration) {
+	j := u.job
+	j.tried[u.choice.ID] = true
+	if r.Verdict == Unknown {
+		j.ran = true
+		j.runs++
+	}
+	j.tally(u, true, wait)
+	b := j.relay.Set.Faulty(u.choice.ID, time.Now())
+	u.log().WithFields(logrus.Fields{"outcome": r.Verdict.String(), "status": r.Status, "cause": cause(r), "banned": b.Milliseconds()}).Warn("attempt: the endpoint failed")
+}
+
+// silent notes that the time ended, or the caller left, before the endpoint answered.
+func (u *use) silent() {
+	if u.job.caller.Err() == nil {
+		u.job.tally(u, true, time.Since(u.sent))
+		u.job.relay.Set.Faulty(u.choice.ID, time.Now())
+		u.log().WithField("outcome", "timed-out").Warn("attempt: no answer in time")
+	}
+}
+
+func (u *use) good(wait time.Duration) {
+	u.job.relay.Set.Good(u.choice.ID, wait, u.choice.Wait)
+	u.job.tally(u, false, wait)
+	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
+}
+
+func (j *job) tally(u *use, failed bool, wait time.Duration) {
+	if v, ok := j.relay.Set.Rollout(j.service.Name); ok {
+		j.relay.tallies.count(v, u.choice.Version, u.choice.ID, j.route.Name, failed, wait)
+	}
+}
+
+func cause(r Reply) string {
+	if r.Cause == nil {
+		return ""
+	}
+	return r.Cause.Error()
+}
+
+// served counts an answer that was delivered.
+func (u *use) served(status int) {
+	j := u.job
+	d := time.Since(j.request.Received)
+	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=\"served\"}", j.route.Name)).Inc()
+	j.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("request_seconds{route=%q}", j.route.Name)).Update(d.Seconds())
+	u.log().WithFields(logrus.Fields{"outcome": "served", "status": status, "runs": j.runs}).Info("request: served")
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	reply  Reply
+	body   []byte
+}
+
+// readWhole reads an answer to its end, up to a size.
+func readWhole(r Reply) (*whole, error) {
+	if r.Body == nil {
+		return nil, io.ErrUnexpectedEOF
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, wholeBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	return &whole{status: r.Status, reply: r, body: b}, nil
+}
+
+func (j *job) deliver(w *whole) {
+	j.sink.Begin(w.status, w.reply.Header, int64(len(w.body)))
+	if err := j.sink.Write(w.body); err != nil {
+		j.log().WithError(err).Info("request: the caller left before the end of its answer")
+	}
+}
+
+// plain passes a plain answer on: whole where it is small, else as it comes.
+func (u *use) plain(r Reply) next {
+	j := u.job
+	w, err := readWhole(r)
+	if err != nil {
+		j.tally(u, true, 0)
+		u.log().WithError(err).Warn("attempt: the answer broke off")
+		j.tried[u.choice.ID] = true
+		return repeat
+	}
+	j.relay.times.add("hold "+j.route.Name, time.Since(u.sent))
+	if len(w.body) <= wholeBytes {
+		j.deliver(w)
+		u.served(w.status)
+		return done
+	}
+	j.begun = true
+	j.sink.Begin(w.status, w.reply.Header, r.Length)
+	if err := j.sink.Write(w.body); err != nil {
+		return over
+	}
+	if _, err := io.Copy(sinkWriter{j.sink}, r.Body); err != nil {
+		j.sink.Break()
+		return done
+	}
+	u.served(w.status)
+	return done
+}
+
+// sinkWriter lets a sink be copied to.
+type sinkWriter struct{ sink Sink }
+
+func (w sinkWriter) Write(b []byte) (int, error) { return len(b), w.sink.Write(b) }
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/sizes"
+)
+
+const (
+	// mostEventBytes bounds one event.
+	mostEventBytes = 1 << 20
+	// streamBuffer is the size of the buffer for events, in bytes.
+	streamBuffer = 4096
+)
+
+// errCallerLeft is returned where the caller takes no more events.
+var errCallerLeft = errors.New("the caller left; its request is over")
+
+// stream passes events on as they come. Where the answer breaks off, the request goes on elsewhere behind
+// the last whole event.
+func (u *use) stream(ctx context.Context, r Reply) next {
+	j := u.job
+	if !j.begun && len(j.route.Sizes) > 0 && r.Confidence >= 0 && !sizes.Keep(j.ask(), j.size, r.Confidence) {
+		if j.relay.Budget.Take(j.service.Name, 0) {
+			u.log().WithField("confidence", r.Confidence).Info("attempt: dropped for a larger model")
+			j.size++
+			return larger
+		}
+	}
+	if !j.begun {
+		j.begun = true
+		j.sink.Begin(r.Status, r.Header, -1)
+	}
+	err := u.events(r.Body)
+	switch {
+	case err == nil:
+		j.relay.times.add("hold "+j.route.Name, time.Since(u.sent))
+		u.served(r.Status)
+		return done
+	case errors.Is(err, errCallerLeft), j.caller.Err() != nil:
+		return over
+	case ctx.Err() != nil:
+		return over
+	}
+	j.tally(u, true, 0)
+	b := j.relay.Set.Faulty(u.choice.ID, time.Now())
+	u.log().WithError(err).WithField("last-event", j.last).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
+	j.tried[u.choice.ID] = true
+	return repeat
+}
+
+// events passes whole events on until the end of the body.
+func (u *use) events(body io.Reader) error {
+	j := u.job
+	b := bufio.NewReaderSize(body, streamBuffer)
+	var e []byte
+	t := time.Now()
+	for {
+		l, err := b.ReadSlice('\n')
+		e = append(e, l...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(e) < mostEventBytes {
+			continue
+		}
+		if err == nil && len(bytes.TrimRight(l, "\r\n")) > 0 && len(e) < mostEventBytes {
+			continue
+		}
+		if err == nil {
+			if err := j.sink.Write(e); err != nil {
+				return errCallerLeft
+			}
+			if id, ok := eventID(e); ok {
+				j.last = id
+			}
+			j.relay.times.add("pause "+j.model(), min(time.Since(t), time.Second))
+			t = time.Now()
+			e = e[:0]
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e)) == 0 {
+			return nil
+		}
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+}
+
+// eventID returns the id of an event.
+func eventID(e []byte) (string, bool) {
+	for _, l := range strings.Split(string(e), "\n") {
+		if v, ok := strings.CutPrefix(l, "id:"); ok {
+			return strings.TrimSpace(v), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/stage/stage.go
@@ -0,0 +1,241 @@
+// Package stage moves a service to a new version: how much traffic the version gets while evidence is
+// gathered, and when the move ends. All functions are pure.
+package stage
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+//go:generate go tool stringer -type=Outcome -linecomment -output=enum_string.go
+
+// Outcome is where a roll-out stands.
+type Outcome int
+
+// Outcomes of a roll-out.
+const (
+	Running    Outcome = iota // running
+	Done                      // done
+	RolledBack                // rolled-back
+)
+
+// Rollout moves a service's traffic to a target version.
+type Rollout struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// Budget is the time within which a good version takes over.
+	Budget  time.Duration `json:"budget"`
+	Outcome Outcome       `json:"outcome"`
+	// Serial tells a service's roll-outs apart and grows from one to the next.
+	Serial uint64 `json:"serial"`
+}
+
+// Tally counts the answers of one endpoint to one route, as one entry host saw them during a roll-out.
+type Tally struct {
+	Serial   uint64
+	Version  string
+	Endpoint string
+	Route    string
+	Answers  int
+	// Failures are answers with a server error, and runs that broke off.
+	Failures int
+	// Wait is the sum of the times to the start of each answer.
+	Wait time.Duration
+}
+
+// Key tells tallies of one entry host apart.
+func (t Tally) Key() string { return strings.Join([]string{t.Version, t.Endpoint, t.Route}, "\x00") }
+
+// Plan is the part of a service's traffic that the target gets.
+type Plan struct {
+	// Fresh is for requests without a session, Bound for those with one.
+	Fresh float64
+	Bound float64
+}
+
+// View is a roll-out with its plan, as entry hosts need it.
+type View struct {
+	Rollout
+	Plan Plan
+}
+
+const (
+	// trialPart is the part of the exposure bound that the target gets while it is on trial.
+	trialPart = 0.6
+	// rampFrom and rampTo are the parts of the time budget between which all traffic moves.
+	rampFrom = 0.5
+	rampTo   = 0.68
+	// doneAfter is the part of the time budget after which a good version takes over for good.
+	doneAfter = 0.76
+	// enough is how many answers of the target speak for it.
+	enough = 30
+	// minAnswers and minFailures are needed before a rate of failures counts.
+	minAnswers  = 6
+	minFailures = 4
+	// excessRate is how far the target's rate of failures may lie above three times that of the others.
+	excessRate = 0.13
+	// slowRatio is how many times slower than others a version may answer.
+	slowRatio = 2.6
+	// slowSlack is added to the wait that still counts as normal.
+	slowSlack = 80 * time.Millisecond
+	// trimmed is how many of the target's endpoints with the worst answers are left out, since a fault of
+	// one endpoint says nothing of its version.
+	trimmed = 2
+	// trimFrom is how many endpoints there have to be for that.
+	trimFrom = 5
+)
+
+// sum adds up tallies.
+type sum struct {
+	answers  int
+	failures int
+	wait     time.Duration
+}
+
+func (s sum) with(t Tally) sum {
+	return sum{s.answers + t.Answers, s.failures + t.Failures, s.wait + t.Wait}
+}
+
+func (s sum) rate() float64 {
+	if s.answers == 0 {
+		return 0
+	}
+	return float64(s.failures) / float64(s.answers)
+}
+
+func (s sum) mean() time.Duration {
+	if s.answers == 0 {
+		return 0
+	}
+	return s.wait / time.Duration(s.answers)
+}
+
+// Evidence is what all hosts saw of a target and of the other versions.
+type Evidence struct {
+	target  map[string]map[string]sum
+	others  map[string]sum
+	answers int
+}
+
+// Gather sorts the tallies of a roll-out.
+func Gather(r Rollout, tallies []Tally) Evidence {
+	e := Evidence{target: map[string]map[string]sum{}, others: map[string]sum{}}
+	for _, t := range tallies {
+		switch {
+		case t.Serial != r.Serial:
+		case t.Version == r.Target:
+			if e.target[t.Route] == nil {
+				e.target[t.Route] = map[string]sum{}
+			}
+			e.target[t.Route][t.Endpoint] = e.target[t.Route][t.Endpoint].with(t)
+			e.answers += t.Answers
+		default:
+			e.others[t.Route] = e.others[t.Route].with(t)
+		}
+	}
+	return e
+}
+
+// Answers is how many answers of the target were seen.
+func (e Evidence) Answers() int { return e.answers }
+
+// Bad says why the target is worse than the other versions, or returns an empty text.
+func (e Evidence) Bad() string {
+	var a, o []sum
+	for r, m := range e.target {
+		s := trim(m)
+		if w := worse(s, e.others[r]); w != "" {
+			return w + " on route " + r
+		}
+		a, o = append(a, s), append(o, e.others[r])
+	}
+	t, u := total(a), total(o)
+	if failing(t, u) {
+		return "fails more often than the others"
+	}
+	return ""
+}
+
+// trim adds up the endpoints without those that failed most, where there are enough of them.
+func trim(m map[string]sum) sum {
+	var v []sum
+	for _, s := range m {
+		v = append(v, s)
+	}
+	slices.SortFunc(v, func(a, b sum) int { return b.failures - a.failures })
+	if len(v) >= trimFrom {
+		v = v[trimmed:]
+	}
+	return total(v)
+}
+
+func total(v []sum) sum {
+	var t sum
+	for _, s := range v {
+		t = sum{t.answers + s.answers, t.failures + s.failures, t.wait + s.wait}
+	}
+	return t
+}
+
+func worse(t, o sum) string {
+	if failing(t, o) {
+		return "fails more often than the others"
+	}
+	if t.answers >= minAnswers && o.answers >= minAnswers && t.mean() > time.Duration(slowRatio*float64(o.mean()))+slowSlack {
+		return "answers more slowly than the others"
+	}
+	return ""
+}
+
+func failing(t, o sum) bool {
+	return t.answers >= minAnswers && t.failures >= minFailures && t.rate() > 3*o.rate()+excessRate
+}
+
+// Traffic returns the plan of a running roll-out. exposure is the bound on the part of requests that an
+// unproved version may get; elapsed is the time since the order.
+func Traffic(r Rollout, elapsed time.Duration, exposure float64, e Evidence) Plan {
+	switch r.Outcome {
+	case Done:
+		return Plan{Fresh: 1, Bound: 1}
+	case RolledBack:
+		return Plan{}
+	}
+	f := float64(elapsed) / float64(max(r.Budget, time.Second))
+	t := trialPart * exposure
+	if e.Bad() != "" {
+		return Plan{}
+	}
+	if f < rampFrom {
+		return Plan{Fresh: t}
+	}
+	if e.answers < enough {
+		return Plan{Fresh: t, Bound: t}
+	}
+	s := min(1, t+(1-t)*(f-rampFrom)/(rampTo-rampFrom))
+	return Plan{Fresh: s, Bound: s}
+}
+
+// Fleet counts the endpoints that a roll-out could use.
+type Fleet struct {
+	Target int
+	Others int
+}
+
+// Decide returns how a running roll-out should end now and why; ended is false while it goes on.
+func Decide(r Rollout, elapsed time.Duration, e Evidence, f Fleet) (o Outcome, why string, ended bool) {
+	if w := e.Bad(); w != "" {
+		return RolledBack, w, true
+	}
+	p := float64(elapsed) / float64(max(r.Budget, time.Second))
+	k := f.Target > 0 && 2*f.Target >= f.Others
+	switch {
+	case p >= doneAfter && k && e.answers >= enough:
+		return Done, "answers as well as the others", true
+	case p >= 1 && k:
+		return Done, "nothing speaks against it", true
+	case p >= 1 && f.Target == 0:
+		return RolledBack, "no endpoint of the version came", true
+	}
+	return Running, "", false
+}
--- a/store/disk.go
+++ b/store/disk.go
@@ -181,3 +181,22 @@
 
 // Close closes the files.
 func (d *Disk) Close() error { return errors.Join(d.quorum.Close(), d.bills.Close()) }
+
+// FoundDisk opens a data folder at the first start of a deployment. A folder that is new starts from the
+// snapshot, with the identity given; one that was used before is opened as it is. Where the snapshot is
+// empty, the host doesn't found the log and gets an identity of its own.
+func FoundDisk(folder, identity string, snapshot quorum.Snapshot) (*Disk, error) {
+	d, _, err := OpenDisk(folder)
+	if err != nil || snapshot.Index == 0 || d.held.Snapshot.Index > 0 || len(d.held.Entries) > 0 {
+		return d, err
+	}
+	p := quorum.Persist{Snapshot: &snapshot, Hard: &quorum.HardState{Term: snapshot.Term}}
+	if err := d.Persist(p); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	if err := WriteFile(filepath.Join(folder, identityFile), []byte(identity)); err != nil {
+		return nil, errors.Join(fmt.Errorf("write disk identity: %w; make the data folder writable", err), d.Close())
+	}
+	d.Identity = identity
+	return d, nil
+}
