Ask the largest model that answers in time; take only short requests near a planned stop's end

Ruled out: the balancer (the connections were older than the signal). Change: relay.LastCall, keep-alives off after the balancer has noticed; sizes.Next asks the largest model whose estimated wait fits.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -172,7 +172,7 @@
 	d := &http.Server{Handler: readiness{e}, ReadHeaderTimeout: headTimeout, IdleTimeout: defaultIdle}
 	go server{s, l[0]}.run()
 	go server{d, l[1]}.run()
-	n.stop = func() { n.stopEntry(e, i, s) }
+	n.stop = func() { n.stopEntry(e, r, i, s) }
 	return nil
 }
 
@@ -188,11 +188,16 @@
 
 // stopEntry is the planned stop of an entry host: it turns unready and goes on serving until the balancer
 // has noticed and the requests under way are done, or the grace period ends.
-func (n *node) stopEntry(e *entry.Entry, i *callers, s *http.Server) {
+func (n *node) stopEntry(e *entry.Entry, r *relay.Relay, i *callers, s *http.Server) {
 	t := time.Now()
 	e.BeginStop()
 	m := time.Duration(float64(n.settings.Bounds.Grace.Std()) * stopPart)
-	for time.Since(t) < m && (time.Since(t) < leastStop || i.active() > 0) {
+	for time.Since(t) < leastStop {
+		time.Sleep(stopPoll)
+	}
+	r.LastCall(t.Add(m))
+	s.SetKeepAlivesEnabled(false)
+	for time.Since(t) < m && i.active() > 0 {
 		time.Sleep(stopPoll)
 	}
 	if k := i.active(); k > 0 {
--- a/ctrl/ticket.go
+++ b/ctrl/ticket.go
@@ -9,8 +9,8 @@
 
 // tickets are orders that wait for their receipts.
 type tickets struct {
-	lock sync.Mutex
-	last uint64
+	lock    sync.Mutex
+	last    uint64
 	waiting map[uint64]chan feed.Receipt
 }
 
@@ -94,7 +94,6 @@
 // Service is the receiver of net/rpc calls.
 type Service struct{ host *Host }
 
-
 // Exchange takes an entry host's report and returns news.
 func (s *Service) Exchange(q feed.Query, reply *feed.News) error {
 	*reply = s.host.Exchange(q)
--- a/ctrl/writer.go
+++ b/ctrl/writer.go
@@ -17,8 +17,8 @@
 	host *Host
 	disk *store.Disk
 
-	lock   sync.Mutex
-	queue  []Write
+	lock  sync.Mutex
+	queue []Write
 	wake  chan struct{}
 }
 
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -372,3 +372,18 @@
 	}
 	return float64(n) / float64(k)
 }
+
+// LeastBacklog is the work that waits at the endpoint of a service with the least of it.
+func (s *Set) LeastBacklog(service string) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	b := -1
+	for _, n := range s.nodes {
+		if n.report.Service == service && n.report.Phase == fleet.Ready {
+			if w := n.mine.Backlog + n.others.Backlog; b < 0 || w < b {
+				b = w
+			}
+		}
+	}
+	return time.Duration(max(0, b)) * time.Millisecond
+}
--- a/relay/enum_string.go
+++ b/relay/enum_string.go
@@ -37,12 +37,13 @@
 	_ = x[Overloaded-5]
 	_ = x[Broken-6]
 	_ = x[TimedOut-7]
-	_ = x[Expired-8]
+	_ = x[Stopping-8]
+	_ = x[Expired-9]
 }
 
-const _Reason_name = "no-configurationno-routeunknown-keybody-too-largeno-endpointoverloadedanswer-losttimed-outexpired-not-run"
+const _Reason_name = "no-configurationno-routeunknown-keybody-too-largeno-endpointoverloadedanswer-losttimed-outstoppingexpired-not-run"
 
-var _Reason_index = [...]uint8{0, 16, 24, 35, 49, 60, 70, 81, 90, 105}
+var _Reason_index = [...]uint8{0, 16, 24, 35, 49, 60, 70, 81, 90, 98, 113}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/relay/job.go
+++ b/relay/job.go
@@ -17,6 +17,8 @@
 const (
 	// tableRetry is when a caller comes back to a host that doesn't know the configuration yet.
 	tableRetry = 400 * time.Millisecond
+	// stopRetry is when a caller comes back, to another host, after one that is about to stop refused it.
+	stopRetry = 20 * time.Millisecond
 	// emptyRetry is when a caller comes back where no endpoint is known.
 	emptyRetry = 500 * time.Millisecond
 	// answerMargin is how long before the deadline the last attempt has to be answered.
@@ -81,6 +83,10 @@
 }
 
 func (j *job) run(ctx context.Context) {
+	if j.relay.lastCall(j.route) {
+		j.refuse(Stopping, stopRetry)
+		return
+	}
 	if len(j.route.Sizes) > 0 {
 		j.size = sizes.First(j.ask())
 	}
@@ -212,11 +218,21 @@
 
 func (j *job) ask() sizes.Ask {
 	return sizes.Ask{
-		Sizes: len(j.route.Sizes), Attempts: max(1, j.route.Attempts) - j.runs + 1, Load: j.relay.Set.Load(j.service.Name, j.service.Slots),
+		Waits: j.waits(), Rank: j.route.Priority, Attempts: max(1, j.route.Attempts) - j.runs + 1, Load: j.relay.Set.Load(j.service.Name, j.service.Slots),
 		Left: time.Until(j.request.Received.Add(j.route.Objective)),
 	}
 }
 
+// waits are the estimated times to the first event of each size at the endpoint with the least to do.
+func (j *job) waits() []time.Duration {
+	var r []time.Duration
+	b := j.relay.Set.LeastBacklog(j.service.Name)
+	for _, m := range j.route.Sizes {
+		r = append(r, b+startCost+j.readBy(m, j.request.Prompt.Tokens))
+	}
+	return r
+}
+
 // need describes the request to the choice of an endpoint.
 func (j *job) need() pick.Need {
 	n := pick.Need{Service: j.service.Name, Slots: j.service.Slots, Work: j.work(), Hold: j.hold(), Draw: j.draw, Tried: j.tried}
@@ -244,12 +260,17 @@
 	return ""
 }
 
-// pause is the measured pause between events of the model that answers.
-func (j *job) pause() time.Duration { return j.relay.times.get("pause "+j.model(), firstPause) }
+// pauseOf is the measured pause between events of a model.
+func (j *job) pauseOf(model string) time.Duration {
+	return j.relay.times.get("pause "+model, firstPause)
+}
+
+// read is the time in which the model that answers reads prompt tokens.
+func (j *job) read(tokens int) time.Duration { return j.readBy(j.model(), tokens) }
 
-// read is the time to read prompt tokens.
-func (j *job) read(tokens int) time.Duration {
-	return time.Duration(float64(j.pause()) / eventTokens * float64(tokens) / stepsPerPrompt)
+// readBy is the time in which a model reads prompt tokens.
+func (j *job) readBy(model string, tokens int) time.Duration {
+	return time.Duration(float64(j.pauseOf(model)) / eventTokens * float64(tokens) / stepsPerPrompt)
 }
 
 // work is the estimated time to the start of the answer on a free endpoint.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,8 @@
 	Options
 	table   atomic.Pointer[table.Table]
 	entries atomic.Int64
+	// end is when a stopping host breaks requests off, as Unix nanoseconds; 0 while it goes on.
+	end     atomic.Int64
 	times   times
 	tallies tallies
 }
@@ -62,6 +64,16 @@
 	r.Budget.SetHosts(n)
 }
 
+// LastCall tells that this host breaks off what is under way at a time. From now on it takes only requests
+// that end before.
+func (r *Relay) LastCall(end time.Time) { r.end.Store(end.UnixNano()) }
+
+// lastCall reports whether a request of the route may still be under way when this host stops.
+func (r *Relay) lastCall(o table.Route) bool {
+	e := r.end.Load()
+	return e > 0 && (o.Kind == table.Stream || time.Now().Add(o.Timeout).UnixNano() > e)
+}
+
 // Serve answers a request. The context ends when the caller leaves.
 func (r *Relay) Serve(ctx context.Context, q *Request, s Sink) {
 	t := r.table.Load()
--- a/relay/request.go
+++ b/relay/request.go
@@ -139,6 +139,8 @@
 	Broken // answer-lost
 	// TimedOut means that the time is over and the request may have run.
 	TimedOut // timed-out
+	// Stopping means that this host is about to stop; the request has not run.
+	Stopping // stopping
 	// Expired means that the time is over and the request has not run.
 	Expired // expired-not-run
 )
@@ -152,5 +154,5 @@
 
 // NotRun reports whether the refusal promises that the request has not run.
 func (r Refusal) NotRun() bool {
-	return r.Reason == NoTable || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Expired
+	return r.Reason == NoTable || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == Expired
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hickoryshelf/hickoryshelf/sizes"
 )
 
@@ -26,12 +28,10 @@
 // the last whole event.
 func (u *use) stream(ctx context.Context, r Reply) next {
 	j := u.job
-	if !j.begun && len(j.route.Sizes) > 0 && r.Confidence >= 0 && !sizes.Keep(j.ask(), j.size, r.Confidence) {
-		if j.relay.Budget.Take(j.service.Name, 0) {
-			u.log().WithField("confidence", r.Confidence).Info("attempt: dropped for a larger model")
-			j.size++
-			return larger
-		}
+	if n, ok := j.larger(r); ok {
+		u.log().WithFields(logrus.Fields{"confidence": r.Confidence, "next": j.route.Sizes[n]}).Info("attempt: dropped for a larger model")
+		j.size = n
+		return larger
 	}
 	if !j.begun {
 		j.begun = true
@@ -55,6 +55,16 @@
 	return repeat
 }
 
+// larger returns the size that is asked instead of the one that has begun to answer, where the answer isn't
+// kept and another run is allowed.
+func (j *job) larger(r Reply) (int, bool) {
+	if j.begun || len(j.route.Sizes) == 0 || r.Confidence < 0 || !j.route.Idempotent() {
+		return 0, false
+	}
+	n, ok := sizes.Next(j.ask(), j.size, r.Confidence)
+	return n, ok && j.relay.Budget.Take(j.service.Name, 0)
+}
+
 // events passes whole events on until the end of the body.
 func (u *use) events(body io.Reader) error {
 	j := u.job
