--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -332,8 +332,8 @@
 // Endpoint returns what is known of an endpoint.
 func (h *Host) Endpoint(id string) (fleet.Endpoint, bool) { return h.state.Load().Fleet.Get(id) }
 
-// Sure reports whether this host has caught up since its start.
-func (h *Host) Sure() bool { return h.state.Load().Sure }
+// Current reports whether this host is in touch with a leader that a majority follows.
+func (h *Host) Current() bool { return h.state.Load().Current() }
 
 // Stop ends the host.
 func (h *Host) Stop() {
@@ -372,7 +372,7 @@
 
 func news(s State, q feed.Query) feed.News {
 	n := feed.News{
-		Control: s.Start, Sure: s.Sure, FleetRevision: s.Fleet.Revision, Rollouts: s.Views(),
+		Control: s.Start, Sure: s.Sure, Current: s.Current(), FleetRevision: s.Fleet.Revision, Rollouts: s.Views(),
 		Loads: s.Loads(q.Report.Host), Entries: s.Entries(), Controls: s.Controls(),
 	}
 	if d := s.Machine.Document; s.Sure && d.Version > q.Known.TableVersion {
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -200,6 +200,17 @@
 	return f
 }
 
+// currentSilence is how long no leader may have been heard by a host that still counts as current.
+const currentSilence = 500 * time.Millisecond
+
+// Current reports whether this host is in touch with a leader that a majority follows, or is that leader.
+func (s State) Current() bool {
+	if s.Log.Role == quorum.Leader {
+		return s.Log.Ready(s.Now)
+	}
+	return s.Sure && s.LeaderSilence() < currentSilence
+}
+
 // LeaderSilence is how long no leader was heard; it is 0 on a leader.
 func (s State) LeaderSilence() time.Duration {
 	if s.Log.Role == quorum.Leader {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,7 +27,7 @@
 	// exchangeTimeout is the time after which another control host is asked.
 	exchangeTimeout = 700 * time.Millisecond
 	// exchangePause is the pause after a failed exchange.
-	exchangePause = 50 * time.Millisecond
+	exchangePause = 60 * time.Millisecond
 	// sweepEvery is how often idle connections to endpoints are looked through.
 	sweepEvery = time.Second
 )
@@ -62,6 +62,9 @@
 // ErrTimeout is returned by an exchange that got no answer in time.
 var ErrTimeout = errors.New("no answer in time; another control host is asked")
 
+// ErrStale is returned where the control host hears no leader, so that another one may know more.
+var ErrStale = errors.New("the control host hears no leader; another one is asked")
+
 // New starts the exchange with control hosts.
 func New(o Options) *Entry {
 	e := &Entry{Options: o, start: time.Now().UnixNano(), controls: o.Settings.SeedPeers(), stop: make(chan struct{})}
@@ -139,6 +142,9 @@
 		return err
 	}
 	e.take(n)
+	if !n.Current && len(e.controls) > 1 {
+		return ErrStale
+	}
 	return nil
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -60,6 +60,8 @@
 	Control string
 	// Sure is false while the control host hasn't caught up since its start.
 	Sure bool
+	// Current is false while the control host hears no leader; another one may know of newer things.
+	Current bool
 	// Document is the newest configuration where the entry host's is older.
 	TableVersion int64
 	Document     []byte
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,13 +80,35 @@
 		r = i
 	}
 	n := s
-	n.endpoints = s.endpoints.Set(r.ID, Endpoint{Report: r, Heard: now})
+	if !ok || o.Address != r.Address || o.Born != r.Born {
+		n, r = s.withAddress(r)
+	}
+	n.endpoints = n.endpoints.Set(r.ID, Endpoint{Report: r, Heard: now})
 	if !ok || visible(r) != visible(o.Report) {
 		n.Revision++
 	}
 	return n, true
 }
 
+// withAddress settles which start holds the address of a report: of two at the same address, the older one
+// has departed. It returns the report as departed where that is the older one.
+func (s State) withAddress(r Report) (State, Report) {
+	n := s
+	for e := range s.All {
+		if e.ID == r.ID || e.Address != r.Address || e.Phase == Departed {
+			continue
+		}
+		if r.Born > 0 && e.Born > r.Born {
+			r.Phase = Departed
+			continue
+		}
+		e.Phase = Departed
+		n.endpoints = n.endpoints.Set(e.ID, e)
+		n.Revision++
+	}
+	return n, r
+}
+
 // visible is the part of a report that changes where requests go.
 func visible(r Report) Report {
 	r.Sequence = 0
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -76,6 +76,8 @@
 	banned time.Time
 	// pace is how much slower than estimated the endpoint answers.
 	pace float64
+	// gone is set once another start answered at the endpoint's address.
+	gone bool
 }
 
 // Set is the endpoints of a host. It is safe for concurrent use.
@@ -223,7 +225,7 @@
 	var a, b []*node
 	for _, on := range []bool{s.onTarget(v, q), !s.onTarget(v, q)} {
 		for _, n := range s.nodes {
-			if n.report.Service != q.Service || n.report.Phase != fleet.Ready || q.Tried[n.report.ID] {
+			if n.gone || n.report.Service != q.Service || n.report.Phase != fleet.Ready || q.Tried[n.report.ID] {
 				continue
 			}
 			if staged && (n.report.Version == v.Target) != on {
@@ -338,6 +340,15 @@
 	}
 }
 
+// Gone tells that another start answered at an endpoint's address: the endpoint gets nothing more.
+func (s *Set) Gone(id string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if n, ok := s.nodes[id]; ok {
+		n.gone = true
+	}
+}
+
 // Faulty tells of a fault of an endpoint. It returns how long the endpoint is passed over.
 func (s *Set) Faulty(id string, now time.Time) time.Duration {
 	s.lock.Lock()
--- a/relay/job.go
+++ b/relay/job.go
@@ -357,6 +357,9 @@
 		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
 	}
 	var b time.Duration
+	if r.Elsewhere {
+		j.relay.Set.Gone(u.choice.ID)
+	}
 	if r.Untouched || r.Status == 0 {
 		b = j.relay.Set.Faulty(u.choice.ID, time.Now())
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -97,6 +97,8 @@
 	Length int64
 	// Cause says why there is no usable answer.
 	Cause error
+	// Elsewhere is set where another endpoint answered at the address.
+	Elsewhere bool
 	// Untouched is set where no byte of the request can have reached the endpoint.
 	Untouched bool
 }
