Leave repeats for faults, pass over unreachable data centres, bound the wait for a first sign

Ruled out: too few endpoints (the load was under half of the slots). Change: Budget.TakeSpare, saved repeats that follow the load; pick.Unreachable with data centres; cost beside estimate; waits for the first sign bounded; first election sooner; requests wait 0.8 s for the first configuration.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -161,7 +161,7 @@
 	o := dial.NewPool()
 	r := relay.New(relay.Options{
 		Sender: &platform.Sender{Pool: o}, Set: p, Log: n.log, Metrics: n.metrics,
-		Budget: relay.NewBudget(n.settings.Bounds.RetryRatio, n.settings.Bounds.RetrySlack),
+		Budget: relay.NewBudget(n.settings.Bounds.RetryRatio, n.settings.Bounds.RetrySlack, n.settings.Bounds.RetryWindow.Std()),
 	})
 	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pool: o, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
 	i := &callers{relay: r, timers: map[net.Conn]*time.Timer{}}
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -11,12 +11,12 @@
 
 const (
 	// connectTimeout bounds the making of a connection.
-	connectTimeout = 400 * time.Millisecond
+	connectTimeout = 200 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
-	unackedTimeout = 1500 * time.Millisecond
+	unackedTimeout = 1200 * time.Millisecond
 	// probeIdle, probeEvery and probeCount are those of keep-alive probes on a quiet connection.
-	probeIdle  = 700 * time.Millisecond
-	probeEvery = 400 * time.Millisecond
+	probeIdle  = 400 * time.Millisecond
+	probeEvery = 300 * time.Millisecond
 	probeCount = 3
 	// optionUserTimeout is TCP_USER_TIMEOUT.
 	optionUserTimeout = 0x12
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -17,6 +17,12 @@
 	// banFirst and banMost bound how long an endpoint is passed over after failures in a row.
 	banFirst = 300 * time.Millisecond
 	banMost  = 5 * time.Second
+	// unreachableFirst is how long an endpoint is passed over after a connection could not be made.
+	unreachableFirst = 500 * time.Millisecond
+	// centreAfter is how many endpoints of a data centre in a row have to be unreachable for all of them to
+	// be passed over, for centreBan.
+	centreAfter = 3
+	centreBan   = 700 * time.Millisecond
 	// banAfter is how many faults in a row make an endpoint be passed over.
 	banAfter = 2
 	// faultWeight is the part of the newest answer in an endpoint's rate of faults.
@@ -86,13 +92,14 @@
 	lock       sync.Mutex
 	nodes      map[string]*node
 	rollouts   map[string]stage.View
+	centres    map[string]*centre
 	// departed are endpoints that leave, kept so that a control host that has forgotten can't bring them back.
 	departed map[string]fleet.Report
 }
 
 // NewSet returns a set without endpoints for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, departed: map[string]fleet.Report{}}
+	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, centres: map[string]*centre{}, departed: map[string]fleet.Report{}}
 }
 
 // Replace takes the endpoints that control hosts know.
@@ -203,15 +210,16 @@
 	defer s.lock.Unlock()
 	l := s.candidates(q, now)
 	var b *node
+	var m time.Duration
 	for _, n := range l {
-		w := s.estimate(n, q)
-		if b == nil || w < c.Wait {
-			b, c.Wait = n, w
+		if k := s.cost(n, q); b == nil || k < m {
+			b, m = n, k
 		}
 	}
 	if b == nil {
 		return c, false
 	}
+	c.Wait = s.estimate(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.mine.Plus(b.others), len(l)
 	b.mine.Requests++
 	b.mine.Backlog += int(q.Work.Milliseconds())
@@ -231,7 +239,7 @@
 			if staged && (n.report.Version == v.Target) != on {
 				continue
 			}
-			if b = append(b, n); now.After(n.banned) {
+			if b = append(b, n); now.After(n.banned) && now.After(s.centre(n.report.DataCentre).banned) {
 				a = append(a, n)
 			}
 		}
@@ -268,8 +276,12 @@
 	if k := l.Requests + 1 - q.Slots; q.Slots > 0 && k > 0 {
 		w += time.Duration(float64(q.Hold) * float64(k) / float64(q.Slots))
 	}
-	w = time.Duration(float64(w) * n.pace)
-	w += time.Duration(n.faults * float64(faultCost))
+	return time.Duration(float64(w) * n.pace)
+}
+
+// cost is the estimate with what speaks against an endpoint beside its wait.
+func (s *Set) cost(n *node, q Need) time.Duration {
+	w := s.estimate(n, q) + time.Duration(n.faults*float64(faultCost))
 	if n.report.DataCentre != s.dataCentre {
 		w += awayCost
 	}
@@ -333,6 +345,7 @@
 		return
 	}
 	n.row, n.banned = 0, time.Time{}
+	*s.centre(n.report.DataCentre) = centre{}
 	n.faults *= 1 - faultWeight
 	if estimated > 0 {
 		r := min(8, max(0.5, float64(wait)/float64(estimated)*n.pace))
@@ -349,6 +362,40 @@
 	}
 }
 
+// Unreachable tells that no connection to an endpoint could be made. Where that happens at several endpoints
+// of a data centre in a row, all of the data centre is passed over. It returns how long the endpoint is.
+func (s *Set) Unreachable(id string, now time.Time) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.nodes[id]
+	if !ok {
+		return 0
+	}
+	n.row = max(n.row+1, banAfter)
+	b := min(banMost, unreachableFirst<<min(n.row-banAfter, 6))
+	n.banned = now.Add(b)
+	c := s.centre(n.report.DataCentre)
+	if c.row++; c.row >= centreAfter {
+		c.banned = now.Add(centreBan)
+	}
+	return b
+}
+
+// centre is what is known of the way to a data centre.
+type centre struct {
+	row    int
+	banned time.Time
+}
+
+func (s *Set) centre(name string) *centre {
+	c, ok := s.centres[name]
+	if !ok {
+		c = &centre{}
+		s.centres[name] = c
+	}
+	return c
+}
+
 // Faulty tells of a fault of an endpoint. It returns how long the endpoint is passed over.
 func (s *Set) Faulty(id string, now time.Time) time.Duration {
 	s.lock.Lock()
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -8,6 +8,9 @@
 	"github.com/benbjohnson/immutable"
 )
 
+// firstDeadlinePart divides the election time of a node that has just started.
+const firstDeadlinePart = 4
+
 // progress is what a leader knows of another node.
 type progress struct {
 	node NodeID
@@ -51,7 +54,14 @@
 	s := State{ID: node, Hard: hard, Snapshot: snapshot, Commit: snapshot.Index, timing: timing, entries: l, seed: seed}
 	s.Stable = s.LastIndex()
 	s.Peers = s.findPeers()
-	s = s.withDeadline(0)
+	return s.withFirstDeadline(0)
+}
+
+// withFirstDeadline draws the first election time after a start. It may be short, since a node that hears a
+// leader refuses pre-votes, so that an early campaign disturbs nobody.
+func (s State) withFirstDeadline(now time.Duration) State {
+	s = s.withDeadline(now)
+	s.deadline = now + (s.deadline-now)/firstDeadlinePart
 	return s
 }
 
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -1,29 +1,47 @@
 package relay
 
-import "sync"
+import (
+	"math"
+	"sync"
+	"time"
+)
 
 const (
-	// ratioMargin is the part of the allowed ratio of repeats that a host spends, and slackMargin the part
-	// of the slack that all hosts share.
-	ratioMargin = 0.93
-	slackMargin = 0.75
-	// leastBurst is the number of repeats that a host may always save up.
-	leastBurst = 2
+	// ratioPart is the part of the allowed ratio of repeats that each request earns, and savedPart the part
+	// that may be saved up for the requests of a window.
+	ratioPart = 0.88
+	savedPart = 0.09
+	// slackPart is the part of the slack that the hosts share.
+	slackPart = 0.75
+	// sparePart is the part of the most that can be saved up which is left for faults.
+	sparePart = 0.4
+	// leastSaved is the number of repeats that a host may always save up.
+	leastSaved = 2
 )
 
 // Budget bounds the repeats of requests to each service. Each request earns a part of a repeat, so that
 // the hosts' sum stays within the bound of all without an exchange.
 type Budget struct {
-	lock  sync.Mutex
-	ratio float64
-	slack float64
-	hosts int
-	saved map[string]float64
+	lock     sync.Mutex
+	ratio    float64
+	slack    float64
+	window   time.Duration
+	hosts    int
+	services map[string]*account
+}
+
+// account is a service's part of the budget.
+type account struct {
+	saved float64
+	// requests decays to the number of requests in a window; at is when it was last brought up to date.
+	requests float64
+	at       time.Time
 }
 
-// NewBudget returns a budget of ratio repeats for a request, and of slack more shared by all hosts.
-func NewBudget(ratio, slack float64) *Budget {
-	return &Budget{ratio: ratio * ratioMargin, slack: slack * slackMargin, hosts: 1, saved: map[string]float64{}}
+// NewBudget returns a budget of ratio repeats for each request within a window, and of slack more in each
+// window, shared by all hosts.
+func NewBudget(ratio, slack float64, window time.Duration) *Budget {
+	return &Budget{ratio: ratio, slack: slack, window: max(window, time.Second), hosts: 1, services: map[string]*account{}}
 }
 
 // SetHosts tells how many hosts share the slack.
@@ -37,22 +55,40 @@
 func (b *Budget) Earn(service string) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	s, ok := b.saved[service]
+	a := b.of(service)
+	n := time.Now()
+	a.requests = a.requests*math.Exp(-n.Sub(a.at).Seconds()/b.window.Seconds()) + 1
+	a.at = n
+	a.saved = min(b.most(a), a.saved+b.ratio*ratioPart)
+}
+
+func (b *Budget) of(service string) *account {
+	a, ok := b.services[service]
 	if !ok {
-		s = leastBurst
+		a = &account{saved: leastSaved, at: time.Now()}
+		b.services[service] = a
 	}
-	b.saved[service] = min(b.burst(), s+b.ratio)
+	return a
+}
+
+// most is the number of repeats that can be saved up.
+func (b *Budget) most(a *account) float64 {
+	return max(leastSaved, b.slack*slackPart/float64(b.hosts)+a.requests*b.ratio*savedPart)
 }
 
-func (b *Budget) burst() float64 { return max(leastBurst, b.slack/float64(b.hosts)) }
+// Take spends a repeat after a fault.
+func (b *Budget) Take(service string) bool { return b.take(service, 0) }
+
+// TakeSpare spends a repeat that could be done without; a part of those saved up is left for faults.
+func (b *Budget) TakeSpare(service string) bool { return b.take(service, sparePart) }
 
-// Take spends a repeat; keep is how many have to stay saved up for more important ones.
-func (b *Budget) Take(service string, keep float64) bool {
+func (b *Budget) take(service string, part float64) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if b.saved[service] < 1+keep {
+	a := b.of(service)
+	if a.saved < 1+part*b.most(a) {
 		return false
 	}
-	b.saved[service]--
+	a.saved--
 	return true
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -16,13 +16,21 @@
 
 const (
 	// tableRetry is when a caller comes back to a host that doesn't know the configuration yet.
-	tableRetry = 400 * time.Millisecond
+	tableRetry = 700 * time.Millisecond
+	// tableWait is how long a request waits for the first configuration, which is looked for every tablePoll.
+	tableWait = 800 * time.Millisecond
+	tablePoll = 10 * time.Millisecond
 	// stopRetry is when a caller comes back, to another host, after one that is about to stop refused it.
 	stopRetry = 20 * time.Millisecond
 	// emptyRetry is when a caller comes back where no endpoint is known.
 	emptyRetry = 500 * time.Millisecond
 	// answerMargin is how long before the deadline the last attempt has to be answered.
 	answerMargin = 15 * time.Millisecond
+	// leastPatience is how long the first event of a stream is waited for at least, patiencePart the part of
+	// the objective for which a plain answer is, and patienceTimes how many times the estimate.
+	leastPatience = 1300 * time.Millisecond
+	patiencePart  = 0.55
+	patienceTimes = 3
 	// mostSends bounds the sendings of a request, those that did not run among them.
 	mostSends = 5
 	// wholeBytes is the size up to which a plain answer is read whole before it is passed on.
@@ -57,6 +65,8 @@
 	tried map[string]bool
 	sends int
 	runs  int
+	// untouched is set where the newest sending did not reach an endpoint, so that the next is no repeat.
+	untouched bool
 	// ran is set once the request may have run anywhere.
 	ran bool
 	// size is the model's place among the route's sizes.
@@ -137,7 +147,11 @@
 	if j.sends >= mostSends || time.Until(j.deadline) < answerMargin {
 		return false
 	}
-	return j.relay.Budget.Take(j.service.Name, 0)
+	if j.untouched {
+		j.untouched = false
+		return true
+	}
+	return j.relay.Budget.Take(j.service.Name)
 }
 
 // giveUp gives the final answer where no attempt brought one.
@@ -204,11 +218,27 @@
 	}
 	x, f := context.WithCancel(ctx)
 	defer f()
+	u.cancel = f
+	w := u.watch(j.patience(c.Wait))
 	r := j.relay.Sender.Send(x, a)
+	w.Stop()
 	if r.Body != nil {
 		defer r.Body.Close() //nolint:errcheck // closing ends the exchange; the answer has been judged by then
 	}
-	return u.judge(x, a, r)
+	return u.judge(r)
+}
+
+// patience is how long the start of an answer is waited for before the request is sent elsewhere too: as
+// long as the request has time where it may not run twice.
+func (j *job) patience(estimate time.Duration) time.Duration {
+	l := time.Until(j.deadline)
+	if !j.route.Idempotent() || j.runs+1 >= max(1, j.route.Attempts) {
+		return l
+	}
+	if j.route.Kind == table.Stream {
+		return min(l, max(leastPatience, patienceTimes*estimate))
+	}
+	return min(l, max(time.Duration(float64(j.route.Objective)*patiencePart), patienceTimes*estimate))
 }
 
 // connections is this host's part of the connections that an endpoint takes.
@@ -293,8 +323,13 @@
 	work   time.Duration
 	sent   time.Time
 	began  bool
+	// cancel stops the run.
+	cancel context.CancelFunc
 }
 
+// watch stops the run after a time without a sign of the endpoint.
+func (u *use) watch(after time.Duration) *time.Timer { return time.AfterFunc(after, u.cancel) }
+
 func (u *use) begin() {
 	if !u.began {
 		u.began = true
@@ -316,11 +351,11 @@
 }
 
 // judge decides what follows the head of an answer.
-func (u *use) judge(ctx context.Context, a Attempt, r Reply) next {
+func (u *use) judge(r Reply) next {
 	j := u.job
 	u.begin()
 	wait := time.Since(u.sent)
-	if ctx.Err() != nil && r.Body == nil {
+	if r.Body == nil && (j.caller.Err() != nil || time.Until(j.deadline) <= 0) {
 		j.ran = j.ran || r.Verdict != NotRun
 		u.silent()
 		return over
@@ -344,7 +379,7 @@
 	j.ran = true
 	u.good(wait)
 	if j.route.Kind == table.Stream {
-		return u.stream(ctx, r)
+		return u.stream(r)
 	}
 	return u.plain(r)
 }
@@ -360,8 +395,9 @@
 	if r.Elsewhere {
 		j.relay.Set.Gone(u.choice.ID)
 	}
-	if r.Untouched || r.Status == 0 {
-		b = j.relay.Set.Faulty(u.choice.ID, time.Now())
+	if r.Untouched {
+		b = j.relay.Set.Unreachable(u.choice.ID, time.Now())
+		j.untouched = true
 	}
 	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "cause": cause(r), "banned": b.Milliseconds()}).Info("attempt: the endpoint did not run the request")
 	return again
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,10 +74,20 @@
 	return e > 0 && (o.Kind == table.Stream || time.Now().Add(o.Timeout).UnixNano() > e)
 }
 
+// awaitTable returns the table in force; a host that has just started waits for it for a short time.
+func (r *Relay) awaitTable(ctx context.Context) *table.Table {
+	for t := time.Now(); time.Since(t) < tableWait && ctx.Err() == nil; time.Sleep(tablePoll) {
+		if v := r.table.Load(); v != nil {
+			return v
+		}
+	}
+	return r.table.Load()
+}
+
 // Serve answers a request. The context ends when the caller leaves.
 func (r *Relay) Serve(ctx context.Context, q *Request, s Sink) {
-	t := r.table.Load()
-	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}}
+	t := r.awaitTable(ctx)
+	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}, caller: ctx}
 	if t == nil {
 		j.refuse(NoTable, tableRetry)
 		return
@@ -110,7 +120,6 @@
 	j.deadline = q.Received.Add(l)
 	c, f := context.WithDeadline(ctx, j.deadline)
 	defer f()
-	j.caller = ctx
 	r.Budget.Earn(j.service.Name)
 	j.run(c)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"strings"
@@ -17,6 +16,8 @@
 const (
 	// mostEventBytes bounds one event.
 	mostEventBytes = 1 << 20
+	// silence is the pause between events after which a stream goes on at another endpoint.
+	silence = 2 * time.Second
 	// streamBuffer is the size of the buffer for events, in bytes.
 	streamBuffer = 4096
 )
@@ -26,7 +27,7 @@
 
 // stream passes events on as they come. Where the answer breaks off, the request goes on elsewhere behind
 // the last whole event.
-func (u *use) stream(ctx context.Context, r Reply) next {
+func (u *use) stream(r Reply) next {
 	j := u.job
 	if n, ok := j.larger(r); ok {
 		u.log().WithFields(logrus.Fields{"confidence": r.Confidence, "next": j.route.Sizes[n]}).Info("attempt: dropped for a larger model")
@@ -37,7 +38,9 @@
 		j.begun = true
 		j.sink.Begin(r.Status, r.Header, -1)
 	}
-	err := u.events(r.Body)
+	w := u.watch(silence)
+	err := u.events(r.Body, w)
+	w.Stop()
 	switch {
 	case err == nil:
 		j.relay.times.add("hold "+j.route.Name, time.Since(u.sent))
@@ -45,7 +48,7 @@
 		return done
 	case errors.Is(err, errCallerLeft), j.caller.Err() != nil:
 		return over
-	case ctx.Err() != nil:
+	case time.Until(j.deadline) <= 0:
 		return over
 	}
 	j.tally(u, true, 0)
@@ -62,11 +65,11 @@
 		return 0, false
 	}
 	n, ok := sizes.Next(j.ask(), j.size, r.Confidence)
-	return n, ok && j.relay.Budget.Take(j.service.Name, 0)
+	return n, ok && j.relay.Budget.TakeSpare(j.service.Name)
 }
 
 // events passes whole events on until the end of the body.
-func (u *use) events(body io.Reader) error {
+func (u *use) events(body io.Reader, watch *time.Timer) error {
 	j := u.job
 	b := bufio.NewReaderSize(body, streamBuffer)
 	var e []byte
@@ -89,6 +92,7 @@
 			}
 			j.relay.times.add("pause "+j.model(), min(time.Since(t), time.Second))
 			t = time.Now()
+			watch.Reset(silence)
 			e = e[:0]
 			continue
 		}
