Keep streams in their data centre while it has room

Cause: two thirds of the streams crossed data centres and were late or broken off when a zone was lossy or cut. Change: awayStreamCost in pick.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -31,8 +31,10 @@
 	faultCost = 2500 * time.Millisecond
 	// paceWeight is the part of the newest answer in an endpoint's pace.
 	paceWeight = 0.15
-	// awayCost is added for an endpoint in another data centre.
-	awayCost = 4 * time.Millisecond
+	// awayCost is added for an endpoint in another data centre, awayStreamCost where the answer is a stream: a
+	// long answer is exposed to losses and cuts on the way.
+	awayCost       = 5 * time.Millisecond
+	awayStreamCost = 150 * time.Millisecond
 	// coldCost is added for an endpoint that says it is still slow after its start.
 	coldCost = 60 * time.Millisecond
 	// requestCost is what a request under way adds to the wait of the next one at an engine.
@@ -48,6 +50,8 @@
 	Work time.Duration
 	// Hold is the estimated time that a request occupies a slot.
 	Hold time.Duration
+	// Stream is set where the answer is a series of events.
+	Stream bool
 	// Affinity names what the request shares with others, and Saved the work that an endpoint that holds
 	// it is spared.
 	Affinity uint64
@@ -283,7 +287,7 @@
 func (s *Set) cost(n *node, q Need) time.Duration {
 	w := s.estimate(n, q) + time.Duration(n.faults*float64(faultCost))
 	if n.report.DataCentre != s.dataCentre {
-		w += awayCost
+		w += s.away(q)
 	}
 	if n.report.ColdLeft > 0 {
 		w += coldCost
@@ -291,6 +295,13 @@
 	return w
 }
 
+func (s *Set) away(q Need) time.Duration {
+	if q.Stream {
+		return awayStreamCost
+	}
+	return awayCost
+}
+
 // home reports whether the endpoint is the one that requests with the same affinity prefer.
 func (s *Set) home(n *node, q Need) bool {
 	w := weight(n.report.ID, q.Affinity)
--- a/relay/job.go
+++ b/relay/job.go
@@ -74,6 +74,9 @@
 	// last is the last event that was passed on; begun is set once the caller has got any of the answer.
 	last  string
 	begun bool
+	// newest is when an event was last passed on, and longest the longest pause between two.
+	newest  time.Time
+	longest time.Duration
 	// failure is the newest failure that an endpoint answered with, to be passed on where nothing better comes.
 	failure *whole
 }
@@ -269,7 +272,8 @@
 	if j.request.Session != "" {
 		n.Bound, n.Draw = true, draw(j.request.Session)
 	}
-	if j.route.Kind == table.Stream && len(j.request.Prompt.Parts) > 1 {
+	n.Stream = j.route.Kind == table.Stream
+	if n.Stream && len(j.request.Prompt.Parts) > 1 {
 		p := j.request.Prompt.Parts
 		d := xxhash.New()
 		t := 0
@@ -450,7 +454,7 @@
 	d := time.Since(j.request.Received)
 	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=\"served\"}", j.route.Name)).Inc()
 	j.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("request_seconds{route=%q}", j.route.Name)).Update(d.Seconds())
-	u.log().WithFields(logrus.Fields{"outcome": "served", "status": status, "runs": j.runs}).Info("request: served")
+	u.log().WithFields(logrus.Fields{"outcome": "served", "status": status, "runs": j.runs, "pause": j.longest.Milliseconds()}).Info("request: served")
 }
 
 // whole is an answer that was read to its end.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -91,6 +91,10 @@
 				j.last = id
 			}
 			j.relay.times.add("pause "+j.model(), min(time.Since(t), time.Second))
+			if !j.newest.IsZero() {
+				j.longest = max(j.longest, time.Since(j.newest))
+			}
+			j.newest = time.Now()
 			t = time.Now()
 			watch.Reset(silence)
 			e = e[:0]
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -15,7 +15,7 @@
 	// queueLines is how many lines may wait for the writer.
 	queueLines = 2048
 	// linesPerSecond and burstLines bound the lines below the level of a warning.
-	linesPerSecond = 120
+	linesPerSecond = 1000
 	burstLines     = 400
 	// flushTimeout bounds the wait for the last lines at the end of the process.
 	flushTimeout = 200 * time.Millisecond
