Refuse callers for a moment before a planned stop closes their connections

Change: connections stay open; before they close, every new request is refused as not run for 120 ms.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -38,7 +38,10 @@
 	// leastStop is how long a stopping entry host still takes callers, for the balancer to notice.
 	leastStop = 2600 * time.Millisecond
 	// stopPart is the part of the grace period after which requests under way are broken off.
-	stopPart = 0.96
+	stopPart = 0.95
+	// lastRefusals is how long a host that has nothing left under way still refuses callers, so that no request
+	// that has just been read is lost with its connection.
+	lastRefusals = 120 * time.Millisecond
 	// stopPoll is how often a stopping host looks whether requests are under way.
 	stopPoll = 20 * time.Millisecond
 )
@@ -196,10 +199,13 @@
 		time.Sleep(stopPoll)
 	}
 	r.LastCall(t.Add(m))
-	s.SetKeepAlivesEnabled(false)
 	for time.Since(t) < m && i.active() > 0 {
 		time.Sleep(stopPoll)
 	}
+	r.LastCall(time.Now())
+	for l := time.Now(); time.Since(l) < lastRefusals || time.Since(t) < m && i.active() > 0; {
+		time.Sleep(stopPoll)
+	}
 	if k := i.active(); k > 0 {
 		n.log.WithField("requests", k).Warn("host: requests are broken off at the end of the grace period")
 	}
