--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,91 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+)
+
+func report(id string, born, seq int64, p fleet.Phase) fleet.Report {
+	return fleet.Report{ID: id, Born: born, Sequence: seq, Service: "s", Address: "10.0.0.1:1", Version: "v1", Phase: p}
+}
+
+func TestLateReportsChangeNothing(t *testing.T) {
+	i := is.New(t)
+	s, _ := fleet.New().WithReport(report("a", 5, 2, fleet.Leaving), 0)
+	for _, r := range []fleet.Report{report("a", 5, 1, fleet.Ready), report("a", 5, 9, fleet.Ready), report("a", 4, 9, fleet.Ready)} {
+		n, ok := s.WithReport(r, time.Second)
+		i.True(!ok)
+		i.Equal(n.Revision, s.Revision)
+	}
+	n, ok := s.WithReport(report("a", 6, 1, fleet.Ready), time.Second) // the id came back with another start
+	i.True(ok)
+	e, _ := n.Get("a")
+	i.Equal(e.Phase, fleet.Ready)
+}
+
+// A crashed endpoint's address is taken by another start before the crashed one expires.
+func TestAddressBelongsToTheNewestStart(t *testing.T) {
+	for _, born := range []int64{0, 10} {
+		i := is.New(t)
+		s, _ := fleet.New().WithReport(report("old", born, 7, fleet.Ready), 0)
+		s, _ = s.WithReport(report("new", born*2, 1, fleet.Ready), time.Second)
+		e, _ := s.Get("old")
+		i.Equal(e.Phase, fleet.Departed)
+		e, _ = s.Get("new")
+		i.Equal(e.Phase, fleet.Ready)
+		if born == 0 {
+			continue
+		}
+		s, _ = s.WithReport(report("older", born-1, 1, fleet.Ready), 2*time.Second) // delayed by a cut
+		e, _ = s.Get("older")
+		i.Equal(e.Phase, fleet.Departed)
+		e, _ = s.Get("new")
+		i.Equal(e.Phase, fleet.Ready)
+	}
+}
+
+func TestDepartureWithoutFieldsKeepsThem(t *testing.T) {
+	i := is.New(t)
+	s, _ := fleet.New().WithReport(report("a", 5, 2, fleet.Ready), 0)
+	s, ok := s.WithReport(fleet.Report{ID: "a", Born: 5, Phase: fleet.Departed}, 1)
+	i.True(ok)
+	e, _ := s.Get("a")
+	i.Equal(e.Service, "s")
+	i.Equal(e.Phase, fleet.Departed)
+}
+
+func TestSilentEndpointsAreForgotten(t *testing.T) {
+	i := is.New(t)
+	s, _ := fleet.New().WithReport(report("a", 5, 2, fleet.Ready), time.Second)
+	i.Equal(len(s.WithoutSilent(time.Second).Reports()), 1)
+	n := s.WithoutSilent(time.Second + 1)
+	i.Equal(len(n.Reports()), 0)
+	i.True(n.Revision > s.Revision)
+}
+
+// In whatever order and however often reports of one start come, the outcome is the same.
+func TestReportsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l []fleet.Report
+		p := fleet.Ready
+		for q := range rapid.IntRange(1, 8).Draw(t, "reports") {
+			if rapid.IntRange(0, 3).Draw(t, "moves on") == 0 && p < fleet.Departed {
+				p++
+			}
+			l = append(l, report("a", 5, int64(q+1), p))
+		}
+		s := fleet.New()
+		for _, r := range append(rapid.Permutation(l).Draw(t, "order"), rapid.Permutation(l).Draw(t, "again")...) {
+			s, _ = s.WithReport(r, 0)
+		}
+		e, _ := s.Get("a")
+		if e.Phase != p {
+			t.Fatalf("phase %v, want %v", e.Phase, p)
+		}
+	})
+}
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -79,11 +79,9 @@
 	slowRatio = 2.6
 	// slowSlack is added to the wait that still counts as normal.
 	slowSlack = 80 * time.Millisecond
-	// trimmed is how many of the target's endpoints with the worst answers are left out, since a fault of
-	// one endpoint says nothing of its version.
+	// trimmed is how many of the target's endpoints with the worst answers are left out, at most half of
+	// them, since a fault of one endpoint says nothing of its version.
 	trimmed = 2
-	// trimFrom is how many endpoints there have to be for that.
-	trimFrom = 5
 )
 
 // sum adds up tallies.
@@ -164,10 +162,7 @@
 		v = append(v, s)
 	}
 	slices.SortFunc(v, func(a, b sum) int { return b.failures - a.failures })
-	if len(v) >= trimFrom {
-		v = v[trimmed:]
-	}
-	return total(v)
+	return total(v[min(trimmed, len(v)/2):])
 }
 
 func total(v []sum) sum {
--- /dev/null
+++ b/table/table_test.go
@@ -0,0 +1,77 @@
+package table_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/table"
+)
+
+func base() table.Table {
+	return table.Table{
+		Version:  3,
+		Services: []table.Service{{Name: "desk"}, {Name: "draft"}},
+		Routes: []table.Route{
+			{Name: "a", Host: "x", Prefix: "/", Timeout: time.Second, Shares: []table.Share{{Service: "desk", Weight: 1}}},
+			{Name: "b", Host: "x", Prefix: "/long/", Timeout: time.Second, Shares: []table.Share{{Service: "draft", Weight: 1}}},
+		},
+		Accounts: []table.Account{{Name: "one", Keys: []string{"k1", "k2"}}, {Name: "two", Keys: []string{"k3"}}},
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	i := is.New(t)
+	b, err := table.New(base())
+	i.NoErr(err)
+	for _, c := range []struct {
+		host, path, want string
+	}{{"x", "/long/1", "b"}, {"x", "/long", "a"}, {"x", "/longer/", "a"}, {"x", "/", "a"}, {"y", "/", ""}} {
+		r, ok := b.Route(c.host, c.path)
+		i.Equal(ok, c.want != "")
+		i.Equal(r.Name, c.want)
+	}
+	a, ok := b.Account("k2")
+	i.True(ok)
+	i.Equal(a.Name, "one")
+	_, ok = b.Account("")
+	i.True(!ok)
+}
+
+func TestInvalidTables(t *testing.T) {
+	for n, f := range map[string]func(*table.Table){
+		"unknown service": func(b *table.Table) { b.Routes[0].Shares[0].Service = "none" },
+		"no service":      func(b *table.Table) { b.Routes[0].Shares = nil },
+		"no weight":       func(b *table.Table) { b.Routes[0].Shares[0].Weight = 0 },
+		"negative weight": func(b *table.Table) { b.Routes[0].Shares[0].Weight = -1 },
+		"no timeout":      func(b *table.Table) { b.Routes[0].Timeout = 0 },
+		"same place":      func(b *table.Table) { b.Routes[1].Prefix = "/" },
+		"open prefix":     func(b *table.Table) { b.Routes[1].Prefix = "/long" },
+		"shared key":      func(b *table.Table) { b.Accounts[1].Keys = []string{"k1"} },
+		"service twice":   func(b *table.Table) { b.Services[1].Name = "desk" },
+	} {
+		t.Run(n, func(t *testing.T) {
+			i := is.New(t)
+			b := base()
+			f(&b)
+			_, err := table.New(b)
+			var e *table.Fault
+			i.True(errors.As(err, &e))
+			i.True(e.Remedy != "")
+		})
+	}
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	i := is.New(t)
+	r := table.Route{Shares: []table.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 0}, {Service: "c", Weight: 10}}}
+	n := map[string]int{}
+	for k := range 1000 {
+		n[r.ServiceAt(float64(k)/1000)]++
+	}
+	i.Equal(n["a"], 900)
+	i.Equal(n["b"], 0)
+	i.Equal(n["c"], 100)
+}
