--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,202 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/feed"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/stage"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// set has n endpoints in each data centre; every second has the new version where two is set.
+func set(n int, two bool, centres ...string) *pick.Set {
+	s := pick.NewSet(centres[0])
+	var l []fleet.Report
+	for _, c := range centres {
+		for k := range n {
+			v := "v1"
+			if two && k%2 == 1 {
+				v = "v2"
+			}
+			l = append(l, fleet.Report{ID: fmt.Sprint(c, k), Service: "s", DataCentre: c, Address: fmt.Sprint(c, k), Version: v, Sequence: 1})
+		}
+	}
+	s.Replace(l)
+	return s
+}
+
+func need() pick.Need {
+	return pick.Need{Service: "s", Slots: 64, Work: 300 * time.Millisecond, Hold: time.Second, Stream: true}
+}
+
+func TestLoadIsSpreadEvenly(t *testing.T) {
+	i := is.New(t)
+	s := set(4, false, "a")
+	n := map[string]int{}
+	for range 40 {
+		c, ok := s.Choose(need(), epoch)
+		i.True(ok)
+		n[c.ID]++
+	}
+	for _, k := range n {
+		i.Equal(k, 10)
+	}
+}
+
+func TestLoadsOfOtherHostsCount(t *testing.T) {
+	i := is.New(t)
+	s := set(2, false, "a")
+	s.SetLoads(map[string]feed.Load{"a0": {Requests: 30, Backlog: 2000}})
+	for range 5 {
+		c, _ := s.Choose(need(), epoch)
+		i.Equal(c.ID, "a1")
+	}
+}
+
+// A lossy or cut data centre harms long answers on the way: they stay while their own has room.
+func TestStreamsStayInTheirDataCentre(t *testing.T) {
+	i := is.New(t)
+	s := set(2, false, "a", "b")
+	c, _ := s.Choose(need(), epoch)
+	i.Equal(c.DataCentre, "a")
+	s.SetLoads(map[string]feed.Load{"a0": {Backlog: 900}, "a1": {Backlog: 900}})
+	c, _ = s.Choose(need(), epoch)
+	i.Equal(c.DataCentre, "b")
+}
+
+// A data centre is cut off: after a few endpoints there none of it is tried for a while.
+func TestCutDataCentreIsPassedOver(t *testing.T) {
+	i := is.New(t)
+	s := set(6, false, "a", "b")
+	s.SetLoads(loads("a", 6))
+	n := 0
+	for k := range 40 {
+		c, ok := s.Choose(need(), epoch.Add(time.Duration(k)*time.Millisecond))
+		i.True(ok)
+		if c.DataCentre == "b" {
+			n++
+			s.Unreachable(c.ID, epoch)
+		}
+		s.Began(c.ID, need().Work)
+		s.Ended(c.ID)
+	}
+	i.Equal(n, 3)
+	c, _ := s.Choose(need(), epoch.Add(time.Second)) // tried again later
+	i.Equal(c.DataCentre, "b")
+}
+
+func loads(centre string, n int) map[string]feed.Load {
+	r := map[string]feed.Load{}
+	for k := range n {
+		r[fmt.Sprint(centre, k)] = feed.Load{Requests: 60, Backlog: 3000}
+	}
+	return r
+}
+
+// The price of faults orders endpoints but is no wait: a request isn't refused for want of time over it.
+func TestFaultsAreNoWait(t *testing.T) {
+	i := is.New(t)
+	s := set(1, false, "a")
+	for range 20 {
+		s.Faulty("a0", epoch)
+	}
+	c, ok := s.Choose(pick.Need{Service: "s", Work: 40 * time.Millisecond}, epoch)
+	i.True(ok)
+	i.True(c.Wait < 100*time.Millisecond)
+}
+
+func TestFailingEndpointIsAvoidedAndTriedAgain(t *testing.T) {
+	i := is.New(t)
+	s := set(2, false, "a")
+	s.Faulty("a0", epoch)
+	i.True(s.Faulty("a0", epoch) > 0)
+	for range 10 {
+		c, _ := s.Choose(need(), epoch)
+		i.Equal(c.ID, "a1")
+	}
+	s.Faulty("a1", epoch)
+	s.Faulty("a1", epoch)
+	_, ok := s.Choose(need(), epoch) // all fail: one of them is tried
+	i.True(ok)
+}
+
+// The address of a crashed endpoint answers for another start.
+func TestEndpointThatIsGoneGetsNothing(t *testing.T) {
+	i := is.New(t)
+	s := set(2, false, "a")
+	s.Gone("a0")
+	for range 5 {
+		c, _ := s.Choose(need(), epoch)
+		i.Equal(c.ID, "a1")
+	}
+	s.Replace([]fleet.Report{{ID: "a0", Born: 7, Service: "s", DataCentre: "a", Address: "a0", Sequence: 1}})
+	c, ok := s.Choose(need(), epoch)
+	i.True(ok)
+	i.Equal(c.ID, "a0") // the id came back with another start
+}
+
+func TestForgetfulControlHostBringsNoLeavingEndpointBack(t *testing.T) {
+	i := is.New(t)
+	s := set(1, false, "a")
+	s.Replace([]fleet.Report{{ID: "a0", Service: "s", DataCentre: "a", Address: "a0", Sequence: 2, Phase: fleet.Leaving}})
+	s.Replace([]fleet.Report{{ID: "a0", Service: "s", DataCentre: "a", Address: "a0", Sequence: 1}})
+	_, ok := s.Choose(need(), epoch)
+	i.True(!ok)
+	i.Equal(len(s.Leaving()), 1)
+}
+
+func TestRolloutShares(t *testing.T) {
+	for n, c := range map[string]struct {
+		outcome      stage.Outcome
+		fresh, bound float64
+		draw         float64
+		session      bool
+		want         string
+	}{
+		"fresh below the share":      {stage.Running, 0.1, 0, 0.05, false, "v2"},
+		"fresh above the share":      {stage.Running, 0.1, 0, 0.5, false, "v1"},
+		"session in the first half":  {stage.Running, 0.1, 0, 0.05, true, "v1"},
+		"session in the second half": {stage.Running, 0.8, 0.8, 0.5, true, "v2"},
+		"after a good end":           {stage.Done, 1, 1, 0.99, true, "v2"},
+		"after a bad end":            {stage.RolledBack, 0, 0, 0.01, false, "v1"},
+	} {
+		t.Run(n, func(t *testing.T) {
+			i := is.New(t)
+			s := set(4, true, "a")
+			s.SetRollouts([]stage.View{{Rollout: stage.Rollout{Service: "s", Target: "v2", Outcome: c.outcome, Serial: 1}, Plan: stage.Plan{Fresh: c.fresh, Bound: c.bound}}})
+			q := need()
+			q.Draw, q.Bound = c.draw, c.session
+			r, ok := s.Choose(q, epoch)
+			i.True(ok)
+			i.Equal(r.Version, c.want)
+		})
+	}
+}
+
+// A version that was rolled back gets nothing, even where no other endpoint is left.
+func TestBadVersionIsNoRefuge(t *testing.T) {
+	i := is.New(t)
+	s := pick.NewSet("a")
+	s.Replace([]fleet.Report{{ID: "x", Service: "s", Version: "v2"}})
+	s.SetRollouts([]stage.View{{Rollout: stage.Rollout{Service: "s", Target: "v2", Outcome: stage.RolledBack, Serial: 1}}})
+	_, ok := s.Choose(need(), epoch)
+	i.True(!ok)
+}
+
+func TestShareOfARolloutNeverFalls(t *testing.T) {
+	i := is.New(t)
+	s := set(4, true, "a")
+	v := stage.View{Rollout: stage.Rollout{Service: "s", Target: "v2", Serial: 1}, Plan: stage.Plan{Fresh: 0.9, Bound: 0.9}}
+	s.SetRollouts([]stage.View{v})
+	v.Plan = stage.Plan{Fresh: 0.1} // a control host that has just started
+	s.SetRollouts([]stage.View{v})
+	o, _ := s.Rollout("s")
+	i.Equal(o.Plan.Fresh, 0.9)
+}
--- /dev/null
+++ b/relay/fake_test.go
@@ -0,0 +1,186 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/table"
+)
+
+// sender answers attempts by a function and notes them.
+type sender struct {
+	lock     sync.Mutex
+	attempts []relay.Attempt
+	answer   func(n int, ctx context.Context, a relay.Attempt) relay.Reply
+}
+
+func (s *sender) Send(ctx context.Context, a relay.Attempt) relay.Reply {
+	s.lock.Lock()
+	s.attempts = append(s.attempts, a)
+	n := len(s.attempts)
+	s.lock.Unlock()
+	return s.answer(n, ctx, a)
+}
+
+func (s *sender) count() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return len(s.attempts)
+}
+
+// sink notes what a caller is told.
+type sink struct {
+	status  int
+	body    bytes.Buffer
+	refusal *relay.Refusal
+	broken  bool
+	at      time.Time
+}
+
+func (s *sink) Begin(status int, _ http.Header, _ int64) { s.status = status }
+
+func (s *sink) Write(b []byte) error {
+	s.body.Write(b)
+	return nil
+}
+
+func (s *sink) Refuse(r relay.Refusal) { s.refusal, s.at = &r, time.Now() }
+
+func (s *sink) Break() { s.broken = true }
+
+// body is an answer's body that may end with an error.
+type body struct {
+	io.Reader
+	closed *bool
+}
+
+func (b body) Close() error {
+	if b.closed != nil {
+		*b.closed = true
+	}
+	return nil
+}
+
+// broken ends in the way a reset connection does.
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+func ran(text string) relay.Reply {
+	return relay.Reply{Verdict: relay.Ran, Status: 200, Confidence: -1, Body: body{Reader: bytes.NewBufferString(text)}}
+}
+
+func sure(confidence int, text string) relay.Reply {
+	r := ran(text)
+	r.Confidence = confidence
+	return r
+}
+
+func cutAfter(text string) relay.Reply {
+	r := ran("")
+	r.Body = body{Reader: io.MultiReader(bytes.NewBufferString(text), broken{})}
+	return r
+}
+
+func notRun() relay.Reply {
+	return relay.Reply{Verdict: relay.NotRun, Status: 503, Confidence: -1, Body: body{Reader: bytes.NewBufferString("")}}
+}
+
+func unreachable() relay.Reply {
+	return relay.Reply{Verdict: relay.NotRun, Confidence: -1, Untouched: true, Cause: errors.New("refused")}
+}
+
+func unknown() relay.Reply {
+	return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: errors.New("connection reset")}
+}
+
+func failed() relay.Reply {
+	r := ran("failure of the endpoint")
+	r.Verdict, r.Status = relay.Failed, 500
+	return r
+}
+
+// silent waits until the run is stopped.
+func silent(ctx context.Context) relay.Reply {
+	<-ctx.Done()
+	return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: ctx.Err()}
+}
+
+// world is a relay with endpoints and a sender.
+type world struct {
+	relay  *relay.Relay
+	set    *pick.Set
+	sender *sender
+}
+
+func newWorld(endpoints int, answer func(n int, ctx context.Context, a relay.Attempt) relay.Reply) *world {
+	w := &world{set: pick.NewSet("here"), sender: &sender{answer: answer}}
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	w.relay = relay.New(relay.Options{
+		Sender: w.sender, Set: w.set, Log: l, Metrics: metrics.NewSet(), Budget: relay.NewBudget(0.9, 58, 10*time.Second),
+	})
+	w.set.Replace(reports(endpoints))
+	t, err := table.New(table.Table{
+		Version:  1,
+		Services: []table.Service{{Name: "desk", MaxConnections: 100}, {Name: "draft", MaxConnections: 100, Slots: 64}},
+		Routes: []table.Route{
+			{Name: "book", Host: "h", Prefix: "/book/", Kind: table.Once, Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, Attempts: 1, Shares: share("desk")},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: table.Repeatable, Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, Attempts: 3, Shares: share("desk")},
+			{
+				Name: "write", Host: "h", Prefix: "/write/", Kind: table.Stream, Resumable: true, Timeout: 25 * time.Second, Objective: 3 * time.Second,
+				Attempts: 3, Sizes: []string{"small", "middle", "large"}, Shares: share("draft"),
+			},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: table.Repeatable, Public: true, Timeout: time.Second, Attempts: 2, Shares: share("desk")},
+		},
+		Accounts: []table.Account{{Name: "one", Keys: []string{"key"}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	w.relay.SetTable(t)
+	return w
+}
+
+func share(s string) []table.Share { return []table.Share{{Service: s, Weight: 1}} }
+
+func reports(n int) []fleet.Report {
+	var r []fleet.Report
+	for k := range n {
+		for _, s := range []string{"desk", "draft"} {
+			r = append(r, fleet.Report{
+				ID: fmt.Sprint(s, k), Service: s, Address: fmt.Sprintf("10.0.0.%d:1", k), DataCentre: "here", Version: "v1", Sequence: 1, Slots: 6,
+			})
+		}
+	}
+	return r
+}
+
+// serve sends a request and returns what the caller is told.
+func (w *world) serve(ctx context.Context, path, key string) *sink {
+	s := &sink{}
+	w.relay.Serve(ctx, &relay.Request{
+		ID: fmt.Sprint(path, w.sender.count()), Method: "POST", Host: "h", Path: path, Target: path, Key: key, Header: http.Header{}, Received: time.Now(),
+	}, s)
+	return s
+}
+
+// inBubble runs a test on a clock of its own.
+func inBubble(t *testing.T, f func(t *testing.T, i *is.I)) {
+	synctest.Test(t, func(t *testing.T) { f(t, is.New(t)) })
+}
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -15,8 +15,8 @@
 	// queueLines is how many lines may wait for the writer.
 	queueLines = 2048
 	// linesPerSecond and burstLines bound the lines below the level of a warning.
-	linesPerSecond = 1000
-	burstLines     = 400
+	linesPerSecond = 400
+	burstLines     = 800
 	// flushTimeout bounds the wait for the last lines at the end of the process.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -38,6 +38,9 @@
 
 // Write queues a copy of the line, or drops it where the queue is full.
 func (s *Spool) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
@@ -52,7 +55,7 @@
 func (s *Spool) run() {
 	defer close(s.done)
 	for b := range s.lines {
-		if b == nil {
+		if b == nil { // Flush was called
 			return
 		}
 		if _, err := s.out.Write(b); err != nil {
--- /dev/null
+++ b/spool/spool_test.go
@@ -0,0 +1,51 @@
+package spool_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/spool"
+)
+
+// A reader of standard output that has stopped holds up nobody: lines are dropped and counted.
+func TestStoppedReaderHoldsUpNobody(t *testing.T) {
+	i := is.New(t)
+	_, w := io.Pipe()
+	s := spool.New(w)
+	b := time.Now()
+	for range 10000 {
+		_, err := s.Write([]byte("line\n"))
+		i.NoErr(err)
+	}
+	i.True(time.Since(b) < time.Second)
+	i.True(s.Dropped() > 5000)
+	s.Flush() // ends in time, too
+	i.True(time.Since(b) < 2*time.Second)
+}
+
+func TestLinesBelowAWarningAreBounded(t *testing.T) {
+	i := is.New(t)
+	var b bytes.Buffer
+	s := spool.New(&b)
+	m := metrics.NewSet()
+	l := spool.NewLogger(s, "info", "h1", m)
+	for range 1500 {
+		l.Info("plain")
+	}
+	l.Warn("important") // lines left out before it end nothing
+	s.Flush()
+	n := strings.Count(b.String(), "plain")
+	i.True(n < 1500)
+	i.True(n >= 100)
+	i.Equal(strings.Count(b.String(), "important"), 1)
+	var v bytes.Buffer
+	m.WritePrometheus(&v)
+	i.True(strings.Contains(v.String(), "log_lines_limited_total"))
+	i.True(strings.Contains(b.String(), `"host":"h1"`))
+}
