--- a/pick/pick.go
+++ b/pick/pick.go
@@ -38,7 +38,7 @@
 	// coldCost is added for an endpoint that says it is still slow after its start.
 	coldCost = 60 * time.Millisecond
 	// requestCost is what a request under way adds to the wait of the next one at an engine.
-	requestCost = 9 * time.Millisecond
+	requestCost = 2 * time.Millisecond
 )
 
 // Need is what a request asks of an endpoint.
--- a/relay/job.go
+++ b/relay/job.go
@@ -35,12 +35,6 @@
 	mostSends = 5
 	// wholeBytes is the size up to which a plain answer is read whole before it is passed on.
 	wholeBytes = 512 << 10
-	// stepsPerPrompt is how many prompt tokens are read in the time of one generating step.
-	stepsPerPrompt = 257
-	// eventTokens is how many tokens an event is assumed to hold.
-	eventTokens = 5
-	// firstPause is the assumed pause between events before one was measured.
-	firstPause = 20 * time.Millisecond
 	// firstPlain is the assumed time of a plain answer before one was measured.
 	firstPlain = 40 * time.Millisecond
 	// startCost is the part of the wait for a first event that doesn't depend on the prompt.
@@ -261,7 +255,7 @@
 	var r []time.Duration
 	b := j.relay.Set.LeastBacklog(j.service.Name)
 	for _, m := range j.route.Sizes {
-		r = append(r, b+startCost+j.readBy(m, j.request.Prompt.Tokens))
+		r = append(r, b+startCost+j.relay.paces.read(m, j.request.Prompt.Tokens))
 	}
 	return r
 }
@@ -294,18 +288,8 @@
 	return ""
 }
 
-// pauseOf is the measured pause between events of a model.
-func (j *job) pauseOf(model string) time.Duration {
-	return j.relay.times.get("pause "+model, firstPause)
-}
-
 // read is the time in which the model that answers reads prompt tokens.
-func (j *job) read(tokens int) time.Duration { return j.readBy(j.model(), tokens) }
-
-// readBy is the time in which a model reads prompt tokens.
-func (j *job) readBy(model string, tokens int) time.Duration {
-	return time.Duration(float64(j.pauseOf(model)) / eventTokens * float64(tokens) / stepsPerPrompt)
-}
+func (j *job) read(tokens int) time.Duration { return j.relay.paces.read(j.model(), tokens) }
 
 // work is the estimated time to the start of the answer on a free endpoint.
 func (j *job) work() time.Duration {
@@ -327,6 +311,8 @@
 	work   time.Duration
 	sent   time.Time
 	began  bool
+	// wait is the time to the start of the answer.
+	wait time.Duration
 	// cancel stops the run.
 	cancel context.CancelFunc
 }
@@ -359,6 +345,7 @@
 	j := u.job
 	u.begin()
 	wait := time.Since(u.sent)
+	u.wait = wait
 	if r.Body == nil && (j.caller.Err() != nil || time.Until(j.deadline) <= 0) {
 		j.ran = j.ran || r.Verdict != NotRun
 		u.silent()
@@ -432,6 +419,9 @@
 func (u *use) good(wait time.Duration) {
 	u.job.relay.Set.Good(u.choice.ID, wait, u.choice.Wait)
 	u.job.tally(u, false, wait)
+	if u.job.route.Kind == table.Stream {
+		u.job.relay.paces.learn(u.job.model(), u.job.request.Prompt.Tokens, wait-time.Duration(u.choice.Load.Backlog)*time.Millisecond)
+	}
 	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
 }
 
@@ -454,7 +444,7 @@
 	d := time.Since(j.request.Received)
 	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=\"served\"}", j.route.Name)).Inc()
 	j.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("request_seconds{route=%q}", j.route.Name)).Update(d.Seconds())
-	u.log().WithFields(logrus.Fields{"outcome": "served", "status": status, "runs": j.runs, "pause": j.longest.Milliseconds()}).Info("request: served")
+	u.log().WithFields(logrus.Fields{"outcome": "served", "status": status, "runs": j.runs, "pause": j.longest.Milliseconds(), "wait": u.wait.Milliseconds(), "prompt": j.request.Prompt.Tokens}).Info("request: served")
 }
 
 // whole is an answer that was read to its end.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,12 +32,13 @@
 	// end is when a stopping host breaks requests off, as Unix nanoseconds; 0 while it goes on.
 	end     atomic.Int64
 	times   times
+	paces   *paces
 	tallies tallies
 }
 
 // New returns a relay that knows no table yet.
 func New(o Options) *Relay {
-	r := &Relay{Options: o, times: newTimes(), tallies: tallies{cells: map[string]stage.Tally{}}}
+	r := &Relay{Options: o, times: newTimes(), paces: newPaces(), tallies: tallies{cells: map[string]stage.Tally{}}}
 	r.entries.Store(1)
 	return r
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -73,7 +73,6 @@
 	j := u.job
 	b := bufio.NewReaderSize(body, streamBuffer)
 	var e []byte
-	t := time.Now()
 	for {
 		l, err := b.ReadSlice('\n')
 		e = append(e, l...)
@@ -90,12 +89,10 @@
 			if id, ok := eventID(e); ok {
 				j.last = id
 			}
-			j.relay.times.add("pause "+j.model(), min(time.Since(t), time.Second))
 			if !j.newest.IsZero() {
 				j.longest = max(j.longest, time.Since(j.newest))
 			}
 			j.newest = time.Now()
-			t = time.Now()
 			watch.Reset(silence)
 			e = e[:0]
 			continue
