Weigh worth, price, backlog and lateness for the size of a model; wait for busy endpoints

Change: sizes by expected worth; paces from waits at idle endpoints, towards a low quantile; patience extends while the endpoint answers others; budget saves more.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -86,6 +86,8 @@
 	banned time.Time
 	// pace is how much slower than estimated the endpoint answers.
 	pace float64
+	// alive is when the endpoint last gave a sign.
+	alive time.Time
 	// gone is set once another start answered at the endpoint's address.
 	gone bool
 }
@@ -407,6 +409,23 @@
 	return c
 }
 
+// Alive tells of a sign of an endpoint, such as an event of a stream.
+func (s *Set) Alive(id string, now time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if n, ok := s.nodes[id]; ok {
+		n.alive = now
+	}
+}
+
+// AliveSince reports whether an endpoint has given a sign since a time.
+func (s *Set) AliveSince(id string, since time.Time) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.nodes[id]
+	return ok && n.alive.After(since)
+}
+
 // Faulty tells of a fault of an endpoint. It returns how long the endpoint is passed over.
 func (s *Set) Faulty(id string, now time.Time) time.Duration {
 	s.lock.Lock()
@@ -425,34 +444,23 @@
 	return b
 }
 
-// Load returns the requests at a service's endpoints as a part of their slots.
-func (s *Set) Load(service string, slots int) float64 {
+// Backlogs are the work that waits at the endpoint of a service with the least of it, and on average.
+func (s *Set) Backlogs(service string) (least, mean time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	n, k := 0, 0
+	n, sum, low := 0, 0, -1
 	for _, e := range s.nodes {
-		if e.report.Service == service && e.report.Phase == fleet.Ready {
-			n += e.mine.Requests + e.others.Requests
-			k += max(1, slots)
+		if e.gone || e.report.Service != service || e.report.Phase != fleet.Ready {
+			continue
 		}
-	}
-	if k == 0 {
-		return 1
-	}
-	return float64(n) / float64(k)
-}
-
-// LeastBacklog is the work that waits at the endpoint of a service with the least of it.
-func (s *Set) LeastBacklog(service string) time.Duration {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	b := -1
-	for _, n := range s.nodes {
-		if n.report.Service == service && n.report.Phase == fleet.Ready {
-			if w := n.mine.Backlog + n.others.Backlog; b < 0 || w < b {
-				b = w
-			}
+		w := e.mine.Backlog + e.others.Backlog
+		n, sum = n+1, sum+w
+		if low < 0 || w < low {
+			low = w
 		}
 	}
-	return time.Duration(max(0, b)) * time.Millisecond
+	if n == 0 {
+		return 0, 0
+	}
+	return time.Duration(low) * time.Millisecond, time.Duration(sum/n) * time.Millisecond
 }
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -9,12 +9,12 @@
 const (
 	// ratioPart is the part of the allowed ratio of repeats that each request earns, and savedPart the part
 	// that may be saved up for the requests of a window.
-	ratioPart = 0.88
-	savedPart = 0.09
+	ratioPart = 0.76
+	savedPart = 0.22
 	// slackPart is the part of the slack that the hosts share.
-	slackPart = 0.75
+	slackPart = 0.85
 	// sparePart is the part of the most that can be saved up which is left for faults.
-	sparePart = 0.4
+	sparePart = 0.5
 	// leastSaved is the number of repeats that a host may always save up.
 	leastSaved = 2
 )
--- a/relay/job.go
+++ b/relay/job.go
@@ -31,10 +31,17 @@
 	leastPatience = 1300 * time.Millisecond
 	patiencePart  = 0.55
 	patienceTimes = 3
-	// mostSends bounds the sendings of a request, those that did not run among them.
-	mostSends = 5
+	// busyPatience is how many times as long a busy endpoint is waited for.
+	busyPatience = 3
+	// mostSends bounds the sendings of a request that reached an endpoint, mostUntouched those that did not.
+	mostSends     = 5
+	mostUntouched = 10
 	// wholeBytes is the size up to which a plain answer is read whole before it is passed on.
 	wholeBytes = 512 << 10
+	// costTokens is the number of generated tokens that a model's cost is for, and readParts how many read
+	// tokens cost as much as a generated one.
+	costTokens = 1000
+	readParts  = 4
 	// firstPlain is the assumed time of a plain answer before one was measured.
 	firstPlain = 40 * time.Millisecond
 	// startCost is the part of the wait for a first event that doesn't depend on the prompt.
@@ -59,8 +66,10 @@
 	tried map[string]bool
 	sends int
 	runs  int
-	// untouched is set where the newest sending did not reach an endpoint, so that the next is no repeat.
-	untouched bool
+	// untouched counts the sendings that did not reach an endpoint.
+	untouched int
+	// spent says why the request is not sent again.
+	spent string
 	// ran is set once the request may have run anywhere.
 	ran bool
 	// size is the model's place among the route's sizes.
@@ -85,7 +94,7 @@
 // refuse ends the request with an answer of this host.
 func (j *job) refuse(why Reason, after time.Duration) {
 	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=%q}", j.route.Name, why)).Inc()
-	j.log().WithFields(logrus.Fields{"outcome": why.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs}).Warn("request: refused")
+	j.log().WithFields(logrus.Fields{"outcome": why.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs, "spent": j.spent}).Warn("request: refused")
 	j.sink.Refuse(Refusal{Reason: why, RetryAfter: after})
 }
 
@@ -95,6 +104,7 @@
 		return
 	}
 	if len(j.route.Sizes) > 0 {
+		j.relay.weights.add(j.route.Name, float64(j.request.Prompt.weight()))
 		j.size = sizes.First(j.ask())
 	}
 	for {
@@ -115,6 +125,8 @@
 const (
 	// done means that the caller has its final answer.
 	done next = iota
+	// missed means that no byte of the request reached the endpoint, so that the next sending is no repeat.
+	missed
 	// again means that the request did not run there.
 	again
 	// repeat means that it may have run, and another run is needed.
@@ -129,7 +141,7 @@
 	full
 )
 
-// mayRepeat reports whether the request is sent once more, and counts it.
+// mayRepeat reports whether the request is sent once more, and counts it. Where it isn't, spent says why.
 func (j *job) mayRepeat(v next) bool {
 	switch v {
 	case nowhere, over, full:
@@ -138,17 +150,22 @@
 		return true
 	case repeat:
 		if !j.route.Idempotent() || j.runs >= max(1, j.route.Attempts) {
+			j.spent = "attempts"
 			return false
 		}
 	}
-	if j.sends >= mostSends || time.Until(j.deadline) < answerMargin {
+	if j.sends >= mostSends || j.untouched >= mostUntouched || time.Until(j.deadline) < answerMargin {
+		j.spent = "sends or time"
 		return false
 	}
-	if j.untouched {
-		j.untouched = false
+	if v == missed {
 		return true
 	}
-	return j.relay.Budget.Take(j.service.Name)
+	if !j.relay.Budget.Take(j.service.Name) {
+		j.spent = "budget"
+		return false
+	}
+	return true
 }
 
 // giveUp gives the final answer where no attempt brought one.
@@ -158,7 +175,7 @@
 		return
 	}
 	if j.begun {
-		j.log().WithFields(logrus.Fields{"outcome": "broken-off", "last-event": j.last, "sends": j.sends}).Warn("request: the answer ends early")
+		j.log().WithFields(logrus.Fields{"outcome": "broken-off", "last-event": j.last, "sends": j.sends, "runs": j.runs, "spent": j.spent}).Warn("request: the answer ends early")
 		j.sink.Break()
 		return
 	}
@@ -217,6 +234,7 @@
 	defer f()
 	u.cancel = f
 	w := u.watch(j.patience(c.Wait))
+	u.grace = j.route.Kind == table.Stream
 	r := j.relay.Sender.Send(x, a)
 	w.Stop()
 	if r.Body != nil {
@@ -243,21 +261,30 @@
 	return max(2, j.service.MaxConnections*9/10/int(j.relay.entries.Load()))
 }
 
+// ask describes the request to the choice of a size.
 func (j *job) ask() sizes.Ask {
-	return sizes.Ask{
-		Waits: j.waits(), Rank: j.route.Priority, Attempts: max(1, j.route.Attempts) - j.runs + 1, Load: j.relay.Set.Load(j.service.Name, j.service.Slots),
-		Left: time.Until(j.request.Received.Add(j.route.Objective)),
+	l, m := j.relay.Set.Backlogs(j.service.Name)
+	p := j.request.Prompt
+	a := sizes.Ask{
+		Rank: j.route.Priority, Size: float64(p.weight()) / max(1, j.relay.weights.get(j.route.Name)),
+		Attempts: max(1, j.route.Attempts) - j.runs + 1, Backlog: m, Left: time.Until(j.request.Received.Add(j.route.Objective)),
+	}
+	for _, n := range j.route.Sizes {
+		r := j.relay.paces.read(n, p.Tokens)
+		a.Options = append(a.Options, sizes.Option{Wait: l + startCost + r, Work: r, Price: j.price(n)})
 	}
+	return a
 }
 
-// waits are the estimated times to the first event of each size at the endpoint with the least to do.
-func (j *job) waits() []time.Duration {
-	var r []time.Duration
-	b := j.relay.Set.LeastBacklog(j.service.Name)
-	for _, m := range j.route.Sizes {
-		r = append(r, b+startCost+j.relay.paces.read(m, j.request.Prompt.Tokens))
+// price is what a model costs for the request.
+func (j *job) price(model string) float64 {
+	p := j.request.Prompt
+	for _, m := range j.service.Models {
+		if m.Name == model {
+			return m.Cost * (float64(p.expected()) + float64(p.Tokens)/readParts) / costTokens
+		}
 	}
-	return r
+	return 0
 }
 
 // need describes the request to the choice of an endpoint.
@@ -313,12 +340,27 @@
 	began  bool
 	// wait is the time to the start of the answer.
 	wait time.Duration
+	// grace is set while a busy endpoint may still be given more time for the start of the answer.
+	grace bool
 	// cancel stops the run.
 	cancel context.CancelFunc
 }
 
-// watch stops the run after a time without a sign of the endpoint.
-func (u *use) watch(after time.Duration) *time.Timer { return time.AfterFunc(after, u.cancel) }
+// watch stops the run after a time without a sign of it.
+func (u *use) watch(after time.Duration) *time.Timer {
+	return time.AfterFunc(after, func() { u.expire(after) })
+}
+
+// expire stops the run, unless the endpoint has answered others meanwhile: then it is busy rather than
+// dead, and running the request a second time elsewhere would only add to the load.
+func (u *use) expire(after time.Duration) {
+	if u.grace && u.job.relay.Set.AliveSince(u.choice.ID, u.sent) {
+		u.grace = false
+		time.AfterFunc(busyPatience*after, u.cancel)
+		return
+	}
+	u.cancel()
+}
 
 func (u *use) begin() {
 	if !u.began {
@@ -388,9 +430,13 @@
 	}
 	if r.Untouched {
 		b = j.relay.Set.Unreachable(u.choice.ID, time.Now())
-		j.untouched = true
 	}
 	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "cause": cause(r), "banned": b.Milliseconds()}).Info("attempt: the endpoint did not run the request")
+	if r.Status == 0 {
+		j.sends--
+		j.untouched++
+		return missed
+	}
 	return again
 }
 
@@ -420,7 +466,7 @@
 	u.job.relay.Set.Good(u.choice.ID, wait, u.choice.Wait)
 	u.job.tally(u, false, wait)
 	if u.job.route.Kind == table.Stream {
-		u.job.relay.paces.learn(u.job.model(), u.job.request.Prompt.Tokens, wait-time.Duration(u.choice.Load.Backlog)*time.Millisecond)
+		u.job.relay.paces.learn(u.job.model(), u.job.request.Prompt.Tokens, wait, time.Duration(u.choice.Load.Backlog)*time.Millisecond)
 	}
 	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
 }
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -11,9 +11,15 @@
 	// leastRead bounds the measured time to read a prompt token.
 	leastRead = 500 * time.Nanosecond
 	// measuredPrompt is the number of prompt tokens from which a wait says how fast a model reads.
-	measuredPrompt = 1000
-	// paceWeight is the part of the newest wait in a model's pace.
-	paceWeight = 0.1
+	measuredPrompt = 1500
+	// idleBacklog is the most work that may wait at an endpoint whose wait is measured.
+	idleBacklog = 40 * time.Millisecond
+	// mostRead bounds the first measured time to read a prompt token.
+	mostRead = 60 * time.Microsecond
+	// stepDown and stepUp move a pace towards a low quantile of the waits: those above it hold other
+	// requests' work that the backlog did not tell of.
+	stepDown = 0.06
+	stepUp   = 0.02
 )
 
 // paces are how fast models read prompts, learned from the waits for first events. It is safe for
@@ -25,19 +31,24 @@
 
 func newPaces() *paces { return &paces{reads: map[string]float64{}} }
 
-// learn takes the wait for the first event of a prompt, less the work that was known to be before it.
-func (p *paces) learn(model string, tokens int, wait time.Duration) {
-	if tokens < measuredPrompt {
+// learn takes the wait for the first event of a prompt at an endpoint where a backlog was before it. Only
+// waits at endpoints with next to none say how fast the model is.
+func (p *paces) learn(model string, tokens int, wait, backlog time.Duration) {
+	if tokens < measuredPrompt || backlog > idleBacklog {
 		return
 	}
 	x := max(float64(leastRead), float64(wait-startCost)/float64(tokens))
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	o, ok := p.reads[model]
-	if !ok {
-		o = x
+	switch {
+	case !ok:
+		p.reads[model] = min(x, float64(mostRead))
+	case x < o:
+		p.reads[model] = o * (1 - stepDown)
+	default:
+		p.reads[model] = o * (1 + stepUp)
 	}
-	p.reads[model] = o + paceWeight*(x-o)
 }
 
 // read is the time in which a model reads prompt tokens.
@@ -50,3 +61,30 @@
 	}
 	return time.Duration(r * float64(tokens))
 }
+
+// weightsWeight is the part of the newest request in the mean size of a route.
+const weightsWeight = 0.03
+
+// weights are the mean sizes of requests by route. They are safe for concurrent use.
+type weights struct {
+	lock  *sync.Mutex
+	means map[string]float64
+}
+
+func newWeights() weights { return weights{lock: &sync.Mutex{}, means: map[string]float64{}} }
+
+func (w weights) add(route string, size float64) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	o, ok := w.means[route]
+	if !ok {
+		o = size
+	}
+	w.means[route] = o + weightsWeight*(size-o)
+}
+
+func (w weights) get(route string) float64 {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.means[route]
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,12 +33,13 @@
 	end     atomic.Int64
 	times   times
 	paces   *paces
+	weights weights
 	tallies tallies
 }
 
 // New returns a relay that knows no table yet.
 func New(o Options) *Relay {
-	r := &Relay{Options: o, times: newTimes(), paces: newPaces(), tallies: tallies{cells: map[string]stage.Tally{}}}
+	r := &Relay{Options: o, times: newTimes(), paces: newPaces(), weights: newWeights(), tallies: tallies{cells: map[string]stage.Tally{}}}
 	r.entries.Store(1)
 	return r
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -18,10 +18,26 @@
 	// Tokens are those of the prompt; Output is the most that may be generated.
 	Tokens int
 	Output int
+	// Hint is the caller's estimate of the tokens that will be generated, or 0.
+	Hint int
 	// Parts are the prompt's parts in order.
 	Parts []Part
 }
 
+// expected is the number of tokens that will probably be generated.
+func (p Prompt) expected() int {
+	if p.Hint > 0 {
+		return p.Hint
+	}
+	return p.Output
+}
+
+// weight is the size of a request: a generated token counts as ten that are read.
+func (p Prompt) weight() int { return p.Tokens + generatedWeight*p.expected() }
+
+// generatedWeight is how many read tokens a generated one counts for in a request's size.
+const generatedWeight = 10
+
 // Part is a piece of a prompt that requests may share.
 type Part struct {
 	ID     string
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -83,6 +83,7 @@
 			continue
 		}
 		if err == nil {
+			j.relay.Set.Alive(u.choice.ID, time.Now())
 			if err := j.sink.Write(e); err != nil {
 				return errCallerLeft
 			}
--- a/sizes/sizes.go
+++ b/sizes/sizes.go
@@ -1,59 +1,125 @@
 // Package sizes chooses among the models of a route: which size answers first, and whether an answer is
-// kept or asked for again from a larger one.
+// kept or asked for again from a larger one. It weighs what a right answer is worth against the model's
+// price, the time of the pool that it takes and the chance that it comes late.
 package sizes
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// kept are the confidences from which an answer is kept, by the rank of the request: the more urgent a
-// request, the more a wrong answer costs beside the models' prices.
-var kept = []int{65, 55, 50}
+// worths are what a right answer of a mean size is worth, by the rank of the request.
+var worths = []float64{6, 1, 0.4}
 
 const (
-	// waitMargin is how many times its estimated wait a larger model has to have left: the estimate knows
-	// neither of other hosts' newest requests nor of an endpoint's own pace.
-	waitMargin = 1.5
-	// busyFrom is the load of the pool, as a part of its slots, from which answers are kept with less
-	// confidence, and fullFrom the load from which all are.
-	busyFrom = 0.7
-	fullFrom = 1.3
+	// doubtMiddle is the confidence at which an answer is as often wrong as right, and doubtWidth how fast
+	// that changes with the confidence.
+	doubtMiddle = 45
+	doubtWidth  = 9
+	// wrongPart is what a wrong answer is worth, as a part of a right one, and latePart a late one.
+	wrongPart = 0.05
+	latePart  = 0.3
+	// middleGain is the chance that a middle size knows what a smaller one doesn't.
+	middleGain = 0.2
+	// busyPrice is what a second of an endpoint is worth for each second of work that waits there.
+	busyPrice = 6
+	// latenessMargin is how many times its estimate a wait may be and still be in time.
+	latenessMargin = 1.2
+	// sizeFloor is the part of a request's worth that doesn't follow its size, and mostSize bounds the rest.
+	sizeFloor = 0.3
+	mostSize  = 4
+	// firstDoubt is the chance that the smallest size is wrong, before it was asked.
+	firstDoubt = 0.45
 )
 
+// Option is a size that may answer.
+type Option struct {
+	// Wait is the estimated time to the first event.
+	Wait time.Duration
+	// Work is the time of an endpoint that it takes.
+	Work time.Duration
+	// Price is that of the model for this request, in the unit of worths.
+	Price float64
+}
+
 // Ask is a request for which a size has to be chosen.
 type Ask struct {
-	// Waits are the estimated times to the first event of each size, from the smallest to the largest.
-	Waits []time.Duration
+	// Options are the sizes from the smallest to the largest.
+	Options []Option
 	// Rank is the request's priority; 0 is the highest.
 	Rank int
+	// Size is the request's size as a part of the mean of its route.
+	Size float64
 	// Attempts is how often the request may still be sent, this sending among them.
 	Attempts int
-	// Load is the requests at the service's endpoints as a part of their slots.
-	Load float64
+	// Backlog is the work that waits at an endpoint on average.
+	Backlog time.Duration
 	// Left is the time until the answer is late.
 	Left time.Duration
 }
 
-// First returns the size that answers first.
-func First(Ask) int { return 0 }
+// worth is what a right answer in time is worth.
+func (a Ask) worth() float64 {
+	return worths[min(max(a.Rank, 0), len(worths)-1)] * min(mostSize, sizeFloor+(1-sizeFloor)*a.Size)
+}
 
-// Next returns the size to ask after an answer of a size with a confidence from 0 to 100: the largest that
-// can answer in time. ok is false where the answer is kept.
-func Next(a Ask, size, confidence int) (next int, ok bool) {
-	if a.Attempts <= 1 || confidence >= a.threshold() {
-		return size, false
+// cost is what an option takes from others.
+func (a Ask) cost(o Option) float64 {
+	return o.Price + busyPrice*a.Backlog.Seconds()*o.Work.Seconds()
+}
+
+// timely is the part of its worth that an answer of an option keeps for coming after earlier waits.
+func (a Ask) timely(o Option, before time.Duration) float64 {
+	if time.Duration(latenessMargin*float64(o.Wait))+before > a.Left {
+		return latePart
 	}
-	for n := len(a.Waits) - 1; n > size; n-- {
-		if time.Duration(float64(a.Waits[n])*waitMargin) < a.Left {
-			return n, true
-		}
+	return 1
+}
+
+// doubt is the chance that an answer with a confidence is wrong.
+func doubt(confidence int) float64 {
+	return 1 / (1 + math.Exp((float64(confidence)-doubtMiddle)/doubtWidth))
+}
+
+// right is the part of a right answer's worth that is expected where an answer is wrong by a chance.
+func right(wrong float64) float64 { return 1 - wrong + wrong*wrongPart }
+
+// First returns the size that answers first: the smallest, or the largest where asking both would make the
+// answer late and the largest is worth its cost.
+func First(a Ask) int {
+	n := len(a.Options) - 1
+	if n <= 0 || a.Attempts <= 0 {
+		return 0
 	}
-	return size, false
+	s, l := a.Options[0], a.Options[n]
+	w := a.worth()
+	direct := w*a.timely(l, 0) - a.cost(l)
+	both := w*((1-firstDoubt)*a.timely(s, 0)+firstDoubt*a.timely(l, s.Wait)) - a.cost(s) - firstDoubt*a.cost(l)
+	if direct > both {
+		return n
+	}
+	return 0
 }
 
-// threshold is the confidence from which an answer is kept.
-func (a Ask) threshold() int {
-	k := kept[min(max(a.Rank, 0), len(kept)-1)]
-	if a.Load <= busyFrom {
-		return k
+// Next returns the size to ask after an answer of a size with a confidence from 0 to 100. ok is false where
+// the answer is kept.
+func Next(a Ask, size, confidence int) (next int, ok bool) {
+	if a.Attempts <= 1 {
+		return size, false
+	}
+	w, d := a.worth(), doubt(confidence)
+	best := w * right(d)
+	if a.Left <= 0 {
+		best *= latePart
+	}
+	for n := size + 1; n < len(a.Options); n++ {
+		f := d * (1 - middleGain)
+		if n == len(a.Options)-1 {
+			f = 0
+		}
+		if v := w*right(f)*a.timely(a.Options[n], 0) - a.cost(a.Options[n]); v > best {
+			best, next, ok = v, n, true
+		}
 	}
-	return int(float64(k) * max(0, (fullFrom-a.Load)/(fullFrom-busyFrom)))
+	return next, ok
 }
