Assume models' paces from their costs until measured, and share what was measured

Ruled out: too little room (the smallest model alone would need a tenth of the pool). Change: paces from costs until measured, and handed on through the control hosts.

--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -379,7 +379,7 @@
 		n.TableVersion, n.Document = d.Version, d.Content
 	}
 	if q.Known.Control != s.Start || q.Known.FleetRevision != s.Fleet.Revision {
-		n.FleetNew, n.Reports = true, s.Fleet.Reports()
+		n.FleetNew, n.Reports, n.Reads = true, s.Fleet.Reports(), s.Reads()
 	}
 	if !s.Sure {
 		n.Rollouts = nil
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -183,6 +183,9 @@
 			n.tallies[c.Key()] = c
 		}
 	}
+	if n.report.Reads == nil {
+		n.report.Reads = o.report.Reads
+	}
 	n.report.Tallies = nil
 	t.hosts = t.hosts.Set(r.Host, n)
 	if own {
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -218,3 +218,18 @@
 	}
 	return s.Now - s.heardLeader
 }
+
+// Reads returns the times to read a prompt token that entry hosts have measured: of each model, the one of
+// the host that was heard last.
+func (s State) Reads() map[string]time.Duration {
+	r, at := map[string]time.Duration{}, map[string]time.Duration{}
+	for i := s.hosts.Iterator(); !i.Done(); {
+		_, h, _ := i.Next()
+		for m, v := range h.report.Reads {
+			if _, ok := r[m]; !ok || h.heard > at[m] {
+				r[m], at[m] = v, h.heard
+			}
+		}
+	}
+	return r
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,8 @@
 	exchangeTimeout = 700 * time.Millisecond
 	// exchangePause is the pause after a failed exchange.
 	exchangePause = 60 * time.Millisecond
+	// pacesEvery is the number of exchanges of which one tells the measured paces of models.
+	pacesEvery = 16
 	// sweepEvery is how often idle connections to endpoints are looked through.
 	sweepEvery = time.Second
 )
@@ -129,8 +131,12 @@
 		return err
 	}
 	e.sequence++
+	var p map[string]time.Duration
+	if e.sequence%pacesEvery == 0 {
+		p = e.Relay.Paces()
+	}
 	q := feed.Query{
-		Report: feed.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.Loads(), Tallies: e.Relay.TakeTallies()},
+		Report: feed.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.Loads(), Tallies: e.Relay.TakeTallies(), Reads: p},
 		Known:  e.known, Wait: exchangeWait,
 	}
 	if e.known.Control == "" {
@@ -207,6 +213,7 @@
 	}
 	if n.FleetNew {
 		e.Set.Replace(n.Reports)
+		e.Relay.AdoptPaces(n.Reads)
 		e.known.Control, e.known.FleetRevision = n.Control, n.FleetRevision
 		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": n.FleetRevision, "endpoints": len(n.Reports)}).Info("entry: endpoints changed")
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -34,6 +34,8 @@
 	Loads map[string]Load
 	// Tallies are those that have changed since the last exchange that was answered.
 	Tallies []stage.Tally
+	// Reads are the times to read a prompt token that the host has measured, by model.
+	Reads map[string]time.Duration
 }
 
 // Known is what an entry host holds, so that the answer brings only news.
@@ -72,6 +74,8 @@
 	Rollouts      []stage.View
 	// Loads are the requests that other entry hosts have under way, by endpoint.
 	Loads map[string]Load
+	// Reads are the times to read a prompt token that entry hosts have measured, by model.
+	Reads map[string]time.Duration
 	// Entries is the number of entry hosts; Controls are the peer addresses of control hosts.
 	Entries  int
 	Controls []string
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -138,7 +138,7 @@
 	w.set.Replace(reports(endpoints))
 	t, err := table.New(table.Table{
 		Version:  1,
-		Services: []table.Service{{Name: "desk", MaxConnections: 100}, {Name: "draft", MaxConnections: 100, Slots: 64}},
+		Services: []table.Service{{Name: "desk", MaxConnections: 100}, {Name: "draft", MaxConnections: 100, Slots: 64, Models: []table.Model{{Name: "small", Cost: 0.018}, {Name: "middle", Cost: 0.14}, {Name: "large", Cost: 0.27}}}},
 		Routes: []table.Route{
 			{Name: "book", Host: "h", Prefix: "/book/", Kind: table.Once, Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, Attempts: 1, Shares: share("desk")},
 			{Name: "look", Host: "h", Prefix: "/look/", Kind: table.Repeatable, Timeout: 800 * time.Millisecond, Objective: 300 * time.Millisecond, Attempts: 3, Shares: share("desk")},
--- a/relay/job.go
+++ b/relay/job.go
@@ -270,23 +270,28 @@
 		Attempts: max(1, j.route.Attempts) - j.runs + 1, Backlog: m, Left: time.Until(j.request.Received.Add(j.route.Objective)),
 	}
 	for _, n := range j.route.Sizes {
-		r := j.relay.paces.read(n, p.Tokens)
+		r := j.relay.paces.read(n, j.cost(n), p.Tokens)
 		a.Options = append(a.Options, sizes.Option{Wait: l + startCost + r, Work: r, Price: j.price(n)})
 	}
 	return a
 }
 
-// price is what a model costs for the request.
-func (j *job) price(model string) float64 {
-	p := j.request.Prompt
+// cost is that of a model for 1,000 generated tokens, or 0 where it isn't known.
+func (j *job) cost(model string) float64 {
 	for _, m := range j.service.Models {
 		if m.Name == model {
-			return m.Cost * (float64(p.expected()) + float64(p.Tokens)/readParts) / costTokens
+			return m.Cost
 		}
 	}
 	return 0
 }
 
+// price is what a model costs for the request.
+func (j *job) price(model string) float64 {
+	p := j.request.Prompt
+	return j.cost(model) * (float64(p.expected()) + float64(p.Tokens)/readParts) / costTokens
+}
+
 // need describes the request to the choice of an endpoint.
 func (j *job) need() pick.Need {
 	n := pick.Need{Service: j.service.Name, Slots: j.service.Slots, Work: j.work(), Hold: j.hold(), Draw: j.draw, Tried: j.tried}
@@ -316,7 +321,9 @@
 }
 
 // read is the time in which the model that answers reads prompt tokens.
-func (j *job) read(tokens int) time.Duration { return j.relay.paces.read(j.model(), tokens) }
+func (j *job) read(tokens int) time.Duration {
+	return j.relay.paces.read(j.model(), j.cost(j.model()), tokens)
+}
 
 // work is the estimated time to the start of the answer on a free endpoint.
 func (j *job) work() time.Duration {
@@ -466,7 +473,7 @@
 	u.job.relay.Set.Good(u.choice.ID, wait, u.choice.Wait)
 	u.job.tally(u, false, wait)
 	if u.job.route.Kind == table.Stream {
-		u.job.relay.paces.learn(u.job.model(), u.job.request.Prompt.Tokens, wait, time.Duration(u.choice.Load.Backlog)*time.Millisecond)
+		u.job.relay.paces.learn(u.job.model(), u.job.cost(u.job.model()), u.job.request.Prompt.Tokens, wait, time.Duration(u.choice.Load.Backlog)*time.Millisecond)
 	}
 	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
 }
