--- a/sizes/sizes.go
+++ b/sizes/sizes.go
@@ -9,12 +9,12 @@
 )
 
 // worths are what a right answer of a mean size is worth, by the rank of the request.
-var worths = []float64{6, 1, 0.4}
+var worths = []float64{6, 1, 0.8}
 
 const (
 	// doubtMiddle is the confidence at which an answer is as often wrong as right, and doubtWidth how fast
 	// that changes with the confidence.
-	doubtMiddle = 45
+	doubtMiddle = 48
 	doubtWidth  = 9
 	// wrongPart is what a wrong answer is worth, as a part of a right one, and latePart a late one.
 	wrongPart = 0.05
@@ -22,7 +22,7 @@
 	// middleGain is the chance that a middle size knows what a smaller one doesn't.
 	middleGain = 0.2
 	// busyPrice is what a second of an endpoint is worth for each second of work that waits there.
-	busyPrice = 6
+	busyPrice = 10
 	// latenessMargin is how many times its estimate a wait may be and still be in time.
 	latenessMargin = 1.2
 	// sizeFloor is the part of a request's worth that doesn't follow its size, and mostSize bounds the rest.
