--- a/cmds/node.go
+++ b/cmds/node.go
@@ -134,7 +134,7 @@
 }
 
 func (n *node) startControl() error {
-	l, err := listenAll(n.settings.PeerAddress(), n.settings.AdminAddress)
+	l, err := listenAll(n.settings.PeerListenAddress(), n.settings.AdminAddress)
 	if err != nil {
 		return err
 	}
--- a/conf/node.go
+++ b/conf/node.go
@@ -82,6 +82,9 @@
 	// PeerPort takes other hosts on control hosts; MetricsPort serves metrics on all.
 	PeerPort    uint16 `json:"peer-port"`
 	MetricsPort uint16 `json:"metrics-port"`
+	// PeerListenPort is the port on which this host listens for others where a tunnel stands before it; 0
+	// means PeerPort.
+	PeerListenPort uint16 `json:"peer-listen-port"`
 	// Seeds are admin addresses of some control hosts; their peers listen on PeerPort.
 	Seeds []string `json:"seeds"`
 	// Found is set at the very first start of a deployment: the seeds make the control log.
@@ -174,6 +177,14 @@
 // PeerAddress is where this host's peers reach it.
 func (n Node) PeerAddress() string { return n.withPeerPort(n.IP) }
 
+// PeerListenAddress is where this host listens for its peers.
+func (n Node) PeerListenAddress() string {
+	if n.PeerListenPort == 0 {
+		return n.PeerAddress()
+	}
+	return fmt.Sprintf("%s:%d", n.IP, n.PeerListenPort)
+}
+
 // SeedPeers are the peer addresses of the seeds.
 func (n Node) SeedPeers() []string {
 	var r []string
--- /dev/null
+++ b/proof/routed.go
@@ -0,0 +1,219 @@
+package proof
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+const (
+	peerPort   = 7801
+	listenPort = 7802
+	adminPort  = 7803
+	callerPort = 7804
+	readyPort  = 7805
+	metricPort = 7806
+)
+
+// Process is one process of a routed deployment.
+type Process struct {
+	Name       string
+	IP         string
+	Control    bool
+	DataCentre string
+	// Tunnel carries what other hosts send to a control host; faults are set on it.
+	Tunnel *toxiproxy.Proxy
+	cmd    *exec.Cmd
+	found  bool
+}
+
+// Routed is a deployment of control hosts and entry hosts as separate processes, each with a loopback IP.
+type Routed struct {
+	t       testing.TB
+	binary  string
+	folder  string
+	faults  *toxiproxy.ApiServer
+	net     string
+	Control []*Process
+	Entry   []*Process
+}
+
+// StartRouted founds a deployment with a control host in each of three data centres, and entry hosts.
+func StartRouted(t testing.TB, binary string, entries int) *Routed {
+	t.Helper()
+	n := addresses.Add(1)
+	r := &Routed{t: t, binary: binary, folder: t.TempDir(), net: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	r.faults = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	t.Cleanup(r.stop)
+	for k := range 3 {
+		r.Control = append(r.Control, r.process(fmt.Sprint("control", k), k+1, k, true))
+	}
+	for k := range entries {
+		r.Entry = append(r.Entry, r.process(fmt.Sprint("entry", k), 10+k, k%3, false))
+	}
+	for _, p := range append(r.Control, r.Entry...) {
+		p.found = true
+		r.Start(p)
+		p.found = false
+	}
+	return r
+}
+
+func (r *Routed) process(name string, last, centre int, control bool) *Process {
+	p := &Process{Name: name, IP: fmt.Sprintf("%s.%d", r.net, last), Control: control, DataCentre: fmt.Sprint("centre", centre)}
+	if control {
+		p.Tunnel = toxiproxy.NewProxy(r.faults, name, fmt.Sprintf("%s:%d", p.IP, peerPort), fmt.Sprintf("%s:%d", p.IP, listenPort))
+		if err := p.Tunnel.Start(); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	return p
+}
+
+// settings renders a process's settings as the deployment's template would.
+func (r *Routed) settings(p *Process) map[string]any {
+	var s []string
+	for _, c := range r.Control {
+		s = append(s, fmt.Sprintf("%s:%d", c.IP, adminPort))
+	}
+	m := map[string]any{
+		"part": "entry", "name": p.Name, "data-centre": p.DataCentre, "ip": p.IP, "peer-port": peerPort, "metrics-port": metricPort,
+		"seeds": s, "found": p.found, "memory-mb": 280, "descriptors": 4000, "caller-address": "", "ready-address": "", "admin-address": "", "data-folder": "",
+		"bounds": map[string]any{
+			"grace": "4s", "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
+		},
+	}
+	if p.Control {
+		m["part"], m["admin-address"], m["data-folder"] = "control", fmt.Sprintf("%s:%d", p.IP, adminPort), filepath.Join(r.folder, p.Name)
+		m["peer-listen-port"] = listenPort
+		return m
+	}
+	m["caller-address"], m["ready-address"] = fmt.Sprintf("%s:%d", p.IP, callerPort), fmt.Sprintf("%s:%d", p.IP, readyPort)
+	return m
+}
+
+// LogPath is where a process's log lines go; those of all its starts follow each other.
+func (r *Routed) LogPath(p *Process) string { return filepath.Join(r.folder, p.Name+".log") }
+
+// EndpointIP is the IP on which stand-ins for endpoints listen.
+func (r *Routed) EndpointIP() string { return r.net + ".200" }
+
+// Start starts a process.
+func (r *Routed) Start(p *Process) {
+	r.t.Helper()
+	b, err := json.Marshal(r.settings(p))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	f := filepath.Join(r.folder, p.Name+".json")
+	if err := os.WriteFile(f, b, 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	l, err := os.OpenFile(r.LogPath(p), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer l.Close() //nolint:errcheck // the process holds a descriptor of its own
+	p.cmd = exec.Command(r.binary, "serve", "--settings", f)
+	p.cmd.Stdout, p.cmd.Stderr = l, l
+	if err := p.cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// KeepLogs copies the logs out of the test's folder and returns where they are.
+func (r *Routed) KeepLogs() string {
+	d, err := os.MkdirTemp("", "hickoryshelf-logs")
+	if err != nil {
+		return err.Error()
+	}
+	for _, p := range append(r.Control, r.Entry...) {
+		b, err := os.ReadFile(r.LogPath(p))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(d, p.Name+".log"), b, 0o600)
+		}
+		if err != nil {
+			r.t.Log(err)
+		}
+	}
+	return d
+}
+
+// Signal sends a signal to a process.
+func (r *Routed) Signal(p *Process, s syscall.Signal) {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		r.t.Logf("signal %v to %s: %v", s, p.Name, err)
+	}
+}
+
+// Kill ends a process at once.
+func (r *Routed) Kill(p *Process) {
+	r.Signal(p, syscall.SIGKILL)
+	_ = p.cmd.Wait() // it was killed
+}
+
+// Terminate stops a process as planned and returns how it ended.
+func (r *Routed) Terminate(p *Process) error {
+	r.Signal(p, syscall.SIGTERM)
+	return p.cmd.Wait()
+}
+
+// Wipe removes a control host's disk; its process must not run.
+func (r *Routed) Wipe(p *Process) {
+	if err := os.RemoveAll(filepath.Join(r.folder, p.Name)); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *Routed) stop() {
+	for _, p := range append(r.Control, r.Entry...) {
+		if p.cmd != nil && p.cmd.ProcessState == nil {
+			r.Signal(p, syscall.SIGCONT)
+			r.Kill(p)
+		}
+		if p.Tunnel != nil {
+			p.Tunnel.Stop()
+		}
+	}
+}
+
+// Admin calls a control host.
+func (r *Routed) Admin(p *Process, method, path string, body []byte) (int, []byte, error) {
+	q, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", p.IP, adminPort, path), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	c := http.Client{Timeout: time.Second}
+	a, err := c.Do(q)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer a.Body.Close() //nolint:errcheck // read to its end
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, b, err
+}
+
+// CallerURL is where callers reach an entry host.
+func (r *Routed) CallerURL(p *Process) string { return fmt.Sprintf("http://%s:%d", p.IP, callerPort) }
+
+// Ready reports whether an entry host calls itself ready.
+func (r *Routed) Ready(p *Process) bool {
+	c := http.Client{Timeout: 300 * time.Millisecond}
+	a, err := c.Get(fmt.Sprintf("http://%s:%d/readyz", p.IP, readyPort))
+	if err != nil {
+		return false
+	}
+	_ = a.Body.Close() // nothing is read
+	return a.StatusCode == http.StatusOK
+}
