Avoid endpoints that give no sign; let requests wait for the first endpoint after a start

Ruled out: the ban after faults (it comes only when the first request is given up). Change: pick weighs silence; relay.awaitEndpoint.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -37,6 +37,10 @@
 	awayStreamCost = 150 * time.Millisecond
 	// coldCost is added for an endpoint that says it is still slow after its start.
 	coldCost = 60 * time.Millisecond
+	// silenceFree is how much longer than estimated an endpoint may give no sign, and silenceTimes how many
+	// times what goes beyond counts as a wait.
+	silenceFree  = 150 * time.Millisecond
+	silenceTimes = 4
 	// requestCost is what a request under way adds to the wait of the next one at an engine.
 	requestCost = 2 * time.Millisecond
 )
@@ -86,8 +90,11 @@
 	banned time.Time
 	// pace is how much slower than estimated the endpoint answers.
 	pace float64
-	// alive is when the endpoint last gave a sign.
-	alive time.Time
+	// alive is when the endpoint last gave a sign. unanswered counts requests that got none yet, and silent
+	// is since when they wait without any sign of the endpoint.
+	alive      time.Time
+	unanswered int
+	silent     time.Time
 	// gone is set once another start answered at the endpoint's address.
 	gone bool
 }
@@ -218,7 +225,7 @@
 	var b *node
 	var m time.Duration
 	for _, n := range l {
-		if k := s.cost(n, q); b == nil || k < m {
+		if k := s.cost(n, q) + n.silence(now, s.estimate(n, q)); b == nil || k < m {
 			b, m = n, k
 		}
 	}
@@ -228,6 +235,9 @@
 	c.Wait = s.estimate(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.mine.Plus(b.others), len(l)
 	b.mine.Requests++
+	if b.unanswered++; b.unanswered == 1 {
+		b.silent = now
+	}
 	b.mine.Backlog += int(q.Work.Milliseconds())
 	return c, true
 }
@@ -304,6 +314,15 @@
 	return awayCost
 }
 
+// silence is what speaks against an endpoint that has had requests for longer than it should need, without
+// any sign since.
+func (n *node) silence(now time.Time, estimate time.Duration) time.Duration {
+	if n.unanswered == 0 {
+		return 0
+	}
+	return max(0, silenceTimes*(now.Sub(n.silent)-estimate-silenceFree))
+}
+
 // home reports whether the endpoint is the one that requests with the same affinity prefer.
 func (s *Set) home(n *node, q Need) bool {
 	w := weight(n.report.ID, q.Affinity)
@@ -336,6 +355,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if n, ok := s.nodes[id]; ok {
+		n.unanswered = max(0, n.unanswered-1)
 		n.mine.Backlog = max(0, n.mine.Backlog-int(work.Milliseconds()))
 	}
 }
@@ -414,7 +434,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if n, ok := s.nodes[id]; ok {
-		n.alive = now
+		n.alive, n.silent = now, now
 	}
 }
 
@@ -464,3 +484,15 @@
 	}
 	return time.Duration(low) * time.Millisecond, time.Duration(sum/n) * time.Millisecond
 }
+
+// Known reports whether any endpoint of a service is known.
+func (s *Set) Known(service string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, n := range s.nodes {
+		if n.report.Service == service {
+			return true
+		}
+	}
+	return false
+}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -200,3 +200,27 @@
 	o, _ := s.Rollout("s")
 	i.Equal(o.Plan.Fresh, 0.9)
 }
+
+// An endpoint that takes connections and says nothing: after the first requests sink there, the next ones go
+// elsewhere, long before the first are given up on.
+func TestSilentEndpointGetsNoMore(t *testing.T) {
+	i := is.New(t)
+	s := set(4, false, "a")
+	n := 0
+	for k := range 200 {
+		now := epoch.Add(time.Duration(k) * 20 * time.Millisecond)
+		q := need()
+		q.Work = 30 * time.Millisecond
+		c, ok := s.Choose(q, now)
+		i.True(ok)
+		if c.ID == "a0" {
+			n++
+			continue // no sign of it
+		}
+		s.Began(c.ID, q.Work)
+		s.Alive(c.ID, now)
+		s.Ended(c.ID)
+	}
+	i.True(n > 0)
+	i.True(n <= 6)
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -20,6 +20,8 @@
 	// tableWait is how long a request waits for the first configuration, which is looked for every tablePoll.
 	tableWait = 800 * time.Millisecond
 	tablePoll = 10 * time.Millisecond
+	// endpointWait is how long after its start a host lets requests wait for a service's first endpoint.
+	endpointWait = 2 * time.Second
 	// stopRetry is when a caller comes back, to another host, after one that is about to stop refused it.
 	stopRetry = 20 * time.Millisecond
 	// emptyRetry is when a caller comes back where no endpoint is known.
@@ -393,6 +395,9 @@
 func (u *use) judge(r Reply) next {
 	j := u.job
 	u.begin()
+	if r.Body != nil {
+		j.relay.Set.Alive(u.choice.ID, time.Now())
+	}
 	wait := time.Since(u.sent)
 	u.wait = wait
 	if r.Body == nil && (j.caller.Err() != nil || time.Until(j.deadline) <= 0) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,7 @@
 	Options
 	table   atomic.Pointer[table.Table]
 	entries atomic.Int64
+	start   time.Time
 	// end is when a stopping host breaks requests off, as Unix nanoseconds; 0 while it goes on.
 	end     atomic.Int64
 	times   times
@@ -39,7 +40,7 @@
 
 // New returns a relay that knows no table yet.
 func New(o Options) *Relay {
-	r := &Relay{Options: o, times: newTimes(), paces: newPaces(), weights: newWeights(), tallies: tallies{cells: map[string]stage.Tally{}}}
+	r := &Relay{Options: o, start: time.Now(), times: newTimes(), paces: newPaces(), weights: newWeights(), tallies: tallies{cells: map[string]stage.Tally{}}}
 	r.entries.Store(1)
 	return r
 }
@@ -86,6 +87,14 @@
 	return r.table.Load()
 }
 
+// awaitEndpoint waits for the first endpoint of a service on a host that has just started: endpoints report
+// within moments.
+func (r *Relay) awaitEndpoint(ctx context.Context, service string) {
+	for time.Since(r.start) < endpointWait && ctx.Err() == nil && !r.Set.Known(service) {
+		time.Sleep(tablePoll)
+	}
+}
+
 // Serve answers a request. The context ends when the caller leaves.
 func (r *Relay) Serve(ctx context.Context, q *Request, s Sink) {
 	t := r.awaitTable(ctx)
@@ -122,6 +131,7 @@
 	j.deadline = q.Received.Add(l)
 	c, f := context.WithDeadline(ctx, j.deadline)
 	defer f()
+	r.awaitEndpoint(c, j.service.Name)
 	r.Budget.Earn(j.service.Name)
 	j.run(c)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -307,3 +307,17 @@
 	<-h.ctx.Done()
 	return 0, h.ctx.Err()
 }
+
+// All hosts restart: the configuration is there before the first endpoint has reported.
+func TestHostThatHasJustStartedWaitsForAnEndpoint(t *testing.T) {
+	inBubble(t, func(_ *testing.T, i *is.I) {
+		w := newWorld(0, func(int, context.Context, relay.Attempt) relay.Reply { return ran("ok") })
+		time.AfterFunc(500*time.Millisecond, func() { w.set.Replace(reports(1)) })
+		i.Equal(w.serve(context.Background(), "/look/1", "key").status, 200)
+		time.Sleep(5 * time.Second)
+		w.set.Replace(nil)
+		b := time.Now()
+		i.Equal(w.serve(context.Background(), "/look/1", "key").refusal.Reason, relay.NoEndpoint)
+		i.Equal(time.Since(b), time.Duration(0)) // later there is nothing to wait for
+	})
+}
