--- a/cmds/report.go
+++ b/cmds/report.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"text/tabwriter"
 
@@ -10,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/hickoryshelf/hickoryshelf/admpb"
+	"github.com/hickoryshelf/hickoryshelf/story"
 )
 
 func statusCommand() *cli.Command {
@@ -90,12 +93,19 @@
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "tells which version a request would get, and why",
+		Name: "explain", Usage: "tells what became of a request by its id and the hosts' log files, or which version one would get",
+		ArgsUsage: "[ID FILE...]",
 		Flags: adminFlags(
-			&cli.StringFlag{Name: "customer", Required: true, Usage: "customer of the contract"},
+			&cli.StringFlag{Name: "customer", Usage: "customer of the contract, where no id is given"},
 			&cli.StringFlag{Name: "class", Usage: "task class; the contract's first where none is given"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return tellStory(c)
+			}
+			if c.String("customer") == "" {
+				return fmt.Errorf("give an id and log files, or --customer")
+			}
 			a, err := adminClient(c)
 			if err != nil {
 				return err
@@ -112,6 +122,27 @@
 	}
 }
 
+// tellStory prints what became of a request, from log files.
+func tellStory(c *cli.Command) error {
+	var l []story.Line
+	for _, p := range c.Args().Tail() {
+		f, err := os.Open(p)
+		if err != nil {
+			return fmt.Errorf("log: %w; name a file that can be read", err)
+		}
+		v, err := story.Read(f)
+		if err = errors.Join(err, f.Close()); err != nil {
+			return err
+		}
+		l = append(l, v...)
+	}
+	s := story.Of(c.Args().First(), l)
+	if c.String("output") == "json" {
+		return printJSON(c, s)
+	}
+	return s.Write(c.Root().Writer)
+}
+
 func printExplain(c *cli.Command, m *admpb.ExplainResponse) error {
 	w := tabwriter.NewWriter(c.Root().Writer, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintf(w, "order: %s\nreason: %s\n", strings.Join(m.GetVersions(), ", "), m.GetReason())
--- a/relay/job.go
+++ b/relay/job.go
@@ -40,6 +40,10 @@
 	mostUntouched = 10
 	// wholeBytes is the size up to which a plain answer is read whole before it is passed on.
 	wholeBytes = 512 << 10
+	// mostRounds is how often all endpoints may be asked again for the rest of an answer, after roundPause, which
+	// doubles from round to round.
+	mostRounds = 4
+	roundPause = 60 * time.Millisecond
 	// costTokens is the number of generated tokens that a model's cost is for, and readParts how many read
 	// tokens cost as much as a generated one.
 	costTokens = 1000
@@ -68,8 +72,12 @@
 	tried map[string]bool
 	sends int
 	runs  int
+	// rounds counts how often all endpoints were asked again.
+	rounds int
 	// untouched counts the sendings that did not reach an endpoint.
 	untouched int
+	// best is the newest choice of an endpoint.
+	best pick.Choice
 	// spent says why the request is not sent again.
 	spent string
 	// ran is set once the request may have run anywhere.
@@ -96,7 +104,10 @@
 // refuse ends the request with an answer of this host.
 func (j *job) refuse(why Reason, after time.Duration) {
 	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=%q}", j.route.Name, why)).Inc()
-	j.log().WithFields(logrus.Fields{"outcome": why.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs, "spent": j.spent}).Warn("request: refused")
+	j.log().WithFields(logrus.Fields{
+		"outcome": why.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs, "spent": j.spent,
+		"estimate": j.best.Wait.Milliseconds(), "load": j.best.Load.Requests, "backlog": j.best.Load.Backlog, "candidates": j.best.Candidates,
+	}).Warn("request: refused")
 	j.sink.Refuse(Refusal{Reason: why, RetryAfter: after})
 }
 
@@ -208,7 +219,7 @@
 func (j *job) attempt(ctx context.Context) next {
 	n := j.need()
 	c, ok := j.relay.Set.Choose(n, time.Now())
-	if !ok && j.runs > 0 && len(j.tried) > 0 {
+	for ; !ok && j.runs > 0 && len(j.tried) > 0 && j.pause(ctx); j.rounds++ {
 		j.tried = map[string]bool{}
 		n.Tried = j.tried
 		c, ok = j.relay.Set.Choose(n, time.Now())
@@ -218,7 +229,8 @@
 	}
 	u := &use{job: j, choice: c, work: n.Work, sent: time.Now()}
 	defer u.end()
-	if w := c.Wait; time.Until(j.deadline) < w && !j.begun {
+	j.best = c
+	if time.Until(j.deadline) < c.Wait && !j.begun {
 		return full
 	}
 	j.sends++
@@ -258,6 +270,22 @@
 	return min(l, max(time.Duration(float64(j.route.Objective)*patiencePart), patienceTimes*estimate))
 }
 
+// pause waits before endpoints that failed are asked once more for the rest of an answer. It reports false
+// where that was done often enough.
+func (j *job) pause(ctx context.Context) bool {
+	if j.rounds >= mostRounds || !j.route.Idempotent() {
+		return false
+	}
+	t := time.NewTimer(roundPause << j.rounds)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // connections is this host's part of the connections that an endpoint takes.
 func (j *job) connections() int {
 	return max(2, j.service.MaxConnections*9/10/int(j.relay.entries.Load()))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -321,3 +321,25 @@
 		i.Equal(time.Since(b), time.Duration(0)) // later there is nothing to wait for
 	})
 }
+
+// The only endpoint restarts in the middle of a stream: the rest is asked for when it is back, not ten times
+// within a millisecond.
+func TestStreamWaitsForItsOnlyEndpoint(t *testing.T) {
+	inBubble(t, func(_ *testing.T, i *is.I) {
+		var back time.Time
+		w := newWorld(1, func(n int, _ context.Context, a relay.Attempt) relay.Reply {
+			switch {
+			case n == 1:
+				back = time.Now().Add(300 * time.Millisecond)
+				return cutAfter(events(1, 2))
+			case time.Now().Before(back):
+				return unreachable()
+			}
+			i.Equal(a.ResumeAfter, "2")
+			return ran(events(3, 4))
+		})
+		s := w.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 4))
+		i.True(len(w.sender.attempts) < 6)
+	})
+}
--- /dev/null
+++ b/story/story_test.go
@@ -0,0 +1,49 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/story"
+)
+
+const log = `noise that is no line
+ 44.1 e2 {"host":"e2","msg":"entry: configuration in force","time":"10:00:00.100","version":3}
+{"host":"e2","msg":"host: starts","time":"10:00:01.000"}
+{"host":"e2","msg":"entry: configuration in force","time":"10:00:01.100","version":4}
+{"host":"e2","id":"a","msg":"attempt: the endpoint failed","endpoint":"i-1","took":7,"cause":"connection reset","time":"10:00:02.000"}
+{"host":"e2","id":"a","msg":"request: refused","outcome":"answer-lost","left":700,"spent":"attempts","time":"10:00:02.001"}
+{"host":"e2","msg":"entry: configuration in force","time":"10:00:03.000","version":5}
+{"host":"e1","id":"b","msg":"request: refused","outcome":"overloaded","candidates":3,"estimate":900,"left":300,"time":"10:00:02.500"}
+{"host":"e1","id":"c","msg":"attempt: the stream broke off","endpoint":"i-2","took":70,"error":"unexpected EOF","time":"10:00:02.600"}
+{"host":"e1","id":"c","msg":"request: the answer ends early","outcome":"broken-off","last-event":"7","left":9000,"spent":"budget","time":"10:00:02.601"}
+`
+
+func TestStories(t *testing.T) {
+	for id, want := range map[string]string{
+		"a": "may have run, its answer is lost: i-1 after 7 ms (connection reset); no further run: it may run no more often",
+		"b": "refused, not run: the best of 3 endpoints would have begun to answer in 900 ms, and 300 ms were left",
+		"c": "broken off behind event 7: i-2 after 70 ms (unexpected EOF); no further run: the budget of repeats was spent",
+		"d": "no line names the request: it reached no host whose log was given, or its lines were left out under load",
+	} {
+		i := is.New(t)
+		l, err := story.Read(strings.NewReader(log))
+		i.NoErr(err)
+		i.Equal(story.Of(id, l).Cause, want)
+	}
+}
+
+func TestBeliefsAreThoseOfTheTime(t *testing.T) {
+	i := is.New(t)
+	l, err := story.Read(strings.NewReader(log))
+	i.NoErr(err)
+	s := story.Of("a", l)
+	i.Equal(len(s.Lines), 2)
+	i.Equal(len(s.Beliefs), 2)
+	i.Equal(s.Beliefs[0].Fields["version"], 4.0) // neither the one before the start nor the one after the end
+	var b strings.Builder
+	i.NoErr(s.Write(&b))
+	i.True(strings.Contains(b.String(), "version=4"))
+}
