Watch a stream's signs by one timer; go on elsewhere 0.8 s after a data centre falls silent

Ruled out: keep-alive probes (they end such connections too, only later). Change: type watch; TestLateStartDoesNotEndTheStream and TestStreamOfACutDataCentreGoesOnAtOnce failed first.

--- a/relay/job.go
+++ b/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -247,10 +248,9 @@
 	x, f := context.WithCancel(ctx)
 	defer f()
 	u.cancel = f
-	w := u.watch(j.patience(c.Wait))
-	u.grace = j.route.Kind == table.Stream
+	w := u.watch(j.patience(c.Wait), j.busySign())
 	r := j.relay.Sender.Send(x, a)
-	w.Stop()
+	w.stop()
 	if r.Body != nil {
 		defer r.Body.Close() //nolint:errcheck // closing ends the exchange; the answer has been judged by then
 	}
@@ -270,6 +270,15 @@
 	return min(l, max(time.Duration(float64(j.route.Objective)*patiencePart), patienceTimes*estimate))
 }
 
+// busySign is how long ago an endpoint may have answered others to be given more time for a first event. A
+// plain answer is asked for elsewhere in any case.
+func (j *job) busySign() time.Duration {
+	if j.route.Kind == table.Stream {
+		return leastPatience
+	}
+	return 0
+}
+
 // pause waits before endpoints that failed are asked once more for the rest of an answer. It reports false
 // where that was done often enough.
 func (j *job) pause(ctx context.Context) bool {
@@ -377,26 +386,58 @@
 	began  bool
 	// wait is the time to the start of the answer.
 	wait time.Duration
-	// grace is set while a busy endpoint may still be given more time for the start of the answer.
-	grace bool
 	// cancel stops the run.
 	cancel context.CancelFunc
 }
 
-// watch stops the run after a time without a sign of it.
-func (u *use) watch(after time.Duration) *time.Timer {
-	return time.AfterFunc(after, func() { u.expire(after) })
+// watch stops a run that gives no sign for a time. A busy endpoint, which has answered others meanwhile, is
+// given more: running the request a second time elsewhere would only add to the load.
+type watch struct {
+	use   *use
+	after time.Duration
+	// sign is how long ago the endpoint may have answered others to count as busy.
+	sign     time.Duration
+	lock     sync.Mutex
+	timer    *time.Timer
+	extended bool
+	stopped  bool
 }
 
-// expire stops the run, unless the endpoint has answered others meanwhile: then it is busy rather than
-// dead, and running the request a second time elsewhere would only add to the load.
-func (u *use) expire(after time.Duration) {
-	if u.grace && u.job.relay.Set.AliveSince(u.choice.ID, u.sent) {
-		u.grace = false
-		time.AfterFunc(busyPatience*after, u.cancel)
-		return
+// watch starts a watch.
+func (u *use) watch(after, sign time.Duration) *watch {
+	w := &watch{use: u, after: after, sign: sign}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.timer = time.AfterFunc(after, w.expire)
+	return w
+}
+
+func (w *watch) expire() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	switch {
+	case w.stopped:
+	case !w.extended && w.sign > 0 && w.use.job.relay.Set.AliveSince(w.use.choice.ID, time.Now().Add(-w.sign)):
+		w.extended = true
+		w.timer.Reset(busyPatience * w.after)
+	default:
+		w.use.cancel()
 	}
-	u.cancel()
+}
+
+// seen starts the time anew after a sign of the run.
+func (w *watch) seen() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.extended = false
+	w.timer.Reset(w.after)
+}
+
+func (w *watch) stop() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.stopped = true
+	w.timer.Stop()
 }
 
 func (u *use) begin() {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -343,3 +344,61 @@
 		i.True(len(w.sender.attempts) < 6)
 	})
 }
+
+// A busy endpoint begins late and then takes its time: the patience for the first event must not end the
+// stream in its middle.
+func TestLateStartDoesNotEndTheStream(t *testing.T) {
+	inBubble(t, func(_ *testing.T, i *is.I) {
+		w := newWorld(1, func(_ int, ctx context.Context, _ relay.Attempt) relay.Reply {
+			time.Sleep(1500 * time.Millisecond)
+			r := ran("")
+			r.Body = body{Reader: &slow{ctx: ctx, left: 12, pause: 500 * time.Millisecond}}
+			return r
+		})
+		w.set.Alive("draft0", time.Now().Add(time.Second))
+		s := w.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 12))
+		i.Equal(len(w.sender.attempts), 1)
+	})
+}
+
+// slow gives an event after each pause.
+type slow struct {
+	ctx   context.Context
+	n     int
+	left  int
+	pause time.Duration
+}
+
+func (r *slow) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(r.pause):
+	case <-r.ctx.Done():
+		return 0, r.ctx.Err()
+	}
+	r.left--
+	r.n++
+	return copy(p, event(r.n)), nil
+}
+
+// A data centre is cut off: its streams fall silent and so does all else there; they go on elsewhere within
+// the time that callers count as a pause.
+func TestStreamOfACutDataCentreGoesOnAtOnce(t *testing.T) {
+	inBubble(t, func(_ *testing.T, i *is.I) {
+		w := newWorld(3, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
+			if n == 1 {
+				r := ran("")
+				r.Body = body{Reader: &hung{ctx: ctx, text: strings.NewReader(events(1, 2))}}
+				return r
+			}
+			return ran(events(3, 4))
+		})
+		b := time.Now()
+		s := w.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 4))
+		i.True(time.Since(b) < time.Second)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,8 +16,9 @@
 const (
 	// mostEventBytes bounds one event.
 	mostEventBytes = 1 << 20
-	// silence is the pause between events after which a stream goes on at another endpoint.
-	silence = 2 * time.Second
+	// silence is the pause between events after which a stream goes on at another endpoint, unless its
+	// endpoint has answered others within half of it.
+	silence = 800 * time.Millisecond
 	// streamBuffer is the size of the buffer for events, in bytes.
 	streamBuffer = 4096
 )
@@ -38,9 +39,9 @@
 		j.begun = true
 		j.sink.Begin(r.Status, r.Header, -1)
 	}
-	w := u.watch(silence)
+	w := u.watch(silence, silence/2)
 	err := u.events(r.Body, w)
-	w.Stop()
+	w.stop()
 	switch {
 	case err == nil:
 		j.relay.times.add("hold "+j.route.Name, time.Since(u.sent))
@@ -69,7 +70,7 @@
 }
 
 // events passes whole events on until the end of the body.
-func (u *use) events(body io.Reader, watch *time.Timer) error {
+func (u *use) events(body io.Reader, w *watch) error {
 	j := u.job
 	b := bufio.NewReaderSize(body, streamBuffer)
 	var e []byte
@@ -94,7 +95,7 @@
 				j.longest = max(j.longest, time.Since(j.newest))
 			}
 			j.newest = time.Now()
-			watch.Reset(silence)
+			w.seen()
 			e = e[:0]
 			continue
 		}
