--- a/cmds/node.go
+++ b/cmds/node.go
@@ -116,7 +116,8 @@
 			return fmt.Errorf("listen for metrics: %w; choose a free port", err)
 		}
 		h := &http.Server{Handler: metricsHandler{n.metrics}, ReadHeaderTimeout: headTimeout}
-		go server{h, l}.run()
+		s := server{h, l}
+		go s.run()
 	}
 	if n.settings.Part == conf.PartControl {
 		return n.startControl()
@@ -143,7 +144,8 @@
 		return err
 	}
 	a := &http.Server{Handler: platform.NewAdmin(h), ReadHeaderTimeout: headTimeout, IdleTimeout: defaultIdle}
-	go server{a, l[1]}.run()
+	s := server{a, l[1]}
+	go s.run()
 	n.stop = func() {
 		c, f := context.WithTimeout(context.Background(), time.Second)
 		defer f()
@@ -173,8 +175,9 @@
 		ConnState: i.note,
 	}
 	d := &http.Server{Handler: readiness{e}, ReadHeaderTimeout: headTimeout, IdleTimeout: defaultIdle}
-	go server{s, l[0]}.run()
-	go server{d, l[1]}.run()
+	u, v := server{s, l[0]}, server{d, l[1]}
+	go u.run()
+	go v.run()
 	n.stop = func() { n.stopEntry(e, r, i, s) }
 	return nil
 }
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -104,10 +104,11 @@
 	if err := r.RegisterName(feed.ServiceName, &Service{host: h}); err != nil {
 		return nil, fmt.Errorf("register the control service: %w; report this as a fault", err)
 	}
-	go acceptor{listener: o.Listener, server: r}.run()
+	a, j := acceptor{listener: o.Listener, server: r}, joiner{h}
+	go a.run()
 	go h.run()
 	go h.writer.run()
-	go h.joiner().run()
+	go j.run()
 	return h, nil
 }
 
@@ -126,12 +127,12 @@
 // founding is the log that each seed starts from; all seeds are given the same list.
 func founding(n conf.Node) quorum.Snapshot {
 	var p quorum.Peers
-	own := false
+	o := false
 	for _, a := range n.SeedPeers() {
 		p.Voters = append(p.Voters, Node(a, founderDisk))
-		own = own || a == n.PeerAddress()
+		o = o || a == n.PeerAddress()
 	}
-	if !own {
+	if !o {
 		return quorum.Snapshot{}
 	}
 	return quorum.Snapshot{Index: 1, Term: 1, Peers: p}
@@ -159,7 +160,8 @@
 		if err != nil {
 			return
 		}
-		go session{c, a.server}.run()
+		s := session{c, a.server}
+		go s.run()
 	}
 }
 
@@ -211,7 +213,8 @@
 	case Answer:
 		h.tickets.answer(v)
 	case PassOn:
-		go forward{h, v}.run()
+		w := forward{h, v}
+		go w.run()
 	case Spread:
 		h.links.spread(v.Note)
 	case Decided:
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -43,8 +43,9 @@
 	if !ok {
 		k = &link{host: l.host, address: address, messages: make(chan quorum.Message, linkQueue), notes: make(chan feed.Note, linkQueue)}
 		l.byAddr[address] = k
-		go messageLoop{k}.run()
-		go noteLoop{k}.run()
+		m, n := messageLoop{k}, noteLoop{k}
+		go m.run()
+		go n.run()
 	}
 	return k
 }
@@ -94,7 +95,8 @@
 	var w sync.WaitGroup
 	for _, a := range l.others() {
 		w.Add(1)
-		go noteCall{l, a, n, &w}.run()
+		c := noteCall{l, a, n, &w}
+		go c.run()
 	}
 	w.Wait()
 }
@@ -225,20 +227,20 @@
 func (l noteLoop) run() {
 	t := time.NewTicker(noteEvery)
 	defer t.Stop()
-	whole := true
+	w := true
 	for {
 		select {
 		case <-t.C:
 		case <-l.link.host.stop:
 			return
 		}
-		n := l.take(whole)
+		n := l.take(w)
 		if len(n.Reports) == 0 && len(n.Hosts) == 0 {
 			continue
 		}
 		var d feed.Done
-		whole = l.link.call("Note", n, &d, callTimeout) != nil
-		if whole {
+		w = l.link.call("Note", n, &d, callTimeout) != nil
+		if w {
 			time.Sleep(redialAfter)
 		}
 	}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -222,12 +222,12 @@
 // Reads returns the times to read a prompt token that entry hosts have measured: of each model, the one of
 // the host that was heard last.
 func (s State) Reads() map[string]time.Duration {
-	r, at := map[string]time.Duration{}, map[string]time.Duration{}
+	r, t := map[string]time.Duration{}, map[string]time.Duration{}
 	for i := s.hosts.Iterator(); !i.Done(); {
 		_, h, _ := i.Next()
 		for m, v := range h.report.Reads {
-			if _, ok := r[m]; !ok || h.heard > at[m] {
-				r[m], at[m] = v, h.heard
+			if _, ok := r[m]; !ok || h.heard > t[m] {
+				r[m], t[m] = v, h.heard
 			}
 		}
 	}
--- a/ctrl/ticket.go
+++ b/ctrl/ticket.go
@@ -59,8 +59,6 @@
 // joiner asks to take part in the log while this host isn't part of it or hears no leader.
 type joiner struct{ host *Host }
 
-func (h *Host) joiner() joiner { return joiner{h} }
-
 func (j joiner) run() {
 	t := time.NewTicker(joinEvery)
 	defer t.Stop()
--- a/dial/pool_test.go
+++ b/dial/pool_test.go
@@ -19,7 +19,8 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	c := make(chan net.Conn, 16)
-	go acceptor{l, c}.run()
+	s := acceptor{l, c}
+	go s.run()
 	return l.Addr().String(), c
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,8 +77,9 @@
 		}
 		return 0
 	})
+	s := sweeper{e}
 	go e.run()
-	go sweeper{e}.run()
+	go s.run()
 	return e
 }
 
--- /dev/null
+++ b/pick/known.go
@@ -0,0 +1,143 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/feed"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/stage"
+)
+
+// Replace takes the endpoints that control hosts know.
+func (s *Set) Replace(reports []fleet.Report) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	k := map[string]bool{}
+	for _, r := range reports {
+		k[r.ID] = true
+		s.take(r)
+	}
+	for i, n := range s.nodes {
+		if !k[i] && n.mine.Requests == 0 {
+			delete(s.nodes, i)
+		}
+	}
+}
+
+func (s *Set) take(r fleet.Report) {
+	if d, ok := s.departed[r.ID]; ok && d.Born >= r.Born && r.Phase == fleet.Ready {
+		return
+	}
+	if r.Phase != fleet.Ready {
+		s.departed[r.ID] = r
+	}
+	n, ok := s.nodes[r.ID]
+	if !ok || n.report.Born != r.Born || n.report.Address != r.Address {
+		o := n
+		n = &node{pace: 1}
+		if ok {
+			n.mine = o.mine
+		}
+		s.nodes[r.ID] = n
+	}
+	n.report = r
+}
+
+// Leaving returns the endpoints that this host knows to leave.
+func (s *Set) Leaving() []fleet.Report {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var r []fleet.Report
+	for _, d := range s.departed {
+		r = append(r, d)
+	}
+	return r
+}
+
+// Forget drops what is known of an endpoint that left, once no control host can bring it back.
+func (s *Set) Forget(id string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	delete(s.departed, id)
+}
+
+// SetLoads takes the loads of other hosts.
+func (s *Set) SetLoads(loads map[string]feed.Load) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for i, n := range s.nodes {
+		n.others = loads[i]
+	}
+}
+
+// SetRollouts takes the roll-outs. The share of a target never falls while its roll-out runs well.
+func (s *Set) SetRollouts(views []stage.View) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n := map[string]stage.View{}
+	for _, v := range views {
+		o, ok := s.rollouts[v.Service]
+		if ok && o.Serial > v.Serial || ok && o.Serial == v.Serial && o.Outcome != stage.Running && v.Outcome == stage.Running {
+			v = o
+		}
+		if ok && o.Serial == v.Serial && v.Outcome == stage.Running && v.Plan.Fresh > 0 {
+			v.Plan.Fresh, v.Plan.Bound = max(v.Plan.Fresh, o.Plan.Fresh), max(v.Plan.Bound, o.Plan.Bound)
+		}
+		n[v.Service] = v
+	}
+	s.rollouts = n
+}
+
+// Rollout returns the newest roll-out of a service.
+func (s *Set) Rollout(service string) (stage.View, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	v, ok := s.rollouts[service]
+	return v, ok
+}
+
+// Known reports whether any endpoint of a service is known.
+func (s *Set) Known(service string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, n := range s.nodes {
+		if n.report.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Backlogs are the work that waits at the endpoint of a service with the least of it, and on average.
+func (s *Set) Backlogs(service string) (least, mean time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, t, l := 0, 0, -1
+	for _, e := range s.nodes {
+		if e.gone || e.report.Service != service || e.report.Phase != fleet.Ready {
+			continue
+		}
+		w := e.mine.Backlog + e.others.Backlog
+		n, t = n+1, t+w
+		if l < 0 || w < l {
+			l = w
+		}
+	}
+	if n == 0 {
+		return 0, 0
+	}
+	return time.Duration(l) * time.Millisecond, time.Duration(t/n) * time.Millisecond
+}
+
+// Loads returns the requests that this host has under way.
+func (s *Set) Loads() map[string]feed.Load {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	r := map[string]feed.Load{}
+	for i, n := range s.nodes {
+		if n.mine.Requests > 0 {
+			r[i] = n.mine
+		}
+	}
+	return r
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -115,107 +115,6 @@
 	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, centres: map[string]*centre{}, departed: map[string]fleet.Report{}}
 }
 
-// Replace takes the endpoints that control hosts know.
-func (s *Set) Replace(reports []fleet.Report) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	k := map[string]bool{}
-	for _, r := range reports {
-		k[r.ID] = true
-		s.take(r)
-	}
-	for i, n := range s.nodes {
-		if !k[i] && n.mine.Requests == 0 {
-			delete(s.nodes, i)
-		}
-	}
-}
-
-func (s *Set) take(r fleet.Report) {
-	if d, ok := s.departed[r.ID]; ok && d.Born >= r.Born && r.Phase == fleet.Ready {
-		return
-	}
-	if r.Phase != fleet.Ready {
-		s.departed[r.ID] = r
-	}
-	n, ok := s.nodes[r.ID]
-	if !ok || n.report.Born != r.Born || n.report.Address != r.Address {
-		o := n
-		n = &node{pace: 1}
-		if ok {
-			n.mine = o.mine
-		}
-		s.nodes[r.ID] = n
-	}
-	n.report = r
-}
-
-// Leaving returns the endpoints that this host knows to leave.
-func (s *Set) Leaving() []fleet.Report {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	var r []fleet.Report
-	for _, d := range s.departed {
-		r = append(r, d)
-	}
-	return r
-}
-
-// Forget drops what is known of an endpoint that left, once no control host can bring it back.
-func (s *Set) Forget(id string) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	delete(s.departed, id)
-}
-
-// SetLoads takes the loads of other hosts.
-func (s *Set) SetLoads(loads map[string]feed.Load) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	for i, n := range s.nodes {
-		n.others = loads[i]
-	}
-}
-
-// SetRollouts takes the roll-outs. The share of a target never falls while its roll-out runs well.
-func (s *Set) SetRollouts(views []stage.View) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n := map[string]stage.View{}
-	for _, v := range views {
-		o, ok := s.rollouts[v.Service]
-		if ok && o.Serial > v.Serial || ok && o.Serial == v.Serial && o.Outcome != stage.Running && v.Outcome == stage.Running {
-			v = o
-		}
-		if ok && o.Serial == v.Serial && v.Outcome == stage.Running && v.Plan.Fresh > 0 {
-			v.Plan.Fresh, v.Plan.Bound = max(v.Plan.Fresh, o.Plan.Fresh), max(v.Plan.Bound, o.Plan.Bound)
-		}
-		n[v.Service] = v
-	}
-	s.rollouts = n
-}
-
-// Rollout returns the newest roll-out of a service.
-func (s *Set) Rollout(service string) (stage.View, bool) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	v, ok := s.rollouts[service]
-	return v, ok
-}
-
-// Loads returns the requests that this host has under way.
-func (s *Set) Loads() map[string]feed.Load {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	r := map[string]feed.Load{}
-	for i, n := range s.nodes {
-		if n.mine.Requests > 0 {
-			r[i] = n.mine
-		}
-	}
-	return r
-}
-
 // Choose returns the endpoint with the shortest estimated wait and counts the request as under way there.
 // ok is false where no endpoint may take the request.
 func (s *Set) Choose(q Need, now time.Time) (c Choice, ok bool) {
@@ -245,21 +144,21 @@
 // candidates are the endpoints that may take the request; where all are passed over for faults, all are
 // weighed, and where all were tried, none.
 func (s *Set) candidates(q Need, now time.Time) []*node {
-	v, staged := s.rollouts[q.Service]
+	v, ok := s.rollouts[q.Service]
 	var a, b []*node
 	for _, on := range []bool{s.onTarget(v, q), !s.onTarget(v, q)} {
 		for _, n := range s.nodes {
 			if n.gone || n.report.Service != q.Service || n.report.Phase != fleet.Ready || q.Tried[n.report.ID] {
 				continue
 			}
-			if staged && (n.report.Version == v.Target) != on {
+			if ok && (n.report.Version == v.Target) != on {
 				continue
 			}
 			if b = append(b, n); now.After(n.banned) && now.After(s.centre(n.report.DataCentre).banned) {
 				a = append(a, n)
 			}
 		}
-		if !staged || len(b) > 0 || !s.mayCross(v, on) {
+		if !ok || len(b) > 0 || !s.mayCross(v, on) {
 			break
 		}
 	}
@@ -314,15 +213,6 @@
 	return awayCost
 }
 
-// silence is what speaks against an endpoint that has had requests for longer than it should need, without
-// any sign since.
-func (n *node) silence(now time.Time, estimate time.Duration) time.Duration {
-	if n.unanswered == 0 {
-		return 0
-	}
-	return max(0, silenceTimes*(now.Sub(n.silent)-estimate-silenceFree))
-}
-
 // home reports whether the endpoint is the one that requests with the same affinity prefer.
 func (s *Set) home(n *node, q Need) bool {
 	w := weight(n.report.ID, q.Affinity)
@@ -368,131 +258,3 @@
 		n.mine.Requests = max(0, n.mine.Requests-1)
 	}
 }
-
-// Good tells of an answer that began after wait, where estimated was expected.
-func (s *Set) Good(id string, wait, estimated time.Duration) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.nodes[id]
-	if !ok {
-		return
-	}
-	n.row, n.banned = 0, time.Time{}
-	*s.centre(n.report.DataCentre) = centre{}
-	n.faults *= 1 - faultWeight
-	if estimated > 0 {
-		r := min(8, max(0.5, float64(wait)/float64(estimated)*n.pace))
-		n.pace = min(8, max(0.5, n.pace*(1-paceWeight)+r*paceWeight))
-	}
-}
-
-// Gone tells that another start answered at an endpoint's address: the endpoint gets nothing more.
-func (s *Set) Gone(id string) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if n, ok := s.nodes[id]; ok {
-		n.gone = true
-	}
-}
-
-// Unreachable tells that no connection to an endpoint could be made. Where that happens at several endpoints
-// of a data centre in a row, all of the data centre is passed over. It returns how long the endpoint is.
-func (s *Set) Unreachable(id string, now time.Time) time.Duration {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.nodes[id]
-	if !ok {
-		return 0
-	}
-	n.row = max(n.row+1, banAfter)
-	b := min(banMost, unreachableFirst<<min(n.row-banAfter, 6))
-	n.banned = now.Add(b)
-	c := s.centre(n.report.DataCentre)
-	if c.row++; c.row >= centreAfter {
-		c.banned = now.Add(centreBan)
-	}
-	return b
-}
-
-// centre is what is known of the way to a data centre.
-type centre struct {
-	row    int
-	banned time.Time
-}
-
-func (s *Set) centre(name string) *centre {
-	c, ok := s.centres[name]
-	if !ok {
-		c = &centre{}
-		s.centres[name] = c
-	}
-	return c
-}
-
-// Alive tells of a sign of an endpoint, such as an event of a stream.
-func (s *Set) Alive(id string, now time.Time) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if n, ok := s.nodes[id]; ok {
-		n.alive, n.silent = now, now
-	}
-}
-
-// AliveSince reports whether an endpoint has given a sign since a time.
-func (s *Set) AliveSince(id string, since time.Time) bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.nodes[id]
-	return ok && n.alive.After(since)
-}
-
-// Faulty tells of a fault of an endpoint. It returns how long the endpoint is passed over.
-func (s *Set) Faulty(id string, now time.Time) time.Duration {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.nodes[id]
-	if !ok {
-		return 0
-	}
-	n.row++
-	n.faults = n.faults*(1-faultWeight) + faultWeight
-	if n.row < banAfter {
-		return 0
-	}
-	b := min(banMost, banFirst<<min(n.row-banAfter, 6))
-	n.banned = now.Add(b)
-	return b
-}
-
-// Backlogs are the work that waits at the endpoint of a service with the least of it, and on average.
-func (s *Set) Backlogs(service string) (least, mean time.Duration) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, sum, low := 0, 0, -1
-	for _, e := range s.nodes {
-		if e.gone || e.report.Service != service || e.report.Phase != fleet.Ready {
-			continue
-		}
-		w := e.mine.Backlog + e.others.Backlog
-		n, sum = n+1, sum+w
-		if low < 0 || w < low {
-			low = w
-		}
-	}
-	if n == 0 {
-		return 0, 0
-	}
-	return time.Duration(low) * time.Millisecond, time.Duration(sum/n) * time.Millisecond
-}
-
-// Known reports whether any endpoint of a service is known.
-func (s *Set) Known(service string) bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	for _, n := range s.nodes {
-		if n.report.Service == service {
-			return true
-		}
-	}
-	return false
-}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -208,17 +208,17 @@
 	s := set(4, false, "a")
 	n := 0
 	for k := range 200 {
-		now := epoch.Add(time.Duration(k) * 20 * time.Millisecond)
+		t := epoch.Add(time.Duration(k) * 20 * time.Millisecond)
 		q := need()
 		q.Work = 30 * time.Millisecond
-		c, ok := s.Choose(q, now)
+		c, ok := s.Choose(q, t)
 		i.True(ok)
 		if c.ID == "a0" {
 			n++
 			continue // no sign of it
 		}
 		s.Began(c.ID, q.Work)
-		s.Alive(c.ID, now)
+		s.Alive(c.ID, t)
 		s.Ended(c.ID)
 	}
 	i.True(n > 0)
