Load two endpoints of a new version before it takes over; leave a stream's last run to its end

Ruled out: faults of single endpoints (left out by trim); keep-alives. Change: stage counts by route and model, loads two endpoints with 42 % of the traffic for 100 answers, then moves all; silence follows the route's pause objective and ends no last run.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -178,13 +178,13 @@
 }
 
 // count adds an answer of an endpoint while its service is being moved to another version.
-func (t *tallies) count(v stage.View, version, endpoint, route string, failed bool, wait time.Duration) {
+func (t *tallies) count(v stage.View, version, endpoint, kind string, failed bool, wait time.Duration) {
 	if v.Outcome != stage.Running {
 		return
 	}
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	c := stage.Tally{Serial: v.Serial, Version: version, Endpoint: endpoint, Route: route}
+	c := stage.Tally{Serial: v.Serial, Version: version, Endpoint: endpoint, Kind: kind}
 	k := c.Key()
 	if o, ok := t.cells[k]; ok && o.Serial == v.Serial {
 		c = o
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,9 +16,10 @@
 const (
 	// mostEventBytes bounds one event.
 	mostEventBytes = 1 << 20
-	// silence is the pause between events after which a stream goes on at another endpoint, unless its
-	// endpoint has answered others within half of it.
-	silence = 800 * time.Millisecond
+	// silenceTimes is how many times the longest pause that is still on time a stream may be silent before it
+	// goes on at another endpoint, and pauseOtherwise that pause where the route names none.
+	silenceTimes   = 1.5
+	pauseOtherwise = time.Second
 	// streamBuffer is the size of the buffer for events, in bytes.
 	streamBuffer = 4096
 )
@@ -39,7 +40,7 @@
 		j.begun = true
 		j.sink.Begin(r.Status, r.Header, -1)
 	}
-	w := u.watch(silence, silence/2)
+	w := u.watch(j.silence())
 	err := u.events(r.Body, w)
 	w.stop()
 	switch {
@@ -59,6 +60,20 @@
 	return repeat
 }
 
+// silence is how long the stream may pause, and how long ago its endpoint may have answered others to be given
+// more time. Where no further run is allowed, the stream is left to its end: its endpoint may yet go on.
+func (j *job) silence() (after, sign time.Duration) {
+	if !j.route.Idempotent() || j.runs >= max(1, j.route.Attempts) {
+		return time.Until(j.deadline), 0
+	}
+	p := j.route.PauseObjective
+	if p == 0 {
+		p = pauseOtherwise
+	}
+	after = time.Duration(silenceTimes * float64(p))
+	return after, after / 2
+}
+
 // larger returns the size that is asked instead of the one that has begun to answer, where the answer isn't
 // kept and another run is allowed.
 func (j *job) larger(r Reply) (int, bool) {
--- a/relay/use.go
+++ b/relay/use.go
@@ -197,7 +197,7 @@
 
 func (j *job) tally(u *use, failed bool, wait time.Duration) {
 	if v, ok := j.relay.Set.Rollout(j.service.Name); ok {
-		j.relay.tallies.count(v, u.choice.Version, u.choice.ID, j.route.Name, failed, wait)
+		j.relay.tallies.count(v, u.choice.Version, u.choice.ID, j.route.Name+" "+j.model(), failed, wait)
 	}
 }
 
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -31,13 +31,15 @@
 	Serial uint64 `json:"serial"`
 }
 
-// Tally counts the answers of one endpoint to one route, as one entry host saw them during a roll-out.
+// Tally counts the answers of one endpoint to one kind of request, as one entry host saw them during a
+// roll-out.
 type Tally struct {
 	Serial   uint64
 	Version  string
 	Endpoint string
-	Route    string
-	Answers  int
+	// Kind is the route and the model: answers of unlike models can't be compared.
+	Kind    string
+	Answers int
 	// Failures are answers with a server error, and runs that broke off.
 	Failures int
 	// Wait is the sum of the times to the start of each answer.
@@ -45,13 +47,15 @@
 }
 
 // Key tells tallies of one entry host apart.
-func (t Tally) Key() string { return strings.Join([]string{t.Version, t.Endpoint, t.Route}, "\x00") }
+func (t Tally) Key() string { return strings.Join([]string{t.Version, t.Endpoint, t.Kind}, "\x00") }
 
 // Plan is the part of a service's traffic that the target gets.
 type Plan struct {
 	// Fresh is for requests without a session, Bound for those with one.
 	Fresh float64
 	Bound float64
+	// Endpoints is how many of the target's endpoints take it, or 0 for all.
+	Endpoints int
 }
 
 // View is a roll-out with its plan, as entry hosts need it.
@@ -63,11 +67,17 @@
 const (
 	// trialPart is the part of the exposure bound that the target gets while it is on trial.
 	trialPart = 0.6
-	// rampFrom and rampTo are the parts of the time budget between which all traffic moves.
-	rampFrom = 0.5
-	rampTo   = 0.68
+	// moveFrom is the part of the time budget from which sessions may move too.
+	moveFrom = 0.5
+	// loadEndpoints of the target get loadPart of the traffic for loadAnswers answers, more than each would have
+	// with all of the traffic: a version may be bad only under load. After loadUntil of the time budget this is
+	// left out.
+	loadEndpoints = 2
+	loadPart      = 0.42
+	loadAnswers   = 100
+	loadUntil     = 0.78
 	// doneAfter is the part of the time budget after which a good version takes over for good.
-	doneAfter = 0.76
+	doneAfter = 0.86
 	// enough is how many answers of the target speak for it.
 	enough = 30
 	// minAnswers and minFailures are needed before a rate of failures counts.
@@ -76,9 +86,9 @@
 	// excessRate is how far the target's rate of failures may lie above three times that of the others.
 	excessRate = 0.13
 	// slowRatio is how many times slower than others a version may answer.
-	slowRatio = 2.6
+	slowRatio = 4
 	// slowSlack is added to the wait that still counts as normal.
-	slowSlack = 80 * time.Millisecond
+	slowSlack = 50 * time.Millisecond
 	// trimmed is how many of the target's endpoints with the worst answers are left out, at most half of
 	// them, since a fault of one endpoint says nothing of its version.
 	trimmed = 2
@@ -123,13 +133,13 @@
 		switch {
 		case t.Serial != r.Serial:
 		case t.Version == r.Target:
-			if e.target[t.Route] == nil {
-				e.target[t.Route] = map[string]sum{}
+			if e.target[t.Kind] == nil {
+				e.target[t.Kind] = map[string]sum{}
 			}
-			e.target[t.Route][t.Endpoint] = e.target[t.Route][t.Endpoint].with(t)
+			e.target[t.Kind][t.Endpoint] = e.target[t.Kind][t.Endpoint].with(t)
 			e.answers += t.Answers
 		default:
-			e.others[t.Route] = e.others[t.Route].with(t)
+			e.others[t.Kind] = e.others[t.Kind].with(t)
 		}
 	}
 	return e
@@ -144,7 +154,7 @@
 	for r, m := range e.target {
 		s := trim(m)
 		if w := worse(s, e.others[r]); w != "" {
-			return w + " on route " + r
+			return w + " for " + r
 		}
 		a, o = append(a, s), append(o, e.others[r])
 	}
@@ -201,14 +211,15 @@
 	if e.Bad() != "" {
 		return Plan{}
 	}
-	if f < rampFrom {
+	switch {
+	case f < moveFrom:
 		return Plan{Fresh: t}
+	case e.answers < enough:
+		return Plan{Fresh: exposure, Bound: exposure, Endpoints: loadEndpoints}
+	case e.answers < enough+loadAnswers && f < loadUntil:
+		return Plan{Fresh: loadPart, Bound: loadPart, Endpoints: loadEndpoints}
 	}
-	if e.answers < enough {
-		return Plan{Fresh: t, Bound: t}
-	}
-	s := min(1, t+(1-t)*(f-rampFrom)/(rampTo-rampFrom))
-	return Plan{Fresh: s, Bound: s}
+	return Plan{Fresh: 1, Bound: 1}
 }
 
 // Fleet counts the endpoints that a roll-out could use.
