--- a/pick/pick.go
+++ b/pick/pick.go
@@ -3,8 +3,6 @@
 package pick
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -160,9 +158,6 @@
 				a = append(a, n)
 			}
 		}
-		if ok && on {
-			a, b = concentrated(a, v), concentrated(b, v)
-		}
 		if !ok || len(b) > 0 || !s.mayCross(v, on) {
 			break
 		}
@@ -173,16 +168,6 @@
 	return b
 }
 
-// concentrated returns the endpoints that the plan of a running roll-out lets take its traffic; all hosts
-// choose the same.
-func concentrated(l []*node, v stage.View) []*node {
-	if v.Outcome != stage.Running || v.Plan.Endpoints == 0 || len(l) <= v.Plan.Endpoints {
-		return l
-	}
-	slices.SortFunc(l, func(a, b *node) int { return strings.Compare(a.report.ID, b.report.ID) })
-	return l[:v.Plan.Endpoints]
-}
-
 // onTarget reports whether a request goes to the version that is being rolled out.
 func (s *Set) onTarget(v stage.View, q Need) bool {
 	if q.Bound {
