--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -182,13 +182,36 @@
 		for _, c := range r.Tallies {
 			n.tallies[c.Key()] = c
 		}
+		maps.DeleteFunc(n.tallies, func(_ string, c stage.Tally) bool { return !t.runs(c.Serial) })
 	}
 	if n.report.Reads == nil {
 		n.report.Reads = o.report.Reads
 	}
+	if !ok {
+		t.forgetHosts()
+	}
 	n.report.Tallies = nil
 	t.hosts = t.hosts.Set(r.Host, n)
 	if own {
 		t.do(Spread{Note: feed.Note{Hosts: []feed.HostReport{r}}})
 	}
 }
+
+// forgetHosts drops entry hosts that have been silent for long.
+func (t *turn) forgetHosts() {
+	for i := t.hosts.Iterator(); !i.Done(); {
+		if n, h, _ := i.Next(); h.heard+forgetAfter < t.Now {
+			t.hosts = t.hosts.Delete(n)
+		}
+	}
+}
+
+// runs reports whether a roll-out is the newest of its service.
+func (t *turn) runs(serial uint64) bool {
+	for _, r := range t.Machine.Rollouts {
+		if r.Serial == serial {
+			return true
+		}
+	}
+	return false
+}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -21,6 +21,8 @@
 	hostSilence = 3 * time.Second
 	// loadSilence is how long after its last report an entry host's loads still count.
 	loadSilence = 1500 * time.Millisecond
+	// forgetAfter is how long after its last report an entry host is forgotten.
+	forgetAfter = time.Minute
 	// silentBeats is how many heartbeats an endpoint may miss before it is forgotten.
 	silentBeats = 9
 	// voterSilence is how long a voter may be silent before it is replaced, where others suffice.
--- a/pick/known.go
+++ b/pick/known.go
@@ -8,10 +8,24 @@
 	"github.com/hickoryshelf/hickoryshelf/stage"
 )
 
+// departedFor is how long an endpoint that left is remembered, longer than reports of it can be late.
+const departedFor = time.Minute
+
+// departure is an endpoint that left, and when this host last heard so.
+type departure struct {
+	report fleet.Report
+	heard  time.Time
+}
+
 // Replace takes the endpoints that control hosts know.
 func (s *Set) Replace(reports []fleet.Report) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	for i, d := range s.departed {
+		if time.Since(d.heard) > departedFor {
+			delete(s.departed, i)
+		}
+	}
 	k := map[string]bool{}
 	for _, r := range reports {
 		k[r.ID] = true
@@ -25,11 +39,11 @@
 }
 
 func (s *Set) take(r fleet.Report) {
-	if d, ok := s.departed[r.ID]; ok && d.Born >= r.Born && r.Phase == fleet.Ready {
+	if d, ok := s.departed[r.ID]; ok && d.report.Born >= r.Born && r.Phase == fleet.Ready {
 		return
 	}
 	if r.Phase != fleet.Ready {
-		s.departed[r.ID] = r
+		s.departed[r.ID] = departure{report: r, heard: time.Now()}
 	}
 	n, ok := s.nodes[r.ID]
 	if !ok || n.report.Born != r.Born || n.report.Address != r.Address {
@@ -49,18 +63,11 @@
 	defer s.lock.Unlock()
 	var r []fleet.Report
 	for _, d := range s.departed {
-		r = append(r, d)
+		r = append(r, d.report)
 	}
 	return r
 }
 
-// Forget drops what is known of an endpoint that left, once no control host can bring it back.
-func (s *Set) Forget(id string) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	delete(s.departed, id)
-}
-
 // SetLoads takes the loads of other hosts.
 func (s *Set) SetLoads(loads map[string]feed.Load) {
 	s.lock.Lock()
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -107,12 +107,12 @@
 	rollouts   map[string]stage.View
 	centres    map[string]*centre
 	// departed are endpoints that leave, kept so that a control host that has forgotten can't bring them back.
-	departed map[string]fleet.Report
+	departed map[string]departure
 }
 
 // NewSet returns a set without endpoints for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, centres: map[string]*centre{}, departed: map[string]fleet.Report{}}
+	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, centres: map[string]*centre{}, departed: map[string]departure{}}
 }
 
 // Choose returns the endpoint with the shortest estimated wait and counts the request as under way there.
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -224,3 +225,15 @@
 	i.True(n > 0)
 	i.True(n <= 6)
 }
+
+func TestDepartedEndpointsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		s := set(1, false, "a")
+		s.Replace([]fleet.Report{{ID: "a0", Service: "s", Phase: fleet.Departed}})
+		i.Equal(len(s.Leaving()), 1)
+		time.Sleep(2 * time.Minute)
+		s.Replace(nil)
+		i.Equal(len(s.Leaving()), 0)
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,11 +171,17 @@
 	return otherwise
 }
 
+// keptSerials is how much older than the newest a roll-out's serial may be for its tallies to be kept: serials
+// are places in the control log, and roll-outs of several services may run at once.
+const keptSerials = 1000
+
 // tallies count answers during roll-outs.
 type tallies struct {
-	lock  sync.Mutex
-	cells map[string]stage.Tally
-	dirty map[string]bool
+	// serial is that of the newest roll-out counted.
+	serial uint64
+	lock   sync.Mutex
+	cells  map[string]stage.Tally
+	dirty  map[string]bool
 }
 
 // count adds an answer of an endpoint while its service is being moved to another version.
@@ -184,6 +191,10 @@
 	}
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	if v.Serial > t.serial {
+		t.serial = v.Serial
+		maps.DeleteFunc(t.cells, func(_ string, c stage.Tally) bool { return c.Serial+keptSerials < v.Serial })
+	}
 	c := stage.Tally{Serial: v.Serial, Version: version, Endpoint: endpoint, Kind: kind}
 	k := c.Key()
 	if o, ok := t.cells[k]; ok && o.Serial == v.Serial {
