--- a/stage/stage.go
+++ b/stage/stage.go
@@ -82,7 +82,7 @@
 	// excessRate is how far the target's rate of failures may lie above three times that of the others.
 	excessRate = 0.13
 	// slowRatio is how many times slower than others a version may answer.
-	slowRatio = 4
+	slowRatio = 2.6
 	// slowSlack is added to the wait that still counts as normal.
 	slowSlack = 50 * time.Millisecond
 	// soleFailures are needed where answers of one endpoint only were seen.
--- a/stage/stage_test.go
+++ b/stage/stage_test.go
@@ -103,8 +103,11 @@
 
 func TestBadVersionsAreRolledBackWithinTheBound(t *testing.T) {
 	for n, f := range map[string]func(time.Duration, string, float64) (float64, float64){
-		"errors":       func(time.Duration, string, float64) (float64, float64) { return 0.4, 1 },
-		"slow":         func(time.Duration, string, float64) (float64, float64) { return 0.01, 8 },
+		"errors": func(time.Duration, string, float64) (float64, float64) { return 0.4, 1 },
+		"slow":   func(time.Duration, string, float64) (float64, float64) { return 0.01, 8 },
+		"half slow": func(a time.Duration, _ string, _ float64) (float64, float64) {
+			return 0.01, 1 + 7*float64(a/(100*time.Millisecond)%2)
+		},
 		"late":         func(a time.Duration, _ string, _ float64) (float64, float64) { return pick(a > 3*time.Second, 0.4), 1 },
 		"late in ramp": func(a time.Duration, _ string, _ float64) (float64, float64) { return pick(a > 16*time.Second, 0.4), 1 },
 		"under load":   func(_ time.Duration, _ string, s float64) (float64, float64) { return pick(s > 0.4, 0.4), 1 },
