Bound what an unproved version gets over its whole time, also where it shows nothing bad

Change: trial shares, the move and the end follow the exposure bound, so that their sum stays within it. Endpoints that failed most over all kinds of request are left out, not per kind; the excess of failures that makes a version bad shrinks with the number of answers; half of it holds the end back.

--- a/ctrl/order.go
+++ b/ctrl/order.go
@@ -149,7 +149,7 @@
 	if b.proposed > 0 && t.Now-b.proposed < decideAgain {
 		return
 	}
-	o, w, ok := stage.Decide(r, t.elapsed(r), stage.Gather(r, t.tallies()), t.available(r))
+	o, w, ok := stage.Decide(r, t.elapsed(r), t.Exposure, stage.Gather(r, t.tallies()), t.available(r))
 	if !ok {
 		return
 	}
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -3,6 +3,8 @@
 package stage
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -65,22 +67,29 @@
 }
 
 const (
-	// trialPart is the part of the exposure bound that the target gets while it is on trial.
-	trialPart = 0.6
+	// freshPart is the part of the exposure bound that requests without a session may use while sessions stay.
+	freshPart = 0.2
+	// trialPart is the same for all requests from moveFrom until traffic moves.
+	trialPart = 0.8
 	// moveFrom is the part of the time budget from which sessions may move too.
 	moveFrom = 0.5
-	// rampFrom and rampTo are the parts of the time budget between which all traffic moves.
-	rampFrom = 0.62
-	rampTo   = 0.76
-	// doneAfter is the part of the time budget after which a good version takes over for good.
-	doneAfter = 0.86
+	// rampFrom and rampTo bound the move of all traffic, and doneAfter is when a good version takes over for
+	// good: each as a part of the time before the budget ends, in units of the exposure bound. What the target
+	// gets on trial and after rampFrom stays within the bound, also where it shows nothing.
+	rampFrom  = 0.6
+	rampTo    = 0.4
+	doneAfter = 0.18
 	// enough is how many answers of the target speak for it.
 	enough = 30
 	// minAnswers and minFailures are needed before a rate of failures counts.
 	minAnswers  = 6
 	minFailures = 4
-	// excessRate is how far the target's rate of failures may lie above three times that of the others.
-	excessRate = 0.13
+	// excessRate is how far the target's rate of failures may lie above three times that of the others, and
+	// excessFailures how many failures more.
+	excessRate     = 0.04
+	excessFailures = 2.5
+	// doubtPart of this excess holds the end of a roll-out back.
+	doubtPart = 0.5
 	// slowRatio is how many times slower than others a version may answer.
 	slowRatio = 2.6
 	// slowSlack is added to the wait that still counts as normal.
@@ -151,32 +160,63 @@
 
 // Bad says why the target is worse than the other versions, or returns an empty text.
 func (e Evidence) Bad() string {
-	var a, o []sum
+	f := e.faulty()
 	for r, m := range e.target {
-		s := trim(m)
-		if len(m) == 1 && s.failures < soleFailures {
-			s.failures = 0
-		}
-		if w := worse(s, e.others[r]); w != "" {
+		if w := worse(trusted(m, f), e.others[r]); w != "" {
 			return w + " for " + r
 		}
-		a, o = append(a, s), append(o, e.others[r])
 	}
-	t, u := total(a), total(o)
-	if failing(t, u) {
+	if failing(e.totals(), 1) {
 		return "fails more often than the others"
 	}
 	return ""
 }
 
-// trim adds up the endpoints without those that failed most, where there are enough of them.
-func trim(m map[string]sum) sum {
+// doubtful says whether the target fails a little more often than the others, so that more answers are needed.
+func (e Evidence) doubtful() bool { return failing(e.totals(), doubtPart) }
+
+// pair holds answers of the target and of the other versions to the same kinds of request.
+type pair struct {
+	target sum
+	others sum
+}
+
+// totals adds up all kinds of request.
+func (e Evidence) totals() pair {
+	var t, o []sum
+	f := e.faulty()
+	for r, m := range e.target {
+		t, o = append(t, trusted(m, f)), append(o, e.others[r])
+	}
+	return pair{total(t), total(o)}
+}
+
+// faulty returns the target's endpoints that failed most over all kinds of request, whose faults may be their
+// own.
+func (e Evidence) faulty() []string {
+	f := map[string]int{}
+	for _, m := range e.target {
+		for n, s := range m {
+			f[n] += s.failures
+		}
+	}
+	v := slices.SortedFunc(maps.Keys(f), func(a, b string) int { return cmp.Or(f[b]-f[a], strings.Compare(a, b)) })
+	return v[:min(trimmed, len(v)/2)]
+}
+
+// trusted adds up the endpoints without those named. Few failures of a sole endpoint may be its own.
+func trusted(m map[string]sum, without []string) sum {
 	var v []sum
-	for _, s := range m {
-		v = append(v, s)
+	for n, s := range m {
+		if !slices.Contains(without, n) {
+			v = append(v, s)
+		}
+	}
+	t := total(v)
+	if len(m) == 1 && t.failures < soleFailures {
+		t.failures = 0
 	}
-	slices.SortFunc(v, func(a, b sum) int { return b.failures - a.failures })
-	return total(v[min(trimmed, len(v)/2):])
+	return t
 }
 
 func total(v []sum) sum {
@@ -188,7 +228,7 @@
 }
 
 func worse(t, o sum) string {
-	if failing(t, o) {
+	if failing(pair{t, o}, 1) {
 		return "fails more often than the others"
 	}
 	if t.answers >= minAnswers && o.answers >= minAnswers && t.mean() > time.Duration(slowRatio*float64(o.mean()))+slowSlack {
@@ -197,8 +237,11 @@
 	return ""
 }
 
-func failing(t, o sum) bool {
-	return t.answers >= minAnswers && t.failures >= minFailures && t.rate() > 3*o.rate()+excessRate
+// failing says whether the target fails more often by a part of the excess that makes a version bad.
+func failing(p pair, part float64) bool {
+	t := p.target
+	x := part * (excessRate + excessFailures/float64(max(t.answers, 1)))
+	return t.answers >= minAnswers && t.failures >= minFailures && t.rate() > 3*p.others.rate()+x
 }
 
 // Traffic returns the plan of a running roll-out. exposure is the bound on the part of requests that an
@@ -210,36 +253,43 @@
 	case RolledBack:
 		return Plan{}
 	}
-	f := float64(elapsed) / float64(max(r.Budget, time.Second))
-	t := trialPart * exposure
 	if e.Bad() != "" {
 		return Plan{}
 	}
-	switch {
-	case f < moveFrom:
-		return Plan{Fresh: t}
-	case f < rampFrom || e.answers < enough:
-		return Plan{Fresh: exposure, Bound: exposure}
+	f := passed(r, elapsed)
+	if f < moveFrom {
+		return Plan{Fresh: freshPart * exposure}
+	}
+	t := trialPart * exposure
+	if e.answers < enough {
+		return Plan{Fresh: t, Bound: t}
 	}
-	p := min(1, exposure+(1-exposure)*(f-rampFrom)/(rampTo-rampFrom))
+	from, to := 1-rampFrom*exposure, 1-rampTo*exposure
+	p := t + (1-t)*max(0, min(1, (f-from)/(to-from)))
 	return Plan{Fresh: p, Bound: p}
 }
 
+// passed is the part of a roll-out's time budget that is over.
+func passed(r Rollout, elapsed time.Duration) float64 {
+	return float64(elapsed) / float64(max(r.Budget, time.Second))
+}
+
 // Fleet counts the endpoints that a roll-out could use.
 type Fleet struct {
 	Target int
 	Others int
 }
 
-// Decide returns how a running roll-out should end now and why; ended is false while it goes on.
-func Decide(r Rollout, elapsed time.Duration, e Evidence, f Fleet) (o Outcome, why string, ended bool) {
+// Decide returns how a running roll-out should end now and why; ended is false while it goes on. exposure is
+// the bound that Traffic goes by.
+func Decide(r Rollout, elapsed time.Duration, exposure float64, e Evidence, f Fleet) (o Outcome, why string, ended bool) {
 	if w := e.Bad(); w != "" {
 		return RolledBack, w, true
 	}
-	p := float64(elapsed) / float64(max(r.Budget, time.Second))
+	p := passed(r, elapsed)
 	k := f.Target > 0 && 2*f.Target >= f.Others
 	switch {
-	case p >= doneAfter && k && e.answers >= enough:
+	case p >= 1-doneAfter*exposure && k && e.answers >= enough && !e.doubtful():
 		return Done, "answers as well as the others", true
 	case p >= 1 && k:
 		return Done, "nothing speaks against it", true
--- a/stage/stage_test.go
+++ b/stage/stage_test.go
@@ -1,6 +1,7 @@
 package stage_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -27,6 +28,8 @@
 	failure func(at time.Duration, kind string, share float64) (chance, slower float64)
 	// broken is an endpoint of the new version that fails by itself.
 	broken int
+	// exposure is the bound on the part of requests that the version may get, exposure where it is 0.
+	exposure float64
 }
 
 // answer is one that comes later.
@@ -42,16 +45,17 @@
 func play(w world, seed uint64) (o stage.Outcome, at time.Duration, exposed int) {
 	const tick = 100 * time.Millisecond
 	r := stage.Rollout{Service: "s", Target: "v2", Budget: budget, Serial: 9}
+	x := cmp.Or(w.exposure, exposure)
 	d := rand.New(rand.NewPCG(seed, 1))
 	m := map[string]stage.Tally{}
 	var l []answer
 	for at = 0; at < 2*budget; at += tick {
 		l = count(m, l, at)
 		e := stage.Gather(r, slices.Collect(maps.Values(m)))
-		if o, _, ok := stage.Decide(r, at, e, stage.Fleet{Target: 12, Others: 12}); ok {
+		if o, _, ok := stage.Decide(r, at, x, e, stage.Fleet{Target: 12, Others: 12}); ok {
 			return o, at, exposed
 		}
-		p := stage.Traffic(r, at, exposure, e)
+		p := stage.Traffic(r, at, x, e)
 		for range int(perSec * tick.Seconds()) {
 			a := w.ask(d, p, at)
 			if a.tally.Version == "v2" {
@@ -114,7 +118,7 @@
 		"on one route": func(_ time.Duration, r string, _ float64) (float64, float64) { return pick(r == "1", 0.5), 1 },
 	} {
 		t.Run(n, func(t *testing.T) {
-			for s := range uint64(20) {
+			for s := range uint64(60) {
 				i := is.New(t)
 				o, at, k := play(world{failure: f, broken: -1}, s)
 				i.Equal(o, stage.RolledBack)
@@ -134,7 +138,7 @@
 
 func TestGoodVersionTakesOverInTime(t *testing.T) {
 	for _, broken := range []int{-1, 3} { // a broken endpoint says nothing of its version
-		for s := range uint64(20) {
+		for s := range uint64(60) {
 			i := is.New(t)
 			o, at, _ := play(world{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: broken}, s)
 			i.Equal(o, stage.Done)
@@ -143,6 +147,21 @@
 	}
 }
 
+// TestExposureStaysWithinTheBoundWhereNothingShows holds for a version that is bad only under a load that never
+// comes: it takes over, but no sooner than the bound on unproved versions allows.
+func TestExposureStaysWithinTheBoundWhereNothingShows(t *testing.T) {
+	for _, x := range []float64{0.05, exposure, 0.3} {
+		for s := range uint64(60) {
+			i := is.New(t)
+			w := world{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: -1, exposure: x}
+			o, at, k := play(w, s)
+			i.Equal(o, stage.Done)
+			rest := (budget - at).Seconds() * perSec                   // requests until the budget ends
+			i.True(float64(k)+rest <= x*perSec*budget.Seconds()+slack) // exposed requests
+		}
+	}
+}
+
 func TestSessionsStayThroughTheFirstHalf(t *testing.T) {
 	i := is.New(t)
 	r := stage.Rollout{Budget: budget}
@@ -152,7 +171,7 @@
 
 func TestRolloutWithoutEndpointsIsRolledBack(t *testing.T) {
 	i := is.New(t)
-	o, _, ok := stage.Decide(stage.Rollout{Budget: budget}, budget, stage.Evidence{}, stage.Fleet{Others: 3})
+	o, _, ok := stage.Decide(stage.Rollout{Budget: budget}, budget, exposure, stage.Evidence{}, stage.Fleet{Others: 3})
 	i.True(ok)
 	i.Equal(o, stage.RolledBack)
 }
