Keep the age of roll-outs through a restart of all control hosts

Change: entry hosts keep the time since the order and tell it in each exchange; the longest known counts. TestRolloutEndsInItsTimeThoughAllControlHostsRestart and TestAgesOfRolloutsGoOn failed first.

--- a/ctrl/reduce_test.go
+++ b/ctrl/reduce_test.go
@@ -193,6 +193,28 @@
 	i.Equal(c.ask(l, feed.Order{Verb: feed.Look, Service: "s"}).Rollout.Outcome, stage.RolledBack)
 }
 
+func TestRolloutEndsInItsTimeThoughAllControlHostsRestart(t *testing.T) {
+	i := is.New(t)
+	c := newCluster(t, 3)
+	c.run(2 * time.Second)
+	i.Equal(c.ask(address(0), feed.Order{Verb: feed.Start, Rollout: stage.Rollout{Service: "s", Target: "v2", Budget: 10 * time.Second}}).Status, feed.Accepted)
+	c.run(4 * time.Second)
+	var v []stage.View
+	for _, b := range c.boxes {
+		v = b.state.Views()
+	}
+	i.Equal(v[0].Elapsed.Round(time.Second), 4*time.Second)
+	for k := range 3 {
+		c.kill(address(k))
+	}
+	for k := range 3 {
+		c.start(address(k))
+	}
+	c.post(address(1), ctrl.HostReported{Report: feed.HostReport{Host: "entry", Start: 1, Sequence: 1, Ages: map[uint64]time.Duration{v[0].Serial: v[0].Elapsed}}})
+	c.run(7 * time.Second)
+	i.Equal(c.ask(address(0), feed.Order{Verb: feed.Look, Service: "s"}).Rollout.Outcome, stage.RolledBack) // without endpoints
+}
+
 // What was acknowledged is never lost or read back older, whatever single hosts do.
 func TestAcknowledgedStaysUnderFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -169,7 +169,8 @@
 		o := s.Machine.Rollouts[k]
 		v := stage.View{Rollout: o}
 		if o.Outcome == stage.Running {
-			v.Plan = stage.Traffic(o, s.elapsed(o), s.Exposure, stage.Gather(o, s.tallies()))
+			v.Elapsed = s.elapsed(o)
+			v.Plan = stage.Traffic(o, v.Elapsed, s.Exposure, stage.Gather(o, s.tallies()))
 		} else {
 			v.Plan = stage.Traffic(o, 0, 0, stage.Evidence{})
 		}
@@ -178,13 +179,19 @@
 	return r
 }
 
-// elapsed is the time since this host learned of a roll-out.
+// elapsed is the longest time since the order of a roll-out that this host or an entry host knows of.
 func (s State) elapsed(r stage.Rollout) time.Duration {
-	b, ok := s.begun[r.Service]
-	if !ok || b.serial != r.Serial {
-		return 0
+	var d time.Duration
+	if b, ok := s.begun[r.Service]; ok && b.serial == r.Serial {
+		d = s.Now - b.at
+	}
+	for i := s.hosts.Iterator(); !i.Done(); {
+		_, h, _ := i.Next()
+		if a, ok := h.report.Ages[r.Serial]; ok {
+			d = max(d, a+s.Now-h.heard)
+		}
 	}
-	return s.Now - b.at
+	return d
 }
 
 // available counts the endpoints that a roll-out could use.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -137,7 +137,7 @@
 		p = e.Relay.Paces()
 	}
 	q := feed.Query{
-		Report: feed.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.Loads(), Tallies: e.Relay.TakeTallies(), Reads: p},
+		Report: feed.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.Loads(), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.Ages()},
 		Known:  e.known, Wait: exchangeWait,
 	}
 	if e.known.Control == "" {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -36,6 +36,8 @@
 	Tallies []stage.Tally
 	// Reads are the times to read a prompt token that the host has measured, by model.
 	Reads map[string]time.Duration
+	// Ages are the times since the orders of running roll-outs, by serial. They outlast control hosts.
+	Ages map[uint64]time.Duration
 }
 
 // Known is what an entry host holds, so that the answer brings only news.
--- a/pick/known.go
+++ b/pick/known.go
@@ -82,6 +82,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n := map[string]stage.View{}
+	t := map[uint64]time.Time{}
 	for _, v := range views {
 		o, ok := s.rollouts[v.Service]
 		if ok && o.Serial > v.Serial || ok && o.Serial == v.Serial && o.Outcome != stage.Running && v.Outcome == stage.Running {
@@ -91,8 +92,31 @@
 			v.Plan.Fresh, v.Plan.Bound = max(v.Plan.Fresh, o.Plan.Fresh), max(v.Plan.Bound, o.Plan.Bound)
 		}
 		n[v.Service] = v
+		if v.Outcome == stage.Running {
+			t[v.Serial] = s.orderedAt(v)
+		}
+	}
+	s.rollouts, s.ordered = n, t
+}
+
+// orderedAt is when a roll-out was ordered, by the control host that has known it longest.
+func (s *Set) orderedAt(v stage.View) time.Time {
+	t := time.Now().Add(-v.Elapsed)
+	if o, ok := s.ordered[v.Serial]; ok && o.Before(t) {
+		return o
+	}
+	return t
+}
+
+// Ages returns the time since the order of each running roll-out, by serial.
+func (s *Set) Ages() map[uint64]time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	r := map[uint64]time.Duration{}
+	for k, t := range s.ordered {
+		r[k] = time.Since(t)
 	}
-	s.rollouts = n
+	return r
 }
 
 // Rollout returns the newest roll-out of a service.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -105,14 +105,16 @@
 	lock       sync.Mutex
 	nodes      map[string]*node
 	rollouts   map[string]stage.View
-	centres    map[string]*centre
+	// ordered is when each running roll-out was ordered, by serial.
+	ordered map[uint64]time.Time
+	centres map[string]*centre
 	// departed are endpoints that leave, kept so that a control host that has forgotten can't bring them back.
 	departed map[string]departure
 }
 
 // NewSet returns a set without endpoints for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, centres: map[string]*centre{}, departed: map[string]departure{}}
+	return &Set{dataCentre: dataCentre, nodes: map[string]*node{}, rollouts: map[string]stage.View{}, ordered: map[uint64]time.Time{}, centres: map[string]*centre{}, departed: map[string]departure{}}
 }
 
 // Choose returns the endpoint with the shortest estimated wait and counts the request as under way there.
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -191,6 +191,22 @@
 	i.True(!ok)
 }
 
+func TestAgesOfRolloutsGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		s := pick.NewSet("a")
+		v := stage.View{Rollout: stage.Rollout{Service: "s", Target: "v2", Serial: 3}, Elapsed: 4 * time.Second}
+		s.SetRollouts([]stage.View{v})
+		time.Sleep(time.Second)
+		i.Equal(s.Ages(), map[uint64]time.Duration{3: 5 * time.Second})
+		s.SetRollouts([]stage.View{v}) // from a control host that knows of a later start
+		i.Equal(s.Ages(), map[uint64]time.Duration{3: 5 * time.Second})
+		v.Outcome = stage.Done
+		s.SetRollouts([]stage.View{v})
+		i.Equal(len(s.Ages()), 0)
+	})
+}
+
 func TestShareOfARolloutNeverFalls(t *testing.T) {
 	i := is.New(t)
 	s := set(4, true, "a")
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -64,6 +64,8 @@
 type View struct {
 	Rollout
 	Plan Plan
+	// Elapsed is the time since the order, as far as the control host knows.
+	Elapsed time.Duration
 }
 
 const (
