Estimate the time to read prompts of all lengths; log what decided over an answer

Change: package paces with a quadratic part, steps that shrink; the line of a served request has its first event's time, size, confidence and why it was not asked for again. Conclusion: kept for the truth of the estimates, on which the choice of models and endpoints rests.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -134,7 +134,7 @@
 	e.sequence++
 	var p map[string]time.Duration
 	if e.sequence%pacesEvery == 0 {
-		p = e.Relay.Paces()
+		p = e.Relay.Paces.All()
 	}
 	q := feed.Query{
 		Report: feed.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.Loads(), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.Ages()},
@@ -214,7 +214,7 @@
 	}
 	if n.FleetNew {
 		e.Set.Replace(n.Reports)
-		e.Relay.AdoptPaces(n.Reads)
+		e.Relay.Paces.Adopt(n.Reads)
 		e.known.Control, e.known.FleetRevision = n.Control, n.FleetRevision
 		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": n.FleetRevision, "endpoints": len(n.Reports)}).Info("entry: endpoints changed")
 	}
--- /dev/null
+++ b/paces/paces_test.go
@@ -0,0 +1,59 @@
+package paces_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/paces"
+)
+
+const (
+	// perToken is the true time to read a token of a short prompt, in nanoseconds, and quadratic how it grows with
+	// each token before it.
+	perToken  = 43000.0
+	quadratic = 0.53
+	cost      = 0.3
+)
+
+// truth is the time to read a prompt on a free endpoint.
+func truth(tokens int) time.Duration {
+	t := float64(tokens)
+	return time.Duration(t*perToken + t*t*quadratic)
+}
+
+// Prompts whose parts are kept in memory are read faster, and those that meet other requests' work later; the
+// estimate is that of a free endpoint, for short and for very long prompts.
+func TestEstimateHoldsForPromptsOfAllLengths(t *testing.T) {
+	for s := range uint64(20) {
+		d := rand.New(rand.NewPCG(s, 1))
+		p := paces.New()
+		for range 150 {
+			n := 1500 + int(d.ExpFloat64()*6000)
+			w := truth(n)
+			switch x := d.Float64(); {
+			case x < 0.2:
+				w = time.Duration(float64(w) * (0.2 + 0.7*d.Float64()))
+			case x > 0.6:
+				w += time.Duration(d.ExpFloat64() * float64(w) / 2)
+			}
+			p.Learn("m", cost, n, paces.StartCost+w, 0)
+		}
+		for _, n := range []int{2000, 10000, 25000, 50000} {
+			if r := float64(p.Read("m", cost, n)) / float64(truth(n)); r < 0.85 || r > 1.2 {
+				t.Errorf("seed %d: the estimate for %d tokens is %.2f of the truth", s, n, r)
+			}
+		}
+	}
+}
+
+func TestWaitsBehindOtherWorkTeachNothing(t *testing.T) {
+	p := paces.New()
+	b := p.Read("m", cost, 10000)
+	for range 100 {
+		p.Learn("m", cost, 10000, time.Minute, time.Second)
+	}
+	if a := p.Read("m", cost, 10000); a != b {
+		t.Errorf("%v became %v", b, a)
+	}
+}
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hickoryshelf/hickoryshelf/paces"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/sizes"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -22,8 +23,6 @@
 	readParts  = 4
 	// firstPlain is the assumed time of a plain answer before one was measured.
 	firstPlain = 40 * time.Millisecond
-	// startCost is the part of the wait for a first event that doesn't depend on the prompt.
-	startCost = 25 * time.Millisecond
 )
 
 // patience is how long the start of an answer is waited for before the request is sent elsewhere too: as
@@ -62,8 +61,8 @@
 		Attempts: max(1, j.route.Attempts) - j.runs + 1, Backlog: m, Left: time.Until(j.request.Received.Add(j.route.Objective)),
 	}
 	for _, n := range j.route.Sizes {
-		r := j.relay.paces.read(n, j.cost(n), p.Tokens)
-		a.Options = append(a.Options, sizes.Option{Wait: l + startCost + r, Work: r, Price: j.price(n)})
+		r := j.relay.Paces.Read(n, j.cost(n), p.Tokens)
+		a.Options = append(a.Options, sizes.Option{Wait: l + paces.StartCost + r, Work: r, Price: j.price(n)})
 	}
 	return a
 }
@@ -114,7 +113,7 @@
 
 // read is the time in which the model that answers reads prompt tokens.
 func (j *job) read(tokens int) time.Duration {
-	return j.relay.paces.read(j.model(), j.cost(j.model()), tokens)
+	return j.relay.Paces.Read(j.model(), j.cost(j.model()), tokens)
 }
 
 // work is the estimated time to the start of the answer on a free endpoint.
@@ -122,7 +121,7 @@
 	if j.route.Kind != table.Stream {
 		return j.hold()
 	}
-	return startCost + j.read(j.request.Prompt.Tokens)
+	return paces.StartCost + j.read(j.request.Prompt.Tokens)
 }
 
 // hold is the estimated time that the request occupies an endpoint.
--- a/relay/job.go
+++ b/relay/job.go
@@ -71,6 +71,9 @@
 	// newest is when an event was last passed on, and longest the longest pause between two.
 	newest  time.Time
 	longest time.Duration
+	// first is the time from the request to its first event or whole answer, and confidence the model's opinion of it.
+	first      time.Duration
+	confidence int
 	// failure is the newest failure that an endpoint answered with, to be passed on where nothing better comes.
 	failure *whole
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryshelf/hickoryshelf/paces"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/stage"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -32,16 +33,17 @@
 	entries atomic.Int64
 	start   time.Time
 	// end is when a stopping host breaks requests off, as Unix nanoseconds; 0 while it goes on.
-	end     atomic.Int64
+	end atomic.Int64
+	// Paces are shared with other hosts.
+	Paces   *paces.Paces
 	times   times
-	paces   *paces
 	weights weights
 	tallies tallies
 }
 
 // New returns a relay that knows no table yet.
 func New(o Options) *Relay {
-	r := &Relay{Options: o, start: time.Now(), times: newTimes(), paces: newPaces(), weights: newWeights(), tallies: tallies{cells: map[string]stage.Tally{}}}
+	r := &Relay{Options: o, start: time.Now(), times: newTimes(), Paces: paces.New(), weights: newWeights(), tallies: tallies{cells: map[string]stage.Tally{}}}
 	r.entries.Store(1)
 	return r
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,7 +37,7 @@
 		return larger
 	}
 	if !j.begun {
-		j.begun = true
+		j.begun, j.confidence = true, r.Confidence
 		j.sink.Begin(r.Status, r.Header, -1)
 	}
 	w := u.watch(j.silence())
@@ -81,7 +81,11 @@
 		return 0, false
 	}
 	n, ok := sizes.Next(j.ask(), j.size, r.Confidence)
-	return n, ok && j.relay.Budget.TakeSpare(j.service.Name)
+	if ok && !j.relay.Budget.TakeSpare(j.service.Name) {
+		j.spent = "spare budget"
+		return 0, false
+	}
+	return n, ok
 }
 
 // events passes whole events on until the end of the body.
@@ -106,7 +110,9 @@
 			if id, ok := eventID(e); ok {
 				j.last = id
 			}
-			if !j.newest.IsZero() {
+			if j.newest.IsZero() {
+				j.first = time.Since(j.request.Received)
+			} else {
 				j.longest = max(j.longest, time.Since(j.newest))
 			}
 			j.newest = time.Now()
--- a/relay/use.go
+++ b/relay/use.go
@@ -190,7 +190,7 @@
 	u.job.relay.Set.Good(u.choice.ID, wait, u.choice.Wait)
 	u.job.tally(u, false, wait)
 	if u.job.route.Kind == table.Stream {
-		u.job.relay.paces.learn(u.job.model(), u.job.cost(u.job.model()), u.job.request.Prompt.Tokens, wait, time.Duration(u.choice.Load.Backlog)*time.Millisecond)
+		u.job.relay.Paces.Learn(u.job.model(), u.job.cost(u.job.model()), u.job.request.Prompt.Tokens, wait, time.Duration(u.choice.Load.Backlog)*time.Millisecond)
 	}
 	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
 }
@@ -214,7 +214,11 @@
 	d := time.Since(j.request.Received)
 	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=\"served\"}", j.route.Name)).Inc()
 	j.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("request_seconds{route=%q}", j.route.Name)).Update(d.Seconds())
-	u.log().WithFields(logrus.Fields{"outcome": "served", "status": status, "runs": j.runs, "pause": j.longest.Milliseconds(), "wait": u.wait.Milliseconds(), "prompt": j.request.Prompt.Tokens}).Info("request: served")
+	u.log().WithFields(logrus.Fields{
+		"outcome": "served", "status": status, "runs": j.runs, "spent": j.spent,
+		"first": j.first.Milliseconds(), "pause": j.longest.Milliseconds(), "wait": u.wait.Milliseconds(),
+		"prompt": j.request.Prompt.Tokens, "size": j.request.Prompt.weight(), "confidence": j.confidence,
+	}).Info("request: served")
 }
 
 // whole is an answer that was read to its end.
