Let hosts that have just started ask larger models for doubted answers

Change: a host begins with what it leaves for faults. TestFreshHostMayAskForLargerModels failed first; TestBudgetHoldsInAnyWindow now also restarts half of the hosts again and again.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -65,7 +65,8 @@
 func (b *Budget) of(service string) *account {
 	a, ok := b.services[service]
 	if !ok {
-		a = &account{saved: leastSaved, at: time.Now()}
+		a = &account{at: time.Now()}
+		a.saved = 1 + sparePart*b.most(a)
 		b.services[service] = a
 	}
 	return a
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -228,17 +228,43 @@
 	})
 }
 
+// Half of the first answers of a host that has just started are doubted, as later ones are.
+func TestFreshHostMayAskForLargerModels(t *testing.T) {
+	inBubble(t, func(_ *testing.T, i *is.I) {
+		b := freshBudget()
+		for k := range 40 {
+			b.Earn("s")
+			if k%2 == 0 {
+				i.True(b.TakeSpare("s"))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// hosts share a budget.
+const hosts = 9
+
+func freshBudget() *relay.Budget {
+	b := relay.NewBudget(0.9, 58, 10*time.Second)
+	b.SetHosts(hosts)
+	return b
+}
+
+// It holds although hosts restart, which forget what they have spent.
 func TestBudgetHoldsInAnyWindow(t *testing.T) {
 	inBubble(t, func(_ *testing.T, i *is.I) {
-		const hosts = 9
 		var spent, requests []time.Time
 		var l []*relay.Budget
 		for range hosts {
-			b := relay.NewBudget(0.9, 58, 10*time.Second)
-			b.SetHosts(hosts)
-			l = append(l, b)
+			l = append(l, freshBudget())
 		}
 		for s := range 4000 {
+			if s%700 == 0 { // half of the hosts
+				for k := range hosts / 2 {
+					l[k] = freshBudget()
+				}
+			}
 			if s%1000 < 500 { // bursts and quiet times
 				time.Sleep(5 * time.Millisecond)
 			} else {
