Campaign again soon after a split vote; log a lost leader once

Ruled out: slow disks (candidates within 4 ms of pre-candidates), the wiped host (it can't vote; two of three were up). Change: campaigns repeat after a quarter of the election time, ticks start at a random moment. Entry hosts logged a lost and a regained dependency every 60 ms while no leader was there: now once. TestLeaderComesSoonAfterAllRestart, TestLostLeaderIsLoggedOnce failed first.

--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"net/rpc"
 	"sync"
@@ -183,8 +184,10 @@
 	}
 }
 
-// run reduces events and carries out their effects.
+// run reduces events and carries out their effects. Ticks of hosts that start together come at different moments,
+// as their campaigns should.
 func (h *Host) run() {
+	time.Sleep(mathrand.N(tickEvery))
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
--- a/ctrl/reduce_test.go
+++ b/ctrl/reduce_test.go
@@ -265,6 +265,26 @@
 	i.Equal(c.ask(address(0), feed.Order{Verb: feed.Look, Service: "s"}).Rollout.Outcome, stage.RolledBack) // without endpoints
 }
 
+// Hosts that start at the same moment often campaign at the same moment; callers wait for the leader.
+func TestLeaderComesSoonAfterAllRestart(t *testing.T) {
+	i := is.New(t)
+	queue = nil
+	c := newCluster(t, 3)
+	for range 200 {
+		c.run(2 * time.Second)
+		for a := range c.boxes {
+			c.kill(a)
+		}
+		for a := range c.boxes {
+			c.start(a)
+		}
+		c.kill(address(1)) // one comes later
+		c.run(700 * time.Millisecond)
+		i.True(c.leader() != "")
+		c.start(address(1))
+	}
+}
+
 // What was acknowledged is never lost or read back older, whatever single hosts do.
 func TestAcknowledgedStaysUnderFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/feed"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -204,7 +205,7 @@
 
 // take puts the news of a control host in force.
 func (e *Entry) take(n feed.News) {
-	if e.lost {
+	if e.lost && n.Current {
 		e.lost = false
 		e.Log.WithField("control", e.address).Info("entry: dependency regained, a control host answers")
 	}
@@ -216,7 +217,7 @@
 		e.Set.Replace(n.Reports)
 		e.Relay.Paces.Adopt(n.Reads)
 		e.known.Control, e.known.FleetRevision = n.Control, n.FleetRevision
-		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": n.FleetRevision, "endpoints": len(n.Reports)}).Info("entry: endpoints changed")
+		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": n.FleetRevision, "endpoints": byService(n.Reports)}).Info("entry: endpoints changed")
 	}
 	if n.Sure {
 		e.Set.SetRollouts(n.Rollouts)
@@ -228,6 +229,15 @@
 	}
 }
 
+// byService counts endpoints by service.
+func byService(l []fleet.Report) map[string]int {
+	r := map[string]int{}
+	for _, v := range l {
+		r[v.Service]++
+	}
+	return r
+}
+
 func (e *Entry) takeTable(n feed.News) {
 	t, err := e.Decode(n.Document)
 	if err != nil {
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,82 @@
+package entry_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/rpc"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/dial"
+	"github.com/hickoryshelf/hickoryshelf/entry"
+	"github.com/hickoryshelf/hickoryshelf/feed"
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/table"
+)
+
+// Control is a control host that answers exchanges.
+type Control struct {
+	current   *atomic.Bool
+	exchanges *atomic.Int64
+}
+
+// Exchange answers without news.
+func (c Control) Exchange(_ feed.Query, n *feed.News) error {
+	c.exchanges.Add(1)
+	n.Current = c.current.Load()
+	return nil
+}
+
+// serve starts a control host and returns its address.
+func serve(i *is.I, c Control) (ip string, port uint16, closer io.Closer) {
+	s := rpc.NewServer()
+	i.NoErr(s.RegisterName(feed.ServiceName, c))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	go s.Accept(l)
+	h, p, err := net.SplitHostPort(l.Addr().String())
+	i.NoErr(err)
+	n, err := strconv.ParseUint(p, 10, 16)
+	i.NoErr(err)
+	return h, uint16(n), l
+}
+
+// While all control hosts are without a leader, exchanges are answered again and again; the log tells once that
+// the dependency is lost, and once that it is back.
+func TestLostLeaderIsLoggedOnce(t *testing.T) {
+	i := is.New(t)
+	c := Control{current: &atomic.Bool{}, exchanges: &atomic.Int64{}}
+	h, p, l := serve(i, c)
+	defer l.Close() //nolint:errcheck // the test ends
+	var b bytes.Buffer
+	g := logrus.New()
+	g.SetOutput(&b)
+	m := metrics.NewSet()
+	s := pick.NewSet("a")
+	r := relay.New(relay.Options{Set: s, Budget: relay.NewBudget(0.9, 58, time.Second), Log: g, Metrics: m})
+	e := entry.New(entry.Options{
+		Settings: conf.Node{Name: "e", PeerPort: p, Seeds: []string{h + ":1", h + ":2"}}, Relay: r, Set: s, Pool: dial.NewPool(),
+		Decode: func([]byte) (table.Table, error) { return table.Table{}, nil }, Log: g, Metrics: m,
+	})
+	for c.exchanges.Load() < 6 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.current.Store(true)
+	for n := c.exchanges.Load(); c.exchanges.Load() < n+4; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	e.Stop()
+	time.Sleep(300 * time.Millisecond)
+	i.Equal(strings.Count(b.String(), "dependency lost"), 1)
+	i.Equal(strings.Count(b.String(), "dependency regained"), 1)
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -8,8 +8,8 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// firstDeadlinePart divides the election time of a node that has just started.
-const firstDeadlinePart = 4
+// shortDeadlinePart divides the election time of a node that has just started or that campaigns.
+const shortDeadlinePart = 4
 
 // progress is what a leader knows of another node.
 type progress struct {
@@ -54,14 +54,15 @@
 	s := State{ID: node, Hard: hard, Snapshot: snapshot, Commit: snapshot.Index, timing: timing, entries: l, seed: seed}
 	s.Stable = s.LastIndex()
 	s.Peers = s.findPeers()
-	return s.withFirstDeadline(0)
+	return s.withShortDeadline(0)
 }
 
-// withFirstDeadline draws the first election time after a start. It may be short, since a node that hears a
-// leader refuses pre-votes, so that an early campaign disturbs nobody.
-func (s State) withFirstDeadline(now time.Duration) State {
+// withShortDeadline draws the election time after a start or a campaign that others may have made at the same
+// moment. It may be short, since a node that hears a leader refuses pre-votes, so that an early campaign disturbs
+// nobody.
+func (s State) withShortDeadline(now time.Duration) State {
 	s = s.withDeadline(now)
-	s.deadline = now + (s.deadline-now)/firstDeadlinePart
+	s.deadline = now + (s.deadline-now)/shortDeadlinePart
 	return s
 }
 
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -86,7 +86,7 @@
 	t.Role = role
 	t.Leader = ""
 	t.votes = []NodeID{t.ID}
-	t.State = t.withDeadline(t.now)
+	t.State = t.withShortDeadline(t.now)
 	k, e := PreVote, t.Hard.Term+1
 	if role == Candidate {
 		t.Hard = HardState{Term: t.Hard.Term + 1, Vote: t.ID}
