--- a/cmds/check.go
+++ b/cmds/check.go
@@ -50,8 +50,17 @@
 	}
 }
 
+// checkSettings checks the settings of a host, of a routed deployment or not.
 func checkSettings(path string) error {
-	_, err := conf.Load(path)
+	n, err := conf.IsNode(path)
+	if err != nil {
+		return err
+	}
+	if n {
+		_, err = conf.LoadNode(path)
+		return err
+	}
+	_, err = conf.Load(path)
 	return err
 }
 
