explain: tell failures passed on, callers that left and requests lost with their host

Change: final lines for failures passed on, with the endpoint, how long and whether it was answering; explain names the host's next start. Outcomes caller-left, broken-off and failure-passed-on are counted in requests_total too. TestStories failed first.

--- a/relay/job.go
+++ b/relay/job.go
@@ -57,8 +57,11 @@
 	rounds int
 	// untouched counts the sendings that did not reach an endpoint.
 	untouched int
-	// best is the newest choice of an endpoint.
+	// best is the newest choice of an endpoint, and sent when the request was last sent.
 	best pick.Choice
+	sent time.Time
+	// answering is set once that endpoint has begun to answer.
+	answering bool
 	// spent says why the request is not sent again.
 	spent string
 	// ran is set once the request may have run anywhere.
@@ -85,9 +88,24 @@
 	})
 }
 
+// count counts the request by its outcome.
+func (j *job) count(outcome string) {
+	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=%q}", j.route.Name, outcome)).Inc()
+}
+
+// ending counts a request that ends without an answer of its own, and returns a log line with where it was.
+func (j *job) ending(outcome string) *logrus.Entry {
+	j.count(outcome)
+	e := j.log().WithFields(logrus.Fields{"outcome": outcome, "sends": j.sends, "runs": j.runs, "spent": j.spent})
+	if j.sent.IsZero() {
+		return e
+	}
+	return e.WithFields(logrus.Fields{"endpoint": j.best.ID, "waited": time.Since(j.sent).Milliseconds(), "answering": j.answering})
+}
+
 // refuse ends the request with an answer of this host.
 func (j *job) refuse(why Reason, after time.Duration) {
-	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=%q}", j.route.Name, why)).Inc()
+	j.count(why.String())
 	j.log().WithFields(logrus.Fields{
 		"outcome": why.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs, "spent": j.spent,
 		"estimate": j.best.Wait.Milliseconds(), "load": j.best.Load.Requests, "backlog": j.best.Load.Backlog, "candidates": j.best.Candidates,
@@ -168,17 +186,18 @@
 // giveUp gives the final answer where no attempt brought one.
 func (j *job) giveUp(v next) {
 	if j.caller.Err() != nil {
-		j.log().WithField("sends", j.sends).Info("request: the caller left")
+		j.ending("caller-left").Info("request: the caller left")
 		return
 	}
 	if j.begun {
-		j.log().WithFields(logrus.Fields{"outcome": "broken-off", "last-event": j.last, "sends": j.sends, "runs": j.runs, "spent": j.spent}).Warn("request: the answer ends early")
+		j.ending("broken-off").WithField("last-event", j.last).Warn("request: the answer ends early")
 		j.sink.Break()
 		return
 	}
 	late := time.Until(j.deadline) <= 0
 	switch {
 	case j.failure != nil:
+		j.ending("failure-passed-on").WithField("status", j.failure.status).Warn("request: the endpoint's failure is passed on")
 		j.deliver(j.failure)
 	case late && j.ran:
 		j.refuse(TimedOut, 0)
@@ -218,6 +237,7 @@
 		return full
 	}
 	j.sends++
+	j.sent, j.answering = u.sent, false
 	a := Attempt{
 		Request: j.request, Endpoint: c.Report, Account: j.account, Left: time.Until(j.deadline),
 		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, Connections: j.connections(),
--- a/relay/use.go
+++ b/relay/use.go
@@ -133,7 +133,7 @@
 		return repeat
 	}
 	j.runs++
-	j.ran = true
+	j.ran, j.answering = true, true
 	u.good(wait)
 	if j.route.Kind == table.Stream {
 		return u.stream(r)
@@ -212,7 +212,7 @@
 func (u *use) served(status int) {
 	j := u.job
 	d := time.Since(j.request.Received)
-	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=\"served\"}", j.route.Name)).Inc()
+	j.count("served")
 	j.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("request_seconds{route=%q}", j.route.Name)).Update(d.Seconds())
 	u.log().WithFields(logrus.Fields{
 		"outcome": "served", "status": status, "runs": j.runs, "spent": j.spent,
--- a/story/story.go
+++ b/story/story.go
@@ -121,9 +121,23 @@
 		s.Beliefs = append(s.Beliefs, n[k])
 	}
 	s.Cause = cause(s.Lines)
+	if len(s.Lines) > 0 && !strings.HasPrefix(s.Lines[len(s.Lines)-1].Message, "request:") {
+		s.Cause = unfinished(s.Lines, lines)
+	}
 	return s
 }
 
+// unfinished says why a request has no final line.
+func unfinished(own, all []Line) string {
+	e := own[len(own)-1]
+	for _, l := range all {
+		if l.Host == e.Host && l.Message == started && l.Time.After(e.Time) {
+			return fmt.Sprintf("lost with its host, which started again at %s: %s", l.Time.Format(timeFormat), attempts(own))
+		}
+	}
+	return "its end isn't logged, it was under way when the log ends: " + attempts(own)
+}
+
 // cause says in a sentence why a request ended as it did.
 func cause(lines []Line) string {
 	if len(lines) == 0 {
@@ -143,6 +157,14 @@
 		return fmt.Sprintf("may have run, its answer is lost: %s; no further run: %s", attempts(lines), spent(l))
 	case "timed-out":
 		return fmt.Sprintf("may have run, no answer within its time: %s", attempts(lines))
+	case "failure-passed-on":
+		return fmt.Sprintf("the failure of the last endpoint was passed on: %s; no further run: %s", attempts(lines), spent(l))
+	case "caller-left":
+		w := "the caller left while " + pending(l)
+		if r := tried(lines); len(r) > 0 {
+			w += "; before: " + strings.Join(r, ", then ")
+		}
+		return w
 	case "":
 		return l.Message
 	}
@@ -164,8 +186,29 @@
 	return word(l.Fields, "spent")
 }
 
+// pending names the endpoint at which a request was when it ended.
+func pending(l Line) string {
+	e := word(l.Fields, "endpoint")
+	if e == "" {
+		return "no endpoint was asked"
+	}
+	if a, _ := l.Fields["answering"].(bool); a {
+		return fmt.Sprintf("%s was still answering after %.0f ms", e, l.number("waited"))
+	}
+	return fmt.Sprintf("%s had not answered for %.0f ms", e, l.number("waited"))
+}
+
 // attempts says what went wrong at each endpoint.
 func attempts(lines []Line) string {
+	r := tried(lines)
+	if len(r) == 0 {
+		return pending(lines[len(lines)-1])
+	}
+	return strings.Join(r, ", then ")
+}
+
+// tried says what went wrong at each endpoint that ended an attempt.
+func tried(lines []Line) []string {
 	var r []string
 	for _, l := range lines {
 		if !strings.HasPrefix(l.Message, "attempt:") {
@@ -180,10 +223,7 @@
 		}
 		r = append(r, fmt.Sprintf("%v after %.0f ms (%s)", l.Fields["endpoint"], l.number("took"), w))
 	}
-	if len(r) == 0 {
-		return "no endpoint was asked"
-	}
-	return strings.Join(r, ", then ")
+	return r
 }
 
 // Write prints a story for a terminal.
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -19,6 +19,15 @@
 {"host":"e1","id":"b","msg":"request: refused","outcome":"overloaded","candidates":3,"estimate":900,"left":300,"time":"10:00:02.500"}
 {"host":"e1","id":"c","msg":"attempt: the stream broke off","endpoint":"i-2","took":70,"error":"unexpected EOF","time":"10:00:02.600"}
 {"host":"e1","id":"c","msg":"request: the answer ends early","outcome":"broken-off","last-event":"7","left":9000,"spent":"budget","time":"10:00:02.601"}
+{"host":"e1","id":"e","msg":"attempt: the endpoint failed","endpoint":"i-1","took":9,"outcome":"failed","status":500,"time":"10:00:03.000"}
+{"host":"e1","id":"e","msg":"request: the endpoint's failure is passed on","outcome":"failure-passed-on","status":500,"left":700,"spent":"attempts","time":"10:00:03.001"}
+{"host":"e1","id":"f","msg":"request: the caller left","outcome":"caller-left","endpoint":"i-3","waited":900,"left":100,"time":"10:00:03.100"}
+{"host":"e1","id":"l","msg":"attempt: dropped for a larger model","endpoint":"i-4","took":80,"time":"10:00:03.100"}
+{"host":"e1","id":"l","msg":"request: the caller left","outcome":"caller-left","endpoint":"i-3","waited":900,"answering":true,"left":100,"time":"10:00:03.100"}
+{"host":"e1","id":"g","msg":"request: the answer ends early","outcome":"broken-off","endpoint":"i-3","waited":800,"answering":true,"last-event":"75","left":0,"time":"10:00:03.200"}
+{"host":"e1","id":"h","msg":"attempt: dropped for a larger model","endpoint":"i-4","took":80,"time":"10:00:04.000"}
+{"host":"e2","id":"k","msg":"attempt: dropped for a larger model","endpoint":"i-4","took":80,"time":"10:00:04.000"}
+{"host":"e1","msg":"host: starts","time":"10:00:06.000"}
 `
 
 func TestStories(t *testing.T) {
@@ -26,6 +35,12 @@
 		"a": "may have run, its answer is lost: i-1 after 7 ms (connection reset); no further run: it may run no more often",
 		"b": "refused, not run: the best of 3 endpoints would have begun to answer in 900 ms, and 300 ms were left",
 		"c": "broken off behind event 7: i-2 after 70 ms (unexpected EOF); no further run: the budget of repeats was spent",
+		"e": "the failure of the last endpoint was passed on: i-1 after 9 ms (the endpoint failed); no further run: it may run no more often",
+		"f": "the caller left while i-3 had not answered for 900 ms",
+		"l": "the caller left while i-3 was still answering after 900 ms; before: i-4 after 80 ms (dropped for a larger model)",
+		"g": "broken off behind event 75: i-3 was still answering after 800 ms; no further run: its time was over",
+		"h": "lost with its host, which started again at 10:00:06.000: i-4 after 80 ms (dropped for a larger model)",
+		"k": "its end isn't logged, it was under way when the log ends: i-4 after 80 ms (dropped for a larger model)",
 		"d": "no line names the request: it reached no host whose log was given, or its lines were left out under load",
 	} {
 		i := is.New(t)
