Check that orders to control hosts are linearizable under kills, wipes, cuts and stalls

Histories of puts and reads by several operators, without waiting for each other, are checked with porcupine against a register of the highest version.

--- /dev/null
+++ b/ctrl/linear_test.go
@@ -0,0 +1,168 @@
+package ctrl_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"github.com/hickoryshelf/hickoryshelf/ctrl"
+	"github.com/hickoryshelf/hickoryshelf/feed"
+)
+
+// operation is an order in a history: a put of a version, or a read where it is 0.
+type operation struct{ put int64 }
+
+// register holds the highest version put; a read returns it.
+var register = porcupine.Model{
+	Init: func() any { return int64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		s, p := state.(int64), input.(operation).put
+		if p > 0 {
+			return true, max(s, p)
+		}
+		return output.(int64) == s, s
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%v -> %v", input, output) },
+}
+
+// order is one that was sent and has no receipt yet.
+type order struct {
+	ticket uint64
+	client int
+	input  operation
+	called time.Duration
+}
+
+// history sends orders without waiting for their receipts.
+type history struct {
+	cluster *cluster
+	pending []order
+	done    []porcupine.Operation
+}
+
+// send posts an order to a host.
+func (h *history) send(client int, address string, in operation) {
+	c := h.cluster
+	c.tickets++
+	h.pending = append(h.pending, order{ticket: c.tickets, client: client, input: in, called: c.now})
+	o := feed.Order{Verb: feed.Read}
+	if in.put > 0 {
+		o = feed.Order{Verb: feed.Put, Version: in.put, Document: fmt.Appendf(nil, "document %d", in.put)}
+	}
+	c.post(address, ctrl.Asked{Ticket: c.tickets, Order: o})
+}
+
+// settle notes receipts that have come. A read without a clear answer says nothing; a put may yet take effect.
+func (h *history) settle(end bool) {
+	var p []order
+	for _, o := range h.pending {
+		r, ok := h.cluster.receipts[o.ticket]
+		clear := ok && r.Status != feed.Unavailable
+		v := porcupine.Operation{ClientId: o.client, Input: o.input, Call: int64(o.called), Output: r.Version, Return: int64(h.cluster.now)}
+		switch {
+		case clear:
+			h.done = append(h.done, v)
+		case (ok || end) && o.input.put > 0:
+			v.Return = math.MaxInt64
+			h.done = append(h.done, v)
+		case !ok && !end:
+			p = append(p, o)
+		}
+	}
+	h.pending = p
+}
+
+// Orders of several operators at several hosts, while hosts are killed, wiped, cut off, stalled and restarted all
+// at once, have effects that some order of them explains.
+func TestOrdersAreLinearizable(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		queue = nil
+		n := rapid.IntRange(3, 5).Draw(r, "hosts")
+		c := newCluster(t, n)
+		c.run(time.Second)
+		h := &history{cluster: c}
+		var v int64
+		for range rapid.IntRange(5, 14).Draw(r, "steps") {
+			disturb(r, c, n)
+			for k := range rapid.IntRange(1, 4).Draw(r, "orders") {
+				o := operation{}
+				if rapid.Bool().Draw(r, "put") {
+					v++
+					o.put = v - int64(rapid.IntRange(0, 2).Draw(r, "overtaken"))
+				}
+				if o.put < 0 {
+					o.put = 0
+				}
+				h.send(k, address(rapid.IntRange(0, n-1).Draw(r, "at")), o)
+			}
+			for range rapid.IntRange(1, 40).Draw(r, "rounds") {
+				c.run(5 * step)
+				h.settle(false)
+			}
+		}
+		heal(c)
+		c.run(5 * time.Second)
+		for k := range n {
+			h.send(0, address(k), operation{})
+			c.run(100 * time.Millisecond)
+			h.settle(false)
+		}
+		h.settle(true)
+		if !porcupine.CheckOperations(register, h.done) {
+			r.Fatalf("no order of the operations explains %v", h.done)
+		}
+	})
+}
+
+// disturb does one thing to the cluster.
+func disturb(r *rapid.T, c *cluster, n int) {
+	a := address(rapid.IntRange(0, n-1).Draw(r, "host"))
+	switch rapid.IntRange(0, 6).Draw(r, "what") {
+	case 0:
+		c.kill(a)
+	case 1:
+		for b, x := range c.boxes {
+			if !x.up {
+				c.start(b)
+			}
+		}
+	case 2:
+		c.cut = func(x, y string) bool { return x == a || y == a }
+	case 3:
+		c.cut = func(string, string) bool { return false }
+	case 4:
+		heal(c)
+		c.run(4 * time.Second)
+		c.wipe(a)
+	case 5:
+		for b := range c.boxes {
+			c.kill(b)
+		}
+		for b := range c.boxes {
+			c.start(b)
+		}
+	case 6:
+		c.boxes[a].stalled = !c.boxes[a].stalled
+		if !c.boxes[a].stalled {
+			c.flush(a)
+		}
+	}
+}
+
+// heal ends all disturbances.
+func heal(c *cluster) {
+	c.cut = func(string, string) bool { return false }
+	for b, x := range c.boxes {
+		if !x.up {
+			c.start(b)
+		}
+		if x.stalled {
+			x.stalled = false
+			c.flush(b)
+		}
+	}
+}
