--- a/proof/routed.go
+++ b/proof/routed.go
@@ -176,6 +176,49 @@
 	}
 }
 
+// Tear leaves the beginning of a record at the end of a control host's log, as a write that a crash cut short.
+func (r *Routed) Tear(p *Process) {
+	r.change(p, func(b []byte) []byte { return append(b, b[:min(len(b), tornBytes)]...) })
+}
+
+// Damage changes a byte within the first record of a control host's log, as a disk that returns other data.
+func (r *Routed) Damage(p *Process) {
+	r.change(p, func(b []byte) []byte {
+		if len(b) > tornBytes {
+			b[tornBytes] ^= 0xff
+		}
+		return b
+	})
+}
+
+// tornBytes is more than the header of a record and less than any record, in bytes.
+const tornBytes = 18
+
+// change rewrites a control host's log; its process must not run.
+func (r *Routed) change(p *Process, f func([]byte) []byte) {
+	n := filepath.Join(r.folder, p.Name, "quorum.log")
+	b, err := os.ReadFile(n)
+	if err == nil {
+		err = os.WriteFile(n, f(b), 0o600)
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// Ended waits until a process that ends by itself has, and returns how; it fails the test where it goes on.
+func (r *Routed) Ended(p *Process) error {
+	d := make(chan error, 1)
+	go func() { d <- p.cmd.Wait() }()
+	select {
+	case err := <-d:
+		return err
+	case <-time.After(5 * time.Second):
+		r.t.Fatalf("%s goes on", p.Name)
+		return nil
+	}
+}
+
 func (r *Routed) stop() {
 	for _, p := range append(r.Control, r.Entry...) {
 		if p.cmd != nil && p.cmd.ProcessState == nil {
