--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -60,6 +60,7 @@
 	writer   *writer
 	links    *links
 	tickets  tickets
+	teller   *teller
 	stop     chan struct{}
 
 	lock    sync.Mutex
@@ -91,6 +92,7 @@
 		return nil, errors.Join(err, d.Close())
 	}
 	h := &Host{
+		teller:   newTeller(),
 		settings: o.Settings, log: o.Log, start: time.Now(), events: make(chan Event, eventQueue),
 		stop: make(chan struct{}), changed: make(chan struct{}),
 	}
@@ -358,13 +360,13 @@
 	for {
 		s, c := h.view()
 		if fresh(s, q.Known) {
-			return news(s, q)
+			return h.teller.news(s, q)
 		}
 		select {
 		case <-c:
 		case <-t.C:
 			s, _ = h.view()
-			return news(s, q)
+			return h.teller.news(s, q)
 		case <-h.stop:
 			return feed.News{}
 		}
@@ -375,20 +377,3 @@
 func fresh(s State, k feed.Known) bool {
 	return s.Sure && s.Machine.Document.Version > k.TableVersion || k.Control != s.Start || k.FleetRevision != s.Fleet.Revision
 }
-
-func news(s State, q feed.Query) feed.News {
-	n := feed.News{
-		Control: s.Start, Sure: s.Sure, Current: s.Current(), FleetRevision: s.Fleet.Revision, Rollouts: s.Views(),
-		Loads: s.Loads(q.Report.Host), Entries: s.Entries(), Controls: s.Controls(),
-	}
-	if d := s.Machine.Document; s.Sure && d.Version > q.Known.TableVersion {
-		n.TableVersion, n.Document = d.Version, d.Content
-	}
-	if q.Known.Control != s.Start || q.Known.FleetRevision != s.Fleet.Revision {
-		n.FleetNew, n.Reports, n.Reads = true, s.Fleet.Reports(), s.Reads()
-	}
-	if !s.Sure {
-		n.Rollouts = nil
-	}
-	return n
-}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -131,21 +131,27 @@
 	return r
 }
 
-// Loads returns the requests that entry hosts other than one have under way, by endpoint.
-func (s State) Loads(except string) map[string]feed.Load {
+// Loads returns the requests that entry hosts have under way, by endpoint.
+func (s State) Loads() map[string]feed.Load {
 	r := map[string]feed.Load{}
 	for i := s.hosts.Iterator(); !i.Done(); {
-		n, h, _ := i.Next()
-		if n == except || h.heard+loadSilence < s.Now {
-			continue
-		}
-		for e, k := range h.report.Loads {
+		n, _, _ := i.Next()
+		for e, k := range s.OwnLoads(n) {
 			r[e] = r[e].Plus(k)
 		}
 	}
 	return r
 }
 
+// OwnLoads returns the requests that an entry host has under way, by endpoint, or none where it is silent.
+func (s State) OwnLoads(host string) map[string]feed.Load {
+	h, ok := s.hosts.Get(host)
+	if !ok || h.heard+loadSilence < s.Now {
+		return nil
+	}
+	return h.report.Loads
+}
+
 // Entries returns the number of entry hosts that report.
 func (s State) Entries() int {
 	n := 0
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,6 @@
 	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/feed"
-	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -213,31 +212,30 @@
 	if len(n.Document) > 0 {
 		e.takeTable(n)
 	}
-	if n.FleetNew {
-		e.Set.Replace(n.Reports)
+	if n.Control != e.known.Control || n.FleetRevision != e.known.FleetRevision {
+		if n.FleetNew {
+			e.Set.Replace(n.Reports)
+		} else {
+			e.Set.Merge(n.Reports, n.Gone)
+		}
 		e.Relay.Paces.Adopt(n.Reads)
 		e.known.Control, e.known.FleetRevision = n.Control, n.FleetRevision
-		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": n.FleetRevision, "endpoints": byService(n.Reports)}).Info("entry: endpoints changed")
+		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": n.FleetRevision, "changed": len(n.Reports), "gone": len(n.Gone), "endpoints": e.Set.Services()}).Info("entry: endpoints changed")
 	}
 	if n.Sure {
 		e.Set.SetRollouts(n.Rollouts)
 	}
-	e.Set.SetLoads(n.Loads)
+	if n.LoadsNew {
+		e.Set.SetLoads(n.Loads)
+	} else {
+		e.Set.MergeLoads(n.Loads)
+	}
 	e.Relay.SetEntries(n.Entries)
 	if len(n.Controls) > 0 {
 		e.controls = n.Controls
 	}
 }
 
-// byService counts endpoints by service.
-func byService(l []fleet.Report) map[string]int {
-	r := map[string]int{}
-	for _, v := range l {
-		r[v.Service]++
-	}
-	return r
-}
-
 func (e *Entry) takeTable(n feed.News) {
 	t, err := e.Decode(n.Document)
 	if err != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -69,13 +69,17 @@
 	// Document is the newest configuration where the entry host's is older.
 	TableVersion int64
 	Document     []byte
-	// Reports replace the fleet where FleetNew is set.
+	// Reports replace the fleet where FleetNew is set; else they, and the ids of endpoints that are gone, are
+	// what has changed since the revision that the entry host holds.
 	FleetNew      bool
 	FleetRevision uint64
 	Reports       []fleet.Report
+	Gone          []string
 	Rollouts      []stage.View
-	// Loads are the requests that other entry hosts have under way, by endpoint.
-	Loads map[string]Load
+	// Loads are the requests that other entry hosts have under way, by endpoint: all where LoadsNew is set, else
+	// some that have changed.
+	LoadsNew bool
+	Loads    map[string]Load
 	// Reads are the times to read a prompt token that entry hosts have measured, by model.
 	Reads map[string]time.Duration
 	// Entries is the number of entry hosts; Controls are the peer addresses of control hosts.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Report
 	// Heard is this host's clock at the newest report.
 	Heard time.Duration
+	// Changed is the state's revision at the last change of the endpoint.
+	Changed uint64
 }
 
 // State holds the endpoints by their id.
@@ -52,10 +54,18 @@
 	// Revision grows whenever an endpoint changes in more than its sequence.
 	Revision  uint64
 	endpoints *immutable.SortedMap[string, Endpoint]
+	// removed are the revisions at which endpoints were forgotten; older removals than floor aren't known.
+	removed *immutable.SortedMap[string, uint64]
+	floor   uint64
 }
 
+// removedKept is how many removals are kept, for hosts that ask what has changed.
+const removedKept = 1000
+
 // New returns a state without endpoints.
-func New() State { return State{endpoints: immutable.NewSortedMap[string, Endpoint](nil)} }
+func New() State {
+	return State{endpoints: immutable.NewSortedMap[string, Endpoint](nil), removed: immutable.NewSortedMap[string, uint64](nil)}
+}
 
 // newer reports whether a report replaces the one held.
 func newer(r Report, o Endpoint) bool {
@@ -83,10 +93,13 @@
 	if !ok || o.Address != r.Address || o.Born != r.Born {
 		n, r = s.withAddress(r)
 	}
-	n.endpoints = n.endpoints.Set(r.ID, Endpoint{Report: r, Heard: now})
+	e := Endpoint{Report: r, Heard: now, Changed: o.Changed}
 	if !ok || visible(r) != visible(o.Report) {
 		n.Revision++
+		e.Changed = n.Revision
+		n.removed = n.removed.Delete(r.ID)
 	}
+	n.endpoints = n.endpoints.Set(r.ID, e)
 	return n, true
 }
 
@@ -102,9 +115,9 @@
 			r.Phase = Departed
 			continue
 		}
-		e.Phase = Departed
-		n.endpoints = n.endpoints.Set(e.ID, e)
 		n.Revision++
+		e.Phase, e.Changed = Departed, n.Revision
+		n.endpoints = n.endpoints.Set(e.ID, e)
 	}
 	return n, r
 }
@@ -124,13 +137,36 @@
 	n := s
 	for e := range s.All {
 		if e.Heard < before {
-			n.endpoints = n.endpoints.Delete(e.ID)
 			n.Revision++
+			n.endpoints = n.endpoints.Delete(e.ID)
+			n.removed = n.removed.Set(e.ID, n.Revision)
 		}
 	}
+	if n.removed.Len() > removedKept {
+		n.removed, n.floor = immutable.NewSortedMap[string, uint64](nil), n.Revision
+	}
 	return n
 }
 
+// Since returns what has changed after a revision: the newest reports of changed endpoints and the ids of
+// those forgotten. ok is false where that isn't known any more.
+func (s State) Since(revision uint64) (changed []Report, removed []string, ok bool) {
+	if revision < s.floor || revision > s.Revision {
+		return nil, nil, false
+	}
+	for e := range s.All {
+		if e.Changed > revision {
+			changed = append(changed, e.Report)
+		}
+	}
+	for i := s.removed.Iterator(); !i.Done(); {
+		if n, r, _ := i.Next(); r > revision {
+			removed = append(removed, n)
+		}
+	}
+	return changed, removed, true
+}
+
 // Get returns an endpoint.
 func (s State) Get(id string) (Endpoint, bool) { return s.endpoints.Get(id) }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -89,3 +90,45 @@
 		}
 	})
 }
+
+// A host that takes changes again and again, some after others were missed, holds what one that takes all holds.
+func TestChangesAddUpToTheWhole(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := fleet.New()
+		held, at := map[string]fleet.Report{}, uint64(0)
+		var now time.Duration
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			now += time.Second
+			switch rapid.IntRange(0, 5).Draw(r, "what") {
+			case 0:
+				s = s.WithoutSilent(now - 5*time.Second)
+			case 1:
+				c, g, ok := s.Since(at)
+				if !ok {
+					r.Fatalf("revision %d isn't known at %d", at, s.Revision)
+				}
+				for _, v := range c {
+					held[v.ID] = v
+				}
+				for _, n := range g {
+					delete(held, n)
+				}
+				at = s.Revision
+				if len(held) != len(s.Reports()) {
+					r.Fatalf("%d endpoints held of %d", len(held), len(s.Reports()))
+				}
+				for _, v := range s.Reports() {
+					if h := held[v.ID]; h.Phase != v.Phase || h.Address != v.Address || h.Born != v.Born {
+						r.Fatalf("held %v, is %v", h, v)
+					}
+				}
+			default:
+				n := rapid.IntRange(0, 5).Draw(r, "endpoint")
+				s, _ = s.WithReport(fleet.Report{
+					ID: fmt.Sprint("e", n), Born: int64(rapid.IntRange(1, 3).Draw(r, "born")), Sequence: int64(now / time.Second),
+					Address: fmt.Sprint("a", rapid.IntRange(0, 3).Draw(r, "address")), Phase: fleet.Phase(rapid.IntRange(0, 2).Draw(r, "phase")),
+				}, now)
+			}
+		}
+	})
+}
--- a/pick/known.go
+++ b/pick/known.go
@@ -32,12 +32,33 @@
 		s.take(r)
 	}
 	for i, n := range s.nodes {
-		if !k[i] && n.mine.Requests == 0 {
-			delete(s.nodes, i)
+		n.forgotten = !k[i]
+		s.drop(i, n)
+	}
+}
+
+// Merge takes changes of endpoints and forgets those that are gone.
+func (s *Set) Merge(reports []fleet.Report, gone []string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, r := range reports {
+		s.take(r)
+	}
+	for _, i := range gone {
+		if n, ok := s.nodes[i]; ok {
+			n.forgotten = true
+			s.drop(i, n)
 		}
 	}
 }
 
+// drop removes a forgotten endpoint once nothing is under way there.
+func (s *Set) drop(id string, n *node) {
+	if n.forgotten && n.mine.Requests == 0 {
+		delete(s.nodes, id)
+	}
+}
+
 func (s *Set) take(r fleet.Report) {
 	if d, ok := s.departed[r.ID]; ok && d.report.Born >= r.Born && r.Phase == fleet.Ready {
 		return
@@ -54,7 +75,7 @@
 		}
 		s.nodes[r.ID] = n
 	}
-	n.report = r
+	n.report, n.forgotten = r, false
 }
 
 // Leaving returns the endpoints that this host knows to leave.
@@ -77,6 +98,30 @@
 	}
 }
 
+// Services counts the endpoints of each service that take requests.
+func (s *Set) Services() map[string]int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	r := map[string]int{}
+	for _, n := range s.nodes {
+		if !n.gone && !n.forgotten && n.report.Phase == fleet.Ready {
+			r[n.report.Service]++
+		}
+	}
+	return r
+}
+
+// MergeLoads takes loads of other hosts that have changed.
+func (s *Set) MergeLoads(loads map[string]feed.Load) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for i, l := range loads {
+		if n, ok := s.nodes[i]; ok {
+			n.others = l
+		}
+	}
+}
+
 // SetRollouts takes the roll-outs. The share of a target never falls while its roll-out runs well.
 func (s *Set) SetRollouts(views []stage.View) {
 	s.lock.Lock()
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -97,6 +97,8 @@
 	silent     time.Time
 	// gone is set once another start answered at the endpoint's address.
 	gone bool
+	// forgotten is set once control hosts no longer know the endpoint.
+	forgotten bool
 }
 
 // Set is the endpoints of a host. It is safe for concurrent use.
@@ -150,7 +152,7 @@
 	var a, b []*node
 	for _, on := range []bool{s.onTarget(v, q), !s.onTarget(v, q)} {
 		for _, n := range s.nodes {
-			if n.gone || n.report.Service != q.Service || n.report.Phase != fleet.Ready || q.Tried[n.report.ID] {
+			if n.gone || n.forgotten || n.report.Service != q.Service || n.report.Phase != fleet.Ready || q.Tried[n.report.ID] {
 				continue
 			}
 			if ok && (n.report.Version == v.Target) != on {
@@ -258,5 +260,6 @@
 	defer s.lock.Unlock()
 	if n, ok := s.nodes[id]; ok {
 		n.mine.Requests = max(0, n.mine.Requests-1)
+		s.drop(id, n)
 	}
 }
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -253,3 +253,37 @@
 		i.Equal(len(s.Leaving()), 0)
 	})
 }
+
+func TestForgottenEndpointGetsNothingMore(t *testing.T) {
+	i := is.New(t)
+	s := set(2, false, "a")
+	q := pick.Need{Service: "s"}
+	c, ok := s.Choose(q, epoch)
+	i.True(ok)
+	s.Merge(nil, []string{c.ID})
+	for range 5 {
+		d, ok := s.Choose(q, epoch)
+		i.True(ok)
+		i.True(d.ID != c.ID)
+	}
+	i.Equal(s.Services(), map[string]int{"s": 1})
+	s.Ended(c.ID)
+	i.Equal(s.Loads()[c.ID], feed.Load{}) // nothing is kept of it
+	s.Merge([]fleet.Report{c.Report}, nil)
+	i.Equal(s.Services(), map[string]int{"s": 2})
+}
+
+func TestLoadsOfOtherHostsAreMerged(t *testing.T) {
+	i := is.New(t)
+	s := set(2, false, "a")
+	q := pick.Need{Service: "s"}
+	c, _ := s.Choose(q, epoch)
+	s.Ended(c.ID)
+	s.MergeLoads(map[string]feed.Load{c.ID: {Requests: 9, Backlog: 900}})
+	d, _ := s.Choose(q, epoch)
+	i.True(d.ID != c.ID)
+	s.Ended(d.ID)
+	s.MergeLoads(map[string]feed.Load{c.ID: {}, d.ID: {Requests: 9, Backlog: 900}})
+	e, _ := s.Choose(q, epoch)
+	i.Equal(e.ID, c.ID)
+}
