A control host that holds the same endpoints sends none to an entry host that changes over; docs

Change: hosts compare the sum of the fingerprints of their endpoints. TestChangesAddUpToTheWhole and TestForgottenEndpointGetsNothingMore check the sums.

--- a/ctrl/news.go
+++ b/ctrl/news.go
@@ -65,7 +65,8 @@
 	return n
 }
 
-// tellFleet adds changes of endpoints, or all of them for a host that holds the state of another start.
+// tellFleet adds changes of endpoints, or all of them for a host that holds those of another start and not the
+// same.
 func tellFleet(n *feed.News, s State, q feed.Query) {
 	if q.Known.Control == s.Start && q.Known.FleetRevision == s.Fleet.Revision {
 		return
@@ -78,6 +79,9 @@
 			return
 		}
 	}
+	if q.Known.Control != s.Start && q.Known.FleetSum != 0 && q.Known.FleetSum == s.Fleet.Sum {
+		return
+	}
 	n.FleetNew, n.Reports = true, s.Fleet.Reports()
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,7 +141,7 @@
 		Known:  e.known, Wait: exchangeWait,
 	}
 	if e.known.Control == "" {
-		q.Leaving = e.Set.Leaving()
+		q.Leaving, q.Known.FleetSum = e.Set.Leaving(), e.Set.Sum()
 	}
 	var n feed.News
 	if err := e.call(c, q, &n); err != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -46,6 +46,8 @@
 	// Control and FleetRevision name the state of the fleet that a control host's start has sent.
 	Control       string
 	FleetRevision uint64
+	// FleetSum is that of the fingerprints of the endpoints held, for a control host that hasn't sent them.
+	FleetSum uint64
 }
 
 // Query is an entry host's side of an exchange.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,11 +3,13 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/benbjohnson/immutable"
+	"github.com/cespare/xxhash/v2"
 )
 
 //go:generate go tool stringer -type=Phase -linecomment -output=enum_string.go
@@ -52,7 +54,9 @@
 // State holds the endpoints by their id.
 type State struct {
 	// Revision grows whenever an endpoint changes in more than its sequence.
-	Revision  uint64
+	Revision uint64
+	// Sum is that of the fingerprints of all endpoints; two states with the same endpoints have the same.
+	Sum       uint64
 	endpoints *immutable.SortedMap[string, Endpoint]
 	// removed are the revisions at which endpoints were forgotten; older removals than floor aren't known.
 	removed *immutable.SortedMap[string, uint64]
@@ -97,6 +101,10 @@
 	if !ok || visible(r) != visible(o.Report) {
 		n.Revision++
 		e.Changed = n.Revision
+		if ok {
+			n.Sum -= o.Fingerprint()
+		}
+		n.Sum += r.Fingerprint()
 		n.removed = n.removed.Delete(r.ID)
 	}
 	n.endpoints = n.endpoints.Set(r.ID, e)
@@ -116,6 +124,7 @@
 			continue
 		}
 		n.Revision++
+		n.Sum -= e.Fingerprint()
 		e.Phase, e.Changed = Departed, n.Revision
 		n.endpoints = n.endpoints.Set(e.ID, e)
 	}
@@ -131,6 +140,15 @@
 	return r
 }
 
+// Fingerprint is a number that differs for endpoints that requests may go to differently; it is 0 for one that
+// has departed.
+func (r Report) Fingerprint() uint64 {
+	if r.Phase == Departed {
+		return 0
+	}
+	return xxhash.Sum64String(fmt.Sprintf("%+v", visible(r)))
+}
+
 // WithoutSilent returns the state without endpoints that were last heard before the time given; departed
 // ones are kept as long, so that a late report can't bring them back.
 func (s State) WithoutSilent(before time.Duration) State {
@@ -138,6 +156,7 @@
 	for e := range s.All {
 		if e.Heard < before {
 			n.Revision++
+			n.Sum -= e.Fingerprint()
 			n.endpoints = n.endpoints.Delete(e.ID)
 			n.removed = n.removed.Set(e.ID, n.Revision)
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -91,6 +91,14 @@
 	})
 }
 
+func sum(l []fleet.Report) uint64 {
+	var r uint64
+	for _, v := range l {
+		r += v.Fingerprint()
+	}
+	return r
+}
+
 // A host that takes changes again and again, some after others were missed, holds what one that takes all holds.
 func TestChangesAddUpToTheWhole(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
@@ -99,6 +107,9 @@
 		var now time.Duration
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
 			now += time.Second
+			if w := sum(s.Reports()); w != s.Sum {
+				r.Fatalf("sum %d, of the endpoints %d", s.Sum, w)
+			}
 			switch rapid.IntRange(0, 5).Draw(r, "what") {
 			case 0:
 				s = s.WithoutSilent(now - 5*time.Second)
--- a/pick/known.go
+++ b/pick/known.go
@@ -111,6 +111,19 @@
 	return r
 }
 
+// Sum is that of the fingerprints of all endpoints.
+func (s *Set) Sum() uint64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var r uint64
+	for _, n := range s.nodes {
+		if !n.forgotten {
+			r += n.report.Fingerprint()
+		}
+	}
+	return r
+}
+
 // MergeLoads takes loads of other hosts that have changed.
 func (s *Set) MergeLoads(loads map[string]feed.Load) {
 	s.lock.Lock()
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -258,6 +258,7 @@
 	i := is.New(t)
 	s := set(2, false, "a")
 	q := pick.Need{Service: "s"}
+	b := s.Sum()
 	c, ok := s.Choose(q, epoch)
 	i.True(ok)
 	s.Merge(nil, []string{c.ID})
@@ -267,10 +268,12 @@
 		i.True(d.ID != c.ID)
 	}
 	i.Equal(s.Services(), map[string]int{"s": 1})
+	i.Equal(s.Sum(), b-c.Report.Fingerprint())
 	s.Ended(c.ID)
 	i.Equal(s.Loads()[c.ID], feed.Load{}) // nothing is kept of it
 	s.Merge([]fleet.Report{c.Report}, nil)
 	i.Equal(s.Services(), map[string]int{"s": 2})
+	i.Equal(s.Sum(), b)
 }
 
 func TestLoadsOfOtherHostsAreMerged(t *testing.T) {
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -266,8 +266,8 @@
 	if e.answers < enough {
 		return Plan{Fresh: t, Bound: t}
 	}
-	from, to := 1-rampFrom*exposure, 1-rampTo*exposure
-	p := t + (1-t)*max(0, min(1, (f-from)/(to-from)))
+	a, b := 1-rampFrom*exposure, 1-rampTo*exposure
+	p := t + (1-t)*max(0, min(1, (f-a)/(b-a)))
 	return Plan{Fresh: p, Bound: p}
 }
 
