Judge how slow a version is against the estimates of its endpoints' load

Ruled out: too few answers (48 and more before the move). Change: tallies carry the estimates without the endpoint's own pace; a version is bad where its waits against them are 1.6 times the others' over all kinds (24 answers), or 2.6 times for one kind. The endpoints left out for slowness are now the slowest, not those that failed most: two slow ones made a good version bad. TestSlowVersionBesideBusyOthersIsRolledBack and the slow endpoints in TestGoodVersionTakesOverInTime failed first.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -71,8 +71,10 @@
 // Choice is the endpoint for a request.
 type Choice struct {
 	fleet.Endpoint
-	// Wait is the estimated time to the start of the answer.
-	Wait time.Duration
+	// Wait is the estimated time to the start of the answer, and Expected the same for an endpoint that is as
+	// fast as its model.
+	Wait     time.Duration
+	Expected time.Duration
 	// Load is what was known to be under way there, and Candidates how many endpoints were weighed.
 	Load       feed.Load
 	Candidates int
@@ -135,7 +137,7 @@
 	if b == nil {
 		return c, false
 	}
-	c.Wait = s.estimate(b, q)
+	c.Wait, c.Expected = s.estimate(b, q), s.expected(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.mine.Plus(b.others), len(l)
 	b.mine.Requests++
 	if b.unanswered++; b.unanswered == 1 {
@@ -187,6 +189,11 @@
 
 // estimate is the expected time to the start of the answer.
 func (s *Set) estimate(n *node, q Need) time.Duration {
+	return time.Duration(float64(s.expected(n, q)) * n.pace)
+}
+
+// expected is the same for an endpoint that is as fast as its model.
+func (s *Set) expected(n *node, q Need) time.Duration {
 	l := n.mine.Plus(n.others)
 	w := q.Work + time.Duration(l.Backlog)*time.Millisecond + time.Duration(l.Requests)*requestCost
 	if q.Saved > 0 && s.home(n, q) {
@@ -195,7 +202,7 @@
 	if k := l.Requests + 1 - q.Slots; q.Slots > 0 && k > 0 {
 		w += time.Duration(float64(q.Hold) * float64(k) / float64(q.Slots))
 	}
-	return time.Duration(float64(w) * n.pace)
+	return w
 }
 
 // cost is the estimate with what speaks against an endpoint beside its wait.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -187,7 +187,7 @@
 }
 
 // count adds an answer of an endpoint while its service is being moved to another version.
-func (t *tallies) count(v stage.View, version, endpoint, kind string, failed bool, wait time.Duration) {
+func (t *tallies) count(v stage.View, version, endpoint, kind string, failed bool, wait, expected time.Duration) {
 	if v.Outcome != stage.Running {
 		return
 	}
@@ -204,6 +204,7 @@
 	}
 	c.Answers++
 	c.Wait += wait
+	c.Expected += expected
 	if failed {
 		c.Failures++
 	}
--- a/relay/use.go
+++ b/relay/use.go
@@ -16,6 +16,8 @@
 const (
 	// busyPatience is how many times as long a busy endpoint is waited for.
 	busyPatience = 3
+	// leastExpected is the least wait that an answer is measured against in a roll-out.
+	leastExpected = 10 * time.Millisecond
 	// wholeBytes is the size up to which a plain answer is read whole before it is passed on.
 	wholeBytes = 512 << 10
 )
@@ -195,10 +197,18 @@
 	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
 }
 
+// tally counts an answer, or a run that broke off, for the roll-out of its service. A run that broke off behind
+// the start of its answer has no wait.
 func (j *job) tally(u *use, failed bool, wait time.Duration) {
-	if v, ok := j.relay.Set.Rollout(j.service.Name); ok {
-		j.relay.tallies.count(v, u.choice.Version, u.choice.ID, j.route.Name+" "+j.model(), failed, wait)
+	v, ok := j.relay.Set.Rollout(j.service.Name)
+	if !ok {
+		return
 	}
+	var e time.Duration
+	if wait > 0 {
+		e = max(u.choice.Expected, leastExpected)
+	}
+	j.relay.tallies.count(v, u.choice.Version, u.choice.ID, j.route.Name+" "+j.model(), failed, wait, e)
 }
 
 func cause(r Reply) string {
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -44,8 +44,10 @@
 	Answers int
 	// Failures are answers with a server error, and runs that broke off.
 	Failures int
-	// Wait is the sum of the times to the start of each answer.
-	Wait time.Duration
+	// Wait is the sum of the times to the start of each answer, and Expected that of the estimates for a sound
+	// endpoint under its load.
+	Wait     time.Duration
+	Expected time.Duration
 }
 
 // Key tells tallies of one entry host apart.
@@ -92,10 +94,13 @@
 	excessFailures = 2.5
 	// doubtPart of this excess holds the end of a roll-out back.
 	doubtPart = 0.5
-	// slowRatio is how many times slower than others a version may answer.
-	slowRatio = 2.6
-	// slowSlack is added to the wait that still counts as normal.
-	slowSlack = 50 * time.Millisecond
+	// slowRatio is how many times slower than others, each against its estimates, a version may answer one kind
+	// of request, and slowRatioAll all of them, from slowAnswers answers on.
+	slowRatio    = 2.6
+	slowRatioAll = 1.6
+	slowAnswers  = 24
+	// slowSlack is added to the mean wait that still counts as normal.
+	slowSlack = 25 * time.Millisecond
 	// soleFailures are needed where answers of one endpoint only were seen.
 	soleFailures = 16
 	// trimmed is how many of the target's endpoints with the worst answers are left out, at most half of
@@ -108,15 +113,21 @@
 	answers  int
 	failures int
 	wait     time.Duration
+	expected time.Duration
 }
 
 func (s sum) with(t Tally) sum {
 	s.answers += t.Answers
 	s.failures += t.Failures
 	s.wait += t.Wait
+	s.expected += t.Expected
 	return s
 }
 
+func (s sum) plus(o sum) sum {
+	return sum{s.answers + o.answers, s.failures + o.failures, s.wait + o.wait, s.expected + o.expected}
+}
+
 func (s sum) rate() float64 {
 	if s.answers == 0 {
 		return 0
@@ -124,11 +135,14 @@
 	return float64(s.failures) / float64(s.answers)
 }
 
-func (s sum) mean() time.Duration {
-	if s.answers == 0 {
+func (s sum) failed() float64 { return float64(s.failures) }
+
+// slowness is the wait as a multiple of the estimates.
+func (s sum) slowness() float64 {
+	if s.expected == 0 {
 		return 0
 	}
-	return s.wait / time.Duration(s.answers)
+	return float64(s.wait) / float64(s.expected)
 }
 
 // Evidence is what all hosts saw of a target and of the other versions.
@@ -162,20 +176,27 @@
 
 // Bad says why the target is worse than the other versions, or returns an empty text.
 func (e Evidence) Bad() string {
-	f := e.faulty()
+	f, w := e.worst(sum.failed), e.worst(sum.slowness)
 	for r, m := range e.target {
-		if w := worse(trusted(m, f), e.others[r]); w != "" {
-			return w + " for " + r
+		o := e.others[r]
+		switch {
+		case failing(pair{trusted(m, f), o}, 1):
+			return "fails more often than the others for " + r
+		case slower(pair{trusted(m, w), o}, slowRatio, minAnswers):
+			return "answers more slowly than the others for " + r
 		}
 	}
-	if failing(e.totals(), 1) {
+	switch {
+	case failing(e.totals(f), 1):
 		return "fails more often than the others"
+	case slower(e.totals(w), slowRatioAll, slowAnswers):
+		return "answers more slowly than the others"
 	}
 	return ""
 }
 
 // doubtful says whether the target fails a little more often than the others, so that more answers are needed.
-func (e Evidence) doubtful() bool { return failing(e.totals(), doubtPart) }
+func (e Evidence) doubtful() bool { return failing(e.totals(e.worst(sum.failed)), doubtPart) }
 
 // pair holds answers of the target and of the other versions to the same kinds of request.
 type pair struct {
@@ -183,26 +204,27 @@
 	others sum
 }
 
-// totals adds up all kinds of request.
-func (e Evidence) totals() pair {
+// totals adds up all kinds of request, without the target's endpoints named.
+func (e Evidence) totals(without []string) pair {
 	var t, o []sum
-	f := e.faulty()
 	for r, m := range e.target {
-		t, o = append(t, trusted(m, f)), append(o, e.others[r])
+		t, o = append(t, trusted(m, without)), append(o, e.others[r])
 	}
 	return pair{total(t), total(o)}
 }
 
-// faulty returns the target's endpoints that failed most over all kinds of request, whose faults may be their
-// own.
-func (e Evidence) faulty() []string {
-	f := map[string]int{}
+// worst returns the target's endpoints with the highest score over all kinds of request, whose faults may be
+// their own.
+func (e Evidence) worst(score func(sum) float64) []string {
+	f := map[string]sum{}
 	for _, m := range e.target {
 		for n, s := range m {
-			f[n] += s.failures
+			f[n] = f[n].plus(s)
 		}
 	}
-	v := slices.SortedFunc(maps.Keys(f), func(a, b string) int { return cmp.Or(f[b]-f[a], strings.Compare(a, b)) })
+	v := slices.SortedFunc(maps.Keys(f), func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(f[b]), score(f[a])), strings.Compare(a, b))
+	})
 	return v[:min(trimmed, len(v)/2)]
 }
 
@@ -224,19 +246,18 @@
 func total(v []sum) sum {
 	var t sum
 	for _, s := range v {
-		t = sum{t.answers + s.answers, t.failures + s.failures, t.wait + s.wait}
+		t = t.plus(s)
 	}
 	return t
 }
 
-func worse(t, o sum) string {
-	if failing(pair{t, o}, 1) {
-		return "fails more often than the others"
+// slower says whether the target takes longer than the others, each against its estimates, by more than a ratio.
+func slower(p pair, ratio float64, answers int) bool {
+	t, o := p.target, p.others
+	if t.answers < answers || o.answers < answers || t.expected == 0 || o.expected == 0 {
+		return false
 	}
-	if t.answers >= minAnswers && o.answers >= minAnswers && t.mean() > time.Duration(slowRatio*float64(o.mean()))+slowSlack {
-		return "answers more slowly than the others"
-	}
-	return ""
+	return float64(t.wait) > ratio*o.slowness()*float64(t.expected)+float64(slowSlack)*float64(t.answers)
 }
 
 // failing says whether the target fails more often by a part of the excess that makes a version bad.
--- a/stage/stage_test.go
+++ b/stage/stage_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -30,14 +31,21 @@
 	broken int
 	// exposure is the bound on the part of requests that the version may get, exposure where it is 0.
 	exposure float64
+	// load is how many times as long the other versions take because of what waits there, which the estimates
+	// know of; 0 is as good as 1.
+	load float64
+	// slow is the number of the new version's endpoints that take four times as long by themselves.
+	slow int
 }
 
 // answer is one that comes later.
 type answer struct {
-	at     time.Duration
-	tally  stage.Tally
-	wait   time.Duration
-	failed bool
+	at    time.Duration
+	tally stage.Tally
+	wait  time.Duration
+	// expected is the estimate of the wait.
+	expected time.Duration
+	failed   bool
 }
 
 // play plays a roll-out whose requests all belong to sessions. It returns how it ended, when, and how many
@@ -79,6 +87,7 @@
 		}
 		t.Answers++
 		t.Wait += a.wait
+		t.Expected += a.expected
 		if a.failed {
 			t.Failures++
 		}
@@ -98,11 +107,20 @@
 			f = 0.9
 		}
 	}
-	v := time.Duration((20 + 60*d.Float64()) * s * float64(time.Millisecond))
+	k := cmp.Or(w.load, 1)
+	if t.Version == "v2" {
+		k = 1
+		if n, err := strconv.Atoi(t.Endpoint); err == nil && n < w.slow {
+			s *= 4
+		}
+	}
+	e := time.Duration(50 * k * float64(time.Millisecond))
+	v := time.Duration((20 + 60*d.Float64()) * s * k * float64(time.Millisecond))
 	if t.Kind == "2" {
 		v *= 10
+		e *= 10
 	}
-	return answer{at: at + v, tally: t, wait: v, failed: d.Float64() < f}
+	return answer{at: at + v, tally: t, wait: v, expected: e, failed: d.Float64() < f}
 }
 
 func TestBadVersionsAreRolledBackWithinTheBound(t *testing.T) {
@@ -129,6 +147,18 @@
 	}
 }
 
+// The other versions' endpoints are busy while the new one has little to do: what it takes longer is no more than
+// what requests wait there.
+func TestSlowVersionBesideBusyOthersIsRolledBack(t *testing.T) {
+	for s := range uint64(60) {
+		i := is.New(t)
+		w := world{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 2.3 }, broken: -1, load: 2.5}
+		o, at, _ := play(w, s)
+		i.Equal(o, stage.RolledBack)
+		i.True(at < budget*9/10) // before traffic moves
+	}
+}
+
 func pick(bad bool, chance float64) float64 {
 	if bad {
 		return chance
@@ -140,9 +170,11 @@
 	for _, broken := range []int{-1, 3} { // a broken endpoint says nothing of its version
 		for s := range uint64(60) {
 			i := is.New(t)
-			o, at, _ := play(world{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: broken}, s)
-			i.Equal(o, stage.Done)
-			i.True(at < budget)
+			for _, slow := range []int{0, 2} {
+				o, at, _ := play(world{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: broken, slow: slow}, s)
+				i.Equal(o, stage.Done)
+				i.True(at < budget)
+			}
 		}
 	}
 }
