Forget departures of endpoints where only changes come

TestDeparturesAreForgottenInTime failed first (written with the change, run against the code without it: 1 left).

--- a/pick/known.go
+++ b/pick/known.go
@@ -21,11 +21,7 @@
 func (s *Set) Replace(reports []fleet.Report) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	for i, d := range s.departed {
-		if time.Since(d.heard) > departedFor {
-			delete(s.departed, i)
-		}
-	}
+	s.forgetDepartures()
 	k := map[string]bool{}
 	for _, r := range reports {
 		k[r.ID] = true
@@ -37,10 +33,20 @@
 	}
 }
 
+// forgetDepartures drops those of which no late report can come any more.
+func (s *Set) forgetDepartures() {
+	for i, d := range s.departed {
+		if time.Since(d.heard) > departedFor {
+			delete(s.departed, i)
+		}
+	}
+}
+
 // Merge takes changes of endpoints and forgets those that are gone.
 func (s *Set) Merge(reports []fleet.Report, gone []string) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.forgetDepartures()
 	for _, r := range reports {
 		s.take(r)
 	}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -276,6 +276,18 @@
 	i.Equal(s.Sum(), b)
 }
 
+func TestDeparturesAreForgottenInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		s := pick.NewSet("a")
+		s.Merge([]fleet.Report{{ID: "e", Service: "s", Phase: fleet.Departed}}, nil)
+		i.Equal(len(s.Leaving()), 1)
+		time.Sleep(2 * time.Minute)
+		s.Merge(nil, nil)
+		i.Equal(len(s.Leaving()), 0)
+	})
+}
+
 func TestLoadsOfOtherHostsAreMerged(t *testing.T) {
 	i := is.New(t)
 	s := set(2, false, "a")
