--- a/feed/loads_test.go
+++ b/feed/loads_test.go
@@ -17,25 +17,25 @@
 	i := is.New(t)
 	d := rand.New(rand.NewPCG(1, 1))
 	const endpoints, most = 600, 40
-	told, now := map[string]feed.Load{}, map[string]feed.Load{}
+	o, n := map[string]feed.Load{}, map[string]feed.Load{}
 	for range 30 {
 		for range 100 {
 			e := fmt.Sprint("e", d.IntN(endpoints))
-			if now[e] = (feed.Load{Requests: d.IntN(5), Backlog: d.IntN(800)}); d.IntN(4) == 0 {
-				delete(now, e)
+			if n[e] = (feed.Load{Requests: d.IntN(5), Backlog: d.IntN(800)}); d.IntN(4) == 0 {
+				delete(n, e)
 			}
 		}
-		c := feed.Changes(told, now, most)
+		c := feed.Changes(o, n, most)
 		i.True(len(c) <= most)
-		maps.Copy(told, c)
+		maps.Copy(o, c)
 	}
-	now["big"] = feed.Load{Requests: 60, Backlog: 9000}
-	i.Equal(feed.Changes(told, now, most)["big"], now["big"])
+	n["big"] = feed.Load{Requests: 60, Backlog: 9000}
+	i.Equal(feed.Changes(o, n, most)["big"], n["big"])
 	for range endpoints/most + 1 {
-		maps.Copy(told, feed.Changes(told, now, most))
+		maps.Copy(o, feed.Changes(o, n, most))
 	}
-	i.Equal(len(feed.Changes(told, now, most)), 0)
-	for e, l := range told {
-		i.Equal(l, now[e])
+	i.Equal(len(feed.Changes(o, n, most)), 0)
+	for e, l := range o {
+		i.Equal(l, n[e])
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -103,7 +103,7 @@
 func TestChangesAddUpToTheWhole(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := fleet.New()
-		held, at := map[string]fleet.Report{}, uint64(0)
+		k, b := map[string]fleet.Report{}, uint64(0)
 		var now time.Duration
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
 			now += time.Second
@@ -114,22 +114,22 @@
 			case 0:
 				s = s.WithoutSilent(now - 5*time.Second)
 			case 1:
-				c, g, ok := s.Since(at)
+				c, g, ok := s.Since(b)
 				if !ok {
-					r.Fatalf("revision %d isn't known at %d", at, s.Revision)
+					r.Fatalf("revision %d isn't known at %d", b, s.Revision)
 				}
 				for _, v := range c {
-					held[v.ID] = v
+					k[v.ID] = v
 				}
 				for _, n := range g {
-					delete(held, n)
+					delete(k, n)
 				}
-				at = s.Revision
-				if len(held) != len(s.Reports()) {
-					r.Fatalf("%d endpoints held of %d", len(held), len(s.Reports()))
+				b = s.Revision
+				if len(k) != len(s.Reports()) {
+					r.Fatalf("%d endpoints held of %d", len(k), len(s.Reports()))
 				}
 				for _, v := range s.Reports() {
-					if h := held[v.ID]; h.Phase != v.Phase || h.Address != v.Address || h.Born != v.Born {
+					if h := k[v.ID]; h.Phase != v.Phase || h.Address != v.Address || h.Born != v.Born {
 						r.Fatalf("held %v, is %v", h, v)
 					}
 				}
