A test of merged loads that fails where loads are added up

By mutation: without the mark of forgotten endpoints and with loads added instead of replaced, both tests of pick fail; the second one did not before.

--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -298,7 +298,7 @@
 	d, _ := s.Choose(q, epoch)
 	i.True(d.ID != c.ID)
 	s.Ended(d.ID)
-	s.MergeLoads(map[string]feed.Load{c.ID: {}, d.ID: {Requests: 9, Backlog: 900}})
+	s.MergeLoads(map[string]feed.Load{c.ID: {}, d.ID: {Requests: 5, Backlog: 500}}) // less than the first one had
 	e, _ := s.Choose(q, epoch)
 	i.Equal(e.ID, c.ID)
 }
