Recover sooner after a loss of all hosts

Ruled out: that the requests themselves were slow there (their first tokens came 30 to 150 ms after the choice of an endpoint). Change: the first campaign after a start comes within 100 ms; a lost opening packet is repeated after 50 ms; an entry host that lost its control host asks three at once and takes the first that answers; control hosts save the fleet and know it again from the start, for three heartbeats.

--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -96,6 +96,11 @@
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
+	r, err := loadFleet(o.Settings.DataFolder)
+	if err != nil {
+		o.Log.WithError(err).Warn("control: starts without the endpoints of before")
+	}
+	s = s.WithRemembered(r)
 	h := &Host{
 		replies:  newReplyBuilder(),
 		settings: o.Settings, log: o.Log, start: time.Now(), events: make(chan Event, eventQueueSize),
@@ -107,16 +112,18 @@
 	h.registerGauges(o.Metrics)
 	h.log.WithFields(logrus.Fields{
 		"node": n, "start": s.StartID, "version": s.StateMachine.Document.Version, "commit": s.Log.Commit, "voters": s.Log.Peers.Voters,
+		"endpoints": len(r),
 	}).Info("control: starts")
-	r := rpc.NewServer()
-	if err := r.RegisterName(ctlrpc.ServiceName, &Service{host: h}); err != nil {
+	v := rpc.NewServer()
+	if err := v.RegisterName(ctlrpc.ServiceName, &Service{host: h}); err != nil {
 		return nil, fmt.Errorf("register the control service: %w; report this as a bug", err)
 	}
-	a, j := acceptor{listener: o.Listener, server: r}, joiner{h}
+	a, j, f := acceptor{listener: o.Listener, server: v}, joiner{h}, fleetSaver{h}
 	go a.run()
 	go h.run()
 	go h.writer.run()
 	go j.run()
+	go f.run()
 	return h, nil
 }
 
--- a/ctrl/reduce_test.go
+++ b/ctrl/reduce_test.go
@@ -296,6 +296,29 @@
 	}
 }
 
+// Callers return as soon as their hosts accept connections and wait for the configuration: two of three control hosts
+// that start together have a leader within 150 ms, of the 800 ms in which a caller wants its first token.
+func TestHostsThatStartTogetherElectALeaderAtOnce(t *testing.T) {
+	i := is.New(t)
+	messageQueue = nil
+	c := newCluster(t, 3)
+	l := 0
+	for range 200 {
+		c.run(2 * time.Second)
+		for a := range c.hosts {
+			c.kill(a)
+		}
+		c.start(address(0))
+		c.start(address(1))
+		c.run(150 * time.Millisecond)
+		if c.leader() == "" {
+			l++
+		}
+		c.start(address(2))
+	}
+	i.True(l <= 10) // a split vote costs another campaign
+}
+
 // An acknowledged put is never lost, and no later read returns an older version, under faults of single hosts and
 // restarts of all hosts.
 func TestAcknowledgedPutsSurviveFaults(t *testing.T) {
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -4,14 +4,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
 )
 
+// openTimeouts are the time limits of the attempts to open a connection, in order. The kernel repeats a lost opening
+// packet only after a second, while a new attempt sends another one at once.
+var openTimeouts = []time.Duration{50 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond}
+
 const (
-	// connectTimeout bounds the opening of a connection.
-	connectTimeout = 200 * time.Millisecond
 	// userTimeout is how long sent bytes may remain unacknowledged before the connection fails.
 	userTimeout = 1200 * time.Millisecond
 	// probeIdle, probeInterval and probeCount configure the TCP keep-alive probes on an idle connection: the time
@@ -25,7 +28,6 @@
 )
 
 var dialer = net.Dialer{
-	Timeout:         connectTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	Control: func(_, _ string, c syscall.RawConn) error {
 		var e error
@@ -39,11 +41,32 @@
 	},
 }
 
-// Connect opens a connection to an address of the form host:port. It fails when the connection isn't open within
-// connectTimeout.
+// Connect opens a connection to an address of the form host:port. It fails when the connection isn't open within the
+// sum of openTimeouts.
 func Connect(address string) (net.Conn, error) { return ConnectContext(context.Background(), address) }
 
-// ConnectContext is like Connect, but also fails when ctx ends before the connection is open.
+// ConnectContext is like Connect, but also fails when ctx ends before the connection is open. Any error but a timeout
+// ends the attempts, since the peer has answered then.
 func ConnectContext(ctx context.Context, address string) (net.Conn, error) {
-	return dialer.DialContext(ctx, "tcp", address)
+	var c net.Conn
+	var err error
+	for _, t := range openTimeouts {
+		c, err = open(ctx, address, t)
+		if err == nil || ctx.Err() != nil || !isTimeout(err) {
+			return c, err
+		}
+	}
+	return nil, err
+}
+
+// open makes one attempt to open a connection.
+func open(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	x, f := context.WithTimeout(ctx, timeout)
+	defer f()
+	return dialer.DialContext(x, "tcp", address)
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,8 @@
 	exchangeRetryPause = 60 * time.Millisecond
 	// prefillReportEvery is the number of exchanges after which the measured prefill times of models are sent again.
 	prefillReportEvery = 16
+	// maxCandidates is the number of control hosts to which connections are opened at the same time.
+	maxCandidates = 3
 	// sweepEvery is the interval at which idle connections to endpoints are closed.
 	sweepEvery = time.Second
 )
@@ -61,6 +63,8 @@
 	// client is the connection to the control host at address, or nil.
 	client  *rpc.Client
 	address string
+	// leaderless is set if the last control host connected to has answered that it has no leader.
+	leaderless bool
 	// controlLost is true from a failed exchange until a reply of a control host that is current.
 	controlLost bool
 	stopping    atomic.Bool
@@ -155,10 +159,12 @@
 	}
 	var r ctlrpc.ExchangeReply
 	if err := e.call(c, q, &r); err != nil {
+		e.leaderless = false
 		e.Relay.RestoreTallies(q.Report.Tallies)
 		return err
 	}
 	e.apply(r)
+	e.leaderless = !r.Current
 	if !r.Current && len(e.controls) > 1 {
 		return ErrStale
 	}
@@ -178,27 +184,36 @@
 	}
 }
 
-// connect returns the current connection. If there is none, it connects to a random control host, if possible to
-// another one than before. A new control host may lack this host's state, so all tallies are sent again.
+// connect returns the current connection. If there is none, it opens one to the first of several control hosts that
+// answers. A new control host may lack this host's state, so all tallies are sent again.
 func (e *Entry) connect() (*rpc.Client, error) {
 	if e.client != nil {
 		return e.client, nil
 	}
-	l := slices.DeleteFunc(slices.Clone(e.controls), func(a string) bool { return a == e.address && len(e.controls) > 1 })
-	if len(l) == 0 {
-		l = e.controls
-	}
-	e.address = l[rand.IntN(len(l))]
-	c, err := dial.Connect(e.address)
+	a, c, err := connectFirst(e.candidates())
 	if err != nil {
+		e.address = ""
 		return nil, err
 	}
-	e.client = rpc.NewClient(c)
+	e.address, e.client = a, rpc.NewClient(c)
 	e.state.Control = ""
 	e.Relay.ResendTallies()
 	return e.client, nil
 }
 
+// candidates returns the control hosts to connect to: up to maxCandidates random ones, if possible without the one
+// connected to before. After an answer from a control host without a leader it is only one, since that host and the
+// network are fine and connections to several wouldn't help.
+func (e *Entry) candidates() []string {
+	l := slices.DeleteFunc(slices.Clone(e.controls), func(a string) bool { return a == e.address && len(e.controls) > 1 })
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	n := maxCandidates
+	if e.leaderless {
+		n = 1
+	}
+	return l[:min(len(l), n)]
+}
+
 // closeConnection closes the connection after a failed exchange. It logs only the first of several failures in a row.
 func (e *Entry) closeConnection(err error) {
 	if !e.controlLost {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/rpc"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,3 +91,51 @@
 	i.Equal(strings.Count(b.String(), "dependency lost"), 1)
 	i.Equal(strings.Count(b.String(), "dependency regained"), 1)
 }
+
+// startSilent binds a socket that answers no opening packets, because its queue of new connections is full.
+func startSilent(t *testing.T, ip [4]byte, port int) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: ip, Port: port}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	a := net.TCPAddr{IP: ip[:], Port: port}
+	for {
+		c, err := net.DialTimeout("tcp", a.String(), 50*time.Millisecond)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// TestFirstControlHostThatAnswersIsUsed checks that a host that starts while most control hosts are still down doesn't
+// wait for the ones that are: after a restart of all hosts callers wait for the configuration.
+func TestFirstControlHostThatAnswersIsUsed(t *testing.T) {
+	i := is.New(t)
+	c := Control{current: &atomic.Bool{}, exchanges: &atomic.Int64{}}
+	c.current.Store(true)
+	h, p, l := startControl(i, c)
+	defer l.Close() //nolint:errcheck // the test ends
+	startSilent(t, [4]byte{127, 0, 0, 2}, int(p))
+	startSilent(t, [4]byte{127, 0, 0, 3}, int(p))
+	g := logrus.New()
+	g.SetOutput(io.Discard)
+	m := metrics.NewSet()
+	s := pick.NewSet("a")
+	r := relay.New(relay.Options{Endpoints: s, Budget: relay.NewRetryBudget(0.9, 58, time.Second), Log: g, Metrics: m})
+	b := time.Now()
+	e := entry.New(entry.Options{
+		Settings: conf.Node{Name: "e", PeerPort: p, Seeds: []string{"127.0.0.2:1", "127.0.0.3:1", h + ":1"}}, Relay: r, Set: s, Pool: dial.NewPool(),
+		Decode: func([]byte) (table.Table, error) { return table.Table{}, nil }, Log: g, Metrics: m,
+	})
+	defer e.Stop()
+	for c.exchanges.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	i.True(time.Since(b) < 150*time.Millisecond) // one silent host alone takes 200 ms
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -8,8 +8,12 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// shortElectionDivisor divides the election timeout of a node that has just started or that campaigns.
-const shortElectionDivisor = 4
+const (
+	// campaignDivisor divides the election timeout of a node that campaigns.
+	campaignDivisor = 4
+	// startDivisor divides the election timeout that bounds the wait of a node that has just started.
+	startDivisor = 6
+)
 
 // progress is a leader's replication state for another node.
 type progress struct {
@@ -56,15 +60,23 @@
 	s := State{ID: node, Hard: hard, Snapshot: snapshot, Commit: snapshot.Index, timing: timing, entries: l, seed: seed}
 	s.Stable = s.LastIndex()
 	s.Peers = s.latestPeers()
-	return s.withShortDeadline(0)
+	return s.withStartDeadline()
+}
+
+// withStartDeadline draws the time of the first campaign after a start. It is early, since callers wait if all nodes
+// have started, and spread widely, since they may have started together. An early campaign doesn't disturb a leader:
+// nodes with a current leader refuse pre-votes.
+func (s State) withStartDeadline() State {
+	s = s.withDeadline(0)
+	s.deadline = (s.deadline - s.timing.Election) / startDivisor
+	return s
 }
 
-// withShortDeadline draws a short election timeout, for use after a start or a campaign, when other nodes may have
-// started or campaigned at the same time. A short timeout is safe because nodes with a current leader refuse
-// pre-votes, so an early campaign doesn't disturb the leader.
+// withShortDeadline draws a short election timeout, for use after a campaign, when other nodes may have campaigned at
+// the same time.
 func (s State) withShortDeadline(now time.Duration) State {
 	s = s.withDeadline(now)
-	s.deadline = now + (s.deadline-now)/shortElectionDivisor
+	s.deadline = now + (s.deadline-now)/campaignDivisor
 	return s
 }
 
