Keep endpoints whose address an earlier one used

Reports with an unknown start time count as newer, also those of departure, so that a list that holds an old departed endpoint and the ready one at its address ended the ready one. Change: a departure takes no address over; departed endpoints aren't saved; a remembered endpoint that hasn't reported isn't passed on to other control hosts. The new test of fleet fails on the state before.

--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -230,7 +230,7 @@
 }
 
 // gossipLoop sends queued gossip messages, merged into one call for each interval. The first call, and each one after a
-// failed call, holds the full fleet.
+// failed call, holds all confirmed reports.
 type gossipLoop struct{ link *link }
 
 func (l gossipLoop) run() {
@@ -256,8 +256,7 @@
 }
 
 // mergeQueued merges the queued gossip messages into one. Of several reports of the same incarnation of an entry host
-// it keeps the last, with the tallies of all of them. With fullSync the result also holds the reports of all known
-// endpoints.
+// it keeps the last, with the tallies of all of them. With fullSync the result also holds all confirmed reports.
 func (l gossipLoop) mergeQueued(fullSync bool) ctlrpc.Gossip {
 	var n ctlrpc.Gossip
 	h := map[string]int{}
@@ -275,7 +274,7 @@
 		}
 	}
 	if fullSync {
-		n.Reports = append(n.Reports, l.link.host.state.Load().Fleet.Reports()...)
+		n.Reports = append(n.Reports, l.link.host.state.Load().ConfirmedReports()...)
 	}
 	return n
 }
--- a/ctrl/memory.go
+++ b/ctrl/memory.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/fleet"
@@ -41,7 +42,7 @@
 		if f.Revision == saved {
 			continue
 		}
-		err := saveFleet(s.host.settings.DataFolder, f.Reports())
+		err := saveFleet(s.host.settings.DataFolder, f)
 		if err == nil {
 			saved = f.Revision
 		}
@@ -52,9 +53,10 @@
 	}
 }
 
-// saveFleet writes reports to the data folder and syncs them.
-func saveFleet(folder string, reports []fleet.Report) error {
-	b, err := json.Marshal(reports)
+// saveFleet writes the reports of the endpoints that haven't departed to the data folder and syncs them.
+func saveFleet(folder string, f fleet.State) error {
+	r := slices.DeleteFunc(f.Reports(), func(r fleet.Report) bool { return r.Phase == fleet.Departed })
+	b, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode the fleet: %w; report this as a bug", err)
 	}
@@ -85,3 +87,8 @@
 	}
 	return s
 }
+
+// ConfirmedReports returns the reports of endpoints that have reported to any control host since the start of this host.
+// Only these are passed on: a remembered endpoint may have been replaced at its address meanwhile, and hosts that know
+// the replacement would take the old one for a new start.
+func (s State) ConfirmedReports() []fleet.Report { return s.Fleet.ReportsHeardSince(0) }
--- a/ctrl/memory_test.go
+++ b/ctrl/memory_test.go
@@ -58,7 +58,8 @@
 	b.state = b.state.WithRemembered([]fleet.Report{{ID: "a", Service: "s", Address: "x:1", Sequence: 5}, {ID: "b", Service: "s", Address: "y:1", Sequence: 5}})
 	c.run(2 * time.Second)
 	c.reduce(address(0), ctrl.EndpointReported{Report: fleet.Report{ID: "b", Service: "s", Address: "y:1", Sequence: 6}})
-	c.run(1500 * time.Millisecond) // three heartbeats have passed
+	i.Equal(len(b.state.ConfirmedReports()), 1) // the other may have been replaced at its address
+	c.run(1500 * time.Millisecond)              // three heartbeats have passed
 	_, ok := b.state.Fleet.Get("a")
 	i.True(!ok)
 	_, ok = b.state.Fleet.Get("b")
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -118,9 +118,12 @@
 
 // resolveAddress marks endpoints as departed whose address is used by a newer process. If an endpoint in the state
 // is newer than the report, the report is returned as departed. A report with an unknown start time counts as the
-// newer one.
+// newer one, unless it is one of departure: the address may have been reused since.
 func (s State) resolveAddress(r Report) (State, Report) {
 	n := s
+	if r.Phase == Departed {
+		return n, r
+	}
 	for e := range s.All {
 		if e.ID == r.ID || e.Address != r.Address || e.Phase == Departed {
 			continue
@@ -213,6 +216,18 @@
 	return r
 }
 
+// ReportsHeardSince returns the newest report of each endpoint that has reported at or after a time, in the order of
+// their IDs.
+func (s State) ReportsHeardSince(t time.Duration) []Report {
+	var r []Report
+	for e := range s.All {
+		if e.HeardAt >= t {
+			r = append(r, e.Report)
+		}
+	}
+	return r
+}
+
 // Sort sorts reports by ID.
 func Sort(r []Report) {
 	slices.SortFunc(r, func(a, b Report) int { return strings.Compare(a.ID, b.ID) })
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -143,3 +143,14 @@
 		}
 	})
 }
+
+// A host that learns of the fleet anew gets the reports in the order of their IDs. The departure of an endpoint doesn't
+// end another one that uses its address since.
+func TestDepartureDoesNotEndTheNextEndpointAtItsAddress(t *testing.T) {
+	i := is.New(t)
+	s, _ := fleet.New().WithReport(fleet.Report{ID: "new", Service: "s", Address: "x:1", Sequence: 3}, 0)
+	s, _ = s.WithReport(fleet.Report{ID: "old", Service: "s", Address: "x:1", Sequence: 9, Phase: fleet.Departed}, 0)
+	e, ok := s.Get("new")
+	i.True(ok)
+	i.Equal(e.Phase, fleet.Ready)
+}
