Choose models without values and error rates of single customers

Cause: tiers gave priorities 0, 1 and 2 the values 6, 1 and 0.8, and the smallest model an error rate of 0.45, the middle one a gain of 0.2: figures of the first customers. Error rates of each route's tiers are learned from reported confidence, and how often a larger tier is wrong where a smaller one was, with priors that count for 20 answers. Lateness is a probability from the observed error of estimated waits. The queue that prices work is that of endpoints that may be used now (a cut-off host sees its own full ones), in mean values, and time in slots counts as far as endpoints are full.

--- a/conf/node.go
+++ b/conf/node.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"os"
 	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/tiers"
 )
 
 //go:generate go tool stringer -type=Part -linecomment -output=enum_string.go
@@ -103,6 +105,9 @@
 	Bounds      Bounds `json:"bounds"`
 	// LogLevel is the name of a logrus level. Empty means "info".
 	LogLevel string `json:"log-level"`
+	// Decisions holds the assumptions behind the choice of model tiers. Fields that the file doesn't name have the
+	// values of tiers.DefaultWeights.
+	Decisions tiers.Weights `json:"decisions"`
 }
 
 // IsNode reports whether a settings file is for a process of a routed deployment, which its key "part" tells. It
@@ -128,7 +133,7 @@
 	if err != nil {
 		return Node{}, fmt.Errorf("settings: %w; name a file that can be read", err)
 	}
-	n, err := Decode[Node](b)
+	n, err := DecodeOver(Node{Decisions: tiers.DefaultWeights()}, b)
 	if err != nil {
 		return n, fmt.Errorf("settings %s: %w", path, err)
 	}
@@ -160,9 +165,34 @@
 			return err
 		}
 	}
+	if err := n.checkDecisions(); err != nil {
+		return err
+	}
 	return n.checkPart()
 }
 
+// checkDecisions checks the weights of decisions.
+func (n Node) checkDecisions() error {
+	w := n.Decisions
+	for _, s := range []struct {
+		field string
+		value float64
+	}{{"wrong-share", w.WrongShare}, {"late-share", w.LateShare}} {
+		if s.value < 0 || s.value > 1 {
+			return &Fault{Field: "decisions." + s.field, What: fmt.Sprintf("is %v", s.value), Remedy: "write a share from 0 to 1"}
+		}
+	}
+	for _, p := range []struct {
+		field string
+		value float64
+	}{{"answer-worth", w.AnswerWorth}, {"delay-rate", w.DelayRate}, {"report-noise", w.ReportNoise}} {
+		if p.value < 0 {
+			return &Fault{Field: "decisions." + p.field, What: fmt.Sprintf("is %v", p.value), Remedy: "write a number that isn't negative"}
+		}
+	}
+	return nil
+}
+
 // checkPart checks the settings that depend on the part of the process.
 func (n Node) checkPart() error {
 	if n.Part == PartControl {
--- a/conf/node_test.go
+++ b/conf/node_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/tiers"
 )
 
 // nodeDocument is a valid settings file of an entry host.
@@ -35,6 +36,16 @@
 	i.Equal(n.SeedPeers(), []string{"127.0.0.9:3"})
 }
 
+// TestDecisionsKeepDefaults checks that a section that names some weights leaves the others as they are by default.
+func TestDecisionsKeepDefaults(t *testing.T) {
+	i := is.New(t)
+	n, err := loadNode(t, strings.Replace(nodeDocument, `"peer-port":3`, `"peer-port":3,"decisions":{"late-share":0.5}`, 1))
+	i.NoErr(err)
+	w := tiers.DefaultWeights()
+	w.LateShare = 0.5
+	i.Equal(n.Decisions, w)
+}
+
 // TestLoadNodeNamesFieldAndRemedy makes nodeDocument invalid by one replacement for each case.
 func TestLoadNodeNamesFieldAndRemedy(t *testing.T) {
 	for _, c := range []struct{ from, to, field string }{
@@ -47,6 +58,8 @@
 		{`"grace":"8s"`, `"grace":"8"`, "duration"},
 		{`"caller-address":"127.0.0.1:1"`, `"caller-address":""`, "caller-address"},
 		{`"part":"entry"`, `"part":"control"`, "data-folder"},
+		{`"peer-port":3`, `"peer-port":3,"decisions":{"late-share":1.1}`, "decisions.late-share"},
+		{`"peer-port":3`, `"peer-port":3,"decisions":{"delay-rate":-1}`, "decisions.delay-rate"},
 	} {
 		t.Run(c.field, func(t *testing.T) {
 			i := is.New(t)
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -89,6 +89,11 @@
 // but white space follows the document.
 func Decode[T any](content []byte) (T, error) {
 	var v T
+	return DecodeOver(v, content)
+}
+
+// DecodeOver is like Decode, but fields that the document doesn't name keep the values of v.
+func DecodeOver[T any](v T, content []byte) (T, error) {
 	d := json.NewDecoder(bytes.NewReader(content))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&v); err != nil {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -159,13 +159,13 @@
 	var a, b []*endpoint
 	for _, t := range []bool{s.goesToTarget(v, q), !s.goesToTarget(v, q)} {
 		for _, n := range s.endpoints {
-			if n.replaced || n.removed || n.report.Service != q.Service || n.report.Phase != fleet.Ready || q.Tried[n.report.ID] {
+			if !n.serves(q.Service) || q.Tried[n.report.ID] {
 				continue
 			}
 			if ok && (n.report.Version == v.Target) != t {
 				continue
 			}
-			if b = append(b, n); now.After(n.ejectedUntil) && now.After(s.centreOf(n.report.DataCentre).ejectedUntil) {
+			if b = append(b, n); !s.ejected(n, now) {
 				a = append(a, n)
 			}
 		}
@@ -179,6 +179,16 @@
 	return b
 }
 
+// serves reports whether the endpoint takes requests of a service.
+func (n *endpoint) serves(service string) bool {
+	return !n.replaced && !n.removed && n.report.Service == service && n.report.Phase == fleet.Ready
+}
+
+// ejected reports whether the endpoint or its data centre is ejected.
+func (s *Set) ejected(n *endpoint, now time.Time) bool {
+	return !now.After(n.ejectedUntil) || !now.After(s.centreOf(n.report.DataCentre).ejectedUntil)
+}
+
 // goesToTarget reports whether a request goes to the target version of a rollout.
 func (s *Set) goesToTarget(v canary.View, q Request) bool {
 	if q.InSession {
--- a/pick/state.go
+++ b/pick/state.go
@@ -114,7 +114,7 @@
 	defer s.lock.Unlock()
 	r := map[string]int{}
 	for _, n := range s.endpoints {
-		if !n.replaced && !n.removed && n.report.Phase == fleet.Ready {
+		if n.serves(n.report.Service) {
 			r[n.report.Service]++
 		}
 	}
@@ -211,26 +211,42 @@
 	return false
 }
 
-// Backlogs returns the least and the mean backlog of the ready endpoints of a service. Both are 0 if there are
-// none.
-func (s *Set) Backlogs(service string) (least, mean time.Duration) {
+// Queue describes the waits at the endpoints that requests of a service may go to now.
+type Queue struct {
+	// Least and Mean are the least and the mean wait of a request for which an endpoint has no work to do.
+	Least, Mean time.Duration
+	// Full is the share of endpoints, from 0 to 1, whose slots are all taken.
+	Full float64
+}
+
+// Queue returns the queue of a service. It is empty if no endpoint may take requests. Of the request only Service, Slots
+// and SlotTime matter.
+func (s *Set) Queue(q Request, now time.Time) Queue {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	n, t, l := 0, 0, -1
+	q.Work, q.CacheSaving = 0, 0
+	var r Queue
+	n := 0
 	for _, e := range s.endpoints {
-		if e.replaced || e.report.Service != service || e.report.Phase != fleet.Ready {
+		if !e.serves(q.Service) || s.ejected(e, now) {
 			continue
 		}
-		w := e.local.Backlog + e.remote.Backlog
-		n, t = n+1, t+w
-		if l < 0 || w < l {
-			l = w
+		w := s.estimate(e, q)
+		if n == 0 || w < r.Least {
+			r.Least = w
+		}
+		n++
+		r.Mean += w
+		if q.Slots > 0 && e.local.Plus(e.remote).Requests >= q.Slots {
+			r.Full++
 		}
 	}
 	if n == 0 {
-		return 0, 0
+		return Queue{}
 	}
-	return time.Duration(l) * time.Millisecond, time.Duration(t/n) * time.Millisecond
+	r.Mean /= time.Duration(n)
+	r.Full /= float64(n)
+	return r
 }
 
 // LocalLoads returns the load that this host puts on endpoints, by endpoint ID. Endpoints without requests in
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -205,6 +205,7 @@
 func (u *upstreamAttempt) recordStart(wait time.Duration) {
 	u.job.relay.Endpoints.RecordSuccess(u.choice.ID, wait, u.choice.Wait)
 	u.job.tallyRollout(u, false, wait)
+	u.job.relay.demands.addWait(u.job.service.Name, wait, u.choice.Wait)
 	if u.job.route.Kind == table.Stream {
 		u.job.relay.Prefill.Observe(u.job.model(), u.job.modelCost(u.job.model()), u.job.request.Prompt.Tokens, wait, time.Duration(u.choice.Load.Backlog)*time.Millisecond)
 	}
@@ -285,7 +286,7 @@
 		j.tried[u.choice.ID] = true
 		return rerun
 	}
-	j.relay.durations.add("hold "+j.route.Name, time.Since(u.sent))
+	j.relay.durations.add(holdKey(j.route.Name, j.model()), time.Since(u.sent))
 	if len(w.body) <= maxBufferedBytes {
 		j.deliver(w)
 		u.recordServed(w.status)
--- a/relay/estimate.go
+++ b/relay/estimate.go
@@ -56,17 +56,28 @@
 
 // tierRequest returns the properties of the request by which package tiers chooses a model tier.
 func (j *job) tierRequest() tiers.Request {
-	l, m := j.relay.Endpoints.Backlogs(j.service.Name)
-	p := j.request.Prompt
-	a := tiers.Request{
-		Priority: j.route.Priority, RelativeSize: float64(p.size()) / max(1, j.relay.requestSizes.get(j.route.Name)),
-		AttemptsLeft: max(1, j.route.Attempts) - j.runs + 1, Backlog: m, TimeLeft: time.Until(j.request.Received.Add(j.route.Objective)),
+	q := j.relay.Endpoints.Queue(j.endpointRequest(), time.Now())
+	d, l := j.relay.demands.get(j.service.Name)
+	return tiers.Request{
+		Tiers: j.tiers(q), Errors: j.relay.errors.Rates(j.route.Name, len(j.route.Tiers)),
+		AttemptsLeft: max(1, j.route.Attempts) - j.runs + 1, TimeLeft: time.Until(j.request.Received.Add(j.route.Objective)),
+		Lateness: l, Demand: d, Queue: q.Mean,
 	}
-	for _, n := range j.route.Tiers {
-		r := j.relay.Prefill.PrefillTime(n, j.modelCost(n), p.Tokens)
-		a.Tiers = append(a.Tiers, tiers.Tier{Wait: l + ttft.BaseLatency + r, Work: r, Price: j.requestCost(n)})
+}
+
+// tiers returns the model tiers of the request. A running request takes little from others at an endpoint that has
+// slots left, so that the time in a slot counts as work only as far as endpoints are full.
+func (j *job) tiers(q pick.Queue) []tiers.Tier {
+	var r []tiers.Tier
+	for _, m := range j.route.Tiers {
+		w := j.relay.Prefill.PrefillTime(m, j.modelCost(m), j.request.Prompt.Tokens)
+		h := q.Full * float64(j.modelHoldTime(m)) / float64(max(1, j.service.Slots))
+		r = append(r, tiers.Tier{
+			Wait: q.Least + ttft.BaseLatency + w + j.relay.durations.get(firstEventKey(j.route.Name, m), 0),
+			Work: w + time.Duration(h), Price: j.requestCost(m),
+		})
 	}
-	return a
+	return r
 }
 
 // modelCost returns the cost of a model for 1,000 generated tokens, or 0 if the service does not list the model.
@@ -128,7 +139,16 @@
 	return ttft.BaseLatency + j.prefillTime(j.request.Prompt.Tokens)
 }
 
-// holdTime estimates how long the request occupies an endpoint, from earlier answers of the route.
-func (j *job) holdTime() time.Duration {
-	return j.relay.durations.get("hold "+j.route.Name, defaultHoldTime)
+// holdTime estimates how long the request occupies an endpoint, from earlier answers of the route and the model.
+func (j *job) holdTime() time.Duration { return j.modelHoldTime(j.model()) }
+
+// modelHoldTime returns what holdTime returns where the given model answers.
+func (j *job) modelHoldTime(model string) time.Duration {
+	return j.relay.durations.get(holdKey(j.route.Name, model), defaultHoldTime)
 }
+
+// holdKey is the key in Relay.durations of the time that a request occupies an endpoint.
+func holdKey(route, model string) string { return "hold " + route + " " + model }
+
+// firstEventKey is the key in Relay.durations of the time from the head of a stream to its first event.
+func firstEventKey(route, model string) string { return "event " + route + " " + model }
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -187,6 +187,7 @@
 	s := &sink{}
 	h.relay.Serve(ctx, &relay.Request{
 		ID: fmt.Sprint(path, h.sender.count()), Method: "POST", Host: "h", Path: path, Target: path, Key: key, Header: http.Header{}, Received: time.Now(),
+		Prompt: relay.Prompt{Tokens: 2000, MaxOutput: 200},
 	}, s)
 	return s
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -9,7 +9,6 @@
 
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/table"
-	"github.com/hickoryshelf/hickoryshelf/tiers"
 )
 
 const (
@@ -77,6 +76,8 @@
 	mayHaveRun bool
 	// tier is the index in route.Tiers of the model that answers.
 	tier int
+	// escalatedFrom is the latest answer that was judged by its confidence, or nil. It is kept or dropped after that.
+	escalatedFrom *judgedAnswer
 	// lastEventID is the ID of the last event that was passed on. answerBegun is set once the head of an answer was
 	// passed on, after which the request can no longer be refused.
 	lastEventID string
@@ -135,8 +136,8 @@
 		return
 	}
 	if len(j.route.Tiers) > 0 {
-		j.relay.requestSizes.add(j.route.Name, float64(j.request.Prompt.size()))
-		j.tier = tiers.First(j.tierRequest())
+		j.relay.demands.addRequest(j.service.Name, j.relay.chooser.Value(j.tiers(pick.Queue{})))
+		j.tier = j.relay.chooser.First(j.tierRequest())
 	}
 	for {
 		v := j.attempt(ctx)
@@ -150,6 +151,12 @@
 	}
 }
 
+// judgedAnswer is an answer of a tier that is wrong with a probability.
+type judgedAnswer struct {
+	tier  int
+	wrong float64
+}
+
 // nextStep says how a request continues after an attempt.
 type nextStep int
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/table"
+	"github.com/hickoryshelf/hickoryshelf/tiers"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
 )
 
@@ -24,6 +25,8 @@
 	Budget    *RetryBudget
 	Log       *logrus.Logger
 	Metrics   *metrics.Set
+	// Weights are the assumptions behind the choice of model tiers. The zero value means tiers.DefaultWeights.
+	Weights tiers.Weights
 }
 
 // Relay sends requests to endpoints and passes their answers on to the callers. It is safe for concurrent use.
@@ -40,15 +43,24 @@
 	stopTime atomic.Int64
 	// Prefill estimates the prefill times of models. Hosts exchange the values that they have measured.
 	Prefill *ttft.Estimator
-	// durations holds the average hold time of each route under the key "hold ROUTE".
-	durations    durationAverages
-	requestSizes sizeAverages
-	tallies      tallies
+	// durations holds averages under the keys that holdKey and firstEventKey return.
+	durations durationAverages
+	chooser   tiers.Chooser
+	// errors holds the error rates of the model tiers, as their answers' confidence tells them.
+	errors  *tiers.Ledger
+	demands demands
+	tallies tallies
 }
 
 // New returns a Relay without a routing table. Serve refuses requests until SetTable was called.
 func New(o Options) *Relay {
-	r := &Relay{Options: o, start: time.Now(), durations: newDurationAverages(), Prefill: ttft.New(), requestSizes: newSizeAverages(), tallies: tallies{byKey: map[string]canary.Tally{}}}
+	if o.Weights == (tiers.Weights{}) {
+		o.Weights = tiers.DefaultWeights()
+	}
+	r := &Relay{
+		Options: o, start: time.Now(), durations: newDurationAverages(), Prefill: ttft.New(), tallies: tallies{byKey: map[string]canary.Tally{}},
+		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(),
+	}
 	r.entryHosts.Store(1)
 	return r
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,6 +32,7 @@
 // stream breaks off, another attempt resumes it after the last complete event.
 func (u *upstreamAttempt) relayStream(r Reply) nextStep {
 	j := u.job
+	j.recordConfidence(r.Confidence)
 	if n, ok := j.escalationTier(r); ok {
 		u.log().WithFields(logrus.Fields{"confidence": r.Confidence, "next": j.route.Tiers[n]}).Info("attempt: dropped for a larger model")
 		j.tier = n
@@ -46,7 +47,7 @@
 	w.stop()
 	switch {
 	case err == nil:
-		j.relay.durations.add("hold "+j.route.Name, time.Since(u.sent))
+		j.relay.durations.add(holdKey(j.route.Name, j.model()), time.Since(u.sent))
 		u.recordServed(r.Status)
 		return done
 	case errors.Is(err, errCallerLeft), j.callerContext.Err() != nil:
@@ -82,7 +83,7 @@
 	if j.answerBegun || len(j.route.Tiers) == 0 || r.Confidence < 0 || !j.route.Idempotent() {
 		return 0, false
 	}
-	n, ok := tiers.Next(j.tierRequest(), j.tier, r.Confidence)
+	n, ok := j.relay.chooser.Next(j.tierRequest(), j.tier, r.Confidence)
 	if ok && !j.relay.Budget.WithdrawOptional(j.service.Name) {
 		j.noRetryReason = "spare budget"
 		return 0, false
@@ -90,6 +91,22 @@
 	return n, ok
 }
 
+// recordConfidence records the confidence of an answer for the error rates of the route's tiers. A negative confidence
+// means that the model reports none.
+func (j *job) recordConfidence(confidence int) {
+	if len(j.route.Tiers) == 0 || confidence < 0 || j.answerBegun {
+		return
+	}
+	w := j.relay.chooser.WrongProbability(confidence)
+	j.relay.errors.Update(j.route.Name, len(j.route.Tiers), func(e tiers.ErrorRates) tiers.ErrorRates {
+		if j.escalatedFrom == nil {
+			return e.WithFirst(j.tier, w)
+		}
+		return e.WithEscalation(j.escalatedFrom.tier, j.tier, j.escalatedFrom.wrong, w)
+	})
+	j.escalatedFrom = &judgedAnswer{tier: j.tier, wrong: w}
+}
+
 // relayEvents passes on complete events until the end of the body, and resets the watchdog with each. It returns
 // io.ErrUnexpectedEOF if the body ends within an event, errCallerLeft if the caller has disconnected,
 // and otherwise the error of reading the body.
@@ -116,6 +133,7 @@
 			}
 			if j.lastEventAt.IsZero() {
 				j.ttft = time.Since(j.request.Received)
+				j.relay.durations.add(firstEventKey(j.route.Name, j.model()), time.Since(u.sent)-u.wait)
 			} else {
 				j.longestGap = max(j.longestGap, time.Since(j.lastEventAt))
 			}
--- a/tiers/tiers.go
+++ b/tiers/tiers.go
@@ -1,47 +1,39 @@
 // Package tiers decides between the model tiers of a route, which form a cascade: which tier answers first, and
 // whether an answer is kept or the request escalates to a larger tier. The decision weighs the value of a correct
-// answer against the price of the model, the endpoint time that the request takes from others, and the risk of a
-// late answer.
+// answer against the price of the model, the delay that the work causes to other requests, and the risk of a late
+// answer.
 package tiers
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// answerValues are the values of a correct answer to a request of mean size, by the request's priority.
-var answerValues = []float64{6, 1, 0.8}
+// Weights are the assumptions behind the decisions that nothing observed can replace, since no host learns what an
+// answer was worth or whether it was right.
+type Weights struct {
+	// AnswerWorth is the value of a correct answer in time, in prices of the largest model for the same request: whoever
+	// offers a model for a request is taken to find its answers worth several times their price.
+	AnswerWorth float64 `json:"answer-worth"`
+	// WrongShare and LateShare are the shares of that value, from 0 to 1, that a wrong and a late answer have.
+	WrongShare float64 `json:"wrong-share"`
+	LateShare  float64 `json:"late-share"`
+	// DelayRate is the share of a mean value that the requests at an endpoint lose for each second of work that is added
+	// and each second that they wait already.
+	DelayRate float64 `json:"delay-rate"`
+	// ReportNoise is the standard deviation, in points of confidence, of what models report of their answers.
+	ReportNoise float64 `json:"report-noise"`
+}
 
-const (
-	// The probability of a wrong answer is a logistic function of its confidence. It is one half at
-	// confidenceMidpoint, and confidenceScale sets how fast it falls.
-	confidenceMidpoint = 48
-	confidenceScale    = 9
-	// A wrong answer is worth wrongValueShare, and a late one lateValueShare, of a correct answer in time.
-	wrongValueShare = 0.05
-	lateValueShare  = 0.3
-	// middleTierGain is the probability that a middle tier answers correctly where a smaller one was wrong.
-	middleTierGain = 0.2
-	// queueingCost is the cost of a second of an endpoint's time per second of backlog at the endpoints.
-	queueingCost = 10
-	// latenessMargin is the factor by which a wait may exceed its estimate and still be in time.
-	latenessMargin = 1.2
-	// fixedValueShare is the share of a request's value that doesn't depend on its size, and maxSizeFactor the
-	// upper limit of the factor by which the size changes the value.
-	fixedValueShare = 0.3
-	maxSizeFactor   = 4
-	// smallestTierErrorRate is the assumed probability that the smallest tier answers wrongly, before its answer is
-	// known.
-	smallestTierErrorRate = 0.45
-)
+// DefaultWeights returns the weights that hold where the settings name no others.
+func DefaultWeights() Weights {
+	return Weights{AnswerWorth: 8, WrongShare: 0.05, LateShare: 0.2, DelayRate: 4, ReportNoise: 16}
+}
 
 // Tier is a model tier that may answer a request.
 type Tier struct {
 	// Wait is the estimated time to the first event.
 	Wait time.Duration
-	// Work is the time of an endpoint that the request takes.
+	// Work is the time of an endpoint that the request takes from others.
 	Work time.Duration
-	// Price is the model's price for the request, in the unit of answerValues.
+	// Price is the model's price for the request.
 	Price float64
 }
 
@@ -49,82 +41,95 @@
 type Request struct {
 	// Tiers are ordered from the smallest to the largest.
 	Tiers []Tier
-	// Priority is the priority of the request; 0 is the highest.
-	Priority int
-	// RelativeSize is the size of the request divided by the mean size of requests on its route.
-	RelativeSize float64
+	// Errors holds the error rates of the tiers on the request's route.
+	Errors ErrorRates
 	// AttemptsLeft is how many more times the request may be sent, including the attempt to be decided on.
 	AttemptsLeft int
-	// Backlog is the mean backlog of the endpoints.
-	Backlog time.Duration
-	// TimeLeft is the time until the answer is late.
+	// TimeLeft is the time until the answer is late. Lateness is the error of the estimated waits.
 	TimeLeft time.Duration
+	Lateness Lateness
+	// Demand describes the requests that share the endpoints. Queue is the estimated mean wait at the endpoints before
+	// they begin with a new request.
+	Demand Demand
+	Queue  time.Duration
 }
 
-// answerValue returns the value of a correct answer in time.
-func (r Request) answerValue() float64 {
-	return answerValues[min(max(r.Priority, 0), len(answerValues)-1)] * min(maxSizeFactor, fixedValueShare+(1-fixedValueShare)*r.RelativeSize)
-}
+// Chooser chooses tiers by expected utility. It is an immutable value.
+type Chooser struct{ weights Weights }
 
-// cost returns the price of a tier plus the cost of delaying other requests.
-func (r Request) cost(t Tier) float64 {
-	return t.Price + queueingCost*r.Backlog.Seconds()*t.Work.Seconds()
-}
+// NewChooser returns a chooser with the given weights.
+func NewChooser(w Weights) Chooser { return Chooser{weights: w} }
 
-// timelinessFactor returns the factor by which the expected time of a tier's answer changes the answer's value: 1 in
-// time, lateValueShare otherwise. before is the time that passes until the tier is asked.
-func (r Request) timelinessFactor(t Tier, before time.Duration) float64 {
-	if time.Duration(latenessMargin*float64(t.Wait))+before > r.TimeLeft {
-		return lateValueShare
+// Value returns the value of a correct answer in time to a request with the given tiers. Where the largest model has no
+// price, a correct answer counts 1, since all models are free then.
+func (c Chooser) Value(tiers []Tier) float64 {
+	if len(tiers) == 0 || tiers[len(tiers)-1].Price <= 0 {
+		return 1
 	}
-	return 1
+	return c.weights.AnswerWorth * tiers[len(tiers)-1].Price
 }
 
-// errorProbability returns the probability that an answer with a confidence from 0 to 100 is wrong.
-func errorProbability(confidence int) float64 {
-	return 1 / (1 + math.Exp((float64(confidence)-confidenceMidpoint)/confidenceScale))
+// cost returns the price of a tier plus the value that other requests lose by its work.
+func (c Chooser) cost(r Request, t Tier) float64 {
+	return t.Price + r.Demand.delayCost(t.Work, r.Lateness.median(r.Queue), c.weights.DelayRate)
 }
 
-// expectedValueShare returns the expected value of an answer that is wrong with a probability, as a share of the
-// value of a correct answer.
-func expectedValueShare(wrong float64) float64 { return 1 - wrong + wrong*wrongValueShare }
+// timeliness returns the expected share of the value that is left after the wait for a tier. before is the time that
+// passes until the tier is asked.
+func (c Chooser) timeliness(r Request, t Tier, before time.Duration) float64 {
+	l := r.Lateness.probability(t.Wait, r.TimeLeft-before)
+	return 1 - l*(1-c.weights.LateShare)
+}
 
-// First returns the index of the tier that answers first. This is the smallest, unless the expected utility of
-// asking the largest directly is higher than that of asking the smallest and then, if it is wrong, the largest. That
-// is mainly so where asking both in turn would make the answer late and the largest is worth its cost.
-func First(r Request) int {
-	n := len(r.Tiers) - 1
-	if n <= 0 || r.AttemptsLeft <= 0 {
+// quality returns the expected value of an answer that is wrong with a probability, as a share of the value of a correct
+// answer.
+func (c Chooser) quality(wrong float64) float64 { return 1 - wrong*(1-c.weights.WrongShare) }
+
+// First returns the index of the tier that answers first: the one with the highest expected utility, where a wrong
+// answer escalates to the largest tier if that pays.
+func (c Chooser) First(r Request) int {
+	if len(r.Tiers) < 2 || r.AttemptsLeft <= 0 {
 		return 0
 	}
-	s, l := r.Tiers[0], r.Tiers[n]
-	w := r.answerValue()
-	direct := w*r.timelinessFactor(l, 0) - r.cost(l)
-	both := w*((1-smallestTierErrorRate)*r.timelinessFactor(s, 0)+smallestTierErrorRate*r.timelinessFactor(l, s.Wait)) - r.cost(s) - smallestTierErrorRate*r.cost(l)
-	if direct > both {
-		return n
+	v, best, n := c.Value(r.Tiers), 0.0, 0
+	for k := range r.Tiers {
+		if u := c.firstUtility(r, v, k); k == 0 || u > best {
+			best, n = u, k
+		}
+	}
+	return n
+}
+
+// firstUtility returns the expected utility of asking tier k first, for an answer of the given value.
+func (c Chooser) firstUtility(r Request, value float64, k int) float64 {
+	t, e := r.Tiers[k], r.Errors.Wrong(k)
+	kept := value * c.timeliness(r, t, 0)
+	u := kept*c.quality(e) - c.cost(r, t)
+	n := len(r.Tiers) - 1
+	if k == n || r.AttemptsLeft < 2 {
+		return u
 	}
-	return 0
+	l := r.Tiers[n]
+	escalated := value*c.quality(r.Errors.Remaining(k, n))*c.timeliness(r, l, t.Wait) - c.cost(r, l)
+	return u + e*max(0, escalated-kept*c.weights.WrongShare)
 }
 
 // Next returns the index of the tier to escalate to, after the given tier gave an answer with a confidence from 0
 // to 100. ok is false if the answer is kept.
-func Next(r Request, tier, confidence int) (next int, ok bool) {
+func (c Chooser) Next(r Request, tier, confidence int) (next int, ok bool) {
 	if r.AttemptsLeft <= 1 {
 		return tier, false
 	}
-	w, d := r.answerValue(), errorProbability(confidence)
-	best := w * expectedValueShare(d)
+	v, w := c.Value(r.Tiers), c.WrongProbability(confidence)
+	best := v * c.quality(w)
 	if r.TimeLeft <= 0 {
-		best *= lateValueShare
+		best *= c.weights.LateShare
 	}
 	for n := tier + 1; n < len(r.Tiers); n++ {
-		f := d * (1 - middleTierGain)
-		if n == len(r.Tiers)-1 {
-			f = 0 // the largest tier is assumed to answer correctly
-		}
-		if v := w*expectedValueShare(f)*r.timelinessFactor(r.Tiers[n], 0) - r.cost(r.Tiers[n]); v > best {
-			best, next, ok = v, n, true
+		t := r.Tiers[n]
+		u := v*c.quality(w*r.Errors.Remaining(tier, n))*c.timeliness(r, t, 0) - c.cost(r, t)
+		if u > best {
+			best, next, ok = u, n, true
 		}
 	}
 	return next, ok
