Sum up logs by route, model, data centre and time; remember prefill times

Served lines tell the queue at the choice of the model, whether the endpoint was expected to have the shared prompt cached, and whether an objective was missed.

--- a/cmds/report.go
+++ b/cmds/report.go
@@ -100,8 +100,12 @@
 		Flags: adminFlags(
 			&cli.StringFlag{Name: "customer", Usage: "customer of the contract, if no request id is given"},
 			&cli.StringFlag{Name: "class", Usage: "task class; the first class of the contract if empty"},
+			&cli.BoolFlag{Name: "summary", Usage: "sums up all requests in the log files by route, model, data centre and time"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool("summary") {
+				return explainAll(c)
+			}
 			if c.Args().Present() {
 				return explainRequest(c)
 			}
@@ -124,25 +128,47 @@
 	}
 }
 
+// explainAll prints a summary of all requests in the log files that the arguments name.
+func explainAll(c *cli.Command) error {
+	l, err := readLogs(c.Args().Slice())
+	if err != nil {
+		return err
+	}
+	s := trace.Summarize(l)
+	if c.String("output") == "json" {
+		return printJSON(c, s)
+	}
+	return s.Write(c.Root().Writer)
+}
+
 // explainRequest prints the report of a request. The first argument is the id of the request, the others are log files.
 func explainRequest(c *cli.Command) error {
+	l, err := readLogs(c.Args().Tail())
+	if err != nil {
+		return err
+	}
+	s := trace.Explain(c.Args().First(), l)
+	if c.String("output") == "json" {
+		return printJSON(c, s)
+	}
+	return s.Write(c.Root().Writer)
+}
+
+// readLogs returns the lines of log files.
+func readLogs(paths []string) ([]trace.Line, error) {
 	var l []trace.Line
-	for _, p := range c.Args().Tail() {
+	for _, p := range paths {
 		f, err := os.Open(p)
 		if err != nil {
-			return fmt.Errorf("open log: %w; name a log file that can be read", err)
+			return nil, fmt.Errorf("open log: %w; name a log file that can be read", err)
 		}
 		v, err := trace.Read(f)
 		if err = errors.Join(err, f.Close()); err != nil {
-			return err
+			return nil, err
 		}
 		l = append(l, v...)
 	}
-	s := trace.Explain(c.Args().First(), l)
-	if c.String("output") == "json" {
-		return printJSON(c, s)
-	}
-	return s.Write(c.Root().Writer)
+	return l, nil
 }
 
 // printRouting prints the order of versions that a new request would get, the reason and the candidates.
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -96,11 +96,11 @@
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
-	r, err := loadFleet(o.Settings.DataFolder)
+	m, err := loadMemory(o.Settings.DataFolder)
 	if err != nil {
-		o.Log.WithError(err).Warn("control: starts without the endpoints of before")
+		o.Log.WithError(err).Warn("control: starts without the memory of before")
 	}
-	s = s.WithRemembered(r)
+	s = s.WithMemory(m)
 	h := &Host{
 		replies:  newReplyBuilder(),
 		settings: o.Settings, log: o.Log, start: time.Now(), events: make(chan Event, eventQueueSize),
@@ -112,18 +112,18 @@
 	h.registerGauges(o.Metrics)
 	h.log.WithFields(logrus.Fields{
 		"node": n, "start": s.StartID, "version": s.StateMachine.Document.Version, "commit": s.Log.Commit, "voters": s.Log.Peers.Voters,
-		"endpoints": len(r),
+		"endpoints": len(m.Reports), "prefill-times": len(m.PrefillTimes),
 	}).Info("control: starts")
-	v := rpc.NewServer()
-	if err := v.RegisterName(ctlrpc.ServiceName, &Service{host: h}); err != nil {
+	r := rpc.NewServer()
+	if err := r.RegisterName(ctlrpc.ServiceName, &Service{host: h}); err != nil {
 		return nil, fmt.Errorf("register the control service: %w; report this as a bug", err)
 	}
-	a, j, f := acceptor{listener: o.Listener, server: v}, joiner{h}, fleetSaver{h}
+	a, j, v := acceptor{listener: o.Listener, server: r}, joiner{h}, memorySaver{h}
 	go a.run()
 	go h.run()
 	go h.writer.run()
 	go j.run()
-	go f.run()
+	go v.run()
 	return h, nil
 }
 
--- a/ctrl/memory.go
+++ b/ctrl/memory.go
@@ -14,78 +14,92 @@
 )
 
 const (
-	// fleetFile is the file in the data folder that holds the fleet for the next start.
-	fleetFile = "fleet.json"
-	// fleetSaveInterval is the least time between two writes of the file.
-	fleetSaveInterval = 500 * time.Millisecond
+	// memoryFile is the file in the data folder that holds the memory for the next start.
+	memoryFile = "memory.json"
+	// memorySaveInterval is the least time between two writes of the file.
+	memorySaveInterval = 500 * time.Millisecond
 	// rememberedHeartbeats is the number of heartbeats for which an endpoint from the file is kept without a report.
 	rememberedHeartbeats = 3
 )
 
-// fleetSaver writes the fleet to the data folder after changes. Endpoints report to some control host only every few
-// seconds, so that after a restart of all control hosts the file says sooner where requests can go. A report in it may
-// be out of date: hosts name the endpoint that they mean in each request, and another one there refuses it.
-type fleetSaver struct{ host *Host }
+// Memory is what a control host saves for its next start, beside the control log. All of it comes again from endpoints and
+// entry hosts, but only after seconds. It may be out of date: hosts name the endpoint that they mean in each request,
+// and another one there refuses it.
+type Memory struct {
+	Reports []fleet.Report `json:"reports"`
+	// PrefillTimes holds the prefill time per prompt token by model.
+	PrefillTimes map[string]time.Duration `json:"prefill-times"`
+}
+
+// Memory returns the memory of a state: the endpoints that haven't departed and the measured prefill times.
+func (s State) Memory() Memory {
+	r := slices.DeleteFunc(s.Fleet.Reports(), func(r fleet.Report) bool { return r.Phase == fleet.Departed })
+	return Memory{Reports: r, PrefillTimes: s.PrefillTimes()}
+}
+
+// WithMemory returns the state of a host that has just started, with the memory of the process before. A remembered
+// endpoint is removed unless it reports within rememberedHeartbeats.
+func (s State) WithMemory(m Memory) State {
+	for _, r := range m.Reports {
+		s.Fleet, _ = s.Fleet.WithReport(r, (rememberedHeartbeats-maxMissedHeartbeats)*s.Heartbeat)
+	}
+	s.rememberedPrefill = m.PrefillTimes
+	return s
+}
+
+// memorySaver writes the memory to the data folder after changes of the fleet and when another model was measured.
+type memorySaver struct{ host *Host }
 
-func (s fleetSaver) run() {
-	t := time.NewTicker(fleetSaveInterval)
+func (m memorySaver) run() {
+	t := time.NewTicker(memorySaveInterval)
 	defer t.Stop()
-	var saved uint64
-	failed := false
+	var revision uint64
+	models, failed := 0, false
 	for {
 		select {
 		case <-t.C:
-		case <-s.host.stop:
+		case <-m.host.stop:
 			return
 		}
-		f := s.host.state.Load().Fleet
-		if f.Revision == saved {
+		s := *m.host.state.Load()
+		n := len(s.PrefillTimes())
+		if s.Fleet.Revision == revision && n == models {
 			continue
 		}
-		err := saveFleet(s.host.settings.DataFolder, f)
+		err := saveMemory(m.host.settings.DataFolder, s.Memory())
 		if err == nil {
-			saved = f.Revision
+			revision, models = s.Fleet.Revision, n
 		}
 		if err != nil && !failed {
-			s.host.log.WithError(err).Warn("control: the fleet can't be saved for the next start")
+			m.host.log.WithError(err).Warn("control: the memory for the next start can't be saved")
 		}
 		failed = err != nil
 	}
 }
 
-// saveFleet writes the reports of the endpoints that haven't departed to the data folder and syncs them.
-func saveFleet(folder string, f fleet.State) error {
-	r := slices.DeleteFunc(f.Reports(), func(r fleet.Report) bool { return r.Phase == fleet.Departed })
-	b, err := json.Marshal(r)
+// saveMemory writes a memory to the data folder and syncs it.
+func saveMemory(folder string, m Memory) error {
+	b, err := json.Marshal(m)
 	if err != nil {
-		return fmt.Errorf("encode the fleet: %w; report this as a bug", err)
+		return fmt.Errorf("encode the memory: %w; report this as a bug", err)
 	}
-	return store.WriteFile(filepath.Join(folder, fleetFile), b)
+	return store.WriteFile(filepath.Join(folder, memoryFile), b)
 }
 
-// loadFleet reads the reports that saveFleet wrote, or none if there is no file.
-func loadFleet(folder string) ([]fleet.Report, error) {
-	b, err := os.ReadFile(filepath.Join(folder, fleetFile))
+// loadMemory reads what saveMemory wrote. Without a file the memory is empty.
+func loadMemory(folder string) (Memory, error) {
+	b, err := os.ReadFile(filepath.Join(folder, memoryFile))
 	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
+		return Memory{}, nil
 	}
 	if err != nil {
-		return nil, fmt.Errorf("read the saved fleet: %w; check the disk", err)
+		return Memory{}, fmt.Errorf("read the memory: %w; check the disk", err)
 	}
-	var r []fleet.Report
-	if err := json.Unmarshal(b, &r); err != nil {
-		return nil, fmt.Errorf("decode the saved fleet: %w; it is ignored, endpoints report again", err)
+	var m Memory
+	if err := json.Unmarshal(b, &m); err != nil {
+		return Memory{}, fmt.Errorf("decode the memory: %w; it is ignored, hosts and endpoints report again", err)
 	}
-	return r, nil
-}
-
-// WithRemembered returns the state of a host that has just started, with the reports that the process before has saved.
-// An endpoint among them is removed unless it reports within rememberedHeartbeats.
-func (s State) WithRemembered(reports []fleet.Report) State {
-	for _, r := range reports {
-		s.Fleet, _ = s.Fleet.WithReport(r, (rememberedHeartbeats-maxMissedHeartbeats)*s.Heartbeat)
-	}
-	return s
+	return m, nil
 }
 
 // ConfirmedReports returns the reports of endpoints that have reported to any control host since the start of this host.
--- a/ctrl/memory_test.go
+++ b/ctrl/memory_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 )
@@ -55,7 +56,7 @@
 	i := is.New(t)
 	c := newCluster(t, 1)
 	b := c.hosts[address(0)]
-	b.state = b.state.WithRemembered([]fleet.Report{{ID: "a", Service: "s", Address: "x:1", Sequence: 5}, {ID: "b", Service: "s", Address: "y:1", Sequence: 5}})
+	b.state = b.state.WithMemory(ctrl.Memory{Reports: []fleet.Report{{ID: "a", Service: "s", Address: "x:1", Sequence: 5}, {ID: "b", Service: "s", Address: "y:1", Sequence: 5}}})
 	c.run(2 * time.Second)
 	c.reduce(address(0), ctrl.EndpointReported{Report: fleet.Report{ID: "b", Service: "s", Address: "y:1", Sequence: 6}})
 	i.Equal(len(b.state.ConfirmedReports()), 1) // the other may have been replaced at its address
@@ -65,3 +66,16 @@
 	_, ok = b.state.Fleet.Get("b")
 	i.True(ok)
 }
+
+// Prompts of all callers come back at once after a restart of all control hosts, before any entry host has measured a
+// model: its remembered prefill time holds until then.
+func TestPrefillTimesAreRememberedUntilMeasured(t *testing.T) {
+	i := is.New(t)
+	c := newCluster(t, 1)
+	b := c.hosts[address(0)]
+	b.state = b.state.WithMemory(ctrl.Memory{PrefillTimes: map[string]time.Duration{"m": 20, "n": 30}})
+	i.Equal(b.state.PrefillTimes(), map[string]time.Duration{"m": 20, "n": 30})
+	c.reduce(address(0), ctrl.HostReported{Report: ctlrpc.HostReport{Host: "e", Start: 1, Sequence: 1, Reads: map[string]time.Duration{"m": 25}}})
+	i.Equal(b.state.PrefillTimes(), map[string]time.Duration{"m": 25, "n": 30})
+	i.Equal(b.state.Memory().PrefillTimes["m"], time.Duration(25))
+}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -93,6 +93,8 @@
 	catchUpIndex uint64
 	// bytesSinceSnapshot is the size of the entry data that was appended since the last snapshot.
 	bytesSinceSnapshot int
+	// rememberedPrefill holds the prefill times that the process before has saved.
+	rememberedPrefill map[string]time.Duration
 	// leaderHeardAt is when the last message of a leader came.
 	leaderHeardAt time.Duration
 }
@@ -239,13 +241,14 @@
 }
 
 // PrefillTimes returns the measured prefill time per prompt token by model. If several entry hosts have measured a
-// model, the one that reported last counts.
+// model, the one that reported last counts; if none has since the start of this host, the remembered time.
 func (s State) PrefillTimes() map[string]time.Duration {
 	r, t := map[string]time.Duration{}, map[string]time.Duration{}
+	maps.Copy(r, s.rememberedPrefill)
 	for i := s.entryHosts.Iterator(); !i.Done(); {
 		_, h, _ := i.Next()
 		for m, v := range h.report.Reads {
-			if _, ok := r[m]; !ok || h.heardAt > t[m] {
+			if _, ok := t[m]; !ok || h.heardAt > t[m] {
 				r[m], t[m] = v, h.heardAt
 			}
 		}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -79,6 +79,8 @@
 	// Load is the known load of the endpoint before the request, and Candidates the number of endpoints compared.
 	Load       ctlrpc.Load
 	Candidates int
+	// Cached is set if the endpoint is expected to have what the request shares with others in its cache.
+	Cached bool
 }
 
 // endpoint holds the state of an endpoint as this host knows it.
@@ -144,6 +146,7 @@
 	}
 	c.Wait, c.Expected = s.estimate(b, q), s.expected(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.local.Plus(b.remote), len(l)
+	c.Cached = q.CacheSaving > 0 && s.hasAffinity(b, q)
 	b.local.Requests++
 	if b.unanswered++; b.unanswered == 1 {
 		b.silentSince = now
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -244,9 +244,18 @@
 		"outcome": "served", "status": status, "runs": j.runs, "spent": j.noRetryReason,
 		"first": j.ttft.Milliseconds(), "pause": j.longestGap.Milliseconds(), "wait": u.wait.Milliseconds(),
 		"prompt": j.request.Prompt.Tokens, "size": j.request.Prompt.size(), "confidence": j.confidence,
+		"queue": j.queue.Milliseconds(), "cached": u.choice.Cached, "late": j.late(d),
 	}).Info("request: served")
 }
 
+// late reports whether a complete answer missed an objective of its route. took is the time to its end.
+func (j *job) late(took time.Duration) bool {
+	if j.route.Kind != table.Stream {
+		return took > j.route.Objective
+	}
+	return j.ttft > j.route.Objective || j.route.EventGapObjective > 0 && j.longestGap > j.route.EventGapObjective
+}
+
 // bufferedReply is an answer whose body, or the first maxBufferedBytes+1 bytes of it, was read.
 type bufferedReply struct {
 	status int
--- a/relay/job.go
+++ b/relay/job.go
@@ -76,6 +76,8 @@
 	mayHaveRun bool
 	// tier is the index in route.Tiers of the model that answers.
 	tier int
+	// queue is the mean wait at the endpoints when the first tier was chosen.
+	queue time.Duration
 	// escalatedFrom is the latest answer that was judged by its confidence, or nil. It is kept or dropped after that.
 	escalatedFrom *judgedAnswer
 	// lastEventID is the ID of the last event that was passed on. answerBegun is set once the head of an answer was
@@ -137,7 +139,8 @@
 	}
 	if len(j.route.Tiers) > 0 {
 		j.relay.demands.addRequest(j.service.Name, j.relay.chooser.Value(j.tiers(pick.Queue{})))
-		j.tier = j.relay.chooser.First(j.tierRequest())
+		q := j.tierRequest()
+		j.tier, j.queue = j.relay.chooser.First(q), q.Queue
 	}
 	for {
 		v := j.attempt(ctx)
