--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -349,3 +349,15 @@
 	i.True(o.Mean >= 600*time.Millisecond)
 	i.Equal(o.Full, 0.5)
 }
+
+// In the first part of a rollout the endpoints of the target are idle, but hardly any request may go to them. The queue is
+// that of the others.
+func TestQueueLeavesOutVersionsThatRequestsMayNotUse(t *testing.T) {
+	i := is.New(t)
+	s := newSet(2, true, "a")
+	s.SetRemoteLoads(map[string]ctlrpc.Load{"a0": {Backlog: 500}})
+	s.SetRollouts([]canary.View{{Rollout: canary.Rollout{Service: "s", Target: "v2", Serial: 1}, Plan: canary.Plan{Fresh: 0.01}}})
+	q := request()
+	q.Draw = 0.5
+	i.Equal(s.Queue(q, epoch).Least, 500*time.Millisecond)
+}
--- a/pick/state.go
+++ b/pick/state.go
@@ -219,33 +219,28 @@
 	Full float64
 }
 
-// Queue returns the queue of a service. It is empty if no endpoint may take requests. Of the request only Service, Slots
-// and SlotTime matter.
+// Queue returns the queue at the endpoints that may take a request. It is empty if there are none.
 func (s *Set) Queue(q Request, now time.Time) Queue {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	q.Work, q.CacheSaving = 0, 0
+	l := s.candidates(q, now)
+	if len(l) == 0 {
+		return Queue{}
+	}
 	var r Queue
-	n := 0
-	for _, e := range s.endpoints {
-		if !e.serves(q.Service) || s.ejected(e, now) {
-			continue
-		}
+	for k, e := range l {
 		w := s.estimate(e, q)
-		if n == 0 || w < r.Least {
+		if k == 0 || w < r.Least {
 			r.Least = w
 		}
-		n++
 		r.Mean += w
 		if q.Slots > 0 && e.local.Plus(e.remote).Requests >= q.Slots {
 			r.Full++
 		}
 	}
-	if n == 0 {
-		return Queue{}
-	}
-	r.Mean /= time.Duration(n)
-	r.Full /= float64(n)
+	r.Mean /= time.Duration(len(l))
+	r.Full /= float64(len(l))
 	return r
 }
 
