Fade fault rates, and weigh faults beyond chance

An endpoint with three faults in a row kept its rate of 0.3 for good, since nobody asked it any more; and the mean of the candidates leaves half of what chance gives. Change: the rate fades within 2 s after the last fault; faults count beyond two standard deviations of a moving average at the mean rate.

--- a/pick/health.go
+++ b/pick/health.go
@@ -99,7 +99,8 @@
 		return 0
 	}
 	n.consecutiveFaults++
-	n.faultRate = n.faultRate*(1-faultWeight) + faultWeight
+	n.faultRate = n.currentFaultRate(now)*(1-faultWeight) + faultWeight
+	n.lastFault = now
 	if n.consecutiveFaults < ejectThreshold {
 		return 0
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -3,6 +3,7 @@
 package pick
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -26,11 +27,15 @@
 	centreEjection       = 700 * time.Millisecond
 	// ejectThreshold is the number of faults in a row after which an endpoint is ejected.
 	ejectThreshold = 2
-	// faultWeight is the weight of the newest answer in the moving average of an endpoint's fault rate.
+	// faultWeight is the weight of the newest answer in the moving average of an endpoint's fault rate. The average fades
+	// within faultMemory after the last fault, since an endpoint that is avoided gives no new answers.
 	faultWeight = 0.12
-	// faultCost is the expected loss of time through a fault. It counts for the faults beyond the mean of the service's
-	// endpoints, since some kinds of requests fail often wherever they run.
-	faultCost = 2500 * time.Millisecond
+	faultMemory = 2 * time.Second
+	// faultCost is the expected loss of time through a fault. It counts for the faults beyond what chance gives at the mean
+	// rate of the service's endpoints, since some kinds of requests fail often wherever they run. chanceDeviations is how
+	// many standard deviations chance may give.
+	faultCost        = 2500 * time.Millisecond
+	chanceDeviations = 2
 	// slowdownWeight is the weight of the newest answer in the moving average of an endpoint's slowdown.
 	slowdownWeight = 0.15
 	// crossCentreCost is added to the cost of an endpoint in another data centre. crossCentreStreamCost replaces it for
@@ -91,9 +96,10 @@
 	local ctlrpc.Load
 	// remote is the load of other hosts, as last received from a control host.
 	remote ctlrpc.Load
-	// faultRate is the moving average of faults per answer. consecutiveFaults counts the faults since the last
-	// success.
+	// faultRate is the moving average of faults per answer at lastFault, the time of the last fault. consecutiveFaults
+	// counts the faults since the last success.
 	faultRate         float64
+	lastFault         time.Time
 	consecutiveFaults int
 	ejectedUntil      time.Time
 	// slowdown is the moving average of the measured wait divided by the expected wait.
@@ -135,11 +141,11 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	l := s.candidates(q, now)
-	f := meanFaultRate(l)
+	f := usualFaultRate(l, now)
 	var b *endpoint
 	var m time.Duration
 	for _, n := range l {
-		if k := s.cost(n, q, f) + n.silencePenalty(now, s.estimate(n, q)); b == nil || k < m {
+		if k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, s.estimate(n, q)); b == nil || k < m {
 			b, m = n, k
 		}
 	}
@@ -227,19 +233,25 @@
 	return w
 }
 
-// meanFaultRate returns the mean fault rate of endpoints, or 0 if there are none.
-func meanFaultRate(l []*endpoint) float64 {
+// currentFaultRate returns the fault rate, faded by the time since the last fault.
+func (n *endpoint) currentFaultRate(now time.Time) float64 {
+	return n.faultRate * math.Exp(-now.Sub(n.lastFault).Seconds()/faultMemory.Seconds())
+}
+
+// usualFaultRate returns the fault rate that an endpoint may have by chance if all have the same, or 0 if there are none.
+func usualFaultRate(l []*endpoint, now time.Time) float64 {
 	var t float64
 	for _, n := range l {
-		t += n.faultRate
+		t += n.currentFaultRate(now)
 	}
-	return t / float64(max(1, len(l)))
+	m := t / float64(max(1, len(l)))
+	return m + chanceDeviations*math.Sqrt(m*(1-m)*faultWeight/(2-faultWeight))
 }
 
-// cost returns the estimate plus the penalties for faults beyond the usual rate, for another data centre and for warming
-// up.
-func (s *Set) cost(n *endpoint, q Request, usualFaults float64) time.Duration {
-	w := s.estimate(n, q) + time.Duration(max(0, n.faultRate-usualFaults)*float64(faultCost))
+// cost returns the estimate plus the penalties for faults beyond the usual rate (unusualFaults a run), for another data
+// centre and for warming up.
+func (s *Set) cost(n *endpoint, q Request, unusualFaults float64) time.Duration {
+	w := s.estimate(n, q) + time.Duration(max(0, unusualFaults)*float64(faultCost))
 	if n.report.DataCentre != s.dataCentre {
 		w += s.crossCentrePenalty(q)
 	}
