--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"net"
 	"net/rpc"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +19,7 @@
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/entry"
+	"github.com/hickoryshelf/hickoryshelf/itest"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -92,27 +91,6 @@
 	i.Equal(strings.Count(b.String(), "dependency regained"), 1)
 }
 
-// startSilent binds a socket that answers no opening packets, because its queue of new connections is full.
-func startSilent(t *testing.T, ip [4]byte, port int) {
-	t.Helper()
-	f, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = syscall.Close(f) })
-	if err := errors.Join(syscall.Bind(f, &syscall.SockaddrInet4{Addr: ip, Port: port}), syscall.Listen(f, 0)); err != nil {
-		t.Fatal(err)
-	}
-	a := net.TCPAddr{IP: ip[:], Port: port}
-	for {
-		c, err := net.DialTimeout("tcp", a.String(), 50*time.Millisecond)
-		if err != nil {
-			return
-		}
-		t.Cleanup(func() { _ = c.Close() })
-	}
-}
-
 // TestFirstControlHostThatAnswersIsUsed checks that a host that starts while most control hosts are still down doesn't
 // wait for the ones that are: after a restart of all hosts callers wait for the configuration.
 func TestFirstControlHostThatAnswersIsUsed(t *testing.T) {
@@ -121,8 +99,8 @@
 	c.current.Store(true)
 	h, p, l := startControl(i, c)
 	defer l.Close() //nolint:errcheck // the test ends
-	startSilent(t, [4]byte{127, 0, 0, 2}, int(p))
-	startSilent(t, [4]byte{127, 0, 0, 3}, int(p))
+	itest.NewSilentSocket(t, [4]byte{127, 0, 0, 2}, int(p))
+	itest.NewSilentSocket(t, [4]byte{127, 0, 0, 3}, int(p))
 	g := logrus.New()
 	g.SetOutput(io.Discard)
 	m := metrics.NewSet()
