Log what was in flight at an endpoint that broke off, and whether it has ended

Now each attempt that breaks off is followed by a line with the shared parts of its prompt, the start of the endpoint and what a connection to its address tells: refused (ended), accepted (alive) or nothing (unclear). No decision depends on it yet.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,6 +37,8 @@
 	// was counted as slow.
 	tally canary.Tally
 	slow  bool
+	// context is the context of the call of Sender.Send and of reading its reply.
+	context context.Context
 	// cancel cancels the call of Sender.Send and the reading of its reply, which stops the run at the endpoint.
 	cancel context.CancelFunc
 }
@@ -140,6 +142,7 @@
 		return u.handleNotRun(r)
 	case Unknown:
 		u.recordFault(r, wait)
+		u.recordBreak(r.Cause)
 		return rerun
 	case Failed:
 		u.recordFault(r, wait)
@@ -339,6 +342,7 @@
 		u.tallyBreak()
 		u.log().WithError(err).Warn("attempt: the answer broke off")
 		j.tried[u.choice.ID] = true
+		u.recordBreak(err)
 		return rerun
 	}
 	u.learnDuration(holdKey(j.route.Name, j.model()), time.Since(u.sent))
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -28,8 +28,12 @@
 	lock     sync.Mutex
 	attempts []relay.Attempt
 	answer   func(n int, ctx context.Context, a relay.Attempt) relay.Reply
+	// liveness is what Probe returns.
+	liveness relay.Liveness
 }
 
+func (s *sender) Probe(context.Context, string) relay.Liveness { return s.liveness }
+
 func (s *sender) Send(ctx context.Context, a relay.Attempt) relay.Reply {
 	s.lock.Lock()
 	s.attempts = append(s.attempts, a)
--- a/relay/job.go
+++ b/relay/job.go
@@ -287,7 +287,7 @@
 	}
 	x, f := context.WithCancel(ctx)
 	defer f()
-	u.cancel = f
+	u.context, u.cancel = x, f
 	w := u.startWatchdog(j.startTimeout(c.Wait), j.busyWindow())
 	r := j.relay.Sender.Send(x, a)
 	w.stop()
--- a/relay/request.go
+++ b/relay/request.go
@@ -13,7 +13,7 @@
 	"github.com/hickoryshelf/hickoryshelf/limit"
 )
 
-//go:generate go tool stringer -type=Verdict,Reason -linecomment -output=enum_string.go
+//go:generate go tool stringer -type=Verdict,Reason,Liveness -linecomment -output=enum_string.go
 
 // Prompt describes the size of a request, as declared by the caller.
 type Prompt struct {
@@ -130,6 +130,8 @@
 	// Send sends one attempt and returns once the head of the answer was read or the attempt has failed. Cancelling
 	// ctx stops the run.
 	Send(ctx context.Context, a Attempt) Reply
+	// Probe opens a connection to the endpoint at address, sends nothing and returns what that tells.
+	Probe(ctx context.Context, address string) Liveness
 }
 
 // Sink writes the answer to the caller.
@@ -183,3 +185,16 @@
 func (r Refusal) NotRun() bool {
 	return r.Reason == NoConfiguration || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == Expired
 }
+
+// Liveness says whether the process of an endpoint still runs.
+type Liveness int
+
+// What a probe of an endpoint tells.
+const (
+	// Unclear means that the probe got no answer, as when the network is cut.
+	Unclear Liveness = iota // unclear
+	// Alive means that a process accepts connections at the endpoint's address.
+	Alive // alive
+	// Ended means that the host of the endpoint refuses connections to its address: the process has ended.
+	Ended // ended
+)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -59,6 +59,7 @@
 	b := j.relay.Endpoints.RecordFault(u.choice.ID, time.Now())
 	u.log().WithError(err).WithField("last-event", j.lastEventID).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
 	j.tried[u.choice.ID] = true
+	u.recordBreak(err)
 	return rerun
 }
 
