Hold back requests with a part that ends the endpoints that run them

What callers saw: requests with one part of their prompt ended one endpoint after the other. Cause: a request that broke off at an endpoint went on to the next, up to attempts, and nothing was remembered of it once it had ended, nor told to other hosts. Ruled out: endpoints that end under load (the first four ended at a normal load); a check that some path passes by (there was none). Change: package poison. Entry hosts observe which parts had begun at an endpoint shortly before it ended (a refused connection, another start, its departure), unless requests with the part were served lately. Control hosts merge this (sets, maxima) and weigh it by the odds against coincidence; two served requests clear a part, and lift a rule. Parts that can't be told apart hold a request back only together; an account is part of a rule while no other was seen. All sends pass the check in job.attempt. Verdicts are gossiped, saved with the control host's memory and reported again by entry hosts. Command line: quarantine list, quarantine lift. Known red, new: several parts at once, requests that end most of a service, a version that ends under all it runs at all endpoints.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -20,7 +20,7 @@
 		Writer: out,
 		Commands: []*cli.Command{
 			serveCommand(), initCommand(), checkCommand(), keyCommand(),
-			contractCommand(), versionCommand(), memberCommand(), statusCommand(), billsCommand(), explainCommand(),
+			contractCommand(), versionCommand(), memberCommand(), statusCommand(), billsCommand(), explainCommand(), quarantineCommand(),
 			fakeCommand(), demoCommand(), benchCommand(), loadCommand(),
 		},
 	}
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -11,6 +11,7 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
 
@@ -54,6 +55,8 @@
 	// Ages holds the time since the order of each running rollout, by serial. Entry hosts report it so that the
 	// time isn't lost when control hosts restart.
 	Ages map[uint64]time.Duration
+	// Poison is what the host has observed of requests that end endpoints since the last exchange that got a reply.
+	Poison poison.Report
 }
 
 // EntryState says what an entry host already holds, so that the reply contains only changes.
@@ -67,6 +70,8 @@
 	HostsSum uint64
 	// FleetSum is the sum of the fingerprints of the endpoints held, for control hosts that didn't send them.
 	FleetSum uint64
+	// PoisonSum is the hash of the evidence about requests that end endpoints that the host got last.
+	PoisonSum uint64
 }
 
 // ExchangeRequest is sent by an entry host.
@@ -111,6 +116,9 @@
 	// Entries is the number of entry hosts. Controls holds the peer addresses of the control hosts.
 	Entries  int
 	Controls []string
+	// Poison says which requests to hold back, if PoisonSum differs from that of the entry host.
+	Poison    poison.Report
+	PoisonSum uint64
 }
 
 // HostsSum returns the hash of the names of entry hosts.
@@ -121,6 +129,8 @@
 	From    string
 	Reports []fleet.Report
 	Hosts   []HostReport
+	// Poison is evidence about requests that end endpoints.
+	Poison poison.Report
 }
 
 // Verb is the kind of an order.
@@ -171,6 +181,9 @@
 	Rollout  canary.Rollout
 }
 
+// QuarantineList is the reply to an operator's question which requests are held back.
+type QuarantineList struct{ Rules []poison.Rule }
+
 // Ack is the reply of methods that return no data.
 type Ack struct{ OK bool }
 
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 )
 
 // pendingCalls maps the ids of calls of Host.Do to the channels on which they wait for replies. It is safe for
@@ -122,3 +123,18 @@
 	reply.OK = true
 	return nil
 }
+
+// Quarantine returns the rules by which requests are held back.
+func (s *Service) Quarantine(_ ctlrpc.Ack, reply *ctlrpc.QuarantineList) error {
+	reply.Rules = s.host.state.Load().Poison.Rules()
+	return nil
+}
+
+// Lift withdraws the rule of a key. The reply is negative if there is none.
+func (s *Service) Lift(k poison.Key, reply *ctlrpc.Ack) error {
+	if reply.OK = s.host.state.Load().Poison.Case(k).InForce(); reply.OK {
+		s.host.log.WithField("key", k.String()).Warn("control: an operator lifts a rule, requests with the key are no longer held back")
+		s.host.post(PoisonLifted{Key: k})
+	}
+	return nil
+}
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -79,6 +79,8 @@
 	synced  bool
 	// rolloutSum adds up the serials and outcomes of all rollouts, so that it changes when a rollout starts or ends.
 	rolloutSum uint64
+	// poisonSum is the hash of what entry hosts have to know about requests that end endpoints.
+	poisonSum uint64
 }
 
 // NewHost opens the data folder and starts the goroutines of the host. It fails if the data folder can't be
@@ -250,6 +252,12 @@
 		h.logAssessment(v.Rollout, v.Elapsed, v.Assessment).WithFields(logrus.Fields{"outcome": v.Rollout.Outcome.String(), "why": v.Reason}).Warn("control: proposes the end of a roll-out")
 	case RolloutAssessed:
 		h.logAssessment(v.Rollout, v.Elapsed, v.Assessment).Info("control: weighs a roll-out")
+	case PoisonJudged:
+		r, a := v.Verdict.Rule, v.Verdict.Assessment
+		h.log.WithFields(logrus.Fields{
+			"key": r.Key.String(), "with": r.With, "account": r.Account, "any-account": r.AnyAccount, "crashes": a.Crashes, "ends": a.Ends,
+			"over": (a.Last - a.First).Milliseconds(), "log-odds": a.LogOdds,
+		}).Warn("control: requests end the endpoints that run them and are held back")
 	case EntryFailed:
 		h.log.WithError(v.Err).Error("control: a log entry or snapshot can't be encoded or applied")
 	}
@@ -257,7 +265,7 @@
 
 // notifyExchanges wakes the waiting exchanges when the configuration, the fleet, the synced flag or a rollout changed.
 func (h *Host) notifyExchanges(s State) {
-	v := published{version: s.StateMachine.Document.Version, fleet: s.Fleet.Revision, synced: s.Synced}
+	v := published{version: s.StateMachine.Document.Version, fleet: s.Fleet.Revision, synced: s.Synced, poisonSum: s.sharedPoisonSum}
 	for _, r := range s.StateMachine.Rollouts {
 		v.rolloutSum += r.Serial + uint64(r.Outcome)
 	}
@@ -404,5 +412,6 @@
 // hasChanges reports whether the state has a newer configuration or fleet than an entry host holds. A fleet from
 // another start of the control host counts as outdated.
 func hasChanges(s State, k ctlrpc.EntryState) bool {
-	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID || k.FleetRevision != s.Fleet.Revision
+	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID || k.FleetRevision != s.Fleet.Revision ||
+		k.PoisonSum != s.sharedPoisonSum
 }
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -230,7 +230,7 @@
 }
 
 // gossipLoop sends queued gossip messages, merged into one call for each interval. The first call, and each one after a
-// failed call, holds all confirmed reports.
+// failed call, holds all confirmed reports and all evidence about requests that end endpoints.
 type gossipLoop struct{ link *link }
 
 func (l gossipLoop) run() {
@@ -244,7 +244,7 @@
 			return
 		}
 		n := l.mergeQueued(w)
-		if len(n.Reports) == 0 && len(n.Hosts) == 0 {
+		if len(n.Reports) == 0 && len(n.Hosts) == 0 && n.Poison.Empty() {
 			continue
 		}
 		var d ctlrpc.Ack
@@ -263,9 +263,11 @@
 	for len(l.link.gossip) > 0 {
 		v := <-l.link.gossip
 		n.Reports = append(n.Reports, v.Reports...)
+		n.Poison = n.Poison.Plus(v.Poison)
 		for _, r := range v.Hosts {
 			if i, ok := h[r.Host]; ok && n.Hosts[i].Start == r.Start {
 				r.Tallies = append(n.Hosts[i].Tallies, r.Tallies...)
+				r.Poison = n.Hosts[i].Poison.Plus(r.Poison)
 				n.Hosts[i] = r
 				continue
 			}
@@ -274,7 +276,9 @@
 		}
 	}
 	if fullSync {
-		n.Reports = append(n.Reports, l.link.host.state.Load().ConfirmedReports()...)
+		s := l.link.host.state.Load()
+		n.Reports = append(n.Reports, s.ConfirmedReports()...)
+		n.Poison = n.Poison.Plus(s.Poison.Report(s.Now))
 	}
 	return n
 }
--- a/ctrl/memory.go
+++ b/ctrl/memory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/store"
 )
 
@@ -29,12 +30,14 @@
 	Reports []fleet.Report `json:"reports"`
 	// PrefillTimes holds the prefill time per prompt token by model.
 	PrefillTimes map[string]time.Duration `json:"prefill-times"`
+	// Poison is the evidence about requests that end endpoints.
+	Poison poison.Report `json:"poison"`
 }
 
 // Memory returns the memory of a state: the endpoints that haven't departed and the measured prefill times.
 func (s State) Memory() Memory {
 	r := slices.DeleteFunc(s.Fleet.Reports(), func(r fleet.Report) bool { return r.Phase == fleet.Departed })
-	return Memory{Reports: r, PrefillTimes: s.PrefillTimes()}
+	return Memory{Reports: r, PrefillTimes: s.PrefillTimes(), Poison: s.Poison.Report(s.Now)}
 }
 
 // WithMemory returns the state of a host that has just started, with the memory of the process before. A remembered
@@ -44,6 +47,8 @@
 		s.Fleet, _ = s.Fleet.WithReport(r, (rememberedHeartbeats-maxMissedHeartbeats)*s.Heartbeat)
 	}
 	s.rememberedPrefill = m.PrefillTimes
+	s.Poison = s.Poison.WithReport(m.Poison, 0)
+	s.poisonRevision++
 	return s
 }
 
@@ -53,7 +58,7 @@
 func (m memorySaver) run() {
 	t := time.NewTicker(memorySaveInterval)
 	defer t.Stop()
-	var r uint64
+	var r, p uint64
 	k, f := 0, false
 	for {
 		select {
@@ -63,12 +68,12 @@
 		}
 		s := *m.host.state.Load()
 		n := len(s.PrefillTimes())
-		if s.Fleet.Revision == r && n == k {
+		if s.Fleet.Revision == r && n == k && s.poisonRevision == p {
 			continue
 		}
 		err := saveMemory(m.host.settings.DataFolder, s.Memory())
 		if err == nil {
-			r, k = s.Fleet.Revision, n
+			r, k, p = s.Fleet.Revision, n, s.poisonRevision
 		}
 		if err != nil && !f {
 			m.host.log.WithError(err).Warn("control: the memory for the next start can't be saved")
--- /dev/null
+++ b/ctrl/poison.go
@@ -0,0 +1,60 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/poison"
+)
+
+// judgeInterval is the least time between two judgements, to bound what they cost.
+const judgeInterval = 100 * time.Millisecond
+
+// PoisonLifted carries an operator's order to no longer hold back requests with a key.
+type PoisonLifted struct{ Key poison.Key }
+
+func (PoisonLifted) event() {}
+
+// PoisonJudged logs a verdict on requests that end endpoints.
+type PoisonJudged struct{ Verdict poison.Verdict }
+
+func (PoisonJudged) effect() {}
+
+// applyPoison merges evidence about requests that end endpoints.
+func (t *transition) applyPoison(r poison.Report) {
+	if r.Empty() {
+		return
+	}
+	t.Poison = t.Poison.WithReport(r, t.Now)
+	t.poisonRevision++
+}
+
+// judgePoison judges the evidence if there is new one. Each control host does so; as verdicts are merged, they need no
+// agreement.
+func (t *transition) judgePoison() {
+	if t.judgedRevision == t.poisonRevision || t.Now < t.nextJudgement {
+		return
+	}
+	t.judgedRevision, t.nextJudgement = t.poisonRevision, t.Now+judgeInterval
+	s, l := t.Poison.Judged()
+	t.Poison = s
+	t.sharedPoison, t.sharedPoisonSum = s.Shared(t.Now)
+	if len(l) == 0 {
+		return
+	}
+	for _, v := range l {
+		t.emit(PoisonJudged{v})
+	}
+	t.emit(SendGossip{Gossip: ctlrpc.Gossip{Poison: s.Report(t.Now)}})
+}
+
+// liftPoison withdraws a verdict here and at the other control hosts.
+func (t *transition) liftPoison(k poison.Key) {
+	s, ok := t.Poison.WithLifted(k)
+	if !ok {
+		return
+	}
+	t.Poison = s
+	t.poisonRevision++
+	t.emit(SendGossip{Gossip: ctlrpc.Gossip{Poison: s.Report(t.Now)}})
+}
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
 
@@ -21,6 +22,7 @@
 	case Tick:
 		t.stepLog(quorum.Tick{})
 		t.assessRollouts()
+		t.judgePoison()
 		t.runLeaderTasks()
 		t.Fleet = t.Fleet.WithoutSilent(now - maxMissedHeartbeats*t.Heartbeat)
 	case MessagesReceived:
@@ -44,6 +46,9 @@
 		for _, r := range v.Gossip.Hosts {
 			t.applyHostReport(r, false)
 		}
+		t.applyPoison(v.Gossip.Poison)
+	case PoisonLifted:
+		t.liftPoison(v.Key)
 	}
 	t.finish()
 	return t.State, t.effects
@@ -182,6 +187,7 @@
 func (t *transition) applyHostReport(r ctlrpc.HostReport, direct bool) {
 	o, ok := t.entryHosts.Get(r.Host)
 	o.tallies = t.withTallies(o.tallies, r)
+	t.applyPoison(r.Poison)
 	if ok && (r.Start < o.report.Start || r.Start == o.report.Start && r.Sequence <= o.report.Sequence) {
 		t.entryHosts = t.entryHosts.Set(r.Host, o)
 		return
@@ -193,7 +199,7 @@
 	if !ok {
 		t.removeExpiredHosts()
 	}
-	n.report.Tallies = nil
+	n.report.Tallies, n.report.Poison = nil, poison.Report{}
 	t.entryHosts = t.entryHosts.Set(r.Host, n)
 	if direct {
 		t.emit(SendGossip{Gossip: ctlrpc.Gossip{Hosts: []ctlrpc.HostReport{r}}})
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -65,6 +65,9 @@
 		n.Rollouts = t.aggregate.views
 	}
 	n.Limits = t.aggregate.limits
+	if n.PoisonSum = s.sharedPoisonSum; n.PoisonSum != q.Known.PoisonSum {
+		n.Poison = s.sharedPoison
+	}
 	if q.Known.HostsSum != ctlrpc.HostsSum(t.aggregate.hosts) {
 		n.Hosts = t.aggregate.hosts
 	}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
 
@@ -93,6 +94,16 @@
 	Options
 	StateMachine StateMachine
 	Fleet        fleet.State
+	// Poison is the evidence about requests that end endpoints. poisonRevision grows with each report of it, and
+	// judgedRevision is the one that was judged last.
+	Poison         poison.State
+	poisonRevision uint64
+	judgedRevision uint64
+	// nextJudgement is the earliest time of the next judgement.
+	nextJudgement time.Duration
+	// sharedPoison is what entry hosts have to know of the evidence that was judged last, and sharedPoisonSum its hash.
+	sharedPoison    poison.Report
+	sharedPoisonSum uint64
 	// Synced is set once this host leads and is ready, or has applied the entries that the first leader it heard had
 	// committed by then. It stays set until the process ends.
 	Synced bool
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -154,12 +154,13 @@
 	if e.sequence%tallyResendEvery == 0 {
 		e.Relay.ResendTallies()
 	}
+	e.Relay.ConfirmEnds()
 	var p map[string]time.Duration
 	if e.sequence%prefillReportEvery == 0 {
 		p = e.Relay.Prefill.Measured()
 	}
 	q := ctlrpc.ExchangeRequest{
-		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges()},
+		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges(), Poison: e.Relay.TakePoison()},
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
@@ -170,6 +171,7 @@
 	if err := e.call(c, q, &r); err != nil {
 		e.leaderless = false
 		e.Relay.RestoreTallies(q.Report.Tallies)
+		e.Relay.Poison.Restore(q.Report.Poison)
 		return err
 	}
 	e.apply(r)
@@ -207,6 +209,7 @@
 	e.address, e.client = a, rpc.NewClient(c)
 	e.state.Control = ""
 	e.Relay.ResendTallies()
+	e.Relay.Poison.Resend()
 	return e.client, nil
 }
 
@@ -266,6 +269,10 @@
 	} else {
 		e.Set.MergeRemoteLoads(r.Loads)
 	}
+	if r.PoisonSum != e.state.PoisonSum {
+		e.Relay.AdoptPoison(r.Poison)
+		e.state.PoisonSum = r.PoisonSum
+	}
 	e.Set.MergeLimits(r.Limits, time.Now())
 	if len(r.Hosts) > 0 {
 		e.hosts = r.Hosts
--- a/pick/health.go
+++ b/pick/health.go
@@ -1,6 +1,10 @@
 package pick
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+)
 
 // centreState tracks whether this host can reach a data centre.
 type centreState struct {
@@ -117,3 +121,19 @@
 	}
 	return max(0, silenceFactor*(now.Sub(n.silentSince)-estimate-silenceGrace))
 }
+
+// IsReady reports whether an endpoint is known and takes requests, as far as its reports tell.
+func (s *Set) IsReady(id string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	return ok && n.report.Phase == fleet.Ready
+}
+
+// HasEnded reports whether a start of an endpoint is known to have ended: another process has its address or its ID.
+func (s *Set) HasEnded(id string, born int64) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	return !ok || n.replaced || n.report.Born != born || n.report.Phase == fleet.Departed
+}
--- /dev/null
+++ b/poison/observer.go
@@ -0,0 +1,307 @@
+package poison
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// pendingRetention is how long a request that broke off waits for the news that its endpoint has ended, and maxPending
+	// bounds their number.
+	pendingRetention = 5 * time.Second
+	maxPending       = 4096
+	// openEndedRetention replaces pendingRetention for runs that may have been complete.
+	openEndedRetention = 500 * time.Millisecond
+	// askedInterval is the least time between two reports that a rule is in use.
+	askedInterval = 30 * time.Second
+)
+
+// Run is one run of a request at an endpoint.
+type Run struct {
+	Boot    Boot
+	Service string
+	Keys    []Key
+	Account string
+	// Age is the time from the start of the answer, or from sending the request if there is none, to now.
+	Age time.Duration
+	// OpenEnded is set if the answer may be complete: it ended with its connection and has no length.
+	OpenEnded bool
+	// Endpoints is the number of endpoints of the service, and Hosts that of the entry hosts. Both are at least 1.
+	Endpoints, Hosts int
+}
+
+// Observer observes the requests of one entry host. It is safe for concurrent use. The times given to its methods are
+// those since the start of the host.
+type Observer struct {
+	lock  sync.Mutex
+	state State
+	// usages holds the use of keys. olderUsages holds those of before usages was full.
+	usages, olderUsages map[Key]usage
+	// services holds the use of services.
+	services map[string]usage
+	// pending holds the runs that broke off at endpoints of which it isn't known whether they have ended.
+	pending map[Boot][]pendingRun
+	waiting int
+	// clearing counts the requests with suspected keys that were served since the last crash.
+	clearing map[Key]int
+	// changedEnds and changedCases are what the next report has to hold.
+	changedEnds  map[Boot]bool
+	changedCases map[Key]bool
+	rules        atomic.Pointer[[]Rule]
+}
+
+// pendingRun is a run that broke off.
+type pendingRun struct {
+	run Run
+	at  time.Duration
+	// crashes holds the crash of each key of the run that results if the endpoint has ended.
+	crashes []Crash
+}
+
+// NewObserver returns an observer that knows nothing.
+func NewObserver() *Observer {
+	return &Observer{
+		usages: map[Key]usage{}, services: map[string]usage{}, pending: map[Boot][]pendingRun{}, clearing: map[Key]int{}, changedEnds: map[Boot]bool{}, changedCases: map[Key]bool{},
+		state: State{ends: map[Boot]End{}, cases: map[Key]Case{}},
+	}
+}
+
+// Started records a request with keys. The runs of one request count once.
+func (o *Observer) Started(service string, keys []Key, now time.Duration) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.services[service] = o.services[service].withStart(now)
+	for _, k := range keys {
+		o.setUsage(k, o.usage(k).withStart(now))
+	}
+}
+
+// usage returns the use of a key.
+func (o *Observer) usage(k Key) usage {
+	u, ok := o.usages[k]
+	if !ok {
+		u = o.olderUsages[k]
+	}
+	return u
+}
+
+// setUsage stores the use of a key. Once maxUsages keys are stored, those that aren't used until as many others are
+// forgotten.
+func (o *Observer) setUsage(k Key, u usage) {
+	if len(o.usages) >= maxUsages/2 {
+		o.usages, o.olderUsages = map[Key]usage{}, o.usages
+	}
+	o.usages[k] = u
+}
+
+// Served records that a request with keys got an answer that is known to be complete. Keys that enough requests were
+// served with are suspected no longer; they are returned if a verdict ends with that.
+func (o *Observer) Served(service string, keys []Key, now time.Duration) (lifted []Key) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.services[service] = o.services[service].withServed(now)
+	for _, k := range keys {
+		o.setUsage(k, o.usage(k).withServed(now))
+		c, ok := o.state.cases[k]
+		if !ok || c.count() == 0 {
+			continue
+		}
+		if o.clearing[k]++; o.clearing[k] < clearingAnswers {
+			continue
+		}
+		if c.InForce() {
+			lifted = append(lifted, k)
+		}
+		o.setCase(k, c.WithCleared())
+		delete(o.clearing, k)
+		o.updateRules()
+	}
+	return lifted
+}
+
+// setCase stores a case for the next report. The caller calls updateRules at the end.
+func (o *Observer) setCase(k Key, c Case) {
+	o.state.cases[k] = c
+	o.changedCases[k] = true
+}
+
+// updateRules puts the rules of the state in force.
+func (o *Observer) updateRules() {
+	r := o.state.Rules()
+	o.rules.Store(&r)
+}
+
+// Broke records that a run broke off. Its request is a suspect if Ended follows for the same start of the endpoint.
+func (o *Observer) Broke(r Run, now time.Duration) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	p := pendingRun{run: r, at: now}
+	for _, k := range r.Keys {
+		p.crashes = append(p.crashes, o.crash(k, r, now))
+	}
+	if _, ok := o.state.ends[r.Boot]; ok {
+		o.recordCrash(p)
+		o.updateRules()
+		return
+	}
+	o.expirePending(now)
+	if o.waiting < maxPending {
+		o.pending[r.Boot] = append(o.pending[r.Boot], p)
+		o.waiting++
+	}
+}
+
+// crash returns what the end of the run's endpoint says about a key of the run. It is cleared if requests with the key
+// were served lately, or if the service serves nothing else either.
+func (o *Observer) crash(k Key, r Run, now time.Duration) Crash {
+	u, s := o.usage(k), o.services[r.Service]
+	n := u.rate(now)
+	return Crash{
+		Age: r.Age, Rate: n * float64(max(1, r.Hosts)), Share: min(1, n/s.rate(now)), Endpoints: max(1, r.Endpoints),
+		Cleared: u.servedLately(now) || s.starved(u.total, now), Account: r.Account,
+	}
+}
+
+// expirePending forgets the runs whose endpoints haven't ended.
+func (o *Observer) expirePending(now time.Duration) {
+	for b, l := range o.pending {
+		if now-l[0].at > pendingRetention {
+			o.waiting -= len(l)
+			delete(o.pending, b)
+		}
+	}
+}
+
+// Pending returns the starts of endpoints where runs broke off and of which it isn't known whether they have ended.
+func (o *Observer) Pending() []Boot {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return slices.SortedFunc(maps.Keys(o.pending), Boot.compare)
+}
+
+// Ended records that an endpoint has ended without notice. It returns the number of runs that broke off with it, or 0 if
+// the end was known.
+func (o *Observer) Ended(b Boot, now time.Duration) int {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.expirePending(now)
+	l := o.pending[b]
+	if len(l) == 0 {
+		return 0
+	}
+	delete(o.pending, b)
+	o.waiting -= len(l)
+	l = slices.DeleteFunc(l, func(p pendingRun) bool { return p.run.OpenEnded && now-p.at > openEndedRetention })
+	if len(l) == 0 {
+		return 0
+	}
+	o.state.addEnd(b, End{l[0].run.Service, l[0].at})
+	o.changedEnds[b] = true
+	for _, p := range l {
+		o.recordCrash(p)
+	}
+	o.state.expire(now)
+	o.updateRules()
+	return len(l)
+}
+
+// recordCrash records the keys of a run as suspects of the end of its endpoint.
+func (o *Observer) recordCrash(p pendingRun) {
+	if p.run.Age > maxSuspectAge {
+		return
+	}
+	for n, k := range p.run.Keys {
+		if p.crashes[n].Cleared {
+			continue
+		}
+		c := o.state.cases[k]
+		if c.count() == 0 {
+			delete(o.clearing, k)
+		}
+		o.setCase(k, c.WithCrash(p.run.Boot, p.crashes[n], p.at))
+	}
+}
+
+// Held returns the rule that holds back a request of an account with some keys, if there is one.
+func (o *Observer) Held(keys []Key, account string, now time.Duration) (Rule, bool) {
+	l := o.rules.Load()
+	if l == nil {
+		return Rule{}, false
+	}
+	for _, r := range *l {
+		if r.Holds(keys, account) {
+			o.recordAsked(r.Key, now)
+			return r, true
+		}
+	}
+	return Rule{}, false
+}
+
+// recordAsked records that a rule is in use.
+func (o *Observer) recordAsked(k Key, now time.Duration) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	c, ok := o.state.cases[k]
+	if !ok || now-c.AskedAt < askedInterval {
+		return
+	}
+	c.AskedAt = now
+	o.setCase(k, c)
+}
+
+// Adopt merges what a control host knows. It returns the rules that were not in force before, and those that no longer
+// are.
+func (o *Observer) Adopt(r Report, now time.Duration) (added, removed []Rule) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	b := o.state.Rules()
+	o.state = o.state.WithReport(r, now)
+	o.updateRules()
+	n := *o.rules.Load()
+	return without(n, b), without(b, n)
+}
+
+// without returns the rules of a whose key no rule of b has.
+func without(a, b []Rule) []Rule {
+	return slices.DeleteFunc(slices.Clone(a), func(r Rule) bool {
+		return slices.ContainsFunc(b, func(x Rule) bool { return x.Key == r.Key })
+	})
+}
+
+// Take returns what this host has observed since the last call. The caller reports it to a control host, and calls
+// Restore if that fails.
+func (o *Observer) Take(now time.Duration) Report {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	r := o.state.report(slices.SortedFunc(maps.Keys(o.changedEnds), Boot.compare), slices.SortedFunc(maps.Keys(o.changedCases), Key.compare), now)
+	clear(o.changedEnds)
+	clear(o.changedCases)
+	return r
+}
+
+// Restore makes the next Take return again what could not be reported.
+func (o *Observer) Restore(r Report) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	for _, e := range r.Ends {
+		o.changedEnds[e.Boot] = true
+	}
+	for _, c := range r.Cases {
+		o.changedCases[c.Key] = true
+	}
+}
+
+// Resend makes the next Take return all that this host knows, for control hosts that may lack some of it.
+func (o *Observer) Resend() {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	for b := range o.state.ends {
+		o.changedEnds[b] = true
+	}
+	for k := range o.state.cases {
+		o.changedCases[k] = true
+	}
+}
--- /dev/null
+++ b/poison/report.go
@@ -0,0 +1,63 @@
+package poison
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Report carries evidence between hosts, whose clocks have different origins.
+type Report struct {
+	Ends  []EndReport  `json:"ends,omitempty"`
+	Cases []CaseReport `json:"cases,omitempty"`
+}
+
+// EndReport is an End in a Report.
+type EndReport struct {
+	Boot    Boot   `json:"boot"`
+	Service string `json:"service"`
+	// Age is the time since the end.
+	Age time.Duration `json:"age"`
+}
+
+// CaseReport is a Case in a Report.
+type CaseReport struct {
+	Key     Key           `json:"key"`
+	Crashes []CrashReport `json:"crashes"`
+	Verdict int           `json:"verdict"`
+	Lifted  int           `json:"lifted"`
+	// Idle is the time since AskedAt.
+	Idle time.Duration `json:"idle"`
+}
+
+// CrashReport is a Crash in a Report.
+type CrashReport struct {
+	Boot Boot `json:"boot"`
+	Crash
+}
+
+// Empty reports whether the report says nothing.
+func (r Report) Empty() bool { return len(r.Ends) == 0 && len(r.Cases) == 0 }
+
+// Plus returns what two reports say together.
+func (r Report) Plus(o Report) Report {
+	return Report{Ends: slices.Concat(r.Ends, o.Ends), Cases: slices.Concat(r.Cases, o.Cases)}
+}
+
+// report returns a case as a report of it.
+func (c Case) report(k Key, now time.Duration) CaseReport {
+	r := CaseReport{Key: k, Verdict: c.Verdict, Lifted: c.Lifted, Idle: now - c.AskedAt}
+	for _, b := range slices.SortedFunc(maps.Keys(c.Crashes), Boot.compare) {
+		r.Crashes = append(r.Crashes, CrashReport{b, c.Crashes[b]})
+	}
+	return r
+}
+
+// decode returns the case of a report that arrived at now.
+func (r CaseReport) decode(now time.Duration) Case {
+	c := Case{Crashes: make(map[Boot]Crash, len(r.Crashes)), Verdict: r.Verdict, Lifted: r.Lifted, AskedAt: now - r.Idle}
+	for _, v := range r.Crashes {
+		c.Crashes[v.Boot] = v.Crash
+	}
+	return c
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -33,6 +33,8 @@
 	began bool
 	// wait is the time from sending the request to the head of the answer.
 	wait time.Duration
+	// openEnded is set if the answer has neither a length nor chunks.
+	openEnded bool
 	// tally is the tally in which the answer was counted; its Serial is 0 if the answer wasn't counted. slow is set if it
 	// was counted as slow.
 	tally canary.Tally
@@ -131,7 +133,7 @@
 		u.log().WithField("limit", float64(r.Limit)).Info("attempt: the endpoint names another limit")
 	}
 	wait := time.Since(u.sent)
-	u.wait = wait
+	u.wait, u.openEnded = wait, r.EndsWithConnection
 	if r.Body == nil && (j.callerContext.Err() != nil || time.Until(j.deadline) <= 0) {
 		j.mayHaveRun = j.mayHaveRun || r.Verdict != NotRun
 		u.recordTimeout()
@@ -174,6 +176,9 @@
 	if r.WrongEndpoint {
 		j.relay.Endpoints.MarkReplaced(u.choice.ID)
 	}
+	if r.Refused || r.WrongEndpoint {
+		u.recordEnd()
+	}
 	if r.Unreachable {
 		b = j.relay.Endpoints.RecordUnreachable(u.choice.ID, time.Now())
 	}
@@ -287,6 +292,7 @@
 func (u *upstreamAttempt) recordServed(status int) {
 	j := u.job
 	d := time.Since(j.request.Received)
+	u.recordComplete(status)
 	j.count("served")
 	j.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("request_seconds{route=%q}", j.route.Name)).Update(d.Seconds())
 	u.log().WithFields(logrus.Fields{
--- a/relay/break.go
+++ b/relay/break.go
@@ -2,16 +2,28 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/poison"
+)
+
+const (
+	// probeTimeout bounds the wait for the answer to a probe. It adds to the time until the request is sent again.
+	probeTimeout = 60 * time.Millisecond
+	// maxPromptKeys bounds the parts of a prompt that are looked at.
+	maxPromptKeys = 64
 )
 
-// probeTimeout bounds the wait for the answer to a probe. It adds to the time until the request is sent again.
-const probeTimeout = 60 * time.Millisecond
+// sinceStart returns the time since the start of this host.
+func (r *Relay) sinceStart() time.Duration { return time.Since(r.start) }
 
 // recordBreak finds out whether the endpoint has ended after an attempt broke off there, and logs it with what was in
-// flight. An attempt that this host cancelled itself tells nothing about the endpoint.
+// flight. An attempt that this host cancelled itself tells nothing about the endpoint, and neither does one at an
+// endpoint that was about to stop.
 func (u *upstreamAttempt) recordBreak(cause error) {
 	if u.context.Err() != nil {
 		return
@@ -19,16 +31,104 @@
 	c, f := context.WithTimeout(u.context, probeTimeout)
 	defer f()
 	l := u.job.relay.Sender.Probe(c, u.choice.Address)
+	v := u.run()
 	u.log().WithError(cause).WithFields(logrus.Fields{
-		"born": u.choice.Born, "liveness": l.String(), "answering": u.job.answering, "parts": u.job.request.Prompt.sharedParts(),
+		"born": v.Boot.Born, "liveness": l.String(), "answering": u.job.answering, "suspect-for": v.Age.Milliseconds(), "keys": u.job.keys,
 	}).Warn("attempt: broken off in flight")
+	if !u.job.relay.Endpoints.IsReady(u.choice.ID) {
+		return
+	}
+	u.job.relay.Poison.Broke(v, u.job.relay.sinceStart())
+	if l == Ended {
+		u.recordEnd()
+	}
+}
+
+// run returns what the suspicion of a request is based on: what was in flight where, and for how long.
+func (u *upstreamAttempt) run() poison.Run {
+	j := u.job
+	b := u.sent
+	if j.answering {
+		b = b.Add(u.wait)
+	}
+	return poison.Run{
+		Boot: u.boot(), Service: j.service.Name, Keys: j.keys, Account: j.account, Age: time.Since(b), OpenEnded: u.openEnded,
+		Endpoints: j.relay.Endpoints.ReadyCounts()[j.service.Name], Hosts: int(j.relay.entryHosts.Load()),
+	}
+}
+
+// boot returns the start of the endpoint that the attempt went to.
+func (u *upstreamAttempt) boot() poison.Boot {
+	return poison.Boot{Endpoint: u.choice.ID, Born: u.choice.Born}
+}
+
+// recordEnd records that the endpoint's process has ended, and logs it if requests broke off with it.
+func (u *upstreamAttempt) recordEnd() {
+	r := u.job.relay
+	if n := r.Poison.Ended(u.boot(), r.sinceStart()); n > 0 {
+		r.Metrics.GetOrCreateCounter("endpoint_ends_total").Inc()
+		u.log().WithFields(logrus.Fields{"born": u.choice.Born, "broken-off": n}).Warn("poison: an endpoint has ended with requests in flight")
+	}
 }
 
-// sharedParts returns the IDs of the parts that other requests may have in common with this one: all but the last.
-func (p Prompt) sharedParts() []string {
-	var r []string
-	for k := range max(0, len(p.Parts)-1) {
-		r = append(r, p.Parts[k].ID)
+// recordComplete records that the endpoint has written a whole answer. An answer that ends with its connection may be
+// incomplete; it counts as broken off if the endpoint turns out to have ended.
+func (u *upstreamAttempt) recordComplete(status int) {
+	j := u.job
+	switch {
+	case u.openEnded:
+		j.relay.Poison.Broke(u.run(), j.relay.sinceStart())
+	case status < http.StatusMultipleChoices:
+		for _, k := range j.relay.Poison.Served(j.service.Name, j.keys, j.relay.sinceStart()) {
+			j.log().WithField("key", k.String()).Warn("poison: requests like one that was held back were served, the rule ends")
+		}
+	}
+}
+
+// isHeldBack reports whether the request may not be sent because requests like it end the endpoints that run them.
+func (j *job) isHeldBack() bool {
+	r, ok := j.relay.Poison.Held(j.keys, j.account, j.relay.sinceStart())
+	if ok {
+		j.heldBack = &r
+		j.log().WithFields(logrus.Fields{"key": r.Key.String(), "with": r.With, "crashes": r.Crashes}).Info("request: held back, requests like it end endpoints")
+	}
+	return ok
+}
+
+// ConfirmEnds looks among the endpoints for those where runs broke off and that have ended since.
+func (r *Relay) ConfirmEnds() {
+	for _, b := range r.Poison.Pending() {
+		if !r.Endpoints.HasEnded(b.Endpoint, b.Born) {
+			continue
+		}
+		if n := r.Poison.Ended(b, r.sinceStart()); n > 0 {
+			r.Log.WithFields(logrus.Fields{"endpoint": b.Endpoint, "born": b.Born, "broken-off": n}).Warn("poison: an endpoint has ended with requests in flight")
+		}
+	}
+}
+
+// poisonKeys returns the keys of the parts that other requests may have in common with this one: all but the last.
+func (p Prompt) poisonKeys() []poison.Key {
+	var r []poison.Key
+	for n := range min(maxPromptKeys, len(p.Parts)-1) {
+		if k := (poison.Key{Kind: poison.Part, ID: p.Parts[n].ID}); !slices.Contains(r, k) {
+			r = append(r, k)
+		}
 	}
 	return r
 }
+
+// TakePoison returns what this host has observed of requests that end endpoints since the last call. The caller reports
+// it to a control host, and calls Poison.Restore if that fails.
+func (r *Relay) TakePoison() poison.Report { return r.Poison.Take(r.sinceStart()) }
+
+// AdoptPoison puts in force which requests a control host orders to hold back.
+func (r *Relay) AdoptPoison(p poison.Report) {
+	a, d := r.Poison.Adopt(p, r.sinceStart())
+	for _, v := range a {
+		r.Log.WithFields(logrus.Fields{"key": v.Key.String(), "with": v.With, "account": v.Account, "any-account": v.AnyAccount, "crashes": v.Crashes}).Warn("poison: requests are held back from now on")
+	}
+	for _, v := range d {
+		r.Log.WithField("key", v.Key.String()).Warn("poison: requests are no longer held back")
+	}
+}
--- a/relay/enum_string.go
+++ b/relay/enum_string.go
@@ -38,12 +38,13 @@
 	_ = x[AnswerLost-6]
 	_ = x[TimedOut-7]
 	_ = x[Stopping-8]
-	_ = x[Expired-9]
+	_ = x[HeldBack-9]
+	_ = x[Expired-10]
 }
 
-const _Reason_name = "no-configurationno-routeunknown-keybody-too-largeno-endpointoverloadedanswer-losttimed-outstoppingexpired-not-run"
+const _Reason_name = "no-configurationno-routeunknown-keybody-too-largeno-endpointoverloadedanswer-losttimed-outstoppingheld-backexpired-not-run"
 
-var _Reason_index = [...]uint8{0, 16, 24, 35, 49, 60, 70, 81, 90, 98, 113}
+var _Reason_index = [...]uint8{0, 16, 24, 35, 49, 60, 70, 81, 90, 98, 107, 122}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/relay/job.go
+++ b/relay/job.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
@@ -26,6 +27,8 @@
 	// noEndpointRetryAfter is the Retry-After if no endpoint can take the request, or if the deadline passed before
 	// the request ran.
 	noEndpointRetryAfter = 500 * time.Millisecond
+	// heldBackRetryAfter is the Retry-After of a request that is held back: it is refused until an operator lifts the rule.
+	heldBackRetryAfter = time.Minute
 	// answerMargin is the least time that has to be left before the deadline for another attempt.
 	answerMargin = 15 * time.Millisecond
 	// maxSends bounds the attempts of a request that reached an endpoint, and maxUndelivered the attempts that did
@@ -72,6 +75,10 @@
 	answering bool
 	// limitWait is the time until the limits of the service's endpoints let another request through, or 0.
 	limitWait time.Duration
+	// keys are what the request may have in common with requests that end endpoints. heldBack is the rule that holds it
+	// back, once there is one.
+	keys     []poison.Key
+	heldBack *poison.Rule
 	// noRetryReason says which limit prevents another attempt. It is logged as the field spent.
 	noRetryReason string
 	// mayHaveRun is set once the request has run or may have run on any endpoint.
@@ -144,6 +151,8 @@
 		q := j.tierRequest()
 		j.tier, j.queue = j.relay.chooser.First(q), q.Queue
 	}
+	j.keys = j.request.Prompt.poisonKeys()
+	j.relay.Poison.Started(j.service.Name, j.keys, j.relay.sinceStart())
 	for {
 		v := j.attempt(ctx)
 		if v == done {
@@ -183,13 +192,15 @@
 	ended
 	// overloaded means that no endpoint is expected to begin its answer before the deadline.
 	overloaded
+	// quarantined means that the request is held back because requests like it end the endpoints that run them.
+	quarantined
 )
 
 // mayRetry reports whether the request may be sent again after v. A retry of a delivered request is taken from the
 // retry budget; an escalation was taken from it before. If a limit prevents the retry, mayRetry sets noRetryReason.
 func (j *job) mayRetry(v nextStep) bool {
 	switch v {
-	case noEndpoint, ended, overloaded:
+	case noEndpoint, ended, overloaded, quarantined:
 		return false
 	case escalate:
 		return true
@@ -234,6 +245,8 @@
 		j.refuse(TimedOut, 0)
 	case j.mayHaveRun:
 		j.refuse(AnswerLost, 0)
+	case v == quarantined:
+		j.refuse(HeldBack, heldBackRetryAfter)
 	case late:
 		j.refuse(Expired, noEndpointRetryAfter)
 	case v == overloaded:
@@ -253,6 +266,9 @@
 // attempt chooses an endpoint, sends the request to it and handles its answer. If no endpoint is left for a request
 // that has run or may have run, attempt waits for the next retry round first.
 func (j *job) attempt(ctx context.Context) nextStep {
+	if j.isHeldBack() {
+		return quarantined
+	}
 	n := j.endpointRequest()
 	c, ok := j.relay.Endpoints.Choose(n, time.Now())
 	for ; !ok && j.runs > 0 && len(j.tried) > 0 && j.awaitRetryRound(ctx); j.retryRounds++ {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/tiers"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
@@ -50,6 +51,8 @@
 	errors  *tiers.Ledger
 	demands demands
 	tallies tallies
+	// Poison finds out which requests end the endpoints that run them. Its times are those since start.
+	Poison *poison.Observer
 }
 
 // New returns a Relay without a routing table. Serve refuses requests until SetTable was called.
@@ -59,7 +62,7 @@
 	}
 	r := &Relay{
 		Options: o, start: time.Now(), durations: newDurationAverages(), Prefill: ttft.New(), tallies: tallies{byKey: map[string]canary.Tally{}},
-		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(),
+		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
 	}
 	r.entryHosts.Store(1)
 	return r
--- a/relay/request.go
+++ b/relay/request.go
@@ -121,6 +121,10 @@
 	Cause error
 	// WrongEndpoint is set if another endpoint, or another start of the endpoint, answered at the address.
 	WrongEndpoint bool
+	// EndsWithConnection is set if the body has neither a length nor chunks, so that its end is that of the connection.
+	EndsWithConnection bool
+	// Refused is set if the host of the endpoint refused the connection: the process has ended.
+	Refused bool
 	// Unreachable is set if no connection to the endpoint could be made, so that no byte of the request reached it.
 	Unreachable bool
 }
@@ -170,6 +174,8 @@
 	TimedOut // timed-out
 	// Stopping means that this host is about to stop. The request has not run.
 	Stopping // stopping
+	// HeldBack means that requests like this one end the endpoints that run them. The request has not run.
+	HeldBack // held-back
 	// Expired means that the deadline has passed and the request has not run.
 	Expired // expired-not-run
 )
@@ -183,7 +189,7 @@
 
 // NotRun reports whether the refusal states that the request has not run.
 func (r Refusal) NotRun() bool {
-	return r.Reason == NoConfiguration || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == Expired
+	return r.Reason == NoConfiguration || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == HeldBack || r.Reason == Expired
 }
 
 // Liveness says whether the process of an endpoint still runs.
