Hold back a request that ends the endpoints that run it

The digest of a body of over 4 KB is computed only once a run broke off or something is known against such a request. The evidence is a chain: each run of the request met the end of its endpoint soon after it had begun, at the rate at which endpoints end without it. Also: control hosts judge again for 2 s after news, as a verdict waits 1 s for ends of other causes.

--- a/ctrl/poison.go
+++ b/ctrl/poison.go
@@ -7,8 +7,12 @@
 	"github.com/hickoryshelf/hickoryshelf/poison"
 )
 
-// judgeInterval is the least time between two judgements, to bound what they cost.
-const judgeInterval = 100 * time.Millisecond
+const (
+	// judgeInterval is the least time between two judgements, to bound what they cost.
+	judgeInterval = 100 * time.Millisecond
+	// rejudgeTime is how long evidence is judged again, since some has to settle first.
+	rejudgeTime = 2 * time.Second
+)
 
 // PoisonLifted carries an operator's order to no longer hold back requests with a key.
 type PoisonLifted struct{ Key poison.Key }
@@ -27,18 +31,22 @@
 	}
 	t.Poison = t.Poison.WithReport(r, t.Now)
 	t.poisonRevision++
+	t.poisonChangedAt = t.Now
 }
 
 // judgePoison judges the evidence if there is new one. Each control host does so; as verdicts are merged, they need no
 // agreement.
 func (t *transition) judgePoison() {
-	if t.judgedRevision == t.poisonRevision || t.Now < t.nextJudgement {
+	if t.Now < t.nextJudgement || t.judgedRevision == t.poisonRevision && t.Now > t.poisonChangedAt+rejudgeTime {
 		return
 	}
+	n := t.judgedRevision != t.poisonRevision
 	t.judgedRevision, t.nextJudgement = t.poisonRevision, t.Now+judgeInterval
-	s, l := t.Poison.Judged()
+	s, l := t.Poison.Judged(t.Now)
+	if n || len(l) > 0 {
+		t.sharedPoison, t.sharedPoisonSum = s.Shared(t.Now)
+	}
 	t.Poison = s
-	t.sharedPoison, t.sharedPoisonSum = s.Shared(t.Now)
 	if len(l) == 0 {
 		return
 	}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -98,7 +98,9 @@
 	// judgedRevision is the one that was judged last.
 	Poison         poison.State
 	poisonRevision uint64
-	judgedRevision uint64
+	// poisonChangedAt is when the last report of it came.
+	poisonChangedAt time.Duration
+	judgedRevision  uint64
 	// nextJudgement is the earliest time of the next judgement.
 	nextJudgement time.Duration
 	// sharedPoison is what entry hosts have to know of the evidence that was judged last, and sharedPoisonSum its hash.
--- a/poison/enum_string.go
+++ b/poison/enum_string.go
@@ -9,12 +9,13 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Part-0]
-	_ = x[kinds-1]
+	_ = x[Request-1]
+	_ = x[kinds-2]
 }
 
-const _Kind_name = "partkinds"
+const _Kind_name = "partrequestkinds"
 
-var _Kind_index = [...]uint8{0, 4, 9}
+var _Kind_index = [...]uint8{0, 4, 11, 16}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/poison/key.go
+++ b/poison/key.go
@@ -19,6 +19,9 @@
 const (
 	// Part is a part of a prompt that several requests may have in common.
 	Part Kind = iota // part
+	// Request is a request of a client account with a method, a host, a target and a body. It is the same request if the
+	// caller sends it again under another ID.
+	Request // request
 	// kinds is the number of kinds.
 	kinds
 )
--- a/poison/observer.go
+++ b/poison/observer.go
@@ -51,6 +51,10 @@
 	changedEnds  map[Boot]bool
 	changedCases map[Key]bool
 	rules        atomic.Pointer[[]Rule]
+	// suspects holds the keys of requests that have ended as many endpoints as a verdict needs at least.
+	suspects atomic.Pointer[map[Key]bool]
+	// heads holds the heads of the requests against which anything is known.
+	heads atomic.Pointer[map[Key]bool]
 }
 
 // pendingRun is a run that broke off.
@@ -79,7 +83,7 @@
 	}
 }
 
-// usage returns the use of a key.
+// usage returns the use of a key, or none.
 func (o *Observer) usage(k Key) usage {
 	u, ok := o.usages[k]
 	if !ok {
@@ -88,6 +92,16 @@
 	return u
 }
 
+// usageLimit returns the use of a key, or that of its head, which is at least as high, if the key isn't counted.
+func (o *Observer) usageLimit(k Key) usage {
+	u := o.usage(k)
+	if k.Kind == Request && u.total == 0 {
+		u = o.usage(k.headKey())
+		u.answers = 0 // answers to other requests clear nothing
+	}
+	return u
+}
+
 // setUsage stores the use of a key. Once maxUsages keys are stored, those that aren't used until as many others are
 // forgotten.
 func (o *Observer) setUsage(k Key, u usage) {
@@ -132,6 +146,15 @@
 func (o *Observer) updateRules() {
 	r := o.state.Rules()
 	o.rules.Store(&r)
+	h, u := map[Key]bool{}, map[Key]bool{}
+	for k, c := range o.state.cases {
+		if k.Kind == Request && (c.InForce() || c.count() > 0) {
+			h[k.headKey()] = true
+			u[k] = c.count() >= thresholds[Request].crashes
+		}
+	}
+	o.heads.Store(&h)
+	o.suspects.Store(&u)
 }
 
 // Broke records that a run broke off. Its request is a suspect if Ended follows for the same start of the endpoint.
@@ -157,7 +180,7 @@
 // crash returns what the end of the run's endpoint says about a key of the run. It is cleared if requests with the key
 // were served lately, or if the service serves nothing else either.
 func (o *Observer) crash(k Key, r Run, now time.Duration) Crash {
-	u, s := o.usage(k), o.services[r.Service]
+	u, s := o.usageLimit(k), o.services[r.Service]
 	n := u.rate(now)
 	return Crash{
 		Age: r.Age, Rate: n * float64(max(1, r.Hosts)), Share: min(1, n/s.rate(now)), Endpoints: max(1, r.Endpoints),
@@ -225,6 +248,19 @@
 	}
 }
 
+// Knows reports whether anything is known against a request with a head.
+func (o *Observer) Knows(head Key) bool {
+	m := o.heads.Load()
+	return m != nil && (*m)[head]
+}
+
+// Suspect reports whether a request with some keys has ended so many endpoints that it isn't worth another one, though
+// this may be a coincidence.
+func (o *Observer) Suspect(keys []Key) bool {
+	m := o.suspects.Load()
+	return m != nil && slices.ContainsFunc(keys, func(k Key) bool { return (*m)[k] })
+}
+
 // Held returns the rule that holds back a request of an account with some keys, if there is one.
 func (o *Observer) Held(keys []Key, account string, now time.Duration) (Rule, bool) {
 	l := o.rules.Load()
--- a/poison/state.go
+++ b/poison/state.go
@@ -94,7 +94,7 @@
 	}
 	if n := len(s.cases) - maxCases; n > 0 {
 		l := slices.SortedFunc(maps.Keys(s.cases), s.compareWeight)
-		for _, k := range l[:n] {
+		for _, k := range l[:n+maxCases/8] { // some more, so that not each report sorts them
 			delete(s.cases, k)
 		}
 	}
--- a/relay/break.go
+++ b/relay/break.go
@@ -28,6 +28,7 @@
 	if u.context.Err() != nil {
 		return
 	}
+	u.job.addDigest()
 	c, f := context.WithTimeout(u.context, probeTimeout)
 	defer f()
 	l := u.job.relay.Sender.Probe(c, u.choice.Address)
@@ -107,6 +108,34 @@
 	}
 }
 
+// inlineDigestBytes is the longest body of which each request's digest is computed.
+const inlineDigestBytes = 4 << 10
+
+// setKeys sets what the request may have in common with others that end endpoints. The digest of a long body is left out
+// unless something is known against such a request.
+func (j *job) setKeys() {
+	j.keys = j.request.Prompt.poisonKeys()
+	if h := j.identity().HeadKey(); len(j.request.Body) > inlineDigestBytes && !j.relay.Poison.Knows(h) {
+		j.relay.Poison.Started(j.service.Name, append(slices.Clone(j.keys), h), j.relay.sinceStart())
+		return
+	}
+	j.addDigest()
+	j.relay.Poison.Started(j.service.Name, j.keys, j.relay.sinceStart())
+}
+
+// addDigest adds the key of the whole request to its keys.
+func (j *job) addDigest() {
+	if !slices.ContainsFunc(j.keys, func(k poison.Key) bool { return k.Kind == poison.Request }) {
+		j.keys = append(j.keys, j.identity().Key())
+	}
+}
+
+// identity returns what makes another request the same as this one.
+func (j *job) identity() poison.Identity {
+	q := j.request
+	return poison.Identity{Account: j.account, Method: q.Method, Host: q.Host, Target: q.Target, Body: q.Body}
+}
+
 // poisonKeys returns the keys of the parts that other requests may have in common with this one: all but the last.
 func (p Prompt) poisonKeys() []poison.Key {
 	var r []poison.Key
--- a/relay/job.go
+++ b/relay/job.go
@@ -151,8 +151,7 @@
 		q := j.tierRequest()
 		j.tier, j.queue = j.relay.chooser.First(q), q.Queue
 	}
-	j.keys = j.request.Prompt.poisonKeys()
-	j.relay.Poison.Started(j.service.Name, j.keys, j.relay.sinceStart())
+	j.setKeys()
 	for {
 		v := j.attempt(ctx)
 		if v == done {
@@ -209,6 +208,10 @@
 			j.noRetryReason = "attempts"
 			return false
 		}
+		if j.relay.Poison.Suspect(j.keys) {
+			j.noRetryReason = "suspect"
+			return false
+		}
 	}
 	if j.sends >= maxSends || j.undelivered >= maxUndelivered || time.Until(j.deadline) < answerMargin {
 		j.noRetryReason = "sends or time"
