--- a/dial/pool.go
+++ b/dial/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -31,7 +32,9 @@
 	net.Conn
 	Reader *bufio.Reader
 	// Reused is true when the connection comes from the pool and has served an earlier request.
-	Reused  bool
+	Reused bool
+	// source is what Reader reads from.
+	source  *boundedReader
 	address string
 	// expires is the time from which the idle connection is no longer reused.
 	expires time.Time
@@ -72,9 +75,35 @@
 		p.release(address)
 		return nil, err
 	}
-	return &Conn{Conn: n, Reader: bufio.NewReaderSize(n, readBufferBytes), address: address}, nil
+	s := &boundedReader{conn: n, left: math.MaxInt64}
+	return &Conn{Conn: n, Reader: bufio.NewReaderSize(s, readBufferBytes), source: s, address: address}, nil
 }
 
+// ErrTooLong is returned by reads of a connection that has sent more than it may.
+var ErrTooLong = errors.New("the endpoint sent more than an answer may have; the connection is given up")
+
+// boundedReader reads from a connection and fails once it has read a number of bytes.
+type boundedReader struct {
+	conn net.Conn
+	// left is the number of bytes that may still be read.
+	left int64
+}
+
+func (r *boundedReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := r.conn.Read(b[:min(int64(len(b)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
+// Allow bounds the bytes that are read from the connection from now on. What is buffered doesn't count.
+func (c *Conn) Allow(bytes int64) { c.source.left = bytes }
+
+// AllowAll removes the bound.
+func (c *Conn) AllowAll() { c.Allow(math.MaxInt64) }
+
 // Put returns a connection to the pool. keepAlive is how long the endpoint keeps the connection open while it is idle,
 // or 0 if unknown. Put closes the connection instead when it would expire at once, has unread data or would exceed
 // maxIdlePerAddress.
