Bound the time and the size of refusals, failures, answers and events

The body of a refusal or a failure was read until the request's deadline, an answer or a stream without a length for as long as it went on, and empty lines or comments counted as progress of a stream. Now: 500 ms for the body of a refusal or a failure, 64 MB for an answer whose head names no length, and only events with data reset the timeout of a stream.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -17,6 +18,10 @@
 const (
 	// busyTimeoutFactor multiplies the timeout of the watchdog when it is extended for a busy endpoint.
 	busyTimeoutFactor = 3
+	// maxAnswerBytes bounds an answer whose head names no length.
+	maxAnswerBytes = 64 << 20
+	// sideBodyTimeout bounds the time in which the body of a refusal or a failure is read. The request waits for it.
+	sideBodyTimeout = 500 * time.Millisecond
 	// maxBufferedBytes is the largest body of a plain answer that is read to its end before it is passed on. The
 	// request can still be repeated while the body is read.
 	maxBufferedBytes = 512 << 10
@@ -150,7 +155,7 @@
 		u.recordFault(r, wait)
 		j.runs++
 		j.mayHaveRun = true
-		if w, err := readReply(r); err == nil {
+		if w, err := u.readSideBody(r); err == nil {
 			j.lastFailure = w
 		}
 		return rerun
@@ -169,7 +174,7 @@
 func (u *upstreamAttempt) handleNotRun(r Reply) nextStep {
 	j := u.job
 	j.tried[u.choice.ID] = true
-	if _, err := readReply(r); err != nil && r.Body != nil {
+	if _, err := u.readSideBody(r); err != nil && r.Body != nil {
 		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
 	}
 	var b time.Duration
@@ -331,6 +336,20 @@
 	return &bufferedReply{status: r.Status, reply: r, body: b}, nil
 }
 
+// readSideBody reads the body of an answer that isn't the one that the caller waits for, for sideBodyTimeout at most.
+func (u *upstreamAttempt) readSideBody(r Reply) (*bufferedReply, error) {
+	w := u.startWatchdog(sideBodyTimeout, 0)
+	defer w.stop()
+	b, err := readReply(r)
+	if err == nil && len(b.body) > maxBufferedBytes {
+		return nil, errTooLong
+	}
+	return b, err
+}
+
+// errTooLong means that an endpoint's answer exceeds a bound on its size.
+var errTooLong = errors.New("the endpoint's answer is too long; it is given up")
+
 // deliver passes a buffered answer on to the caller.
 func (j *job) deliver(w *bufferedReply) {
 	j.sink.Begin(w.status, w.reply.Header, int64(len(w.body)))
@@ -362,7 +381,8 @@
 	if err := j.sink.Write(w.body); err != nil {
 		return ended
 	}
-	if _, err := io.Copy(sinkWriter{j.sink}, r.Body); err != nil {
+	if err := copyBounded(sinkWriter{j.sink}, r); err != nil {
+		u.log().WithError(err).Warn("attempt: the answer broke off")
 		j.sink.Abort()
 		return done
 	}
@@ -370,6 +390,19 @@
 	return done
 }
 
+// copyBounded copies the rest of an answer, up to maxAnswerBytes if the answer names no length.
+func copyBounded(w io.Writer, r Reply) error {
+	b := r.Body.(io.Reader)
+	if r.Length < 0 {
+		b = io.LimitReader(r.Body, maxAnswerBytes+1)
+	}
+	n, err := io.Copy(w, b)
+	if err == nil && r.Length < 0 && n > maxAnswerBytes {
+		return errTooLong
+	}
+	return err
+}
+
 // sinkWriter is an io.Writer that writes to a Sink.
 type sinkWriter struct{ sink Sink }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -109,15 +109,19 @@
 }
 
 // relayEvents passes on complete events until the end of the body, and resets the watchdog with each. It returns
-// io.ErrUnexpectedEOF if the body ends within an event, errCallerLeft if the caller has disconnected,
+// io.ErrUnexpectedEOF if the body ends within an event, errTooLong if it exceeds maxAnswerBytes, errCallerLeft if the caller has disconnected,
 // and otherwise the error of reading the body.
 func (u *upstreamAttempt) relayEvents(body io.Reader, w *watchdog) error {
 	j := u.job
 	b := bufio.NewReaderSize(body, eventBufferBytes)
 	var e []byte
+	var n int
 	for {
 		l, err := b.ReadSlice('\n')
 		e = append(e, l...)
+		if n += len(l); n > maxAnswerBytes {
+			return errTooLong
+		}
 		if errors.Is(err, bufio.ErrBufferFull) && len(e) < maxEventBytes {
 			continue
 		}
@@ -125,10 +129,14 @@
 			continue
 		}
 		if err == nil {
-			j.relay.Endpoints.RecordActivity(u.choice.ID, time.Now())
 			if err := j.sink.Write(e); err != nil {
 				return errCallerLeft
 			}
+			if !hasData(e) {
+				e = e[:0]
+				continue
+			}
+			j.relay.Endpoints.RecordActivity(u.choice.ID, time.Now())
 			if id, ok := eventID(e); ok {
 				j.lastEventID = id
 			}
@@ -153,6 +161,16 @@
 	}
 }
 
+// hasData reports whether what ends with an empty line holds more than comments. Only that is progress.
+func hasData(e []byte) bool {
+	for l := range bytes.Lines(e) {
+		if l = bytes.TrimRight(l, "\r\n"); len(l) > 0 && l[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the ID of a server-sent event, or false if the event has none.
 func eventID(e []byte) (string, bool) {
 	for _, l := range strings.Split(string(e), "\n") {
