Bound the answer of the rating service

It was decoded without a bound on its size, only on its time. No test of its own: the bound is that of io.LimitReader.

--- a/gate/rating.go
+++ b/gate/rating.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -134,6 +135,9 @@
 	}
 }
 
+// maxRatingBytes bounds the answer of the rating service.
+const maxRatingBytes = 64 << 10
+
 // rate asks the rating service for the score of an answer and limits it to the range from 0 to 1. It fails if
 // no rating service is known, or if the chosen one doesn't answer with status 200 and a score within
 // ratingTimeout.
@@ -162,7 +166,7 @@
 		return 0, errors.New("the rating service answered " + strconv.Itoa(a.StatusCode))
 	}
 	var v ratingResponse
-	if err := json.NewDecoder(a.Body).Decode(&v); err != nil {
+	if err := json.NewDecoder(io.LimitReader(a.Body, maxRatingBytes)).Decode(&v); err != nil {
 		return 0, err
 	}
 	return min(1, max(0, v.Score)), nil
