Refused connections don't count against a data centre

Now only connections that get no answer count; a refusal, by an attempt or by the probe after a break, ejects the endpoint alone. TestRefusedConnectionsDoNotEjectDataCentre: with RecordUnreachable in its place it takes the endpoint of the other data centre.

--- a/pick/health.go
+++ b/pick/health.go
@@ -73,13 +73,31 @@
 	if !ok {
 		return 0
 	}
-	n.consecutiveFaults = max(n.consecutiveFaults+1, ejectThreshold)
-	b := min(maxEjection, unreachableEjectionBase<<min(n.consecutiveFaults-ejectThreshold, 6))
-	n.ejectedUntil = now.Add(b)
 	c := s.centreOf(n.report.DataCentre)
 	if c.consecutiveUnreachable++; c.consecutiveUnreachable >= centreEjectThreshold {
 		c.ejectedUntil = now.Add(centreEjection)
 	}
+	return n.eject(now)
+}
+
+// RecordRefused records that the host of an endpoint refused a connection, and ejects the endpoint. A refusal says
+// nothing against the data centre: its network has carried it. RecordRefused returns how long the endpoint is ejected,
+// or 0 if it is unknown.
+func (s *Set) RecordRefused(id string, now time.Time) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	if !ok {
+		return 0
+	}
+	return n.eject(now)
+}
+
+// eject ejects an endpoint to which no connection could be made, and returns for how long.
+func (n *endpoint) eject(now time.Time) time.Duration {
+	n.consecutiveFaults = max(n.consecutiveFaults+1, ejectThreshold)
+	b := min(maxEjection, unreachableEjectionBase<<min(n.consecutiveFaults-ejectThreshold, 6))
+	n.ejectedUntil = now.Add(b)
 	return b
 }
 
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -379,3 +379,22 @@
 	q.Draw = 0.5
 	i.Equal(s.Queue(q, epoch).Least, 500*time.Millisecond)
 }
+
+// Guards against giving up a whole data centre because processes there have ended: requests that end their endpoints
+// leave refused connections behind, while the endpoints beside them are sound.
+func TestRefusedConnectionsDoNotEjectDataCentre(t *testing.T) {
+	i := is.New(t)
+	s := pick.NewSet("here")
+	var l []fleet.Report
+	for k := range 6 {
+		l = append(l, fleet.Report{ID: fmt.Sprint("e", k), Service: "s", DataCentre: []string{"here", "there"}[k/5], Phase: fleet.Ready})
+	}
+	s.Replace(l)
+	n := time.Now()
+	for k := range 4 {
+		s.RecordRefused(fmt.Sprint("e", k), n)
+	}
+	c, ok := s.Choose(pick.Request{Service: "s"}, n)
+	i.True(ok)
+	i.Equal(c.ID, "e4")
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -184,7 +184,10 @@
 	if r.Refused || r.WrongEndpoint {
 		u.recordEnd()
 	}
-	if r.Unreachable {
+	switch {
+	case r.Refused:
+		b = j.relay.Endpoints.RecordRefused(u.choice.ID, time.Now())
+	case r.Unreachable:
 		b = j.relay.Endpoints.RecordUnreachable(u.choice.ID, time.Now())
 	}
 	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "cause": causeText(r), "banned": b.Milliseconds()}).Info("attempt: the endpoint did not run the request")
--- a/relay/break.go
+++ b/relay/break.go
@@ -41,6 +41,7 @@
 	}
 	u.job.relay.Poison.Broke(v, u.job.relay.sinceStart())
 	if l == Ended {
+		u.job.relay.Endpoints.RecordRefused(u.choice.ID, time.Now())
 		u.recordEnd()
 	}
 }
