--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -336,6 +336,7 @@
 		return 0
 	})
 	g("control_table_version", func(s State) float64 { return float64(s.StateMachine.Document.Version) })
+	g("control_poison_rules", func(s State) float64 { return float64(len(s.Poison.Rules())) })
 	g("control_entries", func(s State) float64 { return float64(s.EntryHosts()) })
 }
 
