Take an answer without a length for complete once its endpoint goes on

An answer may end with its connection and have neither a length nor chunks, so its end may be that of its endpoint; it counted neither as served nor as broken off. A service with only such answers looked down to package poison, which then suspects no part. Now such an answer counts as served once its endpoint has sent something later.

--- a/pick/health.go
+++ b/pick/health.go
@@ -155,3 +155,14 @@
 	n, ok := s.endpoints[id]
 	return !ok || n.replaced || n.report.Born != born || n.report.Phase == fleet.Departed
 }
+
+// LastActive returns when an endpoint last sent something, or the zero time if it hasn't or is unknown.
+func (s *Set) LastActive(id string) time.Time {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	if !ok {
+		return time.Time{}
+	}
+	return n.lastActive
+}
--- a/poison/observer.go
+++ b/poison/observer.go
@@ -116,6 +116,11 @@
 func (o *Observer) Served(service string, keys []Key, now time.Duration) (lifted []Key) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
+	return o.recordServed(service, keys, now)
+}
+
+// recordServed is Served for a caller that holds the lock.
+func (o *Observer) recordServed(service string, keys []Key, now time.Duration) (lifted []Key) {
 	o.services[service] = o.services[service].withServed(now)
 	for _, k := range keys {
 		o.setUsage(k, o.usage(k).withServed(now))
@@ -206,6 +211,26 @@
 	return slices.SortedFunc(maps.Keys(o.pending), Boot.compare)
 }
 
+// Alive records that a start of an endpoint has sent something at a time. Runs there that ended with their connections
+// before are then known to be complete. It returns keys as Served does.
+func (o *Observer) Alive(b Boot, at, now time.Duration) (lifted []Key) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	var l []pendingRun
+	for _, p := range o.pending[b] {
+		if !p.run.OpenEnded || p.at >= at {
+			l = append(l, p)
+			continue
+		}
+		o.waiting--
+		lifted = append(lifted, o.recordServed(p.run.Service, p.run.Keys, now)...)
+	}
+	if o.pending[b] = l; len(l) == 0 {
+		delete(o.pending, b)
+	}
+	return lifted
+}
+
 // Ended records that an endpoint has ended without notice. It returns the number of runs that broke off with it, or 0 if
 // the end was known.
 func (o *Observer) Ended(b Boot, now time.Duration) int {
--- a/poison/rule_test.go
+++ b/poison/rule_test.go
@@ -38,3 +38,26 @@
 	}
 	t.Error("no rule")
 }
+
+// Guards against answers without a length that are never taken for complete: with nothing served, a service looks down and
+// parts that end its endpoints are never found.
+func TestOpenEndedAnswerCountsOnceEndpointGoesOn(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		t.Run(fmt.Sprint(alive), func(t *testing.T) {
+			i := is.New(t)
+			o := poison.NewObserver()
+			l := []poison.Key{{Kind: poison.Part, ID: "sound"}}
+			r := poison.Run{Boot: poison.Boot{Endpoint: "e"}, Service: "s", Keys: l, Age: 90 * time.Millisecond, OpenEnded: true, Endpoints: 12, Hosts: 9}
+			for n := range 3 {
+				o.Broke(r, time.Duration(n)*time.Second)
+				if alive {
+					o.Alive(r.Boot, time.Duration(n)*time.Second+100*time.Millisecond, time.Duration(n)*time.Second+150*time.Millisecond)
+				}
+			}
+			r.OpenEnded = false
+			o.Broke(r, 3*time.Second)
+			i.True(o.Ended(r.Boot, 3*time.Second) > 0)
+			i.Equal(len(o.Take(3*time.Second).Cases) == 0, alive) // what was served lately is no suspect
+		})
+	}
+}
--- a/relay/break.go
+++ b/relay/break.go
@@ -74,16 +74,21 @@
 }
 
 // recordComplete records that the endpoint has written a whole answer. An answer that ends with its connection may be
-// incomplete; it counts as broken off if the endpoint turns out to have ended.
+// incomplete; it counts as broken off if the endpoint turns out to have ended, and as complete once the endpoint goes on.
 func (u *upstreamAttempt) recordComplete(status int) {
 	j := u.job
 	switch {
 	case u.openEnded:
 		j.relay.Poison.Broke(u.run(), j.relay.sinceStart())
 	case status < http.StatusMultipleChoices:
-		for _, k := range j.relay.Poison.Served(j.service.Name, j.keys, j.relay.sinceStart()) {
-			j.log().WithField("key", k.String()).Warn("poison: requests like one that was held back were served, the rule ends")
-		}
+		j.relay.logLifted(j.relay.Poison.Served(j.service.Name, j.keys, j.relay.sinceStart()))
+	}
+}
+
+// logLifted logs the keys whose rules have ended because requests with them were served.
+func (r *Relay) logLifted(keys []poison.Key) {
+	for _, k := range keys {
+		r.Log.WithField("key", k.String()).Warn("poison: requests like those that were held back were served, the rule ends")
 	}
 }
 
@@ -91,16 +96,18 @@
 func (j *job) isHeldBack() bool {
 	r, ok := j.relay.Poison.Held(j.keys, j.account, j.relay.sinceStart())
 	if ok {
-		j.heldBack = &r
 		j.log().WithFields(logrus.Fields{"key": r.Key.String(), "with": r.With, "crashes": r.Crashes}).Info("request: held back, requests like it end endpoints")
 	}
 	return ok
 }
 
-// ConfirmEnds looks among the endpoints for those where runs broke off and that have ended since.
+// ConfirmEnds looks among the endpoints where runs broke off for those that have ended or gone on since.
 func (r *Relay) ConfirmEnds() {
 	for _, b := range r.Poison.Pending() {
 		if !r.Endpoints.HasEnded(b.Endpoint, b.Born) {
+			if t := r.Endpoints.LastActive(b.Endpoint); !t.IsZero() {
+				r.logLifted(r.Poison.Alive(b, t.Sub(r.start), r.sinceStart()))
+			}
 			continue
 		}
 		if n := r.Poison.Ended(b, r.sinceStart()); n > 0 {
--- a/relay/job.go
+++ b/relay/job.go
@@ -75,10 +75,8 @@
 	answering bool
 	// limitWait is the time until the limits of the service's endpoints let another request through, or 0.
 	limitWait time.Duration
-	// keys are what the request may have in common with requests that end endpoints. heldBack is the rule that holds it
-	// back, once there is one.
-	keys     []poison.Key
-	heldBack *poison.Rule
+	// keys are what the request may have in common with requests that end endpoints.
+	keys []poison.Key
 	// noRetryReason says which limit prevents another attempt. It is logged as the field spent.
 	noRetryReason string
 	// mayHaveRun is set once the request has run or may have run on any endpoint.
