--- a/cmds/node.go
+++ b/cmds/node.go
@@ -171,7 +171,7 @@
 	p := pick.NewSet(n.settings.DataCentre)
 	o := dial.NewPool()
 	r := relay.New(relay.Options{
-		Sender: &platform.Sender{Pool: o}, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
+		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel}, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
 		Budget: relay.NewRetryBudget(n.settings.Bounds.RetryRatio, n.settings.Bounds.RetrySlack, n.settings.Bounds.RetryWindow.Std()),
 	})
 	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pool: o, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
--- a/conf/node.go
+++ b/conf/node.go
@@ -96,6 +96,9 @@
 	// PeerListenPort is the port on which this host listens for other hosts if a tunnel accepts their connections on
 	// PeerPort and forwards them. 0 means PeerPort.
 	PeerListenPort uint16 `json:"peer-listen-port"`
+	// EndpointTunnel is the IP of a tunnel through which this host connects to endpoints, at the ports that they report.
+	// Empty means that it connects to them directly.
+	EndpointTunnel string `json:"endpoint-tunnel"`
 	// Seeds holds the admin addresses of some control hosts, which listen for other hosts on PeerPort.
 	Seeds []string `json:"seeds"`
 	// Bootstrap is set only at the first start of a deployment. The seeds then create the control log.
@@ -156,6 +159,9 @@
 	if _, err := netip.ParseAddr(n.IP); err != nil {
 		return &Fault{Field: "ip", What: fmt.Sprintf("is %q", n.IP), Remedy: "write an IP number"}
 	}
+	if _, err := netip.ParseAddr(n.EndpointTunnel); n.EndpointTunnel != "" && err != nil {
+		return &Fault{Field: "endpoint-tunnel", What: fmt.Sprintf("is %q", n.EndpointTunnel), Remedy: "write an IP number or leave it out"}
+	}
 	if n.PeerPort == 0 {
 		return &Fault{Field: "peer-port", What: "is 0", Remedy: "name the port on which control hosts listen to other hosts"}
 	}
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -29,6 +29,9 @@
 	metricsPort    = 7806
 )
 
+// tunnelOctet is the last byte of the IP of the first tunnel.
+const tunnelOctet = 100
+
 // Process is one control host or entry host of a deployment.
 type Process struct {
 	Name       string
@@ -37,6 +40,9 @@
 	DataCentre string
 	// Proxy forwards the traffic of all other hosts to a control host, for fault injection. It is nil for entry hosts.
 	Proxy *toxiproxy.Proxy
+	// Tunnel forwards the traffic of an entry host to the endpoints, for fault injection. It is nil for control hosts, and
+	// for entry hosts that connect to endpoints directly.
+	Tunnel *Tunnel
 	// cmd is the latest start of the process; it is nil before the first one.
 	cmd atomic.Pointer[exec.Cmd]
 	// bootstrap is true at the first start of the deployment, in which the seeds create the control log.
@@ -58,6 +64,17 @@
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
 // number of entry hosts, spread over these data centres. All processes and proxies end with the test.
 func StartDeployment(t testing.TB, binary string, entries int) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, entries, false)
+}
+
+// StartTunnelledDeployment is like StartDeployment, but entry hosts connect to endpoints through a Tunnel each.
+func StartTunnelledDeployment(t testing.TB, binary string, entries int) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, entries, true)
+}
+
+func startDeployment(t testing.TB, binary string, entries int, tunnels bool) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
 	d := &Deployment{t: t, binary: binary, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
@@ -67,7 +84,11 @@
 		d.Control = append(d.Control, d.newProcess(fmt.Sprint("control", k), k+1, k, true))
 	}
 	for k := range entries {
-		d.Entry = append(d.Entry, d.newProcess(fmt.Sprint("entry", k), 10+k, k%3, false))
+		p := d.newProcess(fmt.Sprint("entry", k), 10+k, k%3, false)
+		if tunnels {
+			p.Tunnel = newTunnel(t, fmt.Sprintf("%s.%d", d.subnet, tunnelOctet+k), d.EndpointIP())
+		}
+		d.Entry = append(d.Entry, p)
 	}
 	for _, p := range append(d.Control, d.Entry...) {
 		p.bootstrap = true
@@ -109,6 +130,9 @@
 		return m
 	}
 	m["caller-address"], m["ready-address"] = fmt.Sprintf("%s:%d", p.IP, callerPort), fmt.Sprintf("%s:%d", p.IP, readyPort)
+	if p.Tunnel != nil {
+		m["endpoint-tunnel"] = p.Tunnel.IP
+	}
 	return m
 }
 
--- /dev/null
+++ b/itest/tunnel.go
@@ -0,0 +1,226 @@
+package itest
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+//go:generate go tool stringer -type=Cut -linecomment -output=enum_string.go
+
+// Cut is a way in which a host is partitioned from endpoints.
+type Cut int
+
+// Ways in which a Tunnel is cut.
+const (
+	// Open means that all connections work.
+	Open Cut = iota // open
+	// Silent means that what is sent gets no answer, on open connections and for new ones.
+	Silent // silent
+	// Reset means that open connections are reset and new ones refused.
+	Reset // reset
+	// RefuseNew means that open connections go on, and new ones are refused.
+	RefuseNew // refuse-new
+)
+
+// Tunnel forwards the connections of one host to endpoints. It listens on an IP of its own, at the ports of the endpoints.
+type Tunnel struct {
+	t  testing.TB
+	IP string
+	// target is the IP of the endpoints.
+	target string
+
+	lock sync.Mutex
+	// changed is signalled after each change of cut.
+	changed *sync.Cond
+	cut     Cut
+	ports   map[int]*tunnelPort
+	open    map[net.Conn]bool
+}
+
+// tunnelPort is the listener of a tunnel for one endpoint.
+type tunnelPort struct {
+	port int
+	// listener is nil while new connections are refused.
+	listener io.Closer
+	// held is the connection that fills the queue of a listener that answers nothing.
+	held net.Conn
+}
+
+// newTunnel returns an open tunnel without ports.
+func newTunnel(t testing.TB, ip, target string) *Tunnel {
+	u := &Tunnel{t: t, IP: ip, target: target, ports: map[int]*tunnelPort{}, open: map[net.Conn]bool{}}
+	u.changed = sync.NewCond(&u.lock)
+	t.Cleanup(u.close)
+	return u
+}
+
+// AddPort forwards a port of the endpoints' IP from now on.
+func (u *Tunnel) AddPort(port int) {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	p := &tunnelPort{port: port}
+	u.ports[port] = p
+	u.listen(p)
+}
+
+// Set cuts the tunnel or opens it again.
+func (u *Tunnel) Set(c Cut) {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	u.cut = c
+	for _, p := range u.ports {
+		u.listen(p)
+	}
+	if c == Reset {
+		u.resetAll()
+	}
+	u.changed.Broadcast()
+}
+
+// resetAll resets all open connections.
+func (u *Tunnel) resetAll() {
+	for c := range u.open {
+		_ = c.(*net.TCPConn).SetLinger(0) // closing a connection then resets it
+		_ = c.Close()                     // it may have ended before
+	}
+}
+
+// listen replaces the listener of a port by one that fits the cut.
+func (u *Tunnel) listen(p *tunnelPort) {
+	p.close()
+	switch u.cut {
+	case Open:
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", u.IP, p.port))
+		if err != nil {
+			u.t.Error(err)
+			return
+		}
+		p.listener = l
+		f := portForwarder{u, l, fmt.Sprintf("%s:%d", u.target, p.port)}
+		go f.run()
+	case Silent:
+		if err := p.listenSilently(u.IP); err != nil {
+			u.t.Error(err)
+		}
+	}
+}
+
+// close closes the listener.
+func (p *tunnelPort) close() {
+	if p.listener != nil {
+		_ = p.listener.Close() // nothing depends on it
+	}
+	if p.held != nil {
+		_ = p.held.Close() // nothing was sent on it
+	}
+	p.listener, p.held = nil, nil
+}
+
+// rawListener is a listening socket from which nothing is accepted.
+type rawListener int
+
+// Close closes the socket.
+func (r rawListener) Close() error { return syscall.Close(int(r)) }
+
+// listenSilently listens with a queue that is full, so that opening packets get no answer.
+func (p *tunnelPort) listenSilently(ip string) error {
+	f, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	p.listener = rawListener(f)
+	if err := syscall.SetsockoptInt(f, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	a := &syscall.SockaddrInet4{Port: p.port}
+	copy(a.Addr[:], net.ParseIP(ip).To4())
+	if err := syscall.Bind(f, a); err != nil {
+		return err
+	}
+	if err := syscall.Listen(f, 0); err != nil {
+		return err
+	}
+	p.held, err = net.DialTimeout("tcp", fmt.Sprintf("%s:%d", ip, p.port), time.Second)
+	return err
+}
+
+// portForwarder accepts the connections of one port.
+type portForwarder struct {
+	tunnel   *Tunnel
+	listener net.Listener
+	target   string
+}
+
+func (f portForwarder) run() {
+	for {
+		c, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		s, err := net.Dial("tcp", f.target)
+		if err != nil {
+			_ = c.(*net.TCPConn).SetLinger(0) // the endpoint refused it
+			_ = c.Close()                     // nothing was read from it
+			continue
+		}
+		f.tunnel.track(c)
+		a, b := copier{f.tunnel, c, s}, copier{f.tunnel, s, c}
+		go a.run()
+		go b.run()
+	}
+}
+
+// track counts a connection of the host as open.
+func (u *Tunnel) track(c net.Conn) {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	u.open[c] = true
+}
+
+// copyBytes is the size of the pieces that are copied.
+const copyBytes = 16 << 10
+
+// copier copies what one side of a connection sends to the other.
+type copier struct {
+	tunnel   *Tunnel
+	from, to net.Conn
+}
+
+func (c copier) run() {
+	b := make([]byte, copyBytes)
+	for {
+		n, err := c.from.Read(b)
+		c.tunnel.awaitSound()
+		if _, e := c.to.Write(b[:n]); err == nil {
+			err = e
+		}
+		if err != nil {
+			break
+		}
+	}
+	c.tunnel.lock.Lock()
+	defer c.tunnel.lock.Unlock()
+	delete(c.tunnel.open, c.from)
+	delete(c.tunnel.open, c.to)
+	_ = c.from.Close() // either side has ended
+	_ = c.to.Close()
+}
+
+// awaitSound waits while the tunnel is silent.
+func (u *Tunnel) awaitSound() {
+	u.lock.Lock()
+	defer u.lock.Unlock()
+	for u.cut == Silent {
+		u.changed.Wait()
+	}
+}
+
+// close ends the tunnel.
+func (u *Tunnel) close() {
+	u.Set(Reset)
+}
