--- /dev/null
+++ b/reach/reach.go
@@ -0,0 +1,293 @@
+// Package reach judges which data centres' endpoints this host can open connections to. What it goes by is the outcome of
+// openings: those that requests need, and probes, which it asks for when something speaks against a link. It uses no
+// network and no clock.
+package reach
+
+import (
+	"slices"
+	"time"
+)
+
+//go:generate go tool stringer -type=State,Outcome -linecomment -output=enum_string.go
+
+// State is what this host knows of its link to the endpoints of a data centre.
+type State int
+
+// States of a link.
+const (
+	// Sound means that nothing speaks against the link.
+	Sound State = iota // sound
+	// Suspect means that something speaks against the link, and probes are to decide.
+	Suspect // suspect
+	// Cut means that no endpoint accepted a connection when probed. Whether the endpoints or this host's links are the
+	// cause shows in what other hosts get there.
+	Cut // cut
+	// Returning means that endpoints accept connections again after a cut; a growing share of requests goes there.
+	Returning // returning
+)
+
+const (
+	// probeWidth is the number of endpoints that are probed at once.
+	probeWidth = 4
+	// cutFailures is the number of endpoints whose probes have to fail for a cut. A smaller data centre needs all of its
+	// endpoints for that.
+	cutFailures = 8
+	// suspectFailures is the number of endpoints that have to fail in a row while others show signs of life.
+	suspectFailures = 2
+	// signWindow is how long a sign of life speaks for the link.
+	signWindow = 300 * time.Millisecond
+	// suspectTime is how long a suspicion lasts without a verdict, and suspectPause the least time from the end of one
+	// suspicion to the next.
+	suspectTime  = 700 * time.Millisecond
+	suspectPause = 300 * time.Millisecond
+	// cutProbeInterval is the interval of the probes of a link that is cut or returning; cutProbeWidth their number.
+	cutProbeInterval = 200 * time.Millisecond
+	cutProbeWidth    = 2
+	// returnTime is how long a link takes from its first opening after a cut until it carries all requests. It doubles
+	// with each cut that follows within settleTime, up to maxReturnTime.
+	returnTime    = time.Second
+	maxReturnTime = 8 * time.Second
+	settleTime    = 10 * time.Second
+	// steadyTime is how long after a return a link isn't relied on by other hosts: after an outage for all, hosts return at
+	// slightly different times.
+	steadyTime = 2 * time.Second
+	// firstShare is the share of requests that a link carries when it begins to return.
+	firstShare = 0.1
+)
+
+// Outcome is how opening a connection to an endpoint ended.
+type Outcome int
+
+// Outcomes of openings.
+const (
+	// Opened means that there is a connection.
+	Opened Outcome = iota // opened
+	// Refused means that the endpoint's host answered with a refusal or a reset. Its process may have ended.
+	Refused // refused
+	// Silent means that nothing answered in time.
+	Silent // silent
+)
+
+// Opening is an attempt to open a connection to an endpoint.
+type Opening struct {
+	Endpoint string
+	// Began and Ended are when the opening began and ended.
+	Began, Ended time.Time
+	Outcome      Outcome
+}
+
+// Link is this host's link to the endpoints of one data centre. The zero value is a sound link without observations. It is
+// an immutable value.
+type Link struct {
+	state State
+	// since is when state began.
+	since time.Time
+	// cutSince is when the first of the openings failed that led to the cut. It stays until the link is sound again.
+	cutSince time.Time
+	// failed holds the endpoints whose openings have failed since the last one that succeeded, and probed those of them
+	// whose failed openings began after the suspicion. Both are in the order of the failures.
+	failed, probed []string
+	// silent is set if one of the openings in failed got no answer.
+	silent bool
+	// failingSince is when the first opening in failed began.
+	failingSince time.Time
+	// signAt is when an endpoint last opened or answered.
+	signAt time.Time
+	// probedAt is when probes were last asked for, asked the number of them in this suspicion, and turn that of all.
+	probedAt time.Time
+	asked    int
+	turn     int
+	// returnedAt is when the last return ended, or the zero time.
+	returnedAt time.Time
+	// ramp is how long the next return takes, 0 before the first cut.
+	ramp time.Duration
+}
+
+// State returns the state of the link.
+func (l Link) State() State { return l.state }
+
+// Since returns when the state began.
+func (l Link) Since() time.Time { return l.since }
+
+// CutSince returns since when nothing opens, or the zero time if the link isn't cut or returning.
+func (l Link) CutSince() time.Time { return l.cutSince }
+
+// SignAt returns when an endpoint last opened or answered, or the zero time.
+func (l Link) SignAt() time.Time { return l.signAt }
+
+// WithOpening returns the link after an opening. endpoints is the number of endpoints of the data centre.
+func (l Link) WithOpening(o Opening, endpoints int) Link {
+	if o.Outcome == Opened {
+		return l.withOpened(o)
+	}
+	if o.Began.Before(l.signAt) && l.state == Sound {
+		return l
+	}
+	if len(l.failed) == 0 {
+		l.failingSince = o.Began
+	}
+	l.failed = appendNew(l.failed, o.Endpoint)
+	l.silent = l.silent || o.Outcome == Silent
+	switch l.state {
+	case Sound:
+		if len(l.failed) >= min(suspectFailures, endpoints) || o.Ended.Sub(l.signAt) > signWindow {
+			return l.WithDoubt(o.Ended)
+		}
+	case Suspect:
+		if o.Began.Before(l.since) {
+			return l
+		}
+		if l.probed = appendNew(l.probed, o.Endpoint); len(l.probed) >= min(cutFailures, endpoints) {
+			return l.withCut(o.Ended)
+		}
+	case Returning:
+		if len(l.failed) >= min(cutFailures, endpoints) {
+			return l.withCut(o.Ended)
+		}
+	}
+	return l
+}
+
+// withOpened returns the link after an opening that succeeded.
+func (l Link) withOpened(o Opening) Link {
+	l.failed, l.probed, l.silent = nil, nil, false
+	l.signAt = latest(l.signAt, o.Ended)
+	switch l.state {
+	case Suspect:
+		l.state, l.since = Sound, o.Ended
+	case Cut:
+		l.state, l.since = Returning, o.Ended
+	}
+	return l
+}
+
+// withCut returns the link once it is known to be cut.
+func (l Link) withCut(now time.Time) Link {
+	l.ramp = min(maxReturnTime, max(returnTime, 2*l.ramp))
+	l.cutSince = l.failingSince
+	l.state, l.since = Cut, now
+	return l
+}
+
+// WithSign returns the link after an answer on an open connection. It says nothing about new ones.
+func (l Link) WithSign(now time.Time) Link {
+	l.signAt = latest(l.signAt, now)
+	return l
+}
+
+// WithDoubt returns the link after something else speaks against it, such as a request without an answer: probes decide.
+func (l Link) WithDoubt(now time.Time) Link {
+	if l.state != Sound || now.Sub(l.since) < suspectPause {
+		return l
+	}
+	if len(l.failed) == 0 {
+		l.failingSince = now
+	}
+	l.state, l.since, l.probed, l.asked = Suspect, now, nil, 0
+	return l
+}
+
+// At returns the link at now: suspicions end without a verdict, and returns end.
+func (l Link) At(now time.Time) Link {
+	switch {
+	case l.state == Suspect && now.Sub(l.since) > suspectTime:
+		l.state, l.since, l.failed, l.probed, l.silent = Sound, now, nil, nil, false
+	case l.state == Returning && now.Sub(l.since) > l.ramp:
+		l.state, l.since, l.cutSince, l.returnedAt = Sound, now, time.Time{}, now
+	case l.state == Sound && now.Sub(l.since) > settleTime:
+		l.ramp = 0
+	}
+	return l
+}
+
+// Steady reports whether the link is sound and has not been cut lately, so that other hosts may rely on it.
+func (l Link) Steady(now time.Time) bool {
+	return l.state == Sound && (l.returnedAt.IsZero() || now.Sub(l.returnedAt) > steadyTime)
+}
+
+// Avoid reports whether endpoints elsewhere are to be preferred: the link is cut, or openings got no answer.
+func (l Link) Avoid() bool { return l.state == Cut || l.state == Suspect && l.silent }
+
+// Probing reports whether the link is suspect and probes are under way.
+func (l Link) Probing() bool { return l.state == Suspect && l.asked > 0 }
+
+// Silent reports whether openings got no answer since the last one that succeeded, so that further ones would take long.
+func (l Link) Silent() bool { return l.silent }
+
+// DirectShare returns the share of requests, from 0 to 1, that may go to the data centre directly.
+func (l Link) DirectShare(now time.Time) float64 {
+	switch l.state {
+	case Cut:
+		return 0
+	case Returning:
+		return min(1, firstShare+(1-firstShare)*float64(now.Sub(l.since))/float64(l.ramp))
+	}
+	return 1
+}
+
+// WithProbes returns the endpoints to probe now, and the link after that. endpoints holds all of the data centre, the ones
+// that are most likely to accept a connection first.
+func (l Link) WithProbes(endpoints []string, now time.Time) (next Link, probes []string) {
+	n := min(l.dueProbes(now), len(endpoints))
+	if n == 0 {
+		return l, nil
+	}
+	if l.state == Cut {
+		endpoints = rotate(endpoints, l.turn)
+	} else {
+		endpoints = untriedFirst(endpoints, l.failed)
+	}
+	l.probedAt = now
+	l.asked += n
+	l.turn += n
+	return l, endpoints[:n]
+}
+
+// dueProbes returns how many probes are due.
+func (l Link) dueProbes(now time.Time) int {
+	a := now.Sub(l.probedAt)
+	switch {
+	case l.state == Suspect && len(l.probed) >= l.asked:
+		return probeWidth
+	case l.state == Returning && len(l.failed) >= suspectFailures && a >= cutProbeInterval/2:
+		return probeWidth
+	case (l.state == Cut || l.state == Returning) && a >= cutProbeInterval:
+		return cutProbeWidth
+	}
+	return 0
+}
+
+// rotate returns the list from its n-th name on, with those before at the end.
+func rotate(list []string, n int) []string {
+	n %= len(list)
+	return slices.Concat(list[n:], list[:n])
+}
+
+// untriedFirst returns the list with the names that are also in tried at its end.
+func untriedFirst(list, tried []string) []string {
+	var a, b []string
+	for _, n := range list {
+		if slices.Contains(tried, n) {
+			b = append(b, n)
+		} else {
+			a = append(a, n)
+		}
+	}
+	return append(a, b...)
+}
+
+// appendNew returns a copy of the list with one more name, unless the list holds it.
+func appendNew(list []string, name string) []string {
+	if slices.Contains(list, name) {
+		return list
+	}
+	return append(slices.Clone(list), name)
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
