--- a/cmds/node.go
+++ b/cmds/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net"
@@ -16,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/dial"
@@ -23,6 +25,7 @@
 	"github.com/hickoryshelf/hickoryshelf/logger"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/platform"
+	"github.com/hickoryshelf/hickoryshelf/proxy"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
 
@@ -164,30 +167,55 @@
 
 // startEntry starts an entry host with its caller and readiness servers.
 func (n *node) startEntry() error {
-	l, err := listenAll(n.settings.CallerAddress, n.settings.ReadyAddress)
+	l, err := listenAll(n.settings.CallerAddress, n.settings.ReadyAddress, n.settings.PeerListenAddress())
 	if err != nil {
 		return err
 	}
 	p := pick.NewSet(n.settings.DataCentre)
-	o := dial.NewPool()
+	o, h := dial.NewPool(), dial.NewPool()
+	k := rand.Text()
 	r := relay.New(relay.Options{
+		Detour: &proxy.Client{Host: n.settings.Name, Start: rand.Text(), Pool: h}, Helpers: assist.NewBoard(n.settings.DataCentre),
 		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel}, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
 		Budget: relay.NewRetryBudget(n.settings.Bounds.RetryRatio, n.settings.Bounds.RetrySlack, n.settings.Bounds.RetryWindow.Std()),
 	})
-	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pool: o, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
+	a := entry.Assisting{Address: n.settings.PeerAddress(), Token: k, Bound: assist.NewBound(n.settings.Descriptors, n.settings.MemoryMB)}
+	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pools: []*dial.Pool{o, h}, Assisting: a, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
 	i := &connTracker{relay: r, timers: map[net.Conn]*time.Timer{}}
 	s := &http.Server{
 		Handler: &platform.CallerHandler{Relay: r, Stopping: e.Stopping}, ReadHeaderTimeout: nodeHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: i.track,
 	}
 	d := &http.Server{Handler: readinessHandler{e}, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	u, v := server{s, l[0]}, server{d, l[1]}
+	y := proxy.NewServer(proxy.Options{Token: k, Relay: r, Bound: a.Bound, Stopping: e.Stopping, Log: n.log, Metrics: n.metrics})
+	u, v, w := server{s, l[0]}, server{d, l[1]}, proxyServer{y, l[2]}
 	go u.run()
 	go v.run()
-	n.stop = func() { n.stopEntry(e, r, i, s) }
+	go w.run()
+	n.stop = func() {
+		n.stopEntry(e, r, busyCounter{i, a.Bound}, s)
+		y.Close()
+	}
 	return nil
 }
 
+// proxyServer is a server for requests of other hosts and the listener on which it serves.
+type proxyServer struct {
+	proxy    *proxy.Server
+	listener net.Listener
+}
+
+// run serves until the listener is closed.
+func (s proxyServer) run() { s.proxy.Serve(s.listener) }
+
+// busyCounter counts the requests in flight of callers and of other hosts.
+type busyCounter struct {
+	callers *connTracker
+	others  *assist.Bound
+}
+
+func (c busyCounter) busyCount() int { return c.callers.busyCount() + c.others.Taken() }
+
 // readinessHandler answers the readiness checks of the load balancer.
 type readinessHandler struct{ entry *entry.Entry }
 
@@ -202,7 +230,7 @@
 // load balancer notices. Then it refuses requests that may not end before graceShare of the grace period, until none is
 // in flight. Then it refuses all requests for at least closeDelay and closes the connections. Requests still in flight
 // at graceShare of the grace period are aborted.
-func (n *node) stopEntry(e *entry.Entry, r *relay.Relay, i *connTracker, s *http.Server) {
+func (n *node) stopEntry(e *entry.Entry, r *relay.Relay, i busyCounter, s *http.Server) {
 	t := time.Now()
 	e.BeginStop()
 	m := time.Duration(float64(n.settings.Bounds.Grace.Std()) * graceShare)
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -55,10 +55,45 @@
 	// Ages holds the time since the order of each running rollout, by serial. Entry hosts report it so that the
 	// time isn't lost when control hosts restart.
 	Ages map[uint64]time.Duration
+	// Assist says how the host may send requests for others.
+	Assist Assist
 	// Poison is what the host has observed of requests that end endpoints since the last exchange that got a reply.
 	Poison poison.Report
 }
 
+// Assist is what an entry host reports for hosts that reach no endpoint.
+type Assist struct {
+	// DataCentre is that of the host, and Address where it takes requests of other hosts.
+	DataCentre string
+	Address    string
+	// Token is what requests of other hosts have to hold. It differs between starts.
+	Token string
+	// Answered holds how long ago the host last got an answer or opened a connection, by service. Only endpoints that it
+	// reaches directly count.
+	Answered map[string]time.Duration
+	// Taken is the number of requests that the host has in flight for others.
+	Taken int
+	// Stopping is set if the host takes no requests of others because it stops.
+	Stopping bool
+}
+
+// HelperRequest asks for hosts through which the asking one may send requests.
+type HelperRequest struct {
+	Host       string
+	DataCentre string
+}
+
+// HelperReply names such hosts. What they report is given with the ages at the time of the reply.
+type HelperReply struct {
+	Helpers []NamedHelper
+}
+
+// NamedHelper is a host through which others may send requests.
+type NamedHelper struct {
+	Host string
+	Assist
+}
+
 // EntryState says what an entry host already holds, so that the reply contains only changes.
 type EntryState struct {
 	TableVersion int64
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 )
@@ -124,6 +126,13 @@
 	return nil
 }
 
+// Helpers names entry hosts through which another one may send requests.
+func (s *Service) Helpers(q ctlrpc.HelperRequest, reply *ctlrpc.HelperReply) error {
+	reply.Helpers = s.host.state.Load().Helpers(q)
+	s.host.log.WithFields(logrus.Fields{"asked-by": q.Host, "helpers": len(reply.Helpers)}).Info("control: named entry hosts that reach endpoints")
+	return nil
+}
+
 // Quarantine returns the rules by which requests are held back.
 func (s *Service) Quarantine(_ ctlrpc.Ack, reply *ctlrpc.QuarantineList) error {
 	reply.Rules = s.host.state.Load().Poison.Rules()
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -27,18 +27,41 @@
 	tcpUserTimeout = 0x12
 )
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+
 var dialer = net.Dialer{
-	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-	Control: func(_, _ string, c syscall.RawConn) error {
-		var e error
-		err := c.Control(func(fd uintptr) {
-			e = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return e
-	},
+	KeepAliveConfig: keepAlive,
+	Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
+}
+
+// setUserTimeout sets the time after which a connection with unacknowledged bytes fails. Linux applies it to keep-alive
+// probes as well, in place of their number.
+func setUserTimeout(c syscall.RawConn) error {
+	var e error
+	err := c.Control(func(fd uintptr) {
+		e = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return e
+}
+
+// KeepAlive makes an accepted connection fail within seconds when the peer stops responding, as those that Connect opens
+// do. It returns an error if the socket refuses that.
+func KeepAlive(c net.Conn) error {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := t.SetKeepAliveConfig(keepAlive); err != nil {
+		return err
+	}
+	r, err := t.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(r)
 }
 
 // Connect opens a connection to an address of the form host:port. It fails when the connection isn't open within the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,7 +45,10 @@
 	Settings conf.Node
 	Relay    *relay.Relay
 	Set      *pick.Set
-	Pool     *dial.Pool
+	// Pools hold the connections to endpoints and to other entry hosts.
+	Pools []*dial.Pool
+	// Assisting says how this host sends requests for others.
+	Assisting Assisting
 	// Decode parses a configuration document in the form in which the operator wrote it.
 	Decode  func(document []byte) (table.Table, error)
 	Log     *logrus.Logger
@@ -68,6 +71,8 @@
 	// client is the connection to the control host at address, or nil.
 	client  *rpc.Client
 	address string
+	// current is the same connection for other goroutines than run, or nil.
+	current atomic.Pointer[rpc.Client]
 	// leaderless is set if the last control host connected to has answered that it has no leader.
 	leaderless bool
 	// controlLost is true from a failed exchange until a reply of a control host that is current.
@@ -96,12 +101,16 @@
 		return 0
 	})
 	s := idleSweeper{e}
+	p := relay.Prober{Relay: o.Relay, Stop: e.stop}
 	go e.run()
 	go s.run()
+	f := &helperFinder{entry: e}
+	go p.Run()
+	go f.run()
 	return e
 }
 
-// idleSweeper closes idle connections to endpoints until Stop is called.
+// idleSweeper closes idle connections until Stop is called.
 type idleSweeper struct{ entry *Entry }
 
 func (s idleSweeper) run() {
@@ -110,7 +119,9 @@
 	for {
 		select {
 		case <-t.C:
-			s.entry.Pool.CloseExpired()
+			for _, p := range s.entry.Pools {
+				p.CloseExpired()
+			}
 		case <-s.entry.stop:
 			return
 		}
@@ -160,7 +171,7 @@
 		p = e.Relay.Prefill.Measured()
 	}
 	q := ctlrpc.ExchangeRequest{
-		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges(), Poison: e.Relay.TakePoison()},
+		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges(), Assist: e.assistReport(), Poison: e.Relay.TakePoison()},
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
@@ -207,6 +218,7 @@
 		return nil, err
 	}
 	e.address, e.client = a, rpc.NewClient(c)
+	e.current.Store(e.client)
 	e.state.Control = ""
 	e.Relay.ResendTallies()
 	e.Relay.Poison.Resend()
@@ -239,6 +251,7 @@
 		e.Log.WithError(err).Debug("entry: closing a connection failed")
 	}
 	e.client = nil
+	e.current.Store(nil)
 }
 
 // apply applies the reply of a control host.
--- a/pick/health.go
+++ b/pick/health.go
@@ -6,21 +6,37 @@
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 )
 
-// centreState tracks whether this host can reach a data centre.
-type centreState struct {
-	// consecutiveUnreachable counts failed connections to endpoints of the data centre since the last success.
-	consecutiveUnreachable int
-	// ejectedUntil is the time up to which all endpoints of the data centre are ejected.
-	ejectedUntil time.Time
+// Way is the way by which a request goes to an endpoint.
+type Way int
+
+// Ways to endpoints.
+const (
+	// Direct means that this host connects to the endpoint.
+	Direct Way = iota
+	// Relayed means that another host does so for this one.
+	Relayed
+	wayCount
+)
+
+// pathHealth is what speaks against an endpoint on one way to it.
+type pathHealth struct {
+	// consecutiveFaults counts the faults since the last success.
+	consecutiveFaults int
+	ejectedUntil      time.Time
 }
 
 // RecordActivity records that an endpoint sent something at now, such as an event of a stream. It does nothing if
 // the endpoint is unknown.
-func (s *Set) RecordActivity(id string, now time.Time) {
+func (s *Set) RecordActivity(id string, way Way, now time.Time) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if n, ok := s.endpoints[id]; ok {
-		n.lastActive, n.silentSince = now, now
+	n, ok := s.endpoints[id]
+	if !ok {
+		return
+	}
+	n.lastActive, n.silentSince = now, now
+	if way == Direct {
+		s.recordSign(n, now)
 	}
 }
 
@@ -32,19 +48,18 @@
 	return ok && n.lastActive.After(since)
 }
 
-// RecordSuccess records that an endpoint began an answer. It ends the ejection of the endpoint and of its data
-// centre, and lowers the endpoint's fault rate. wait is the measured time to the start of the answer. estimated is
+// RecordSuccess records that an endpoint began an answer. It ends the ejection of the endpoint on that way, and lowers the
+// endpoint's fault rate. wait is the measured time to the start of the answer. estimated is
 // Choice.Wait, which already includes the slowdown; if it is positive, the ratio of the two updates the endpoint's
 // slowdown.
-func (s *Set) RecordSuccess(id string, wait, estimated time.Duration) {
+func (s *Set) RecordSuccess(id string, way Way, wait, estimated time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
 	if !ok {
 		return
 	}
-	n.consecutiveFaults, n.ejectedUntil = 0, time.Time{}
-	*s.centreOf(n.report.DataCentre) = centreState{}
+	n.paths[way] = pathHealth{}
 	n.faultRate *= 1 - faultWeight
 	if estimated > 0 {
 		r := min(8, max(0.5, float64(wait)/float64(estimated)*n.slowdown))
@@ -62,72 +77,45 @@
 	}
 }
 
-// RecordUnreachable records that no connection to an endpoint could be made, and ejects the endpoint. After
-// centreEjectThreshold failed connections in a row to endpoints of one data centre, the whole data centre is
-// ejected for centreEjection. RecordUnreachable returns how long the endpoint is ejected, or 0 if the endpoint is
-// unknown.
-func (s *Set) RecordUnreachable(id string, now time.Time) time.Duration {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.endpoints[id]
-	if !ok {
-		return 0
-	}
-	c := s.centreOf(n.report.DataCentre)
-	if c.consecutiveUnreachable++; c.consecutiveUnreachable >= centreEjectThreshold {
-		c.ejectedUntil = now.Add(centreEjection)
-	}
-	return n.eject(now)
-}
-
-// RecordRefused records that the host of an endpoint refused a connection, and ejects the endpoint. A refusal says
-// nothing against the data centre: its network has carried it. RecordRefused returns how long the endpoint is ejected,
-// or 0 if it is unknown.
-func (s *Set) RecordRefused(id string, now time.Time) time.Duration {
+// RecordNotReached records that no connection to an endpoint could be made on a way, and ejects the endpoint there. It
+// returns how long the endpoint is ejected, or 0 if it is unknown.
+func (s *Set) RecordNotReached(id string, way Way, now time.Time) time.Duration {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
 	if !ok {
 		return 0
 	}
-	return n.eject(now)
+	return n.eject(way, now)
 }
 
 // eject ejects an endpoint to which no connection could be made, and returns for how long.
-func (n *endpoint) eject(now time.Time) time.Duration {
-	n.consecutiveFaults = max(n.consecutiveFaults+1, ejectThreshold)
-	b := min(maxEjection, unreachableEjectionBase<<min(n.consecutiveFaults-ejectThreshold, 6))
-	n.ejectedUntil = now.Add(b)
+func (n *endpoint) eject(way Way, now time.Time) time.Duration {
+	p := &n.paths[way]
+	p.consecutiveFaults = max(p.consecutiveFaults+1, ejectThreshold)
+	b := min(maxEjection, unreachableEjectionBase<<min(p.consecutiveFaults-ejectThreshold, 6))
+	p.ejectedUntil = now.Add(b)
 	return b
 }
 
-// centreOf returns the state of a data centre and creates it on first use. The caller holds the lock.
-func (s *Set) centreOf(name string) *centreState {
-	c, ok := s.centres[name]
-	if !ok {
-		c = &centreState{}
-		s.centres[name] = c
-	}
-	return c
-}
-
-// RecordFault records a fault of an endpoint, and ejects the endpoint from ejectThreshold consecutive faults on.
+// RecordFault records a fault of an endpoint on a way, and ejects the endpoint there from ejectThreshold consecutive faults on.
 // RecordFault returns how long the endpoint is ejected, or 0 if the endpoint is unknown or not ejected.
-func (s *Set) RecordFault(id string, now time.Time) time.Duration {
+func (s *Set) RecordFault(id string, way Way, now time.Time) time.Duration {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
 	if !ok {
 		return 0
 	}
-	n.consecutiveFaults++
+	p := &n.paths[way]
+	p.consecutiveFaults++
 	n.faultRate = n.currentFaultRate(now)*(1-faultWeight) + faultWeight
 	n.lastFault = now
-	if n.consecutiveFaults < ejectThreshold {
+	if p.consecutiveFaults < ejectThreshold {
 		return 0
 	}
-	b := min(maxEjection, ejectionBase<<min(n.consecutiveFaults-ejectThreshold, 6))
-	n.ejectedUntil = now.Add(b)
+	b := min(maxEjection, ejectionBase<<min(p.consecutiveFaults-ejectThreshold, 6))
+	p.ejectedUntil = now.Add(b)
 	return b
 }
 
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -13,6 +13,7 @@
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
+	"github.com/hickoryshelf/hickoryshelf/reach"
 )
 
 const (
@@ -22,10 +23,6 @@
 	maxEjection  = 5 * time.Second
 	// unreachableEjectionBase replaces ejectionBase for an endpoint to which a connection failed.
 	unreachableEjectionBase = 500 * time.Millisecond
-	// centreEjectThreshold is the number of failed connections in a row to endpoints of one data centre after which
-	// all of its endpoints are ejected, for centreEjection.
-	centreEjectThreshold = 3
-	centreEjection       = 700 * time.Millisecond
 	// ejectThreshold is the number of faults in a row after which an endpoint is ejected.
 	ejectThreshold = 2
 	// faultWeight is the weight of the newest answer in the moving average of an endpoint's fault rate. The average fades
@@ -74,6 +71,10 @@
 	// request goes to the target version of a rollout.
 	Draw      float64
 	InSession bool
+	// Way is the way by which the request is to be sent.
+	Way Way
+	// LinkDraw is a random number from 0 to 1, by which the request uses a link that returns after a cut.
+	LinkDraw float64
 	// Tried holds the IDs of the endpoints that earlier attempts of the request went to.
 	Tried map[string]bool
 }
@@ -99,12 +100,14 @@
 	local ctlrpc.Load
 	// remote is the load of other hosts, as last received from a control host.
 	remote ctlrpc.Load
-	// faultRate is the moving average of faults per answer at lastFault, the time of the last fault. consecutiveFaults
-	// counts the faults since the last success.
-	faultRate         float64
-	lastFault         time.Time
-	consecutiveFaults int
-	ejectedUntil      time.Time
+	// faultRate is the moving average of faults per answer at lastFault, the time of the last fault.
+	faultRate float64
+	lastFault time.Time
+	// paths holds what speaks against the endpoint on each way to it.
+	paths [wayCount]pathHealth
+	// openFailingSince is when the first opening of a connection failed since the last one that succeeded, and openFailedAt
+	// when the last one failed. Both are zero if the last one succeeded.
+	openFailingSince, openFailedAt time.Time
 	// slowdown is the moving average of the measured wait divided by the expected wait.
 	slowdown float64
 	// lastActive is the time of the endpoint's last sign of activity. unanswered counts the requests whose answer
@@ -130,7 +133,12 @@
 	rollouts   map[string]canary.View
 	// startTimes holds the time at which each running rollout was ordered, by serial.
 	startTimes map[uint64]time.Time
-	centres    map[string]*centreState
+	// links holds this host's links to the endpoints of each data centre.
+	links map[string]reach.Link
+	// linkChanges holds the changes of links since the last call of TakeLinkChanges.
+	linkChanges []LinkChange
+	// answeredAt holds when this host last got an answer or opened a connection directly, by service.
+	answeredAt map[string]time.Time
 	hosts      hostList
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
@@ -139,7 +147,7 @@
 
 // NewSet returns an empty set for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, centres: map[string]*centreState{}, departed: map[string]departure{}}
+	return &Set{dataCentre: dataCentre, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[string]reach.Link{}, answeredAt: map[string]time.Time{}, departed: map[string]departure{}}
 }
 
 // Choose returns the endpoint with the lowest cost, and counts the request as in flight there until RequestEnded.
@@ -178,18 +186,18 @@
 func (s *Set) candidates(q Request, now time.Time) []*endpoint {
 	v, ok := s.rollouts[q.Service]
 	if !ok {
-		return s.preferUsable(s.untried(q, nil), now)
+		return s.preferUsable(s.untried(q, nil), q, now)
 	}
 	t := s.goesToTarget(v, q)
 	l := s.untried(q, func(n *endpoint) bool { return (n.report.Version == v.Target) == t && v.MayRun(n.report.Version) })
-	if c := s.preferUsable(l, now); len(c) > 0 {
+	if c := s.preferUsable(l, q, now); len(c) > 0 {
 		return c
 	}
 	// A limit may send requests back to the proven version, but not to the target beyond its share.
 	if len(l) > 0 && !t || !s.mayUseOtherVersion(v, t) {
 		return nil
 	}
-	return s.preferUsable(s.untried(q, func(n *endpoint) bool { return (n.report.Version == v.Target) != t && v.MayRun(n.report.Version) }), now)
+	return s.preferUsable(s.untried(q, func(n *endpoint) bool { return (n.report.Version == v.Target) != t && v.MayRun(n.report.Version) }), q, now)
 }
 
 // untried returns the endpoints that serve the request, weren't tried before and meet the condition, if it isn't nil.
@@ -205,13 +213,13 @@
 
 // preferUsable returns the endpoints whose limit leaves a request and that aren't ejected, or else those whose limit
 // leaves one.
-func (s *Set) preferUsable(endpoints []*endpoint, now time.Time) []*endpoint {
+func (s *Set) preferUsable(endpoints []*endpoint, q Request, now time.Time) []*endpoint {
 	var a, b []*endpoint
 	for _, n := range endpoints {
 		if s.limited(n, now) {
 			continue
 		}
-		if b = append(b, n); !s.ejected(n, now) {
+		if b = append(b, n); !s.ejected(n, q, now) {
 			a = append(a, n)
 		}
 	}
@@ -226,9 +234,9 @@
 	return !n.replaced && !n.removed && n.report.Service == service && n.report.Phase == fleet.Ready
 }
 
-// ejected reports whether the endpoint or its data centre is ejected.
-func (s *Set) ejected(n *endpoint, now time.Time) bool {
-	return !now.After(n.ejectedUntil) || !now.After(s.centreOf(n.report.DataCentre).ejectedUntil)
+// ejected reports whether the endpoint is ejected on the way of the request, or its data centre is to be avoided.
+func (s *Set) ejected(n *endpoint, q Request, now time.Time) bool {
+	return !now.After(n.paths[q.Way].ejectedUntil) || q.Way == Direct && s.avoidsLink(n, q, now)
 }
 
 // goesToTarget reports whether a request goes to the target version of a rollout.
--- /dev/null
+++ b/proxy/server.go
@@ -0,0 +1,281 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/dial"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+)
+
+const (
+	// readBufferBytes is the size of the read buffer of a connection.
+	readBufferBytes = 4096
+	// callTimeout bounds the time in which another host has to write a call once it has begun to.
+	callTimeout = 5 * time.Second
+	// maxConnections bounds the connections of other hosts.
+	maxConnections = 1024
+	// unreachablePause is how long a host that doesn't reach an endpoint itself asks not to be asked again.
+	unreachablePause = 300 * time.Millisecond
+	// stoppingPause is the same for a host that stops.
+	stoppingPause = 10 * time.Second
+)
+
+// Options holds what a Server depends on. All fields are required.
+type Options struct {
+	// Token is what calls have to hold. It differs between starts.
+	Token string
+	// Relay holds what requests of other hosts are sent with.
+	Relay *relay.Relay
+	Bound *assist.Bound
+	// Stopping reports whether this host is about to stop.
+	Stopping func() bool
+	Log      *logrus.Logger
+	Metrics  *metrics.Set
+}
+
+// Server sends requests of other hosts to endpoints.
+type Server struct {
+	Options
+	calls       *register
+	lock        sync.Mutex
+	connections map[net.Conn]bool
+	closed      bool
+}
+
+// NewServer returns a server. Serve makes it take calls.
+func NewServer(o Options) *Server {
+	s := &Server{Options: o, calls: newRegister(), connections: map[net.Conn]bool{}}
+	o.Metrics.NewGauge("relayed_in_flight", func() float64 { return float64(o.Bound.Taken()) })
+	return s
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if err := dial.KeepAlive(c); err != nil {
+			s.Log.WithError(err).Warn("relay: a connection of another host has no keep-alive")
+		}
+		if !s.track(c) {
+			_ = c.Close() // nothing was read from it
+			continue
+		}
+		n := &connection{server: s, conn: c, reader: newReader(c)}
+		go n.run()
+	}
+}
+
+// newReader returns a buffered reader for frames.
+func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, readBufferBytes) }
+
+// track counts a connection as open. It returns false if there are too many, or the server was closed.
+func (s *Server) track(c net.Conn) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.closed || len(s.connections) >= maxConnections {
+		return false
+	}
+	s.connections[c] = true
+	return true
+}
+
+// untrack closes a connection.
+func (s *Server) untrack(c net.Conn) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	delete(s.connections, c)
+	_ = c.Close() // the call has ended
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.closed = true
+	for c := range s.connections {
+		_ = c.Close() // calls in flight break off
+	}
+}
+
+// connection is a connection of another host. It carries one call at a time.
+type connection struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	// watched is closed once the leaveWatch of the last call no longer reads, or nil.
+	watched chan struct{}
+}
+
+func (c *connection) run() {
+	defer c.server.untrack(c.conn)
+	for {
+		if c.watched != nil {
+			<-c.watched
+		}
+		if _, err := c.reader.Peek(1); err != nil {
+			return
+		}
+		if err := c.conn.SetReadDeadline(time.Now().Add(callTimeout)); err != nil {
+			return
+		}
+		if c.serve() != nil {
+			return
+		}
+	}
+}
+
+// serve reads one call and answers it.
+func (c *connection) serve() error {
+	k, b, err := readFrame(c.reader, maxHeadBytes)
+	if err != nil {
+		return err
+	}
+	var v call
+	if err := decode(b, &v); err != nil {
+		return err
+	}
+	if k == revokeFrame {
+		return c.revoke(v)
+	}
+	if k != callFrame {
+		return errFrame
+	}
+	k, b, err = readFrame(c.reader, maxBodyBytes)
+	if err != nil || k != bodyFrame {
+		return errors.Join(errFrame, err)
+	}
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	return c.handle(v, b)
+}
+
+// revoke answers whether a call has begun, and keeps it from beginning otherwise.
+func (c *connection) revoke(v call) error {
+	if v.Token != c.server.Token {
+		return errFrame
+	}
+	if c.server.calls.revoke(v.ID, time.Now()) {
+		return writeJSON(c.conn, declinedFrame, refusal{Reason: "revoked"})
+	}
+	return writeFrame(c.conn, begunFrame, nil)
+}
+
+// refusalOf returns why a call isn't taken, or false if it may be.
+func (s *Server) refusalOf(v call) (refusal, bool) {
+	switch {
+	case v.Token != s.Token:
+		return refusal{Reason: "unknown token", RetryAfterMS: unreachablePause.Milliseconds()}, true
+	case s.Stopping():
+		return refusal{Reason: "stopping", RetryAfterMS: stoppingPause.Milliseconds()}, true
+	case !s.Relay.Endpoints.MayRelay(v.Endpoint):
+		return refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, true
+	}
+	return refusal{}, false
+}
+
+// handle sends the request of a call to its endpoint, or declines.
+func (c *connection) handle(v call, b []byte) error {
+	s := c.server
+	f, refused := s.refusalOf(v)
+	if !refused {
+		var w time.Duration
+		var ok bool
+		if w, ok = s.Bound.Take(v.Origin, v.Priority, int64(len(b)), time.Now()); !ok {
+			f, refused = refusal{Reason: "busy", RetryAfterMS: w.Milliseconds()}, true
+		} else {
+			defer s.Bound.Release(int64(len(b)))
+		}
+	}
+	if !refused && !s.calls.begin(v.ID, time.Now()) {
+		f, refused = refusal{Reason: "revoked"}, true
+	}
+	l := s.Log.WithFields(logrus.Fields{"id": v.RequestID, "origin": v.Origin, "endpoint": v.Endpoint.ID, "left": v.RemainingMS})
+	if refused {
+		s.Metrics.GetOrCreateCounter("relayed_total{outcome=\"declined\"}").Inc()
+		l.WithFields(logrus.Fields{"reason": f.Reason, "retry-after": f.RetryAfterMS}).Info("relay: a request of another host is declined")
+		return writeJSON(c.conn, declinedFrame, f)
+	}
+	if err := writeFrame(c.conn, begunFrame, nil); err != nil {
+		l.WithError(err).Info("relay: the other host has left before its request was sent")
+		return err
+	}
+	s.Metrics.GetOrCreateCounter("relayed_total{outcome=\"begun\"}").Inc()
+	return c.relay(v, b, l)
+}
+
+// relay sends the request to its endpoint and passes the reply on. The run ends when the other host closes the connection.
+func (c *connection) relay(v call, b []byte, l *logrus.Entry) error {
+	ctx, f := context.WithTimeout(context.Background(), time.Duration(v.RemainingMS)*time.Millisecond)
+	defer f()
+	c.watched = make(chan struct{})
+	w := leaveWatch{c, f, c.watched}
+	go w.run()
+	t := time.Now()
+	r := c.server.Relay.Sender.Send(ctx, v.attempt(b, c.server.Bound.Origins(t)))
+	c.server.Relay.RecordOpening(v.Endpoint.ID, t, r)
+	l.WithFields(logrus.Fields{"outcome": r.Verdict.String(), "status": r.Status}).Info("relay: a request of another host was sent")
+	if r.Body != nil {
+		defer r.Body.Close() //nolint:errcheck // closing ends the run
+	}
+	if err := writeJSON(c.conn, headFrame, newHead(r)); err != nil || r.Body == nil {
+		return err
+	}
+	return c.copyBody(r.Body)
+}
+
+// copyBody passes the body on as it arrives, and how it ended.
+func (c *connection) copyBody(r io.Reader) error {
+	b := make([]byte, dataBytes)
+	for {
+		n, err := r.Read(b)
+		if n > 0 {
+			if err := writeFrame(c.conn, dataFrame, b[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return writeFrame(c.conn, endFrame, nil)
+		case err != nil:
+			return writeFrame(c.conn, endFrame, []byte(err.Error()))
+		}
+	}
+}
+
+// leaveWatch ends a run once the other host has closed its connection. It returns when the next call begins.
+type leaveWatch struct {
+	connection *connection
+	cancel     context.CancelFunc
+	done       chan struct{}
+}
+
+func (w leaveWatch) run() {
+	defer close(w.done)
+	if _, err := w.connection.reader.Peek(1); err != nil {
+		w.cancel()
+	}
+}
+
+// attempt returns the attempt that a call asks for. origins is the number of hosts for which this one sends: the connections
+// that they don't use are free.
+func (v call) attempt(b []byte, origins int) relay.Attempt {
+	return relay.Attempt{
+		Request:  &relay.Request{ID: v.RequestID, Method: v.Method, Host: v.Host, Target: v.Target, Header: v.Header, Prompt: v.Prompt, Body: b},
+		Endpoint: v.Endpoint, Account: v.Account, Model: v.Model, Remaining: time.Duration(v.RemainingMS) * time.Millisecond, ResumeAfter: v.ResumeAfter,
+		Priority: v.Priority, MaxConnections: v.MaxConnections * (1 + origins),
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,6 +32,10 @@
 type upstreamAttempt struct {
 	job    *job
 	choice pick.Choice
+	// way is the way by which the attempt goes to the endpoint.
+	way pick.Way
+	// linkLost is set once the attempt was cancelled because this host has lost its link to the endpoint.
+	linkLost atomic.Bool
 	// work is the work that Choose counted as queued at the endpoint until the answer begins.
 	work time.Duration
 	sent time.Time
@@ -52,10 +57,13 @@
 
 // watchdog cancels an attempt from which nothing was received for a timeout. The timeout is extended once if the
 // endpoint has answered other requests in the meantime: the endpoint is busy then, and running the request a second
-// time elsewhere would only add to the load.
+// time elsewhere would only add to the load. Before the timeout it looks after the link to the endpoint.
 type watchdog struct {
 	attempt *upstreamAttempt
 	timeout time.Duration
+	// limit is the time without a sign after which the attempt is cancelled, and heardAt is when the last sign came.
+	limit   time.Duration
+	heardAt time.Time
 	// busyWindow is how recently the endpoint must have answered another request to count as busy. 0 turns the
 	// extension off.
 	busyWindow time.Duration
@@ -67,22 +75,28 @@
 
 // startWatchdog starts a watchdog that cancels the attempt after timeout.
 func (u *upstreamAttempt) startWatchdog(timeout, busyWindow time.Duration) *watchdog {
-	w := &watchdog{attempt: u, timeout: timeout, busyWindow: busyWindow}
+	w := &watchdog{attempt: u, timeout: timeout, limit: timeout, busyWindow: busyWindow, heardAt: time.Now()}
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.timer = time.AfterFunc(timeout, w.expire)
+	w.timer = time.AfterFunc(min(timeout, u.linkGrace()), w.expire)
 	return w
 }
 
-// expire runs when the timer fires: it extends the timeout or cancels the attempt.
+// expire runs when the timer fires: it checks the link, extends the timeout or cancels the attempt.
 func (w *watchdog) expire() {
 	w.lock.Lock()
 	defer w.lock.Unlock()
+	q := time.Since(w.heardAt)
 	switch {
 	case w.stopped:
+	case q < w.limit && w.attempt.checkLink(q):
+		w.attempt.cancel()
+	case q < w.limit:
+		w.timer.Reset(min(w.limit-q, linkCheckInterval))
 	case !w.extended && w.busyWindow > 0 && w.attempt.job.relay.Endpoints.ActiveSince(w.attempt.choice.ID, time.Now().Add(-w.busyWindow)):
 		w.extended = true
-		w.timer.Reset(busyTimeoutFactor * w.timeout)
+		w.limit = q + busyTimeoutFactor*w.timeout
+		w.timer.Reset(linkCheckInterval)
 	default:
 		w.attempt.cancel()
 	}
@@ -92,8 +106,8 @@
 func (w *watchdog) reset() {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.extended = false
-	w.timer.Reset(w.timeout)
+	w.extended, w.limit, w.heardAt = false, w.timeout, time.Now()
+	w.timer.Reset(min(w.timeout, eventLinkGrace))
 }
 
 // stop ends the watchdog. It does not cancel the attempt afterwards.
@@ -122,7 +136,7 @@
 func (u *upstreamAttempt) log() *logrus.Entry {
 	return u.job.log().WithFields(logrus.Fields{
 		"endpoint": u.choice.ID, "address": u.choice.Address, "version": u.choice.Version, "model": u.job.model(), "send": u.job.sends,
-		"load": u.choice.Load.Requests, "backlog": u.choice.Load.Backlog, "estimate": u.choice.Wait.Milliseconds(), "candidates": u.choice.Candidates,
+		"load": u.choice.Load.Requests, "backlog": u.choice.Load.Backlog, "estimate": u.choice.Wait.Milliseconds(), "candidates": u.choice.Candidates, "relayed-by": u.helper(),
 		"took": time.Since(u.sent).Milliseconds(),
 	})
 }
@@ -131,8 +145,9 @@
 func (u *upstreamAttempt) handleReply(r Reply) nextStep {
 	j := u.job
 	u.begin()
+	b := u.recordOpening(r)
 	if r.Body != nil {
-		j.relay.Endpoints.RecordActivity(u.choice.ID, time.Now())
+		j.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
 	}
 	if r.Status != 0 && j.relay.Endpoints.RecordLimit(u.choice.ID, r.Limit, time.Now()) {
 		u.log().WithField("limit", float64(r.Limit)).Info("attempt: the endpoint names another limit")
@@ -146,7 +161,7 @@
 	}
 	switch r.Verdict {
 	case NotRun:
-		return u.handleNotRun(r)
+		return u.handleNotRun(r, b)
 	case Unknown:
 		u.recordFault(r, wait)
 		u.recordBreak(r.Cause)
@@ -171,26 +186,19 @@
 
 // handleNotRun records that the endpoint did not run the request. A reply without a status was never delivered and
 // does not count as a send.
-func (u *upstreamAttempt) handleNotRun(r Reply) nextStep {
+func (u *upstreamAttempt) handleNotRun(r Reply, ejected time.Duration) nextStep {
 	j := u.job
 	j.tried[u.choice.ID] = true
 	if _, err := u.readSideBody(r); err != nil && r.Body != nil {
 		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
 	}
-	var b time.Duration
 	if r.WrongEndpoint {
 		j.relay.Endpoints.MarkReplaced(u.choice.ID)
 	}
-	if r.Refused || r.WrongEndpoint {
+	if r.WrongEndpoint || r.Refused && u.hasEnded() {
 		u.recordEnd()
 	}
-	switch {
-	case r.Refused:
-		b = j.relay.Endpoints.RecordRefused(u.choice.ID, time.Now())
-	case r.Unreachable:
-		b = j.relay.Endpoints.RecordUnreachable(u.choice.ID, time.Now())
-	}
-	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "cause": causeText(r), "banned": b.Milliseconds()}).Info("attempt: the endpoint did not run the request")
+	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "cause": causeText(r), "banned": ejected.Milliseconds()}).Info("attempt: the endpoint did not run the request")
 	if r.Status == 0 {
 		j.sends--
 		j.undelivered++
@@ -207,8 +215,8 @@
 		j.mayHaveRun = true
 		j.runs++
 	}
-	u.tallyAnswer(true, wait)
-	b := j.relay.Endpoints.RecordFault(u.choice.ID, time.Now())
+	u.tallyFault(r.Status != 0, wait)
+	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
 	u.log().WithFields(logrus.Fields{"outcome": r.Verdict.String(), "status": r.Status, "cause": causeText(r), "banned": b.Milliseconds()}).Warn("attempt: the endpoint failed")
 }
 
@@ -220,8 +228,8 @@
 		u.tallyLeaver(w)
 	}
 	if u.job.callerContext.Err() == nil {
-		u.tallyAnswer(true, w)
-		u.job.relay.Endpoints.RecordFault(u.choice.ID, time.Now())
+		u.tallyFault(false, w)
+		u.job.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
 		u.log().WithField("outcome", "timed-out").Warn("attempt: no answer in time")
 	}
 }
@@ -229,7 +237,7 @@
 // recordStart records that the endpoint began a usable answer after wait. For a stream, the wait also updates the
 // measured prefill time of the model.
 func (u *upstreamAttempt) recordStart(wait time.Duration) {
-	u.job.relay.Endpoints.RecordSuccess(u.choice.ID, wait, u.choice.Wait)
+	u.job.relay.Endpoints.RecordSuccess(u.choice.ID, u.way, wait, u.choice.Wait)
 	u.tallyAnswer(false, wait)
 	u.job.relay.demands.addWait(u.job.service.Name, wait, u.choice.Wait)
 	if u.job.route.Kind == table.Stream && !u.onTrial() {
@@ -258,6 +266,16 @@
 	u.count(func(t canary.Tally) canary.Tally { return t.WithAnswer(failed, wait, u.choice.Expected) })
 }
 
+// tallyFault counts a failed run. A run without an answer is counted like one whose caller left if this host's own link may
+// be the reason, since it says nothing about the version then.
+func (u *upstreamAttempt) tallyFault(answered bool, wait time.Duration) {
+	if !answered && u.linkDoubted() {
+		u.count(canary.Tally.WithLeaver)
+		return
+	}
+	u.tallyAnswer(true, wait)
+}
+
 // tallyLeaver counts a request whose caller left after wait: as a slow answer if it was one by then.
 func (u *upstreamAttempt) tallyLeaver(wait time.Duration) {
 	if canary.IsSlow(wait, u.choice.Expected) {
@@ -283,7 +301,7 @@
 
 // tallyBreak counts an answer as failed that has broken off, if its start was counted.
 func (u *upstreamAttempt) tallyBreak() {
-	if u.tally.Serial > 0 {
+	if u.tally.Serial > 0 && !u.linkDoubted() {
 		u.job.relay.tallies.update(u.tally, func(t canary.Tally) canary.Tally { return t.WithLateFailure(u.slow) })
 	}
 }
--- a/relay/break.go
+++ b/relay/break.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 )
 
@@ -29,9 +30,7 @@
 		return
 	}
 	u.job.addDigest()
-	c, f := context.WithTimeout(u.context, probeTimeout)
-	defer f()
-	l := u.job.relay.Sender.Probe(c, u.choice.Address)
+	l := u.probe()
 	v := u.run()
 	u.log().WithError(cause).WithFields(logrus.Fields{
 		"born": v.Boot.Born, "liveness": l.String(), "answering": u.job.answering, "suspect-for": v.Age.Milliseconds(), "keys": u.job.keys,
@@ -40,12 +39,21 @@
 		return
 	}
 	u.job.relay.Poison.Broke(v, u.job.relay.sinceStart())
-	if l == Ended {
-		u.job.relay.Endpoints.RecordRefused(u.choice.ID, time.Now())
+	if l == Ended && u.hasEnded() {
 		u.recordEnd()
 	}
 }
 
+// probe finds out whether the endpoint still runs. The way through another host doesn't tell.
+func (u *upstreamAttempt) probe() Liveness {
+	if u.way != pick.Direct {
+		return Unclear
+	}
+	c, f := context.WithTimeout(u.context, probeTimeout)
+	defer f()
+	return u.job.relay.probe(c, u.choice.Report)
+}
+
 // run returns what the suspicion of a request is based on: what was in flight where, and for how long.
 func (u *upstreamAttempt) run() poison.Run {
 	j := u.job
--- a/relay/job.go
+++ b/relay/job.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -73,6 +74,13 @@
 	sent   time.Time
 	// answering is set once the endpoint of the latest attempt has begun a usable answer.
 	answering bool
+	// helper is the host through which the latest attempt went, if that wasn't sent directly. refusedBy holds the hosts that
+	// declined this request or didn't respond, and hops counts the attempts that ended so.
+	helper    assist.Helper
+	refusedBy map[string]bool
+	hops      int
+	// hopWait is the time after which a host that declined the request may be asked again.
+	hopWait time.Duration
 	// limitWait is the time until the limits of the service's endpoints let another request through, or 0.
 	limitWait time.Duration
 	// keys are what the request may have in common with requests that end endpoints.
@@ -189,6 +197,10 @@
 	ended
 	// overloaded means that no endpoint is expected to begin its answer before the deadline.
 	overloaded
+	// declined means that another host, through which the request was to go, didn't begin to send it.
+	declined
+	// cutOff means that this host reaches no endpoint and no host that does.
+	cutOff
 	// quarantined means that the request is held back because requests like it end the endpoints that run them.
 	quarantined
 )
@@ -197,10 +209,12 @@
 // retry budget; an escalation was taken from it before. If a limit prevents the retry, mayRetry sets noRetryReason.
 func (j *job) mayRetry(v nextStep) bool {
 	switch v {
-	case noEndpoint, ended, overloaded, quarantined:
+	case noEndpoint, ended, overloaded, quarantined, cutOff:
 		return false
 	case escalate:
 		return true
+	case declined:
+		return j.hops < maxHops && time.Until(j.deadline) >= answerMargin
 	case rerun:
 		if !j.route.Idempotent() || j.runs >= max(1, j.route.Attempts) {
 			j.noRetryReason = "attempts"
@@ -252,6 +266,8 @@
 		j.refuse(Expired, noEndpointRetryAfter)
 	case v == overloaded:
 		j.refuse(Overloaded, j.retryAfter())
+	case v == cutOff, v == declined:
+		j.refuse(CutOff, j.cutOffRetryAfter())
 	default:
 		j.refuse(NoEndpoint, noEndpointRetryAfter)
 	}
@@ -271,6 +287,12 @@
 		return quarantined
 	}
 	n := j.endpointRequest()
+	if !j.findWay(ctx, &n) {
+		return cutOff
+	}
+	if n.Way == pick.Relayed {
+		defer j.relay.Helpers.End(j.helper.Host)
+	}
 	c, ok := j.relay.Endpoints.Choose(n, time.Now())
 	for ; !ok && j.runs > 0 && len(j.tried) > 0 && j.awaitRetryRound(ctx); j.retryRounds++ {
 		j.tried = map[string]bool{}
@@ -284,7 +306,7 @@
 		}
 		return noEndpoint
 	}
-	u := &upstreamAttempt{job: j, choice: c, work: n.Work, sent: time.Now()}
+	u := &upstreamAttempt{job: j, choice: c, way: n.Way, work: n.Work, sent: time.Now()}
 	defer u.end()
 	j.choice = c
 	if time.Until(j.deadline) < c.Wait && !j.answerBegun {
@@ -306,11 +328,14 @@
 	defer f()
 	u.context, u.cancel = x, f
 	w := u.startWatchdog(j.startTimeout(c.Wait), j.busyWindow())
-	r := j.relay.Sender.Send(x, a)
+	r, h := u.send(a)
 	w.stop()
 	if r.Body != nil {
 		defer r.Body.Close() //nolint:errcheck // closing ends the attempt; the answer was handled before
 	}
+	if h.Result != Delivered {
+		return u.handleHop(r, h)
+	}
 	return u.handleReply(r)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
@@ -21,7 +22,11 @@
 
 // Options holds what a Relay depends on.
 type Options struct {
-	Sender    Sender
+	Sender Sender
+	// Detour sends requests through other hosts, or is nil. Helpers holds the hosts that may be used; New makes an empty one
+	// if it is nil.
+	Detour    Detour
+	Helpers   *assist.Board
 	Endpoints *pick.Set
 	Budget    *RetryBudget
 	Log       *logrus.Logger
@@ -50,7 +55,12 @@
 	// errors holds the error rates of the model tiers, as their answers' confidence tells them.
 	errors  *tiers.Ledger
 	demands demands
-	tallies tallies
+	// linkWake wakes the prober of links, and seekWake what looks for other hosts to send requests through.
+	linkWake, seekWake chan struct{}
+	// seekingSince is when this host last began to look for other hosts, in Unix nanoseconds. soughtAt is when it last
+	// needed one.
+	seekingSince, soughtAt atomic.Int64
+	tallies                tallies
 	// Poison finds out which requests end the endpoints that run them. Its times are those since start.
 	Poison *poison.Observer
 }
@@ -60,7 +70,11 @@
 	if o.Weights == (tiers.Weights{}) {
 		o.Weights = tiers.DefaultWeights()
 	}
+	if o.Helpers == nil {
+		o.Helpers = assist.NewBoard("")
+	}
 	r := &Relay{
+		linkWake: make(chan struct{}, 1), seekWake: make(chan struct{}, 1),
 		Options: o, start: time.Now(), durations: newDurationAverages(), Prefill: ttft.New(), tallies: tallies{byKey: map[string]canary.Tally{}},
 		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -9,11 +9,12 @@
 	"net/http"
 	"time"
 
+	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
 )
 
-//go:generate go tool stringer -type=Verdict,Reason,Liveness -linecomment -output=enum_string.go
+//go:generate go tool stringer -type=Verdict,Reason,Liveness,HopResult -linecomment -output=enum_string.go
 
 // Prompt describes the size of a request, as declared by the caller.
 type Prompt struct {
@@ -125,6 +126,8 @@
 	EndsWithConnection bool
 	// Refused is set if the host of the endpoint refused the connection: the process has ended.
 	Refused bool
+	// Connected is set if a connection was opened for the attempt, rather than one used again.
+	Connected bool
 	// Unreachable is set if no connection to the endpoint could be made, so that no byte of the request reached it.
 	Unreachable bool
 }
@@ -138,6 +141,34 @@
 	Probe(ctx context.Context, address string) Liveness
 }
 
+// Detour sends requests to endpoints through other hosts.
+type Detour interface {
+	// Send is like Sender.Send through another host. If the host didn't begin or broke off, hop says so; the reply then tells
+	// whether the request may have run.
+	Send(ctx context.Context, h assist.Helper, a Attempt) (r Reply, hop Hop)
+}
+
+// HopResult says what became of a request on the way through another host.
+type HopResult int
+
+// Results of hops.
+const (
+	// Delivered means that the other host began to send the request. The reply is about the endpoint.
+	Delivered HopResult = iota // delivered
+	// Declined means that the other host will not send the request.
+	Declined // declined
+	// Lost means that the other host didn't respond, or that the connection to it broke off.
+	Lost // lost
+)
+
+// Hop is the part of an attempt between two hosts.
+type Hop struct {
+	Result HopResult
+	// Reason says why the host declined, and RetryAfter when it may be asked again.
+	Reason     string
+	RetryAfter time.Duration
+}
+
 // Sink writes the answer to the caller.
 type Sink interface {
 	// Begin writes the head of an endpoint's answer. length is the length of the body in bytes, or -1 if it is
@@ -178,6 +209,9 @@
 	HeldBack // held-back
 	// Expired means that the deadline has passed and the request has not run.
 	Expired // expired-not-run
+	// CutOff means that this host reaches no endpoint and knows no other host that does and has room. The request has not
+	// run.
+	CutOff // cut-off
 )
 
 // Refusal is an answer of this host in place of an endpoint.
@@ -189,7 +223,7 @@
 
 // NotRun reports whether the refusal states that the request has not run.
 func (r Refusal) NotRun() bool {
-	return r.Reason == NoConfiguration || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == HeldBack || r.Reason == Expired
+	return r.Reason == NoConfiguration || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == HeldBack || r.Reason == Expired || r.Reason == CutOff
 }
 
 // Liveness says whether the process of an endpoint still runs.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -56,7 +56,7 @@
 		return ended
 	}
 	u.tallyBreak()
-	b := j.relay.Endpoints.RecordFault(u.choice.ID, time.Now())
+	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
 	u.log().WithError(err).WithField("last-event", j.lastEventID).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
 	j.tried[u.choice.ID] = true
 	u.recordBreak(err)
@@ -136,7 +136,7 @@
 				e = e[:0]
 				continue
 			}
-			j.relay.Endpoints.RecordActivity(u.choice.ID, time.Now())
+			j.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
 			if id, ok := eventID(e); ok {
 				j.lastEventID = id
 			}
