--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,319 @@
+package proxy_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/dial"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/proxy"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+)
+
+// endpoint is the one that attempts of the tests go to.
+var endpoint = fleet.Report{ID: "i-1", Service: "s", Address: "10.0.0.1:1", DataCentre: "c", Version: "v1", Born: 7}
+
+// sender is a fake relay.Sender of the host that helps.
+type sender struct {
+	lock     sync.Mutex
+	attempts []relay.Attempt
+	answer   func(ctx context.Context) relay.Reply
+}
+
+func (s *sender) Probe(context.Context, string) relay.Liveness { return relay.Alive }
+
+func (s *sender) Send(ctx context.Context, a relay.Attempt) relay.Reply {
+	s.lock.Lock()
+	s.attempts = append(s.attempts, a)
+	s.lock.Unlock()
+	return s.answer(ctx)
+}
+
+// count returns the number of attempts that were sent to the endpoint.
+func (s *sender) count() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return len(s.attempts)
+}
+
+// answering returns an answer with a body.
+func answering(b io.Reader) func(context.Context) relay.Reply {
+	return func(context.Context) relay.Reply {
+		return relay.Reply{Verdict: relay.Ran, Status: 200, Header: http.Header{"X-A": {"1", "2"}}, Confidence: 40, Length: -1, Limit: 2.5, Body: io.NopCloser(b)}
+	}
+}
+
+// helping is a host that sends requests for others.
+type helping struct {
+	sender   *sender
+	bound    *assist.Bound
+	stopping bool
+	address  string
+}
+
+// startHelping starts a host that sends requests for others.
+func startHelping(t testing.TB, answer func(context.Context) relay.Reply) *helping {
+	t.Helper()
+	h := &helping{sender: &sender{answer: answer}, bound: assist.NewBound(0, 0)}
+	p := pick.NewSet("c")
+	p.Replace([]fleet.Report{endpoint})
+	g := logrus.New()
+	g.SetOutput(io.Discard)
+	r := relay.New(relay.Options{Sender: h.sender, Endpoints: p, Log: g, Metrics: metrics.NewSet(), Budget: relay.NewRetryBudget(1, 1, time.Second)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.address = l.Addr().String()
+	s := proxy.NewServer(proxy.Options{Token: "secret", Relay: r, Bound: h.bound, Stopping: func() bool { return h.stopping }, Log: g, Metrics: metrics.NewSet()})
+	v := serving{s, l}
+	go v.run()
+	t.Cleanup(func() {
+		_ = l.Close() // the test is over
+		s.Close()
+	})
+	return h
+}
+
+// serving is a server and its listener.
+type serving struct {
+	server   *proxy.Server
+	listener net.Listener
+}
+
+func (s serving) run() { s.server.Serve(s.listener) }
+
+// helper names the host under an address.
+func helper(address string) assist.Helper {
+	return assist.Helper{Host: "h", Address: address, Token: "secret"}
+}
+
+// attempt returns an attempt with a body.
+func attempt() relay.Attempt {
+	return relay.Attempt{
+		Request:  &relay.Request{ID: "r1", Method: "POST", Host: "h.example", Target: "/a%2Fb?q=%20", Key: "k", Header: http.Header{"X-Kept": {"1"}}, Body: []byte("body\x00"), Prompt: relay.Prompt{Tokens: 5}},
+		Endpoint: endpoint, Account: "t", Model: "m", Remaining: 5 * time.Second, ResumeAfter: "3", Priority: 2, MaxConnections: 4,
+	}
+}
+
+func client() *proxy.Client { return &proxy.Client{Host: "me", Start: "1", Pool: dial.NewPool()} }
+
+func TestAttemptCrossesUnchanged(t *testing.T) {
+	i := is.New(t)
+	h := startHelping(t, func(ctx context.Context) relay.Reply { return answering(bytes.NewBufferString("answer"))(ctx) })
+	c := client()
+	for range 2 {
+		r, p := c.Send(context.Background(), helper(h.address), attempt())
+		i.Equal(p.Result, relay.Delivered)
+		b, err := io.ReadAll(r.Body)
+		i.NoErr(err)
+		i.Equal(string(b), "answer")
+		r.Body = nil
+		i.Equal(r, relay.Reply{Verdict: relay.Ran, Status: 200, Header: http.Header{"X-A": {"1", "2"}}, Confidence: 40, Length: -1, Limit: 2.5})
+	}
+	i.Equal(h.sender.count(), 2)
+	a, w := h.sender.attempts[0], attempt()
+	i.True(a.Remaining > 4*time.Second && a.Remaining <= 5*time.Second)
+	i.Equal(a.MaxConnections, 8) // the share of the asking host is free
+	i.Equal(a.Key, "")
+	w.Key, w.Remaining, w.MaxConnections = "", a.Remaining, 8
+	i.Equal(a, w)
+}
+
+// Guards against events that wait at the host in the middle.
+func TestEventsPassAsTheyArrive(t *testing.T) {
+	i := is.New(t)
+	r, w := io.Pipe()
+	h := startHelping(t, answering(r))
+	p, _ := client().Send(context.Background(), helper(h.address), attempt())
+	for range 3 {
+		_, err := io.WriteString(w, "event\n\n")
+		i.NoErr(err)
+		b := make([]byte, 7)
+		_, err = io.ReadFull(p.Body, b)
+		i.NoErr(err)
+	}
+	i.NoErr(w.CloseWithError(errors.New("reset")))
+	_, err := io.ReadAll(p.Body)
+	i.True(err != nil) // an answer that breaks off doesn't look complete
+}
+
+// Guards against runs that go on at an endpoint after their callers have left.
+func TestRunEndsSoonAfterCallerLeaves(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		i := is.New(t)
+		ended := make(chan time.Time, 1)
+		h := startHelping(t, func(ctx context.Context) relay.Reply {
+			context.AfterFunc(ctx, func() { ended <- time.Now() })
+			if !begun {
+				<-ctx.Done()
+				return relay.Reply{Verdict: relay.Unknown}
+			}
+			r, _ := io.Pipe()
+			return answering(r)(ctx)
+		})
+		c, f := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, f)
+		r, _ := client().Send(c, helper(h.address), attempt())
+		if r.Body != nil {
+			<-c.Done()
+			i.NoErr(r.Body.Close())
+		}
+		b := time.Now()
+		i.True((<-ended).Sub(b) < 500*time.Millisecond)
+	}
+}
+
+// wall forwards connections to a host, and holds back or drops what passes on the first one.
+type wall struct {
+	listener   net.Listener
+	target     string
+	dropAnswer bool
+	release    chan struct{}
+}
+
+// startWall returns a wall before a host. Without dropAnswer it holds back the call until release is closed.
+func startWall(t *testing.T, target string, dropAnswer bool) *wall {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wall{listener: l, target: target, dropAnswer: dropAnswer, release: make(chan struct{})}
+	go w.run()
+	t.Cleanup(func() { _ = l.Close() }) // the test is over
+	return w
+}
+
+func (w *wall) run() {
+	for n := 0; ; n++ {
+		c, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		s, err := net.Dial("tcp", w.target)
+		if err != nil {
+			return
+		}
+		x, y := copying{from: c, to: s}, copying{from: s, to: c}
+		if n == 0 && w.dropAnswer {
+			y.to = io.Discard
+		} else if n == 0 {
+			x.wait = w.release
+		}
+		go x.run()
+		go y.run()
+	}
+}
+
+// copying copies one direction of a connection, after wait is closed if it isn't nil.
+type copying struct {
+	from io.Reader
+	to   io.Writer
+	wait chan struct{}
+}
+
+func (c copying) run() {
+	if c.wait != nil {
+		<-c.wait
+	}
+	_, _ = io.Copy(c.to, c.from) // ends with the connection
+}
+
+// Guards against a request that runs though its caller was told that it doesn't: the call is delayed and arrives after all.
+func TestDelayedCallDoesNotBeginOnceRevoked(t *testing.T) {
+	i := is.New(t)
+	h := startHelping(t, answering(bytes.NewBufferString("late")))
+	w := startWall(t, h.address, false)
+	r, p := client().Send(context.Background(), helper(w.listener.Addr().String()), attempt())
+	i.Equal(p.Result, relay.Lost)
+	i.Equal(r.Verdict, relay.NotRun)
+	close(w.release)
+	time.Sleep(200 * time.Millisecond)
+	i.Equal(h.sender.count(), 0)
+}
+
+// Guards against running a request a second time because the news that it has begun was lost.
+func TestBegunCallIsUnknownIfItsAnswerIsLost(t *testing.T) {
+	i := is.New(t)
+	h := startHelping(t, answering(bytes.NewBufferString("lost")))
+	w := startWall(t, h.address, true)
+	r, p := client().Send(context.Background(), helper(w.listener.Addr().String()), attempt())
+	i.Equal(p.Result, relay.Lost)
+	i.Equal(r.Verdict, relay.Unknown)
+	i.Equal(h.sender.count(), 1)
+}
+
+func TestHostDownIsNotRun(t *testing.T) {
+	i := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	i.NoErr(l.Close())
+	r, p := client().Send(context.Background(), helper(l.Addr().String()), attempt())
+	i.Equal(p.Result, relay.Lost)
+	i.Equal(r.Verdict, relay.NotRun)
+}
+
+func TestCallsAreDeclined(t *testing.T) {
+	for n, c := range map[string]struct {
+		change func(*helping, *assist.Helper, *relay.Attempt)
+		reason string
+	}{
+		"another start of the host":     {func(_ *helping, h *assist.Helper, _ *relay.Attempt) { h.Token = "old" }, "unknown token"},
+		"the host stops":                {func(h *helping, _ *assist.Helper, _ *relay.Attempt) { h.stopping = true }, "stopping"},
+		"unknown endpoint":              {func(_ *helping, _ *assist.Helper, a *relay.Attempt) { a.Endpoint.ID = "i-2" }, "endpoint not reached"},
+		"another start of the endpoint": {func(_ *helping, _ *assist.Helper, a *relay.Attempt) { a.Endpoint.Born = 8 }, "endpoint not reached"},
+		"no room": {func(h *helping, _ *assist.Helper, _ *relay.Attempt) {
+			for ok := true; ok; {
+				_, ok = h.bound.Take("o", 2, 0, time.Now())
+			}
+		}, "busy"},
+	} {
+		t.Run(n, func(t *testing.T) {
+			i := is.New(t)
+			h := startHelping(t, answering(bytes.NewBufferString("")))
+			x, a := helper(h.address), attempt()
+			c.change(h, &x, &a)
+			r, p := client().Send(context.Background(), x, a)
+			i.Equal(p.Result, relay.Declined)
+			i.Equal(p.Reason, c.reason)
+			i.True(p.RetryAfter > 0)
+			i.Equal(r.Verdict, relay.NotRun)
+			i.Equal(h.sender.count(), 0)
+		})
+	}
+}
+
+// FuzzCall checks that no bytes make the host panic or send a request.
+func FuzzCall(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 0, 2, '{', '}', 1, 0, 0, 0, 0})
+	f.Add([]byte{2, 0, 0, 0, 2, '{', '}'})
+	f.Add([]byte{0, 255, 255, 255, 255})
+	h := startHelping(f, answering(bytes.NewBufferString("")))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := net.Dial("tcp", h.address)
+		if err != nil {
+			t.Skip()
+		}
+		_, _ = c.Write(b) // the host may close the connection early
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+		if h.sender.count() > 0 {
+			t.Error("a request was sent")
+		}
+	})
+}
