Judge links by service and data centre, and use others where few endpoints are left

Cause: one reachable endpoint, or one of another service in the same data centre, ruled a cut out, and with all endpoints ejected the unreachable ones were tried in turn.

- A link is that to the endpoints of one service in one data centre; a cut raises doubts about the others.
What hosts report of each other names both.
- Where some links are cut and what is left would answer late, a request goes through a host that reaches the rest.
Endpoints on cut links come last.
- Fewer probes: two at first, and a doubt without a failed opening at most once a second.

Ruled out: a share of unreachable endpoints as the sign (a herd of ends looks alike).

--- a/assist/assist.go
+++ b/assist/assist.go
@@ -6,6 +6,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 )
 
 const (
@@ -25,8 +27,8 @@
 	Address string
 	// Token proves to the host that a control host has named it. Another start of the host has another token.
 	Token string
-	// AnsweredAt holds when the host last got an answer or opened a connection, by service.
-	AnsweredAt map[string]time.Time
+	// AnsweredAt holds when the host last got an answer or opened a connection.
+	AnsweredAt map[ctlrpc.Pool]time.Time
 	// Taken is the number of requests that the host has in flight for others.
 	Taken int
 }
@@ -71,26 +73,49 @@
 	maps.DeleteFunc(b.helpers, func(_ string, e *entry) bool { return e.sent == 0 && now.Sub(e.namedAt) > maxReportAge })
 }
 
-// Choose returns a host that has reached endpoints of a service after since, which is when this host lost them, and counts
-// the request as sent there until End. It prefers hosts in the own data centre and those with little to do for others.
-// tried holds the names of hosts that must not be chosen.
-func (b *Board) Choose(service string, since, now time.Time, tried map[string]bool) (h Helper, ok bool) {
+// reached returns the data centres in which the helper has reached endpoints of a service after this host lost them.
+func (h Helper) reached(service string, lost map[string]time.Time) map[string]bool {
+	var r map[string]bool
+	for c, t := range lost {
+		if !h.AnsweredAt[ctlrpc.Pool{Service: service, DataCentre: c}].After(t) {
+			continue
+		}
+		if r == nil {
+			r = map[string]bool{}
+		}
+		r[c] = true
+	}
+	return r
+}
+
+// Choice is a host through which a request may go.
+type Choice struct {
+	Helper
+	// Centres holds the data centres in which the host has reached endpoints of the service.
+	Centres map[string]bool
+}
+
+// Choose returns a host that has reached endpoints of a service after this host lost them, and counts the request as sent
+// there until End. lost holds the data centres in which this host reaches none of them, and since when. Choose prefers
+// hosts in the own data centre and those with little to do for others. tried holds the names of hosts that must not be
+// chosen.
+func (b *Board) Choose(service string, lost map[string]time.Time, now time.Time, tried map[string]bool) (c Choice, ok bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	var best *entry
 	for _, e := range b.helpers {
-		if tried[e.Host] || now.Before(e.pausedUntil) || now.Sub(e.namedAt) > maxReportAge || !e.AnsweredAt[service].After(since) {
+		if tried[e.Host] || now.Before(e.pausedUntil) || now.Sub(e.namedAt) > maxReportAge || best != nil && b.load(e) >= b.load(best) {
 			continue
 		}
-		if best == nil || b.load(e) < b.load(best) {
-			best = e
+		if r := e.reached(service, lost); r != nil {
+			best, c = e, Choice{e.Helper, r}
 		}
 	}
 	if best == nil {
-		return Helper{}, false
+		return c, false
 	}
 	best.sent++
-	return best.Helper, true
+	return c, true
 }
 
 // load returns what a host has to do for others, as it counts for the choice. Taken holds what this host had sent by then;
--- a/assist/assist_test.go
+++ b/assist/assist_test.go
@@ -8,15 +8,19 @@
 	"github.com/matryer/is"
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 )
 
 var epoch = time.Unix(1000, 0)
 
+// lost returns the data centre x as lost since a time.
+func lost(since time.Time) map[string]time.Time { return map[string]time.Time{"x": since} }
+
 // helpers returns hosts that were answered a number of seconds after epoch. Every second one is in another data centre.
 func helpers(answered ...int) []assist.Helper {
 	var r []assist.Helper
 	for n, a := range answered {
-		r = append(r, assist.Helper{Host: fmt.Sprint("h", n), DataCentre: fmt.Sprint("c", n%2), AnsweredAt: map[string]time.Time{"s": epoch.Add(time.Duration(a) * time.Second)}})
+		r = append(r, assist.Helper{Host: fmt.Sprint("h", n), DataCentre: fmt.Sprint("c", n%2), AnsweredAt: map[ctlrpc.Pool]time.Time{{Service: "s", DataCentre: "x"}: epoch.Add(time.Duration(a) * time.Second)}})
 	}
 	return r
 }
@@ -27,14 +31,14 @@
 	b := assist.NewBoard("c0")
 	now := epoch.Add(5 * time.Second)
 	b.Set(helpers(3, 4, 5), now)
-	h, ok := b.Choose("s", epoch.Add(4*time.Second), now, nil)
+	h, ok := b.Choose("s", lost(epoch.Add(4*time.Second)), now, nil)
 	i.True(ok)
 	i.Equal(h.Host, "h2")
-	_, ok = b.Choose("s", epoch.Add(4*time.Second), now, map[string]bool{"h2": true})
+	_, ok = b.Choose("s", lost(epoch.Add(4*time.Second)), now, map[string]bool{"h2": true})
 	i.True(!ok)
-	_, ok = b.Choose("other", epoch, now, nil)
+	_, ok = b.Choose("other", lost(epoch), now, nil)
 	i.True(!ok)
-	_, ok = b.Choose("s", epoch, now.Add(3*time.Second), nil) // no news since
+	_, ok = b.Choose("s", lost(epoch), now.Add(3*time.Second), nil) // no news since
 	i.True(!ok)
 }
 
@@ -45,7 +49,7 @@
 	b.Set(helpers(1, 1, 1, 1), epoch)
 	n := map[string]int{}
 	for range 120 {
-		h, ok := b.Choose("s", epoch, epoch, nil)
+		h, ok := b.Choose("s", lost(epoch), epoch, nil)
 		i.True(ok)
 		n[h.Host]++
 	}
@@ -60,17 +64,17 @@
 	b := assist.NewBoard("c0")
 	b.Set(helpers(1), epoch)
 	b.Decline("h0", 100*time.Millisecond, epoch)
-	_, ok := b.Choose("s", epoch, epoch.Add(50*time.Millisecond), nil)
+	_, ok := b.Choose("s", lost(epoch), epoch.Add(50*time.Millisecond), nil)
 	i.True(!ok)
-	_, ok = b.Choose("s", epoch, epoch.Add(150*time.Millisecond), nil)
+	_, ok = b.Choose("s", lost(epoch), epoch.Add(150*time.Millisecond), nil)
 	i.True(ok)
 	b.Fail("h0", epoch.Add(200*time.Millisecond))
-	_, ok = b.Choose("s", epoch, epoch.Add(300*time.Millisecond), nil)
+	_, ok = b.Choose("s", lost(epoch), epoch.Add(300*time.Millisecond), nil)
 	i.True(!ok)
 	h := helpers(1)
 	h[0].Token = "new start"
 	b.Set(h, epoch.Add(300*time.Millisecond))
-	_, ok = b.Choose("s", epoch, epoch.Add(300*time.Millisecond), nil)
+	_, ok = b.Choose("s", lost(epoch), epoch.Add(300*time.Millisecond), nil)
 	i.True(ok)
 }
 
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -61,6 +61,12 @@
 	Poison poison.Report
 }
 
+// Pool names the endpoints of a service in a data centre.
+type Pool struct {
+	Service    string
+	DataCentre string
+}
+
 // Assist is what an entry host reports for hosts that reach no endpoint.
 type Assist struct {
 	// DataCentre is that of the host, and Address where it takes requests of other hosts.
@@ -68,9 +74,9 @@
 	Address    string
 	// Token is what requests of other hosts have to hold. It differs between starts.
 	Token string
-	// Answered holds how long ago the host last got an answer or opened a connection, by service. Only endpoints that it
-	// reaches directly count.
-	Answered map[string]time.Duration
+	// Answered holds how long ago the host last got an answer or opened a connection. Only endpoints that it reaches directly
+	// count.
+	Answered map[Pool]time.Duration
 	// Taken is the number of requests that the host has in flight for others.
 	Taken int
 	// Stopping is set if the host takes no requests of others because it stops.
--- a/ctrl/helpers.go
+++ b/ctrl/helpers.go
@@ -12,23 +12,23 @@
 )
 
 const (
-	// helpersPerService is the number of entry hosts that are named for each service.
-	helpersPerService = 4
-	// maxHelperAge is the age of a host's last answer from a service from which the host isn't named for it.
+	// helpersPerPool is the number of entry hosts that are named for the endpoints of each service in each data centre.
+	helpersPerPool = 4
+	// maxHelperAge is the age of a host's last answer from which the host isn't named.
 	maxHelperAge = 1500 * time.Millisecond
 	// takenStep is the number of requests taken for others by which one host counts as busier than another.
 	takenStep = 8
 )
 
-// Helpers returns the entry hosts through which another one may send requests: for each service a few that were answered
-// there lately, those in the data centre of the asking host and those with little to do for others first. Hosts that ask
+// Helpers returns the entry hosts through which another one may send requests: for the endpoints of each service in each data
+// centre a few that were answered there lately, those in the data centre of the asking host and those with little to do for others first. Hosts that ask
 // get different ones among equals.
 func (s State) Helpers(q ctlrpc.HelperRequest) []ctlrpc.NamedHelper {
 	l := s.assistingHosts(q.Host)
 	r := map[string]ctlrpc.NamedHelper{}
-	for _, service := range servicesOf(l) {
+	for p := range poolsOf(l) {
 		k := slices.DeleteFunc(slices.Clone(l), func(h ctlrpc.NamedHelper) bool {
-			a, ok := h.Answered[service]
+			a, ok := h.Answered[p]
 			return !ok || a > maxHelperAge
 		})
 		slices.SortFunc(k, func(a, b ctlrpc.NamedHelper) int {
@@ -44,17 +44,17 @@
 	return slices.Collect(maps.Values(r))
 }
 
-// spread returns helpersPerService of sorted hosts. Half of them are in other data centres, if there are any, since all of a
+// spread returns helpersPerPool of sorted hosts. Half of them are in other data centres, if there are any, since all of a
 // data centre may have lost the same links.
 func spread(hosts []ctlrpc.NamedHelper, dataCentre string) []ctlrpc.NamedHelper {
-	if len(hosts) <= helpersPerService {
+	if len(hosts) <= helpersPerPool {
 		return hosts
 	}
 	n := slices.IndexFunc(hosts, func(h ctlrpc.NamedHelper) bool { return h.DataCentre != dataCentre })
-	if n < 0 || n <= helpersPerService/2 {
-		return hosts[:helpersPerService]
+	if n < 0 || n <= helpersPerPool/2 {
+		return hosts[:helpersPerPool]
 	}
-	return append(slices.Clone(hosts[:helpersPerService/2]), hosts[n:min(len(hosts), n+helpersPerService/2)]...)
+	return append(slices.Clone(hosts[:helpersPerPool/2]), hosts[n:min(len(hosts), n+helpersPerPool/2)]...)
 }
 
 // assistingHosts returns what the entry hosts but one last reported, with the ages of now. Hosts that stop or didn't report
@@ -67,7 +67,7 @@
 		if n == except || a.Address == "" || a.Stopping || h.heardAt+maxHelperAge < s.Now {
 			continue
 		}
-		b := map[string]time.Duration{}
+		b := map[ctlrpc.Pool]time.Duration{}
 		for k, d := range a.Answered {
 			b[k] = d + s.Now - h.heardAt
 		}
@@ -77,15 +77,15 @@
 	return r
 }
 
-// servicesOf returns the sorted names of the services that hosts have been answered by.
-func servicesOf(hosts []ctlrpc.NamedHelper) []string {
-	m := map[string]bool{}
+// poolsOf returns the endpoints that hosts have been answered by.
+func poolsOf(hosts []ctlrpc.NamedHelper) map[ctlrpc.Pool]bool {
+	m := map[ctlrpc.Pool]bool{}
 	for _, h := range hosts {
 		for k := range h.Answered {
 			m[k] = true
 		}
 	}
-	return slices.Sorted(maps.Keys(m))
+	return m
 }
 
 // compareBool compares two conditions; one that isn't met comes first.
--- a/entry/helpers.go
+++ b/entry/helpers.go
@@ -106,7 +106,7 @@
 func helpers(r ctlrpc.HelperReply, asked time.Time) []assist.Helper {
 	var l []assist.Helper
 	for _, h := range r.Helpers {
-		a := assist.Helper{Host: h.Host, DataCentre: h.DataCentre, Address: h.Address, Token: h.Token, Taken: h.Taken, AnsweredAt: map[string]time.Time{}}
+		a := assist.Helper{Host: h.Host, DataCentre: h.DataCentre, Address: h.Address, Token: h.Token, Taken: h.Taken, AnsweredAt: map[ctlrpc.Pool]time.Time{}}
 		for k, d := range h.Answered {
 			a.AnsweredAt[k] = asked.Add(-d - helperMargin)
 		}
--- a/pick/links.go
+++ b/pick/links.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/reach"
 )
@@ -13,9 +14,9 @@
 // openFailureMemory is how long an endpoint counts as unreachable after opening a connection to it has failed.
 const openFailureMemory = 1500 * time.Millisecond
 
-// LinkChange is a change of this host's link to the endpoints of a data centre.
+// LinkChange is a change of this host's link to the endpoints of a service in a data centre.
 type LinkChange struct {
-	DataCentre    string
+	ctlrpc.Pool
 	Before, After reach.State
 	// CutSince is since when nothing opens, if After is Cut.
 	CutSince time.Time
@@ -23,8 +24,14 @@
 
 // recordSign records an answer of an endpoint on a direct connection.
 func (s *Set) recordSign(n *endpoint, now time.Time) {
-	s.answeredAt[n.report.Service] = now
-	s.links[n.report.DataCentre] = s.links[n.report.DataCentre].WithSign(now)
+	p := n.pool()
+	s.answeredAt[p] = now
+	s.links[p] = s.links[p].WithSign(now)
+}
+
+// pool returns the pool of the endpoint.
+func (n *endpoint) pool() ctlrpc.Pool {
+	return ctlrpc.Pool{Service: n.report.Service, DataCentre: n.report.DataCentre}
 }
 
 // RecordOpening records the outcome of opening a connection to an endpoint directly. If it failed, the endpoint is ejected
@@ -46,16 +53,16 @@
 		n.openFailedAt = o.Ended
 		ejected = n.eject(Direct, o.Ended)
 	}
-	c := n.report.DataCentre
-	s.setLink(c, s.links[c].WithOpening(o, len(s.inCentre(c))))
+	p := n.pool()
+	s.setLink(p, s.links[p].WithOpening(o, len(s.inPool(p))))
 	return ejected
 }
 
-// doubtQuiet is how long nothing may have come from a data centre for a doubt to count.
-const doubtQuiet = 120 * time.Millisecond
+// doubtQuiet is how long nothing may have come from a pool for a doubt to count.
+const doubtQuiet = 200 * time.Millisecond
 
 // Doubt records that something but an opening speaks against the link to an endpoint, such as a request without an answer.
-// It does nothing if anything came from the data centre a moment ago.
+// It does nothing if anything came from its pool a moment ago.
 func (s *Set) Doubt(id string, now time.Time) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -63,25 +70,42 @@
 	if !ok {
 		return
 	}
-	c := n.report.DataCentre
-	if l := s.links[c]; now.Sub(l.SignAt()) > doubtQuiet {
-		s.setLink(c, l.WithDoubt(now))
+	p := n.pool()
+	if l := s.links[p]; now.Sub(l.SignAt()) > doubtQuiet {
+		s.setLink(p, l.WithDoubt(now))
 	}
 }
 
-// setLink stores a link. Once endpoints of a data centre accept connections again, they are no longer ejected.
-func (s *Set) setLink(centre string, l reach.Link) {
-	o := s.links[centre]
-	s.links[centre] = l
+// setLink stores a link. A cut raises doubts about other links, and after it endpoints are no longer ejected.
+func (s *Set) setLink(p ctlrpc.Pool, l reach.Link) {
+	o := s.links[p]
+	s.links[p] = l
 	if o.State() == l.State() {
 		return
 	}
-	s.linkChanges = append(s.linkChanges, LinkChange{DataCentre: centre, Before: o.State(), After: l.State(), CutSince: l.CutSince()})
-	if l.State() != reach.Returning {
-		return
+	s.linkChanges = append(s.linkChanges, LinkChange{Pool: p, Before: o.State(), After: l.State(), CutSince: l.CutSince()})
+	switch l.State() {
+	case reach.Cut:
+		s.doubtOthers(l)
+	case reach.Returning:
+		s.unejectPool(p)
+	}
+}
+
+// doubtOthers raises doubts about the links to pools from which nothing has come since a link was cut.
+func (s *Set) doubtOthers(cut reach.Link) {
+	for _, n := range s.endpoints {
+		p := n.pool()
+		if l := s.links[p]; n.serves(p.Service) && l.State() == reach.Sound && l.SignAt().Before(cut.CutSince()) {
+			s.setLink(p, l.WithSuspicion(cut.Since()))
+		}
 	}
+}
+
+// unejectPool ends what speaks against the endpoints of a pool on the direct way.
+func (s *Set) unejectPool(p ctlrpc.Pool) {
 	for _, n := range s.endpoints {
-		if n.report.DataCentre == centre {
+		if n.pool() == p {
 			n.paths[Direct] = pathHealth{}
 			n.openFailingSince, n.openFailedAt = time.Time{}, time.Time{}
 		}
@@ -97,12 +121,12 @@
 	return r
 }
 
-// inCentre returns the IDs of the endpoints of a data centre that take requests: first those to which no opening has failed
+// inPool returns the IDs of the endpoints of a pool that take requests: first those to which no opening has failed
 // since one succeeded, the last active ones before others.
-func (s *Set) inCentre(centre string) []string {
+func (s *Set) inPool(p ctlrpc.Pool) []string {
 	var r []string
 	for i, n := range s.endpoints {
-		if n.report.DataCentre == centre && n.serves(n.report.Service) {
+		if n.pool() == p && n.serves(p.Service) {
 			r = append(r, i)
 		}
 	}
@@ -119,21 +143,22 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	var r []fleet.Report
-	for _, c := range slices.Sorted(maps.Keys(s.links)) {
-		s.setLink(c, s.links[c].At(now))
-		if s.links[c].State() == reach.Sound {
+	for p := range s.links {
+		s.setLink(p, s.links[p].At(now))
+		if s.links[p].State() == reach.Sound {
 			continue
 		}
-		l, p := s.links[c].WithProbes(s.inCentre(c), now)
-		s.links[c] = l
-		for _, i := range p {
+		l, e := s.links[p].WithProbes(s.inPool(p), now)
+		s.links[p] = l
+		for _, i := range e {
 			r = append(r, s.endpoints[i].report)
 		}
 	}
+	slices.SortFunc(r, func(a, b fleet.Report) int { return cmp.Compare(a.ID, b.ID) })
 	return r
 }
 
-// Link returns the state of the link to the data centre of an endpoint.
+// Link returns the state of the link to the pool of an endpoint.
 func (s *Set) Link(id string) reach.State {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -141,11 +166,11 @@
 	if !ok {
 		return reach.Sound
 	}
-	return s.links[n.report.DataCentre].State()
+	return s.links[n.pool()].State()
 }
 
-// CutCentres returns the number of data centres whose links are cut or returning.
-func (s *Set) CutCentres() int {
+// CutLinks returns the number of links that are cut or returning.
+func (s *Set) CutLinks() int {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n := 0
@@ -159,15 +184,16 @@
 
 // avoidsLink reports whether a request had better not use the direct link to an endpoint.
 func (s *Set) avoidsLink(n *endpoint, q Request, now time.Time) bool {
-	l := s.links[n.report.DataCentre]
+	l := s.links[n.pool()]
 	return l.Avoid() || q.LinkDraw >= l.DirectShare(now)
 }
 
 // CutOff describes whether a request can reach endpoints directly.
 type CutOff struct {
-	// Cut is set if no endpoint of the service can be reached, and Since is when that began.
-	Cut   bool
-	Since time.Time
+	// Cut is set if no endpoint of the service can be reached.
+	Cut bool
+	// Lost holds the data centres in which no endpoint of the service can be reached, and since when.
+	Lost map[string]time.Time
 	// Undecided is set if none is known to be reached, and probes are to decide about some.
 	Undecided bool
 	// Returning is set if the links to some have opened again and carry few requests yet.
@@ -176,34 +202,38 @@
 	Silent bool
 	// Probed is set if probes have decided about all of them.
 	Probed bool
+	// reached is set if some endpoint can be reached.
+	reached bool
 }
 
 // CutOff returns whether the request can reach endpoints of its service directly. Those that were tried before count, too.
 func (s *Set) CutOff(q Request, now time.Time) CutOff {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	r := CutOff{Probed: true}
-	n := 0
+	r := CutOff{Probed: true, Lost: map[string]time.Time{}}
+	reached := map[string]bool{}
 	for _, e := range s.endpoints {
 		if !e.serves(q.Service) {
 			continue
 		}
-		n++
-		l := s.links[e.report.DataCentre]
+		c := e.report.DataCentre
+		l := s.links[e.pool()]
 		r.Silent = r.Silent || l.Silent()
 		switch {
 		case q.LinkDraw >= l.DirectShare(now):
-			r.Since = latest(r.Since, l.CutSince())
+			r.Lost[c] = latest(r.Lost[c], l.CutSince())
 			r.Returning = r.Returning || l.State() == reach.Returning
 		case l.Probing():
-			r.Undecided = true
+			reached[c], r.Undecided = true, true
 		case !e.openFailedAt.IsZero() && now.Sub(e.openFailedAt) < openFailureMemory:
-			r.Since, r.Probed = latest(r.Since, e.openFailingSince), false
+			r.Lost[c], r.Probed = latest(r.Lost[c], e.openFailingSince), false
 		default:
-			return CutOff{}
+			reached[c], r.reached = true, true
 		}
 	}
-	r.Cut = n > 0 && !r.Undecided
+	maps.DeleteFunc(r.Lost, func(c string, _ time.Time) bool { return reached[c] })
+	r.Undecided = r.Undecided && !r.reached
+	r.Cut = len(r.Lost) > 0 && !r.Undecided && !r.reached
 	return r
 }
 
@@ -215,23 +245,22 @@
 	return a
 }
 
-// Answered returns how long ago this host last got an answer or opened a connection, by service. Only endpoints that it
-// reaches directly count, and only services with a steady link to some of their endpoints.
-func (s *Set) Answered(now time.Time) map[string]time.Duration {
+// Answered returns how long ago this host last got an answer or opened a connection. Only endpoints that it reaches directly
+// count, and only pools with a steady link.
+func (s *Set) Answered(now time.Time) map[ctlrpc.Pool]time.Duration {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	r := map[string]time.Duration{}
-	for _, n := range s.endpoints {
-		k := n.report.Service
-		if a := now.Sub(s.answeredAt[k]); a < maxAnsweredAge && n.serves(k) && s.links[n.report.DataCentre].Steady(now) {
+	r := map[ctlrpc.Pool]time.Duration{}
+	for k, t := range s.answeredAt {
+		if a := now.Sub(t); a < maxAnsweredAge && s.links[k].Steady(now) {
 			r[k] = a
 		}
 	}
 	return r
 }
 
-// maxAnsweredAge is the age from which an answer no longer counts as a sign that a service can be reached.
-const maxAnsweredAge = 10 * time.Second
+// maxAnsweredAge is the age from which an answer no longer counts as a sign that endpoints can be reached.
+const maxAnsweredAge = 1500 * time.Millisecond
 
 // MayRelay reports whether this host may send a request of another host to an endpoint, as far as it knows: the endpoint is
 // the same one, takes requests, and its link isn't cut.
@@ -242,5 +271,5 @@
 	if !ok {
 		return false
 	}
-	return n.serves(r.Service) && n.report.Address == r.Address && n.report.Born == r.Born && s.links[n.report.DataCentre].State() != reach.Cut
+	return n.serves(r.Service) && n.report.Address == r.Address && n.report.Born == r.Born && s.links[n.pool()].State() != reach.Cut
 }
--- a/pick/links_test.go
+++ b/pick/links_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/reach"
@@ -63,7 +64,7 @@
 	// outcomes holds the requests by the time at which they were sent.
 	outcomes []linkOutcome
 	changes  int
-	answered map[string]time.Duration
+	answered map[ctlrpc.Pool]time.Duration
 	heard    time.Duration
 }
 
@@ -144,7 +145,7 @@
 		if o == h || o.answered == nil {
 			continue
 		}
-		a := assist.Helper{Host: fmt.Sprint(o.number), DataCentre: fmt.Sprint("c", o.number%3), AnsweredAt: map[string]time.Time{}}
+		a := assist.Helper{Host: fmt.Sprint(o.number), DataCentre: fmt.Sprint("c", o.number%3), AnsweredAt: map[ctlrpc.Pool]time.Time{}}
 		for s, d := range o.answered {
 			a.AnsweredAt[s] = epoch.Add(o.heard - d - messageTime)
 		}
@@ -204,7 +205,7 @@
 		return
 	}
 	if c.Cut {
-		if o, ok := h.board.Choose("s", c.Since, m.at(), r.refusedBy); ok {
+		if o, ok := h.board.Choose("s", c.Lost, m.at(), r.refusedBy); ok {
 			r.detour(o)
 			return
 		}
@@ -221,12 +222,12 @@
 }
 
 // detour sends the request through another host.
-func (r *linkRequest) detour(o assist.Helper) {
+func (r *linkRequest) detour(o assist.Choice) {
 	h := r.host
 	m := h.model
 	r.detoured = true
 	defer h.board.End(o.Host)
-	q := pick.Request{Service: "s", Work: 20 * time.Millisecond, Tried: r.tried, Way: pick.Relayed}
+	q := pick.Request{Service: "s", Work: 20 * time.Millisecond, Tried: r.tried, Way: pick.Relayed, Centres: o.Centres}
 	c, ok := h.set.Choose(q, m.at())
 	if !ok {
 		r.end(false)
@@ -434,3 +435,24 @@
 	i.True(s >= 0.9)
 	i.True(m.hosts[0].changes <= 60)
 }
+
+// Guards against trying unreachable endpoints one after the other because the ones that are reached have failed a moment ago.
+func TestEndpointsOnCutLinksComeLast(t *testing.T) {
+	i := is.New(t)
+	s := newSet(3, false, "a", "b")
+	for range 2 {
+		for k := range 3 {
+			s.RecordOpening(failed(fmt.Sprint("a", k), reach.Refused, epoch.Add(time.Second)))
+		}
+	}
+	i.Equal(s.Link("a0"), reach.Cut)
+	for k := range 3 {
+		s.RecordFault(fmt.Sprint("b", k), pick.Direct, epoch.Add(time.Second))
+		s.RecordFault(fmt.Sprint("b", k), pick.Direct, epoch.Add(time.Second))
+	}
+	c, ok := s.Choose(request(), epoch.Add(time.Second+time.Millisecond))
+	i.True(ok)
+	i.Equal(c.DataCentre, "b")
+	_, ok = s.Wait(request(), epoch.Add(time.Second+time.Millisecond))
+	i.True(!ok) // none is usable
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -71,8 +71,10 @@
 	// request goes to the target version of a rollout.
 	Draw      float64
 	InSession bool
-	// Way is the way by which the request is to be sent.
-	Way Way
+	// Way is the way by which the request is to be sent. Centres holds the data centres that may be chosen, or is nil for
+	// all.
+	Way     Way
+	Centres map[string]bool
 	// LinkDraw is a random number from 0 to 1, by which the request uses a link that returns after a cut.
 	LinkDraw float64
 	// Tried holds the IDs of the endpoints that earlier attempts of the request went to.
@@ -133,12 +135,12 @@
 	rollouts   map[string]canary.View
 	// startTimes holds the time at which each running rollout was ordered, by serial.
 	startTimes map[uint64]time.Time
-	// links holds this host's links to the endpoints of each data centre.
-	links map[string]reach.Link
+	// links holds this host's links to the endpoints of each service in each data centre.
+	links map[ctlrpc.Pool]reach.Link
 	// linkChanges holds the changes of links since the last call of TakeLinkChanges.
 	linkChanges []LinkChange
-	// answeredAt holds when this host last got an answer or opened a connection directly, by service.
-	answeredAt map[string]time.Time
+	// answeredAt holds when this host last got an answer or opened a connection directly.
+	answeredAt map[ctlrpc.Pool]time.Time
 	hosts      hostList
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
@@ -147,7 +149,7 @@
 
 // NewSet returns an empty set for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[string]reach.Link{}, answeredAt: map[string]time.Time{}, departed: map[string]departure{}}
+	return &Set{dataCentre: dataCentre, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[ctlrpc.Pool]reach.Link{}, answeredAt: map[ctlrpc.Pool]time.Time{}, departed: map[string]departure{}}
 }
 
 // Choose returns the endpoint with the lowest cost, and counts the request as in flight there until RequestEnded.
@@ -155,15 +157,7 @@
 func (s *Set) Choose(q Request, now time.Time) (c Choice, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	l := s.candidates(q, now)
-	f := usualFaultRate(l, now)
-	var b *endpoint
-	var m time.Duration
-	for _, n := range l {
-		if k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, s.estimate(n, q)); b == nil || k < m {
-			b, m = n, k
-		}
-	}
+	b, l := s.best(q, now)
 	if b == nil {
 		return c, false
 	}
@@ -181,6 +175,32 @@
 	return c, true
 }
 
+// best returns the endpoint with the lowest cost, or nil, and the endpoints compared.
+func (s *Set) best(q Request, now time.Time) (*endpoint, []*endpoint) {
+	l := s.candidates(q, now)
+	f := usualFaultRate(l, now)
+	var b *endpoint
+	var m time.Duration
+	for _, n := range l {
+		if k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, s.estimate(n, q)); b == nil || k < m {
+			b, m = n, k
+		}
+	}
+	return b, l
+}
+
+// Wait returns the estimated time to the start of the answer at the endpoint that Choose would return. ok is false if there
+// is none, or only ones that are ejected.
+func (s *Set) Wait(q Request, now time.Time) (wait time.Duration, ok bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	b, _ := s.best(q, now)
+	if b == nil || s.ejected(b, q, now) {
+		return 0, false
+	}
+	return s.estimate(b, q), true
+}
+
 // candidates returns the endpoints that may take the request. Ejected endpoints are returned only if all are
 // ejected; endpoints that were tried before, or whose limit is used up, never.
 func (s *Set) candidates(q Request, now time.Time) []*endpoint {
@@ -204,29 +224,36 @@
 func (s *Set) untried(q Request, condition func(*endpoint) bool) []*endpoint {
 	l := make([]*endpoint, 0, len(s.endpoints))
 	for _, n := range s.endpoints {
-		if n.serves(q.Service) && !q.Tried[n.report.ID] && (condition == nil || condition(n)) {
+		if n.serves(q.Service) && !q.Tried[n.report.ID] && (q.Centres == nil || q.Centres[n.report.DataCentre]) && (condition == nil || condition(n)) {
 			l = append(l, n)
 		}
 	}
 	return l
 }
 
-// preferUsable returns the endpoints whose limit leaves a request and that aren't ejected, or else those whose limit
-// leaves one.
+// preferUsable returns the endpoints whose limit leaves a request and that aren't ejected, or else those whose links aren't
+// cut, or else all whose limit leaves one.
 func (s *Set) preferUsable(endpoints []*endpoint, q Request, now time.Time) []*endpoint {
-	var a, b []*endpoint
+	var usable, linked, all []*endpoint
 	for _, n := range endpoints {
 		if s.limited(n, now) {
 			continue
 		}
-		if b = append(b, n); !s.ejected(n, q, now) {
-			a = append(a, n)
+		all = append(all, n)
+		if q.Way == Direct && s.avoidsLink(n, q, now) {
+			continue
+		}
+		if linked = append(linked, n); !s.ejected(n, q, now) {
+			usable = append(usable, n)
 		}
 	}
-	if len(a) > 0 {
-		return a
+	switch {
+	case len(usable) > 0:
+		return usable
+	case len(linked) > 0:
+		return linked
 	}
-	return b
+	return all
 }
 
 // serves reports whether the endpoint takes requests of a service.
@@ -234,7 +261,7 @@
 	return !n.replaced && !n.removed && n.report.Service == service && n.report.Phase == fleet.Ready
 }
 
-// ejected reports whether the endpoint is ejected on the way of the request, or its data centre is to be avoided.
+// ejected reports whether the endpoint is ejected on the way of the request, or its link is to be avoided.
 func (s *Set) ejected(n *endpoint, q Request, now time.Time) bool {
 	return !now.After(n.paths[q.Way].ejectedUntil) || q.Way == Direct && s.avoidsLink(n, q, now)
 }
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -1,4 +1,4 @@
-// Package reach judges which data centres' endpoints this host can open connections to. What it goes by is the outcome of
+// Package reach judges to which endpoints this host can open connections. What it goes by is the outcome of
 // openings: those that requests need, and probes, which it asks for when something speaks against a link. It uses no
 // network and no clock.
 package reach
@@ -10,7 +10,7 @@
 
 //go:generate go tool stringer -type=State,Outcome -linecomment -output=enum_string.go
 
-// State is what this host knows of its link to the endpoints of a data centre.
+// State is what this host knows of its link to a pool of endpoints.
 type State int
 
 // States of a link.
@@ -27,19 +27,21 @@
 )
 
 const (
-	// probeWidth is the number of endpoints that are probed at once.
-	probeWidth = 4
-	// cutFailures is the number of endpoints whose probes have to fail for a cut. A smaller data centre needs all of its
-	// endpoints for that.
+	// probeWidth is the number of endpoints that are probed at once, and firstProbes that in answer to a suspicion.
+	probeWidth  = 4
+	firstProbes = 2
+	// cutFailures is the number of endpoints whose probes have to fail for a cut. A smaller pool needs all of its endpoints
+	// for that.
 	cutFailures = 8
 	// suspectFailures is the number of endpoints that have to fail in a row while others show signs of life.
 	suspectFailures = 2
 	// signWindow is how long a sign of life speaks for the link.
 	signWindow = 300 * time.Millisecond
 	// suspectTime is how long a suspicion lasts without a verdict, and suspectPause the least time from the end of one
-	// suspicion to the next.
+	// suspicion to the next. doubtPause replaces it where no opening has failed.
 	suspectTime  = 700 * time.Millisecond
 	suspectPause = 300 * time.Millisecond
+	doubtPause   = time.Second
 	// cutProbeInterval is the interval of the probes of a link that is cut or returning; cutProbeWidth their number.
 	cutProbeInterval = 200 * time.Millisecond
 	cutProbeWidth    = 2
@@ -76,7 +78,7 @@
 	Outcome      Outcome
 }
 
-// Link is this host's link to the endpoints of one data centre. The zero value is a sound link without observations. It is
+// Link is this host's link to a pool: the endpoints of one service in one data centre. The zero value is a sound link without observations. It is
 // an immutable value.
 type Link struct {
 	state State
@@ -115,7 +117,7 @@
 // SignAt returns when an endpoint last opened or answered, or the zero time.
 func (l Link) SignAt() time.Time { return l.signAt }
 
-// WithOpening returns the link after an opening. endpoints is the number of endpoints of the data centre.
+// WithOpening returns the link after an opening. endpoints is the number of endpoints of the pool.
 func (l Link) WithOpening(o Opening, endpoints int) Link {
 	if o.Outcome == Opened {
 		return l.withOpened(o)
@@ -177,7 +179,19 @@
 
 // WithDoubt returns the link after something else speaks against it, such as a request without an answer: probes decide.
 func (l Link) WithDoubt(now time.Time) Link {
-	if l.state != Sound || now.Sub(l.since) < suspectPause {
+	p := suspectPause
+	if len(l.failed) == 0 {
+		p = doubtPause
+	}
+	if now.Sub(l.since) < p {
+		return l
+	}
+	return l.WithSuspicion(now)
+}
+
+// WithSuspicion is like WithDoubt, however short the time since the last one is.
+func (l Link) WithSuspicion(now time.Time) Link {
+	if l.state != Sound {
 		return l
 	}
 	if len(l.failed) == 0 {
@@ -214,7 +228,7 @@
 // Silent reports whether openings got no answer since the last one that succeeded, so that further ones would take long.
 func (l Link) Silent() bool { return l.silent }
 
-// DirectShare returns the share of requests, from 0 to 1, that may go to the data centre directly.
+// DirectShare returns the share of requests, from 0 to 1, that may go to the pool directly.
 func (l Link) DirectShare(now time.Time) float64 {
 	switch l.state {
 	case Cut:
@@ -225,7 +239,7 @@
 	return 1
 }
 
-// WithProbes returns the endpoints to probe now, and the link after that. endpoints holds all of the data centre, the ones
+// WithProbes returns the endpoints to probe now, and the link after that. endpoints holds all of the pool, the ones
 // that are most likely to accept a connection first.
 func (l Link) WithProbes(endpoints []string, now time.Time) (next Link, probes []string) {
 	n := min(l.dueProbes(now), len(endpoints))
@@ -247,6 +261,8 @@
 func (l Link) dueProbes(now time.Time) int {
 	a := now.Sub(l.probedAt)
 	switch {
+	case l.state == Suspect && l.asked == 0:
+		return firstProbes
 	case l.state == Suspect && len(l.probed) >= l.asked:
 		return probeWidth
 	case l.state == Returning && len(l.failed) >= suspectFailures && a >= cutProbeInterval/2:
--- a/relay/job.go
+++ b/relay/job.go
@@ -76,7 +76,7 @@
 	answering bool
 	// helper is the host through which the latest attempt went, if that wasn't sent directly. refusedBy holds the hosts that
 	// declined this request or didn't respond, and hops counts the attempts that ended so.
-	helper    assist.Helper
+	helper    assist.Choice
 	refusedBy map[string]bool
 	hops      int
 	// hopWait is the time after which a host that declined the request may be asked again.
--- a/relay/links.go
+++ b/relay/links.go
@@ -23,7 +23,7 @@
 	maxOpenTime = 400 * time.Millisecond
 	// startLinkGrace is how long after the estimate an answer may begin before the link is doubted, and eventLinkGrace
 	// replaces it between the events of a stream. linkCheckInterval is the interval of the checks after that.
-	startLinkGrace    = 120 * time.Millisecond
+	startLinkGrace    = 200 * time.Millisecond
 	eventLinkGrace    = 300 * time.Millisecond
 	linkCheckInterval = 100 * time.Millisecond
 	// wayPoll is the interval at which a request looks for a way to an endpoint, and verdictWait is how long it waits for the
@@ -33,6 +33,8 @@
 	helperWait  = 500 * time.Millisecond
 	// seekRetention is how long after the last request that needed one other hosts are looked for.
 	seekRetention = 2 * time.Second
+	// minDetourWait is the wait for an answer from which another way is considered, though this host reaches endpoints.
+	minDetourWait = 800 * time.Millisecond
 	// maxHops bounds the hosts that one request is offered to.
 	maxHops = 4
 	// cutOffRetryAfter is the least Retry-After of a host that reaches no endpoint. It is short because the retry reaches
@@ -40,7 +42,7 @@
 	cutOffRetryAfter = 50 * time.Millisecond
 )
 
-// Prober probes the links to data centres that are in doubt.
+// Prober probes the links that are in doubt.
 type Prober struct {
 	Relay *Relay
 	Stop  <-chan struct{}
@@ -110,13 +112,13 @@
 // logLinks logs the changes of links.
 func (r *Relay) logLinks() {
 	for _, c := range r.Endpoints.TakeLinkChanges() {
-		e := r.Log.WithFields(logrus.Fields{"data-centre": c.DataCentre, "before": c.Before.String(), "after": c.After.String()})
+		e := r.Log.WithFields(logrus.Fields{"service": c.Service, "data-centre": c.DataCentre, "before": c.Before.String(), "after": c.After.String()})
 		switch c.After {
 		case reach.Cut:
-			e.WithField("since", time.Since(c.CutSince).Milliseconds()).Warn("link: dependency lost, no endpoint of the data centre accepts connections")
+			e.WithField("since", time.Since(c.CutSince).Milliseconds()).Warn("link: dependency lost, no endpoint of the pool accepts connections")
 			r.seek()
 		case reach.Returning:
-			e.Warn("link: dependency regained, endpoints of the data centre accept connections again")
+			e.Warn("link: dependency regained, endpoints of the pool accept connections again")
 		default:
 			e.Info("link: changed")
 		}
@@ -208,12 +210,11 @@
 		n := time.Now()
 		c := r.Endpoints.CutOff(*q, n)
 		if !c.Cut && (!c.Undecided || n.Sub(b) > verdictWait) {
+			j.considerHelper(q, c, n)
 			return true
 		}
 		if c.Cut && r.Detour != nil {
-			h, ok := r.Helpers.Choose(j.service.Name, c.Since, n, j.refusedBy)
-			if ok {
-				j.helper, q.Way = h, pick.Relayed
+			if j.takeHelper(q, c, n) {
 				return true
 			}
 			r.seek()
@@ -231,6 +232,37 @@
 	}
 }
 
+// takeHelper sets the way through another host that reaches endpoints of the service. It reports false if there is none.
+func (j *job) takeHelper(q *pick.Request, c pick.CutOff, now time.Time) bool {
+	h, ok := j.relay.Helpers.Choose(j.service.Name, c.Lost, now, j.refusedBy)
+	if ok {
+		j.helper, q.Way, q.Centres = h, pick.Relayed, h.Centres
+	}
+	return ok
+}
+
+// considerHelper sets the way through another host if this one has lost some data centres, and the endpoints that it still
+// reaches would answer much later than those that the other one reaches.
+func (j *job) considerHelper(q *pick.Request, c pick.CutOff, now time.Time) {
+	if len(c.Lost) == 0 || j.relay.Detour == nil {
+		return
+	}
+	w, ok := j.relay.Endpoints.Wait(*q, now)
+	if ok && w < minDetourWait {
+		return
+	}
+	d := *q
+	if !j.takeHelper(&d, c, now) {
+		j.relay.seek()
+		return
+	}
+	if v, reached := j.relay.Endpoints.Wait(d, now); !reached || ok && v > w/2 {
+		j.relay.Helpers.End(j.helper.Host)
+		return
+	}
+	*q = d
+}
+
 // seek makes this host look for others to send requests through.
 func (r *Relay) seek() {
 	n := time.Now().UnixNano()
@@ -265,7 +297,7 @@
 	if u.way == pick.Direct {
 		return j.relay.Sender.Send(u.context, a), Hop{}
 	}
-	return j.relay.Detour.Send(u.context, j.helper, a)
+	return j.relay.Detour.Send(u.context, j.helper.Helper, a)
 }
 
 // handleHop records that another host didn't send the attempt, or that it is unknown whether it did.
