--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -302,3 +303,23 @@
 	_ = a.Body.Close() // the body is not read
 	return a.StatusCode == http.StatusOK
 }
+
+// Metric returns the value of a metric of a process, or an empty text if the process doesn't have it.
+func (d *Deployment) Metric(p *Process, name string) string {
+	a, err := http.Get(fmt.Sprintf("http://%s:%d/", p.IP, metricsPort))
+	if err != nil {
+		d.t.Error(err)
+		return ""
+	}
+	defer a.Body.Close() //nolint:errcheck // the body is read to its end
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		d.t.Error(err)
+	}
+	for l := range strings.Lines(string(b)) {
+		if v, ok := strings.CutPrefix(l, name+" "); ok {
+			return strings.TrimSpace(v)
+		}
+	}
+	return ""
+}
--- a/itest/tunnel.go
+++ b/itest/tunnel.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -35,16 +36,19 @@
 	target string
 
 	lock sync.Mutex
-	// changed is signalled after each change of cut.
+	// changed is signalled after each change of a cut.
 	changed *sync.Cond
-	cut     Cut
-	ports   map[int]*tunnelPort
-	open    map[net.Conn]bool
+	// cut is that of new ports.
+	cut   Cut
+	ports map[int]*tunnelPort
 }
 
 // tunnelPort is the listener of a tunnel for one endpoint.
 type tunnelPort struct {
 	port int
+	cut  Cut
+	// open holds the host's connections.
+	open map[net.Conn]bool
 	// listener is nil while new connections are refused.
 	listener io.Closer
 	// held is the connection that fills the queue of a listener that answers nothing.
@@ -53,7 +57,7 @@
 
 // newTunnel returns an open tunnel without ports.
 func newTunnel(t testing.TB, ip, target string) *Tunnel {
-	u := &Tunnel{t: t, IP: ip, target: target, ports: map[int]*tunnelPort{}, open: map[net.Conn]bool{}}
+	u := &Tunnel{t: t, IP: ip, target: target, ports: map[int]*tunnelPort{}}
 	u.changed = sync.NewCond(&u.lock)
 	t.Cleanup(u.close)
 	return u
@@ -63,28 +67,34 @@
 func (u *Tunnel) AddPort(port int) {
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	p := &tunnelPort{port: port}
+	p := &tunnelPort{port: port, cut: u.cut, open: map[net.Conn]bool{}}
 	u.ports[port] = p
 	u.listen(p)
 }
 
-// Set cuts the tunnel or opens it again.
-func (u *Tunnel) Set(c Cut) {
+// Set cuts the tunnel or opens it again, for some ports or, without any, for all.
+func (u *Tunnel) Set(c Cut, ports ...int) {
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	u.cut = c
-	for _, p := range u.ports {
-		u.listen(p)
+	if len(ports) == 0 {
+		u.cut = c
 	}
-	if c == Reset {
-		u.resetAll()
+	for n, p := range u.ports {
+		if len(ports) > 0 && !slices.Contains(ports, n) {
+			continue
+		}
+		p.cut = c
+		u.listen(p)
+		if c == Reset {
+			p.resetAll()
+		}
 	}
 	u.changed.Broadcast()
 }
 
 // resetAll resets all open connections.
-func (u *Tunnel) resetAll() {
-	for c := range u.open {
+func (p *tunnelPort) resetAll() {
+	for c := range p.open {
 		_ = c.(*net.TCPConn).SetLinger(0) // closing a connection then resets it
 		_ = c.Close()                     // it may have ended before
 	}
@@ -93,7 +103,7 @@
 // listen replaces the listener of a port by one that fits the cut.
 func (u *Tunnel) listen(p *tunnelPort) {
 	p.close()
-	switch u.cut {
+	switch p.cut {
 	case Open:
 		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", u.IP, p.port))
 		if err != nil {
@@ -101,7 +111,7 @@
 			return
 		}
 		p.listener = l
-		f := portForwarder{u, l, fmt.Sprintf("%s:%d", u.target, p.port)}
+		f := portForwarder{u, p, l, fmt.Sprintf("%s:%d", u.target, p.port)}
 		go f.run()
 	case Silent:
 		if err := p.listenSilently(u.IP); err != nil {
@@ -152,6 +162,7 @@
 // portForwarder accepts the connections of one port.
 type portForwarder struct {
 	tunnel   *Tunnel
+	port     *tunnelPort
 	listener net.Listener
 	target   string
 }
@@ -168,18 +179,18 @@
 			_ = c.Close()                     // nothing was read from it
 			continue
 		}
-		f.tunnel.track(c)
-		a, b := copier{f.tunnel, c, s}, copier{f.tunnel, s, c}
+		f.tunnel.track(f.port, c)
+		a, b := copier{f.tunnel, f.port, c, s}, copier{f.tunnel, f.port, s, c}
 		go a.run()
 		go b.run()
 	}
 }
 
 // track counts a connection of the host as open.
-func (u *Tunnel) track(c net.Conn) {
+func (u *Tunnel) track(p *tunnelPort, c net.Conn) {
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	u.open[c] = true
+	p.open[c] = true
 }
 
 // copyBytes is the size of the pieces that are copied.
@@ -188,6 +199,7 @@
 // copier copies what one side of a connection sends to the other.
 type copier struct {
 	tunnel   *Tunnel
+	port     *tunnelPort
 	from, to net.Conn
 }
 
@@ -195,7 +207,7 @@
 	b := make([]byte, copyBytes)
 	for {
 		n, err := c.from.Read(b)
-		c.tunnel.awaitSound()
+		c.tunnel.awaitSound(c.port)
 		if _, e := c.to.Write(b[:n]); err == nil {
 			err = e
 		}
@@ -205,17 +217,17 @@
 	}
 	c.tunnel.lock.Lock()
 	defer c.tunnel.lock.Unlock()
-	delete(c.tunnel.open, c.from)
-	delete(c.tunnel.open, c.to)
+	delete(c.port.open, c.from)
+	delete(c.port.open, c.to)
 	_ = c.from.Close() // either side has ended
 	_ = c.to.Close()
 }
 
-// awaitSound waits while the tunnel is silent.
-func (u *Tunnel) awaitSound() {
+// awaitSound waits while a port is silent.
+func (u *Tunnel) awaitSound(p *tunnelPort) {
 	u.lock.Lock()
 	defer u.lock.Unlock()
-	for u.cut == Silent {
+	for p.cut == Silent {
 		u.changed.Wait()
 	}
 }
--- a/pick/links.go
+++ b/pick/links.go
@@ -212,10 +212,7 @@
 	defer s.lock.Unlock()
 	r := CutOff{Probed: true, Lost: map[string]time.Time{}}
 	reached := map[string]bool{}
-	for _, e := range s.endpoints {
-		if !e.serves(q.Service) {
-			continue
-		}
+	for _, e := range s.eligible(q) {
 		c := e.report.DataCentre
 		l := s.links[e.pool()]
 		r.Silent = r.Silent || l.Silent()
@@ -237,6 +234,22 @@
 	return r
 }
 
+// eligible returns the endpoints that the request may go to, whether they can take it now or not. Those that were tried
+// before count, too.
+func (s *Set) eligible(q Request) []*endpoint {
+	q.Tried, q.Centres = nil, nil
+	v, ok := s.rollouts[q.Service]
+	if !ok {
+		return s.untried(q, nil)
+	}
+	t := s.goesToTarget(v, q)
+	l := s.untried(q, ofVersion(v, t))
+	if len(l) == 0 && s.mayUseOtherVersion(v, t) {
+		l = s.untried(q, ofVersion(v, !t))
+	}
+	return l
+}
+
 // latest returns the later one of two times.
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
--- a/pick/links_test.go
+++ b/pick/links_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/pick"
@@ -456,3 +457,21 @@
 	_, ok = s.Wait(request(), epoch.Add(time.Second+time.Millisecond))
 	i.True(!ok) // none is usable
 }
+
+// Guards against trying the unreachable endpoints of one version because those of another one, which the request may not
+// use, are reached.
+func TestVersionOutOfReachIsCutOff(t *testing.T) {
+	i := is.New(t)
+	s := newSet(4, true, "a")
+	s.SetRollouts([]canary.View{{Rollout: canary.Rollout{Service: "s", Target: "v2", Serial: 1}, Plan: canary.Plan{Fresh: 0.01}}})
+	n := epoch.Add(time.Second)
+	for _, e := range []string{"a0", "a2"} { // those of v1
+		s.RecordOpening(failed(e, reach.Silent, n))
+	}
+	s.RecordOpening(reach.Opening{Endpoint: "a1", Began: n, Ended: n})
+	q := request()
+	q.Draw = 0.5
+	i.True(s.CutOff(q, n.Add(time.Millisecond)).Cut)
+	q.Draw = 0.001
+	i.True(!s.CutOff(q, n.Add(time.Millisecond)).Cut)
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -209,7 +209,7 @@
 		return s.preferUsable(s.untried(q, nil), q, now)
 	}
 	t := s.goesToTarget(v, q)
-	l := s.untried(q, func(n *endpoint) bool { return (n.report.Version == v.Target) == t && v.MayRun(n.report.Version) })
+	l := s.untried(q, ofVersion(v, t))
 	if c := s.preferUsable(l, q, now); len(c) > 0 {
 		return c
 	}
@@ -217,7 +217,12 @@
 	if len(l) > 0 && !t || !s.mayUseOtherVersion(v, t) {
 		return nil
 	}
-	return s.preferUsable(s.untried(q, func(n *endpoint) bool { return (n.report.Version == v.Target) != t && v.MayRun(n.report.Version) }), q, now)
+	return s.preferUsable(s.untried(q, ofVersion(v, !t)), q, now)
+}
+
+// ofVersion returns the condition that an endpoint runs the target version of a rollout, or another one that may run.
+func ofVersion(v canary.View, target bool) func(*endpoint) bool {
+	return func(n *endpoint) bool { return (n.report.Version == v.Target) == target && v.MayRun(n.report.Version) }
 }
 
 // untried returns the endpoints that serve the request, weren't tried before and meet the condition, if it isn't nil.
