Reproduce endpoints that ask for rest and get requests (known red)

An endpoint that turns requests away with 503 and Retry-After gets up to 42 requests of one host in the time that it asked for, 2 allowed. The stand-in tells hosts apart by the address of their tunnels.

--- a/itest/tunnel.go
+++ b/itest/tunnel.go
@@ -173,7 +173,8 @@
 		if err != nil {
 			return
 		}
-		s, err := net.Dial("tcp", f.target)
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(f.tunnel.IP)}} // tells the endpoint which host it is
+		s, err := d.Dial("tcp", f.target)
 		if err != nil {
 			_ = c.(*net.TCPConn).SetLinger(0) // the endpoint refused it
 			_ = c.Close()                     // nothing was read from it
