Leave endpoints alone for the rest that they ask for, and come back gently

What endpoints saw: one that turns requests away with 503 and Retry-After got up to 42 requests of a host in the time that it had asked for, as it looked idle and was chosen first. Class of fault: what an endpoint's answer asks for was read one header at a time, by whoever happened to need it.

pick.Asks is what an answer asks for: limit and rest. All sends pass its check: own attempts where an endpoint is chosen, those for other hosts where they begin (BeginRelay), as the rest was asked of the host that sends. After a rest one request at a time goes there, twice as many after each answer that asks for none. Where all endpoints rest, a request is refused at once, to come back after the first rest. Logged: the beginning of a rest with its length, and the end of the return.

Ruled out: sending it through another host (a rest answers overload), and sharing rests among hosts (they are asked of one).

--- a/pick/limit.go
+++ b/pick/limit.go
@@ -44,18 +44,6 @@
 	return !n.bucket.Ready()
 }
 
-// RecordLimit records that an endpoint's answer names a rate, or none if rate is 0. changed reports whether the limit is
-// another one than before.
-func (s *Set) RecordLimit(id string, rate limit.Rate, now time.Time) (changed bool) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.endpoints[id]
-	if !ok {
-		return false
-	}
-	return n.setLimit(n.limit.WithAnswer(rate, now))
-}
-
 // setLimit stores a limit and reports whether its rate has changed. A new limit starts with an empty bucket.
 func (n *endpoint) setLimit(l limit.Named) (changed bool) {
 	changed = l.Rate != n.limit.Rate
@@ -104,20 +92,3 @@
 	maps.DeleteFunc(s.hosts.seenAt, func(_ string, t time.Time) bool { return now.Sub(t) > hostRetention })
 	s.hosts.self, s.hosts.all = self, slices.Sorted(maps.Keys(s.hosts.seenAt))
 }
-
-// LimitWait returns the time until the endpoints of a service that have named limits take another request, of any host.
-// ok is false if no endpoint that serves the request has a limit.
-func (s *Set) LimitWait(q Request) (wait time.Duration, ok bool) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	var t limit.Rate
-	for _, n := range s.endpoints {
-		if n.serves(q.Service) && !q.Tried[n.report.ID] {
-			t += n.limit.Rate
-		}
-	}
-	if t == 0 {
-		return 0, false
-	}
-	return time.Duration(float64(time.Second) / float64(t)), true
-}
--- a/pick/limit_test.go
+++ b/pick/limit_test.go
@@ -83,7 +83,7 @@
 func (f *limitedFleet) tick(h *limitedHost, t time.Duration) {
 	x := epoch.Add(t)
 	for len(h.answers) > 0 && h.answers[0] <= t {
-		h.set.RecordLimit("e", f.named(h.answers[0]), x)
+		h.set.RecordAsks("e", pick.Direct, pick.Asks{Limit: f.named(h.answers[0])}, x)
 		h.set.AnswerStarted("e", 0)
 		h.set.RequestEnded("e")
 		h.answers = h.answers[1:]
--- a/pick/links.go
+++ b/pick/links.go
@@ -274,15 +274,3 @@
 
 // maxAnsweredAge is the age from which an answer no longer counts as a sign that endpoints can be reached.
 const maxAnsweredAge = 1500 * time.Millisecond
-
-// MayRelay reports whether this host may send a request of another host to an endpoint, as far as it knows: the endpoint is
-// the same one, takes requests, and its link isn't cut.
-func (s *Set) MayRelay(r fleet.Report) bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.endpoints[r.ID]
-	if !ok {
-		return false
-	}
-	return n.serves(r.Service) && n.report.Address == r.Address && n.report.Born == r.Born && s.links[n.pool()].State() != reach.Cut
-}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -121,6 +121,10 @@
 	// limit is what the endpoint's answers say about its limit, and bucket counts what this host may send within it.
 	limit  limit.Named
 	bucket limit.Bucket
+	// rests holds the rest that the endpoint has asked for on each way, and relayed counts the requests in flight that this
+	// host sends for others.
+	rests   [wayCount]limit.Rest
+	relayed int
 	// replaced is set once a different process has answered at the endpoint's address.
 	replaced bool
 	// removed is set once the control hosts no longer know the endpoint.
@@ -236,12 +240,12 @@
 	return l
 }
 
-// preferUsable returns the endpoints whose limit leaves a request and that aren't ejected, or else those whose links aren't
-// cut, or else all whose limit leaves one.
+// preferUsable returns the endpoints that aren't ejected, or else those whose links aren't cut, or else all. Endpoints that
+// rest, or whose limit leaves no request, are never returned.
 func (s *Set) preferUsable(endpoints []*endpoint, q Request, now time.Time) []*endpoint {
 	var usable, linked, all []*endpoint
 	for _, n := range endpoints {
-		if s.limited(n, now) {
+		if s.limited(n, now) || n.mustRest(q.Way, now) {
 			continue
 		}
 		all = append(all, n)
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -10,9 +10,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
+	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
 
@@ -83,23 +85,26 @@
 
 // head is the reply of an endpoint, without its body.
 type head struct {
-	Verdict            relay.Verdict `json:"verdict"`
-	Status             int           `json:"status"`
-	Header             http.Header   `json:"header"`
-	Confidence         int           `json:"confidence"`
-	HasBody            bool          `json:"has-body"`
-	Limit              limit.Rate    `json:"limit"`
-	Length             int64         `json:"length"`
-	Cause              string        `json:"cause"`
-	WrongEndpoint      bool          `json:"wrong-endpoint"`
-	EndsWithConnection bool          `json:"ends-with-connection"`
-	Unreachable        bool          `json:"unreachable"`
+	Verdict    relay.Verdict `json:"verdict"`
+	Status     int           `json:"status"`
+	Header     http.Header   `json:"header"`
+	Confidence int           `json:"confidence"`
+	HasBody    bool          `json:"has-body"`
+	// Limit is a number of requests per second, and RestMS a time in milliseconds; see pick.Asks.
+	Limit              limit.Rate `json:"limit"`
+	RestMS             int64      `json:"rest-ms"`
+	TurnedAway         bool       `json:"turned-away"`
+	Length             int64      `json:"length"`
+	Cause              string     `json:"cause"`
+	WrongEndpoint      bool       `json:"wrong-endpoint"`
+	EndsWithConnection bool       `json:"ends-with-connection"`
+	Unreachable        bool       `json:"unreachable"`
 }
 
 // newHead returns the head of a reply.
 func newHead(r relay.Reply) head {
 	h := head{
-		Verdict: r.Verdict, Status: r.Status, Header: r.Header, Confidence: r.Confidence, HasBody: r.Body != nil, Limit: r.Limit, Length: r.Length,
+		Verdict: r.Verdict, Status: r.Status, Header: r.Header, Confidence: r.Confidence, HasBody: r.Body != nil, Limit: r.Asks.Limit, RestMS: r.Asks.Rest.Milliseconds(), TurnedAway: r.Asks.TurnedAway, Length: r.Length,
 		WrongEndpoint: r.WrongEndpoint, EndsWithConnection: r.EndsWithConnection, Unreachable: r.Unreachable,
 	}
 	if r.Cause != nil {
@@ -111,9 +116,10 @@
 // reply returns the reply with a head, without its body.
 func (h head) reply() relay.Reply {
 	r := relay.Reply{
-		Verdict: h.Verdict, Status: h.Status, Header: h.Header, Confidence: h.Confidence, Limit: h.Limit, Length: h.Length,
+		Verdict: h.Verdict, Status: h.Status, Header: h.Header, Confidence: h.Confidence, Length: h.Length,
 		WrongEndpoint: h.WrongEndpoint, EndsWithConnection: h.EndsWithConnection, Unreachable: h.Unreachable,
 	}
+	r.Asks = pick.Asks{Limit: h.Limit, Rest: time.Duration(h.RestMS) * time.Millisecond, TurnedAway: h.TurnedAway}
 	if h.Cause != "" {
 		r.Cause = errors.New(h.Cause)
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -52,7 +52,7 @@
 // answering returns an answer with a body.
 func answering(b io.Reader) func(context.Context) relay.Reply {
 	return func(context.Context) relay.Reply {
-		return relay.Reply{Verdict: relay.Ran, Status: 200, Header: http.Header{"X-A": {"1", "2"}}, Confidence: 40, Length: -1, Limit: 2.5, Body: io.NopCloser(b)}
+		return relay.Reply{Verdict: relay.Ran, Status: 200, Header: http.Header{"X-A": {"1", "2"}}, Confidence: 40, Length: -1, Asks: pick.Asks{Limit: 2.5}, Body: io.NopCloser(b)}
 	}
 }
 
@@ -122,7 +122,7 @@
 		i.NoErr(err)
 		i.Equal(string(b), "answer")
 		r.Body = nil
-		i.Equal(r, relay.Reply{Verdict: relay.Ran, Status: 200, Header: http.Header{"X-A": {"1", "2"}}, Confidence: 40, Length: -1, Limit: 2.5})
+		i.Equal(r, relay.Reply{Verdict: relay.Ran, Status: 200, Header: http.Header{"X-A": {"1", "2"}}, Confidence: 40, Length: -1, Asks: pick.Asks{Limit: 2.5}})
 	}
 	i.Equal(h.sender.count(), 2)
 	a, w := h.sender.attempts[0], attempt()
@@ -317,3 +317,21 @@
 		}
 	})
 }
+
+// Guards against giving up a host because one endpoint wants nothing from it: another endpoint can be asked for there.
+func TestEndpointAtRestIsNamedAsSuch(t *testing.T) {
+	i := is.New(t)
+	h := startHelping(t, func(context.Context) relay.Reply {
+		return relay.Reply{Verdict: relay.NotRun, Status: 503, Confidence: -1, Asks: pick.Asks{Rest: 2 * time.Second, TurnedAway: true}}
+	})
+	c := client()
+	r, p := c.Send(context.Background(), helper(h.address), attempt())
+	i.Equal(p.Result, relay.Delivered)
+	i.Equal(r.Asks, pick.Asks{Rest: 2 * time.Second, TurnedAway: true})
+	r, p = c.Send(context.Background(), helper(h.address), attempt())
+	i.Equal(p.Result, relay.Delivered)
+	i.Equal(r.Verdict, relay.NotRun)
+	i.Equal(r.Status, 0)
+	i.True(r.Asks.Rest > time.Second && r.Asks.Rest <= 2*time.Second)
+	i.Equal(h.sender.count(), 1)
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/dial"
+	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
 
@@ -181,8 +182,6 @@
 		return refusal{Reason: "unknown token", RetryAfterMS: unreachablePause.Milliseconds()}, true
 	case s.Stopping():
 		return refusal{Reason: "stopping", RetryAfterMS: stoppingPause.Milliseconds()}, true
-	case !s.Relay.Endpoints.MayRelay(v.Endpoint):
-		return refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, true
 	}
 	return refusal{}, false
 }
@@ -190,24 +189,26 @@
 // handle sends the request of a call to its endpoint, or declines.
 func (c *connection) handle(v call, b []byte) error {
 	s := c.server
-	f, refused := s.refusalOf(v)
-	if !refused {
-		var w time.Duration
-		var ok bool
-		if w, ok = s.Bound.Take(v.Origin, v.Priority, int64(len(b)), time.Now()); !ok {
-			f, refused = refusal{Reason: "busy", RetryAfterMS: w.Milliseconds()}, true
-		} else {
-			defer s.Bound.Release(int64(len(b)))
-		}
+	l := s.Log.WithFields(logrus.Fields{"id": v.RequestID, "origin": v.Origin, "endpoint": v.Endpoint.ID, "left": v.RemainingMS})
+	n := time.Now()
+	if f, ok := s.refusalOf(v); ok {
+		return c.decline(f, l)
 	}
-	if !refused && !s.calls.begin(v.ID, time.Now()) {
-		f, refused = refusal{Reason: "revoked"}, true
+	w, ok := s.Bound.Take(v.Origin, v.Priority, int64(len(b)), n)
+	if !ok {
+		return c.decline(refusal{Reason: "busy", RetryAfterMS: w.Milliseconds()}, l)
 	}
-	l := s.Log.WithFields(logrus.Fields{"id": v.RequestID, "origin": v.Origin, "endpoint": v.Endpoint.ID, "left": v.RemainingMS})
-	if refused {
-		s.Metrics.GetOrCreateCounter("relayed_total{outcome=\"declined\"}").Inc()
-		l.WithFields(logrus.Fields{"reason": f.Reason, "retry-after": f.RetryAfterMS}).Info("relay: a request of another host is declined")
-		return writeJSON(c.conn, declinedFrame, f)
+	defer s.Bound.Release(int64(len(b)))
+	w, ok = s.Relay.Endpoints.BeginRelay(v.Endpoint, n)
+	switch {
+	case w > 0:
+		return c.declineAtRest(w, l)
+	case !ok:
+		return c.decline(refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, l)
+	}
+	defer s.Relay.Endpoints.EndRelay(v.Endpoint.ID)
+	if !s.calls.begin(v.ID, n) {
+		return c.decline(refusal{Reason: "revoked"}, l)
 	}
 	if err := writeFrame(c.conn, begunFrame, nil); err != nil {
 		l.WithError(err).Info("relay: the other host has left before its request was sent")
@@ -217,6 +218,26 @@
 	return c.relay(v, b, l)
 }
 
+// decline says that the request of a call will not be sent.
+func (c *connection) decline(f refusal, l *logrus.Entry) error {
+	c.server.Metrics.GetOrCreateCounter(`relayed_total{outcome="declined"}`).Inc()
+	l.WithFields(logrus.Fields{"reason": f.Reason, "retry-after": f.RetryAfterMS}).Info("relay: a request of another host is declined")
+	return writeJSON(c.conn, declinedFrame, f)
+}
+
+// declineAtRest answers for an endpoint that wants nothing from this host for a time. Other endpoints may be asked for.
+func (c *connection) declineAtRest(rest time.Duration, l *logrus.Entry) error {
+	c.server.Metrics.GetOrCreateCounter(`relayed_total{outcome="at-rest"}`).Inc()
+	l.WithField("rest", rest.Milliseconds()).Info("relay: the endpoint rests, a request of another host isn't sent")
+	if err := writeFrame(c.conn, begunFrame, nil); err != nil {
+		return err
+	}
+	return writeJSON(c.conn, headFrame, newHead(relay.Reply{Verdict: relay.NotRun, Confidence: -1, Asks: pick.Asks{Rest: rest, TurnedAway: true}, Cause: errAtRest}))
+}
+
+// errAtRest means that an endpoint has asked the host that was to send a request for rest.
+var errAtRest = errors.New("the endpoint has asked the other host for rest")
+
 // relay sends the request to its endpoint and passes the reply on. The run ends when the other host closes the connection.
 func (c *connection) relay(v call, b []byte, l *logrus.Entry) error {
 	ctx, f := context.WithTimeout(context.Background(), time.Duration(v.RemainingMS)*time.Millisecond)
@@ -227,6 +248,9 @@
 	t := time.Now()
 	r := c.server.Relay.Sender.Send(ctx, v.attempt(b, c.server.Bound.Origins(t)))
 	c.server.Relay.RecordOpening(v.Endpoint.ID, t, r)
+	if r.Status != 0 {
+		c.server.Relay.Endpoints.RecordAsks(v.Endpoint.ID, pick.Direct, r.Asks, time.Now())
+	}
 	l.WithFields(logrus.Fields{"outcome": r.Verdict.String(), "status": r.Status}).Info("relay: a request of another host was sent")
 	if r.Body != nil {
 		defer r.Body.Close() //nolint:errcheck // closing ends the run
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -149,9 +149,7 @@
 	if r.Body != nil {
 		j.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
 	}
-	if r.Status != 0 && j.relay.Endpoints.RecordLimit(u.choice.ID, r.Limit, time.Now()) {
-		u.log().WithField("limit", float64(r.Limit)).Info("attempt: the endpoint names another limit")
-	}
+	u.recordAsks(r)
 	wait := time.Since(u.sent)
 	u.wait, u.openEnded = wait, r.EndsWithConnection
 	if r.Body == nil && (j.callerContext.Err() != nil || time.Until(j.deadline) <= 0) {
@@ -184,6 +182,23 @@
 	return u.relayPlain(r)
 }
 
+// recordAsks records what the endpoint asks for, and logs what that changes.
+func (u *upstreamAttempt) recordAsks(r Reply) {
+	if r.Status == 0 && r.Asks.Rest == 0 {
+		return
+	}
+	c := u.job.relay.Endpoints.RecordAsks(u.choice.ID, u.way, r.Asks, time.Now())
+	if c.Limit {
+		u.log().WithField("limit", float64(r.Asks.Limit)).Info("attempt: the endpoint names another limit")
+	}
+	if c.Rest {
+		u.log().WithField("rest", r.Asks.Rest.Milliseconds()).Warn("attempt: the endpoint asks for rest, it gets no requests until then")
+	}
+	if c.Returned {
+		u.log().Info("attempt: the endpoint takes as many requests as before its rest")
+	}
+}
+
 // handleNotRun records that the endpoint did not run the request. A reply without a status was never delivered and
 // does not count as a send.
 func (u *upstreamAttempt) handleNotRun(r Reply, ejected time.Duration) nextStep {
--- a/relay/job.go
+++ b/relay/job.go
@@ -81,8 +81,8 @@
 	hops      int
 	// hopWait is the time after which a host that declined the request may be asked again.
 	hopWait time.Duration
-	// limitWait is the time until the limits of the service's endpoints let another request through, or 0.
-	limitWait time.Duration
+	// asksWait is when the service's endpoints take another request, if they ask for less.
+	asksWait pick.AsksWait
 	// keys are what the request may have in common with requests that end endpoints.
 	keys []poison.Key
 	// noRetryReason says which limit prevents another attempt. It is logged as the field spent.
@@ -274,9 +274,13 @@
 }
 
 // retryAfter estimates when an endpoint of an overloaded service has room again: 0.5 to 1.5 times the hold time, or the
-// time until its limits let another request through, spread by the hash of the request ID.
+// time until its limits let another request through, spread by the hash of the request ID. If endpoints rest, it isn't
+// before the end of the first rest.
 func (j *job) retryAfter() time.Duration {
-	h := max(j.holdTime(), j.limitWait)
+	if j.asksWait.Resting {
+		return j.asksWait.Time + time.Duration(j.fraction*float64(j.holdTime()))
+	}
+	h := max(j.holdTime(), j.asksWait.Time)
 	return h/2 + time.Duration(j.fraction*float64(h))
 }
 
@@ -301,7 +305,7 @@
 	}
 	if !ok {
 		var l bool
-		if j.limitWait, l = j.relay.Endpoints.LimitWait(n); l {
+		if j.asksWait, l = j.relay.Endpoints.AsksWait(n, time.Now()); l {
 			return overloaded
 		}
 		return noEndpoint
--- a/relay/request.go
+++ b/relay/request.go
@@ -11,7 +11,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
-	"github.com/hickoryshelf/hickoryshelf/limit"
+	"github.com/hickoryshelf/hickoryshelf/pick"
 )
 
 //go:generate go tool stringer -type=Verdict,Reason,Liveness,HopResult -linecomment -output=enum_string.go
@@ -114,8 +114,8 @@
 	Confidence int
 	// Body is nil if there is no answer. The caller of Send closes it; closing it before its end stops the run.
 	Body io.ReadCloser
-	// Limit is the limit that the answer names, or 0 if it names none.
-	Limit limit.Rate
+	// Asks is what the endpoint asks for.
+	Asks pick.Asks
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
 	// Cause is the error because of which there is no usable answer, or nil.
