Probe links only while something speaks against one

The prober woke 40 times a second on each host, though nothing was to be probed. It waits for a sign against a link now; tests tell of failed openings as requests do. links_cut is a gauge of what a host doesn't reach.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,6 +100,10 @@
 		}
 		return 0
 	})
+	o.Metrics.NewGauge("links_cut", func() float64 {
+		_, n := o.Set.LinkCounts()
+		return float64(n)
+	})
 	s := idleSweeper{e}
 	p := relay.Prober{Relay: o.Relay, Stop: e.stop}
 	go e.run()
--- a/pick/links.go
+++ b/pick/links.go
@@ -54,7 +54,7 @@
 		ejected = n.eject(Direct, o.Ended)
 	}
 	p := n.pool()
-	s.setLink(p, s.links[p].WithOpening(o, len(s.inPool(p))))
+	s.setLink(p, s.links[p].WithOpening(o, s.poolSize(p)))
 	return ejected
 }
 
@@ -137,6 +137,17 @@
 	return r
 }
 
+// poolSize returns the number of endpoints of a pool that take requests.
+func (s *Set) poolSize(p ctlrpc.Pool) int {
+	k := 0
+	for _, n := range s.endpoints {
+		if n.pool() == p && n.serves(p.Service) {
+			k++
+		}
+	}
+	return k
+}
+
 // DueProbes returns the endpoints that are to be probed now because their links are in doubt, and ends states of links that
 // last for a time.
 func (s *Set) DueProbes(now time.Time) []fleet.Report {
@@ -169,17 +180,19 @@
 	return s.links[n.pool()].State()
 }
 
-// CutLinks returns the number of links that are cut or returning.
-func (s *Set) CutLinks() int {
+// LinkCounts returns the number of links that aren't sound, and that of those which are cut.
+func (s *Set) LinkCounts() (doubted, cut int) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	n := 0
 	for _, l := range s.links {
-		if l.State() == reach.Cut || l.State() == reach.Returning {
-			n++
+		if l.State() != reach.Sound {
+			doubted++
+		}
+		if l.State() == reach.Cut {
+			cut++
 		}
 	}
-	return n
+	return doubted, cut
 }
 
 // avoidsLink reports whether a request had better not use the direct link to an endpoint.
--- a/relay/links.go
+++ b/relay/links.go
@@ -55,8 +55,12 @@
 	t := time.NewTicker(proberInterval)
 	defer t.Stop()
 	for {
+		c := t.C
+		if n, _ := p.Relay.Endpoints.LinkCounts(); n == 0 {
+			c = nil // only something that speaks against a link makes probes due
+		}
 		select {
-		case <-t.C:
+		case <-c:
 		case <-p.Relay.linkWake:
 		case <-p.Stop:
 			return
