--- a/pick/links_test.go
+++ b/pick/links_test.go
@@ -28,6 +28,8 @@
 	messageTime  = 3 * time.Millisecond
 	// firstDoubt is how long an answer may be late before the link is doubted.
 	firstDoubt = 140 * time.Millisecond
+	// startTimeout is the least time after which a request without an answer is repeated elsewhere.
+	startTimeout = 300 * time.Millisecond
 	// modelAttempts bounds the attempts of a request, and modelDeadline its time.
 	modelAttempts = 10
 	modelDeadline = 1500 * time.Millisecond
@@ -300,6 +302,11 @@
 		end()
 		r.tried[id] = true
 		r.next()
+	case waited >= max(startTimeout, 3*d):
+		end()
+		h.set.RecordFault(id, pick.Direct, m.at())
+		r.tried[id] = true
+		r.next()
 	default:
 		if waited >= firstDoubt {
 			h.set.Doubt(id, m.at())
