Leave endpoints alone that say in their answers that they leave

A host sends it nothing more, for itself or for others, until another start reports; so far it waited for the news from a control host. One more field of pick.Asks. TestEndpointThatSaysItLeavesGetsNoRequests.

--- a/pick/asks.go
+++ b/pick/asks.go
@@ -19,6 +19,8 @@
 	Rest time.Duration
 	// TurnedAway is set if the endpoint didn't run the request.
 	TurnedAway bool
+	// Leaving is set if the endpoint says that it is about to leave.
+	Leaving bool
 }
 
 // AsksChange says what an answer has changed.
@@ -27,6 +29,8 @@
 	Limit bool
 	// Rest is set if a rest begins, and Returned if the return after one has ended.
 	Rest, Returned bool
+	// Leaving is set if the endpoint gets no requests from now on because it leaves.
+	Leaving bool
 }
 
 // RecordAsks records what an endpoint's answer asks for. Rests are kept for each way, since an endpoint asks one host for
@@ -39,6 +43,8 @@
 	if !ok {
 		return c
 	}
+	c.Leaving = a.Leaving && !n.leaving
+	n.leaving = n.leaving || a.Leaving
 	c.Limit = n.setLimit(n.limit.WithAnswer(a.Limit, now))
 	r := &n.rests[way]
 	b := r.Left(now)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -125,6 +125,8 @@
 	// host sends for others.
 	rests   [wayCount]limit.Rest
 	relayed int
+	// leaving is set once an answer has said that the endpoint leaves. It is for good.
+	leaving bool
 	// replaced is set once a different process has answered at the endpoint's address.
 	replaced bool
 	// removed is set once the control hosts no longer know the endpoint.
@@ -267,7 +269,7 @@
 
 // serves reports whether the endpoint takes requests of a service.
 func (n *endpoint) serves(service string) bool {
-	return !n.replaced && !n.removed && n.report.Service == service && n.report.Phase == fleet.Ready
+	return !n.replaced && !n.removed && !n.leaving && n.report.Service == service && n.report.Phase == fleet.Ready
 }
 
 // ejected reports whether the endpoint is ejected on the way of the request, or its link is to be avoided.
--- a/pick/rest_test.go
+++ b/pick/rest_test.go
@@ -106,3 +106,23 @@
 	c := s.RecordAsks("a0", pick.Direct, pick.Asks{Limit: limit.Rate(2)}, n)
 	i.True(c.Limit)
 }
+
+// Guards against requests to an endpoint that says in its answers that it leaves, before a control host tells it.
+func TestEndpointThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	i := is.New(t)
+	s := newSet(2, false, "a")
+	c := s.RecordAsks("a0", pick.Direct, pick.Asks{Leaving: true}, epoch)
+	i.True(c.Leaving)
+	i.True(!s.RecordAsks("a0", pick.Direct, pick.Asks{}, epoch).Leaving) // an answer from before
+	for range 10 {
+		e, ok := s.Choose(request(), epoch)
+		i.True(ok)
+		i.Equal(e.ID, "a1")
+	}
+	_, ok := s.BeginRelay(fleet.Report{ID: "a0", Service: "s", DataCentre: "a", Address: "a0", Version: "v1"}, epoch)
+	i.True(!ok)
+	s.Merge([]fleet.Report{{ID: "a0", Service: "s", DataCentre: "a", Address: "a0", Version: "v1", Sequence: 2}}, nil) // a late report
+	i.Equal(s.ReadyCounts(), map[string]int{"s": 1})
+	s.Merge([]fleet.Report{{ID: "a0", Born: 5, Service: "s", DataCentre: "a", Address: "a0", Version: "v1", Sequence: 1}}, nil) // a new start
+	i.Equal(s.ReadyCounts(), map[string]int{"s": 2})
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -194,6 +194,9 @@
 	if c.Rest {
 		u.log().WithField("rest", r.Asks.Rest.Milliseconds()).Warn("attempt: the endpoint asks for rest, it gets no requests until then")
 	}
+	if c.Leaving {
+		u.log().Info("attempt: the endpoint says that it leaves, it gets no more requests")
+	}
 	if c.Returned {
 		u.log().Info("attempt: the endpoint takes as many requests as before its rest")
 	}
