Keep endpoints that entry hosts hear, though control hosts get no reports

Control hosts name the endpoints that are overdue by three heartbeats (64 at most); entry hosts report those that sent something or accepted a connection in the last 1.5 s, which counts like a report without news. Signs of an earlier start, or of one that has left, count nothing. TestEndpointThatEntryHostsHearIsKept; without the signs it is dropped there.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -57,6 +57,8 @@
 	Ages map[uint64]time.Duration
 	// Assist says how the host may send requests for others.
 	Assist Assist
+	// Active holds how long ago endpoints last showed a sign of life, among those that a control host has named as overdue.
+	Active []ActiveEndpoint
 	// Poison is what the host has observed of requests that end endpoints since the last exchange that got a reply.
 	Poison poison.Report
 }
@@ -83,6 +85,13 @@
 	Stopping bool
 }
 
+// ActiveEndpoint is a sign of life of a start of an endpoint.
+type ActiveEndpoint struct {
+	ID   string
+	Born int64
+	Age  time.Duration
+}
+
 // HelperRequest asks for hosts through which the asking one may send requests.
 type HelperRequest struct {
 	Host       string
@@ -157,6 +166,8 @@
 	// Entries is the number of entry hosts. Controls holds the peer addresses of the control hosts.
 	Entries  int
 	Controls []string
+	// Overdue holds the IDs of endpoints that have sent no report for a while. Entry hosts say which of them they hear.
+	Overdue []string
 	// Poison says which requests to hold back, if PoisonSum differs from that of the entry host.
 	Poison    poison.Report
 	PoisonSum uint64
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -192,6 +192,9 @@
 		t.entryHosts = t.entryHosts.Set(r.Host, o)
 		return
 	}
+	for _, a := range r.Active {
+		t.Fleet = t.Fleet.WithSign(a.ID, a.Born, t.Now-a.Age)
+	}
 	n := entryHost{report: r, tallies: o.tallies, heardAt: t.Now}
 	if n.report.Reads == nil {
 		n.report.Reads = o.report.Reads
@@ -199,7 +202,7 @@
 	if !ok {
 		t.removeExpiredHosts()
 	}
-	n.report.Tallies, n.report.Poison = nil, poison.Report{}
+	n.report.Tallies, n.report.Active, n.report.Poison = nil, nil, poison.Report{}
 	t.entryHosts = t.entryHosts.Set(r.Host, n)
 	if direct {
 		t.emit(SendGossip{Gossip: ctlrpc.Gossip{Hosts: []ctlrpc.HostReport{r}}})
--- a/ctrl/reduce_test.go
+++ b/ctrl/reduce_test.go
@@ -371,3 +371,31 @@
 		}
 	})
 }
+
+// Guards against dropping endpoints that entry hosts reach because control hosts get no reports of them.
+func TestEndpointThatEntryHostsHearIsKept(t *testing.T) {
+	i := is.New(t)
+	c := newCluster(t, 3)
+	c.run(2 * time.Second)
+	for _, e := range []string{"heard", "silent", "left"} {
+		c.reduce(address(0), ctrl.EndpointReported{Report: fleet.Report{ID: e, Born: 7, Sequence: 1, Service: "s", Address: e}})
+	}
+	c.reduce(address(1), ctrl.EndpointReported{Report: fleet.Report{ID: "left", Born: 7, Sequence: 2, Phase: fleet.Departed}})
+	h := c.hosts[address(0)].state.Heartbeat
+	known := func(id string) bool {
+		e, ok := c.hosts[address(2)].state.Fleet.Get(id)
+		return ok && e.Phase == fleet.Ready
+	}
+	for n := range uint64(20) {
+		c.run(h)
+		c.reduce(address(1), ctrl.HostReported{Report: ctlrpc.HostReport{Host: "e", Start: 1, Sequence: n + 1, Active: []ctlrpc.ActiveEndpoint{
+			{ID: "heard", Born: 7, Age: 100 * time.Millisecond}, {ID: "silent", Born: 6}, {ID: "left", Born: 7}, // an earlier start, and one that has left
+		}}})
+	}
+	c.run(h)
+	i.True(known("heard"))
+	i.True(!known("silent"))
+	i.True(!known("left"))
+	c.run(12 * h)
+	i.True(!known("heard")) // no longer heard
+}
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -43,6 +43,7 @@
 	views      []canary.View
 	limits     map[string]ctlrpc.Limit
 	hosts      []string
+	overdue    []string
 }
 
 func newReplyBuilder() *replyBuilder { return &replyBuilder{sent: map[string]sentLoads{}} }
@@ -53,7 +54,7 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	if !t.aggregate.valid || s.Now-t.aggregate.computedAt > maxAggregateAge {
-		t.aggregate = aggregate{computedAt: s.Now, valid: true, loads: s.Loads(), views: s.Views(), limits: s.Limits(), hosts: s.HostNames()}
+		t.aggregate = aggregate{computedAt: s.Now, valid: true, loads: s.Loads(), views: s.Views(), limits: s.Limits(), hosts: s.HostNames(), overdue: s.Fleet.Overdue(s.Now-overdueHeartbeats*s.Heartbeat, maxOverdue)}
 	}
 	n := ctlrpc.ExchangeReply{
 		Control: s.StartID, Sure: s.Synced, Current: s.Current(), FleetRevision: s.Fleet.Revision, Entries: s.EntryHosts(), Controls: s.ControlAddresses(),
@@ -65,6 +66,7 @@
 		n.Rollouts = t.aggregate.views
 	}
 	n.Limits = t.aggregate.limits
+	n.Overdue = t.aggregate.overdue
 	if n.PoisonSum = s.sharedPoisonSum; n.PoisonSum != q.Known.PoisonSum {
 		n.Poison = s.sharedPoison
 	}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -27,6 +27,10 @@
 	hostExpiry = time.Minute
 	// maxMissedHeartbeats is the number of heartbeats that an endpoint may miss before it is removed from the fleet.
 	maxMissedHeartbeats = 9
+	// overdueHeartbeats is the number of heartbeats that an endpoint may miss before entry hosts are asked whether they hear
+	// it, and maxOverdue bounds the endpoints that are asked about at once.
+	overdueHeartbeats = 3
+	maxOverdue        = 64
 	// compactEntries and compactBytes are the sizes of the log from which a snapshot replaces its applied entries.
 	compactEntries = 192
 	compactBytes   = 4 << 20
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,6 +63,8 @@
 	sequence uint64
 	// hosts holds the names of the entry hosts that a control host last sent.
 	hosts []string
+	// overdue holds the endpoints that the control host has no reports of.
+	overdue []string
 	// controls lists the peer addresses of the control hosts.
 	controls []string
 	// state says which configuration and fleet state this host has received. It is sent with each exchange, so that
@@ -175,7 +177,7 @@
 		p = e.Relay.Prefill.Measured()
 	}
 	q := ctlrpc.ExchangeRequest{
-		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges(), Assist: e.assistReport(), Poison: e.Relay.TakePoison()},
+		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges(), Assist: e.assistReport(), Active: e.Set.Active(e.overdue, time.Now()), Poison: e.Relay.TakePoison()},
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
@@ -291,6 +293,7 @@
 		e.state.PoisonSum = r.PoisonSum
 	}
 	e.Set.MergeLimits(r.Limits, time.Now())
+	e.overdue = r.Overdue
 	if len(r.Hosts) > 0 {
 		e.hosts = r.Hosts
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -175,6 +175,29 @@
 	return n
 }
 
+// WithSign returns the state after a sign that a start of an endpoint still runs, which counts like a report without news.
+func (s State) WithSign(id string, born int64, at time.Duration) State {
+	e, ok := s.endpoints.Get(id)
+	if !ok || e.Born != born || e.Phase == Departed || e.HeardAt >= at {
+		return s
+	}
+	e.HeardAt = at
+	s.endpoints = s.endpoints.Set(id, e)
+	return s
+}
+
+// Overdue returns the IDs of endpoints that haven't departed and whose newest report or sign came before the given time, at
+// most limit of them.
+func (s State) Overdue(before time.Duration, limit int) []string {
+	var r []string
+	for e := range s.All {
+		if len(r) < limit && e.Phase != Departed && e.HeardAt < before {
+			r = append(r, e.ID)
+		}
+	}
+	return r
+}
+
 // ChangesSince returns the changes after a revision: the newest reports of changed endpoints, and the IDs of
 // removed ones. ok is false if the revision is too old or unknown, so that a full sync is needed.
 func (s State) ChangesSince(revision uint64) (changed []Report, removed []string, ok bool) {
--- a/pick/links.go
+++ b/pick/links.go
@@ -45,7 +45,7 @@
 	}
 	if o.Outcome == reach.Opened {
 		s.recordSign(n, o.Ended)
-		n.openFailingSince, n.openFailedAt = time.Time{}, time.Time{}
+		n.openFailingSince, n.openFailedAt, n.openedAt = time.Time{}, time.Time{}, o.Ended
 	} else {
 		if n.openFailingSince.IsZero() {
 			n.openFailingSince = o.Began
@@ -285,5 +285,23 @@
 	return r
 }
 
+// Active returns how long ago endpoints last sent something or accepted a connection, among those with the given IDs. Those
+// of which nothing was heard for maxAnsweredAge are left out.
+func (s *Set) Active(ids []string, now time.Time) []ctlrpc.ActiveEndpoint {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var r []ctlrpc.ActiveEndpoint
+	for _, i := range ids {
+		n, ok := s.endpoints[i]
+		if !ok || n.replaced {
+			continue
+		}
+		if a := now.Sub(latest(n.lastActive, n.openedAt)); a < maxAnsweredAge {
+			r = append(r, ctlrpc.ActiveEndpoint{ID: i, Born: n.report.Born, Age: a})
+		}
+	}
+	return r
+}
+
 // maxAnsweredAge is the age from which an answer no longer counts as a sign that endpoints can be reached.
 const maxAnsweredAge = 1500 * time.Millisecond
