Report what a host reaches with every second exchange

Address, token and ages took some 200 bytes of each exchange and of the gossip about it. Control hosts keep the last one. TestHelpersReachEndpointsAndAreFew: of 300 hosts at most 12 are named, none that is cut off, stops, or is gone.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -55,7 +55,7 @@
 	// Ages holds the time since the order of each running rollout, by serial. Entry hosts report it so that the
 	// time isn't lost when control hosts restart.
 	Ages map[uint64]time.Duration
-	// Assist says how the host may send requests for others.
+	// Assist says how the host may send requests for others. Some reports leave it out: without an Address the last one stays.
 	Assist Assist
 	// Active holds how long ago endpoints last showed a sign of life, among those that a control host has named as overdue.
 	Active []ActiveEndpoint
--- a/ctrl/helpers.go
+++ b/ctrl/helpers.go
@@ -64,12 +64,12 @@
 	for i := s.entryHosts.Iterator(); !i.Done(); {
 		n, h, _ := i.Next()
 		a := h.report.Assist
-		if n == except || a.Address == "" || a.Stopping || h.heardAt+maxHelperAge < s.Now {
+		if n == except || a.Address == "" || a.Stopping || h.assistAt+maxHelperAge < s.Now {
 			continue
 		}
 		b := map[ctlrpc.Pool]time.Duration{}
 		for k, d := range a.Answered {
-			b[k] = d + s.Now - h.heardAt
+			b[k] = d + s.Now - h.assistAt
 		}
 		a.Answered = b
 		r = append(r, ctlrpc.NamedHelper{Host: n, Assist: a})
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -195,7 +195,10 @@
 	for _, a := range r.Active {
 		t.Fleet = t.Fleet.WithSign(a.ID, a.Born, t.Now-a.Age)
 	}
-	n := entryHost{report: r, tallies: o.tallies, heardAt: t.Now}
+	n := entryHost{report: r, tallies: o.tallies, heardAt: t.Now, assistAt: t.Now}
+	if r.Assist.Address == "" {
+		n.report.Assist, n.assistAt = o.report.Assist, o.assistAt
+	}
 	if n.report.Reads == nil {
 		n.report.Reads = o.report.Reads
 	}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -66,6 +66,8 @@
 	tallies map[tallyKey]canary.Tally
 	// heardAt is when the newest report came.
 	heardAt time.Duration
+	// assistAt is when the newest report came that holds report.Assist.
+	assistAt time.Duration
 }
 
 // tallyKey identifies a tally of one start of an entry host.
--- a/entry/helpers.go
+++ b/entry/helpers.go
@@ -15,6 +15,8 @@
 	// need them. firstHelperInterval replaces it until the first such host is known.
 	helperInterval      = 200 * time.Millisecond
 	firstHelperInterval = 50 * time.Millisecond
+	// assistReportEvery is the number of exchanges after which this host reports again what it reaches.
+	assistReportEvery = 2
 	// helperTimeout bounds the wait for the answer.
 	helperTimeout = 300 * time.Millisecond
 	// helperMargin is added to the age of what other hosts report, for the time that messages between hosts take.
@@ -28,8 +30,12 @@
 	Bound          *assist.Bound
 }
 
-// assistReport returns what this host reports for hosts that reach no endpoint.
+// assistReport returns what this host reports for hosts that reach no endpoint. Only every assistReportEvery-th exchange has
+// it, and all of a host that stops.
 func (e *Entry) assistReport() ctlrpc.Assist {
+	if e.sequence%assistReportEvery != 0 && !e.stopping.Load() {
+		return ctlrpc.Assist{}
+	}
 	a := ctlrpc.Assist{DataCentre: e.Settings.DataCentre, Address: e.Assisting.Address, Token: e.Assisting.Token, Stopping: e.stopping.Load()}
 	if e.Assisting.Bound != nil {
 		a.Taken = e.Assisting.Bound.Taken()
