Try endpoints that this host didn't reach through another one

Those that weren't reached directly are left out on that way only. TestEndpointsThatWereNotReachedAreTriedThroughAnotherHost (a service with one endpoint) is red on the commit before: refused in place of 200.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -206,7 +206,7 @@
 // does not count as a send.
 func (u *upstreamAttempt) handleNotRun(r Reply, ejected time.Duration) nextStep {
 	j := u.job
-	j.tried[u.choice.ID] = true
+	u.exclude(r.Unreachable)
 	if _, err := u.readSideBody(r); err != nil && r.Body != nil {
 		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
 	}
@@ -225,10 +225,19 @@
 	return resend
 }
 
+// exclude keeps further attempts of the request from the endpoint, or only direct ones if this host didn't reach it.
+func (u *upstreamAttempt) exclude(unreached bool) {
+	if unreached && u.way == pick.Direct {
+		u.job.unreached[u.choice.ID] = true
+		return
+	}
+	u.job.tried[u.choice.ID] = true
+}
+
 // recordFault records that the endpoint failed: it answered with a failure or its outcome is unknown.
 func (u *upstreamAttempt) recordFault(r Reply, wait time.Duration) {
 	j := u.job
-	j.tried[u.choice.ID] = true
+	u.exclude(u.linkLost.Load())
 	if r.Verdict == Unknown {
 		j.mayHaveRun = true
 		j.runs++
--- a/relay/detour_test.go
+++ b/relay/detour_test.go
@@ -275,3 +275,19 @@
 		})
 	}
 }
+
+// Guards against a refusal because this host has tried all endpoints of a small service in vain before it knew another way.
+func TestEndpointsThatWereNotReachedAreTriedThroughAnotherHost(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		w := newHarness(1, func(int, context.Context, relay.Attempt) relay.Reply {
+			time.Sleep(200 * time.Millisecond)
+			return unreachable()
+		})
+		d := byOthers()
+		defer w.withDetour(d, 0, unanswered)()
+		time.AfterFunc(410*time.Millisecond, func() { w.nameHelpers(1) })
+		s := w.serve(context.Background(), "/book/1", "key")
+		i.Equal(s.status, 200)
+		i.Equal(len(d.attempts), 1)
+	})
+}
--- a/relay/estimate.go
+++ b/relay/estimate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,7 +101,7 @@
 // session use the hash of the session in place of that of the request ID, so that a rollout treats them alike. For
 // streams, the cache affinity is the hash of all parts of the prompt but the last, which other requests may share.
 func (j *job) endpointRequest() pick.Request {
-	n := pick.Request{Service: j.service.Name, Slots: j.service.Slots, Work: j.startWork(), SlotTime: j.holdTime(), Draw: j.fraction, Tried: j.tried, Kind: j.kind()}
+	n := pick.Request{Service: j.service.Name, Slots: j.service.Slots, Work: j.startWork(), SlotTime: j.holdTime(), Draw: j.fraction, Tried: j.triedDirectly(), Kind: j.kind()}
 	if j.request.Session != "" {
 		n.InSession, n.Draw = true, hashFraction(j.request.Session)
 	}
@@ -118,6 +119,16 @@
 	return n
 }
 
+// triedDirectly returns the endpoints that a direct attempt must not go to.
+func (j *job) triedDirectly() map[string]bool {
+	if len(j.unreached) == 0 {
+		return j.tried
+	}
+	r := maps.Clone(j.tried)
+	maps.Copy(r, j.unreached)
+	return r
+}
+
 // kind names the route and the model, by which the answers are counted during a rollout.
 func (j *job) kind() string { return j.route.Name + " " + j.model() }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -60,8 +60,9 @@
 	// version during a rollout. It also spreads the Retry-After of an overloaded service.
 	fraction float64
 
-	// tried holds the IDs of the endpoints that failed or refused the request since the last retry round began.
-	tried map[string]bool
+	// tried holds the IDs of the endpoints that failed or refused the request since the last retry round began, and
+	// unreached those that this host didn't reach: another host may.
+	tried, unreached map[string]bool
 	// sends counts the attempts that reached an endpoint, and runs the attempts that ran or may have run.
 	sends int
 	runs  int
@@ -298,8 +299,8 @@
 		defer j.relay.Helpers.End(j.helper.Host)
 	}
 	c, ok := j.relay.Endpoints.Choose(n, time.Now())
-	for ; !ok && j.runs > 0 && len(j.tried) > 0 && j.awaitRetryRound(ctx); j.retryRounds++ {
-		j.tried = map[string]bool{}
+	for ; !ok && j.runs > 0 && len(n.Tried) > 0 && j.awaitRetryRound(ctx); j.retryRounds++ {
+		j.tried, j.unreached = map[string]bool{}, map[string]bool{}
 		n.Tried = j.tried
 		c, ok = j.relay.Endpoints.Choose(n, time.Now())
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -58,7 +58,7 @@
 	u.tallyBreak()
 	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
 	u.log().WithError(err).WithField("last-event", j.lastEventID).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
-	j.tried[u.choice.ID] = true
+	u.exclude(u.linkLost.Load())
 	u.recordBreak(err)
 	return rerun
 }
