Tell ended endpoints from refused links by what is heard of their neighbours

In a small service an endpoint is alone in its data centre, so that its own refusal cut the link and its end was never recorded: package poison would have had to wait for the fleet. Found while reading the diff. An end counts once something came from the neighbours in the pool since; of one that is alone, from the others of its service. TestNeighboursTellWhetherAnEndpointHasEnded.

--- a/pick/links.go
+++ b/pick/links.go
@@ -25,7 +25,7 @@
 // recordSign records an answer of an endpoint on a direct connection.
 func (s *Set) recordSign(n *endpoint, now time.Time) {
 	p := n.pool()
-	s.answeredAt[p] = now
+	s.answeredAt[p] = reach.Latest(s.answeredAt[p], now)
 	s.links[p] = s.links[p].WithSign(now)
 }
 
@@ -195,6 +195,45 @@
 	return doubted, cut
 }
 
+// Suspect makes probes decide about the link to an endpoint.
+func (s *Set) Suspect(id string, now time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if n, ok := s.endpoints[id]; ok {
+		s.setLink(n.pool(), s.links[n.pool()].WithSuspicion(now))
+	}
+}
+
+// NeighboursHeard reports whether anything has come since a time from the pool of an endpoint or, if it is alone there, from
+// other pools of its service or, if it is the only one of its service, from any.
+func (s *Set) NeighboursHeard(id string, since time.Time) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	if !ok {
+		return false
+	}
+	if p := n.pool(); s.poolSize(p) > 1 {
+		return s.links[p].SignAt().After(since)
+	}
+	alone, heard := true, false
+	for _, e := range s.endpoints {
+		p := e.pool()
+		if p == n.pool() || !e.serves(p.Service) {
+			continue
+		}
+		h := s.links[p].SignAt().After(since)
+		if p.Service == n.report.Service {
+			if h {
+				return true
+			}
+			alone = false
+		}
+		heard = heard || h
+	}
+	return heard && alone
+}
+
 // avoidsLink reports whether a request had better not use the direct link to an endpoint.
 func (s *Set) avoidsLink(n *endpoint, q Request, now time.Time) bool {
 	l := s.links[n.pool()]
@@ -231,12 +270,12 @@
 		r.Silent = r.Silent || l.Silent()
 		switch {
 		case q.LinkDraw >= l.DirectShare(now):
-			r.Lost[c] = latest(r.Lost[c], l.CutSince())
+			r.Lost[c] = reach.Latest(r.Lost[c], l.CutSince())
 			r.Returning = r.Returning || l.State() == reach.Returning
 		case l.Probing():
 			reached[c], r.Undecided = true, true
 		case !e.openFailedAt.IsZero() && now.Sub(e.openFailedAt) < openFailureMemory:
-			r.Lost[c], r.Probed = latest(r.Lost[c], e.openFailingSince), false
+			r.Lost[c], r.Probed = reach.Latest(r.Lost[c], e.openFailingSince), false
 		default:
 			reached[c], r.reached = true, true
 		}
@@ -263,14 +302,6 @@
 	return l
 }
 
-// latest returns the later one of two times.
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // Answered returns how long ago this host last got an answer or opened a connection. Only endpoints that it reaches directly
 // count, and only pools with a steady link.
 func (s *Set) Answered(now time.Time) map[ctlrpc.Pool]time.Duration {
@@ -296,7 +327,7 @@
 		if !ok || n.replaced {
 			continue
 		}
-		if a := now.Sub(latest(n.lastActive, n.openedAt)); a < maxAnsweredAge {
+		if a := now.Sub(reach.Latest(n.lastActive, n.openedAt)); a < maxAnsweredAge {
 			r = append(r, ctlrpc.ActiveEndpoint{ID: i, Born: n.report.Born, Age: a})
 		}
 	}
--- a/pick/links_test.go
+++ b/pick/links_test.go
@@ -482,3 +482,24 @@
 	q.Draw = 0.001
 	i.True(!s.CutOff(q, n.Add(time.Millisecond)).Cut)
 }
+
+// Guards against taking endpoints that refuse this host's connections for ended ones, and against missing those that have
+// ended: what is heard of their neighbours since tells.
+func TestNeighboursTellWhetherAnEndpointHasEnded(t *testing.T) {
+	i := is.New(t)
+	s := pick.NewSet("a")
+	l := []fleet.Report{{ID: "x0", Service: "x", DataCentre: "a"}, {ID: "x1", Service: "x", DataCentre: "a"}, {ID: "x2", Service: "x", DataCentre: "b"}, {ID: "y0", Service: "y", DataCentre: "a"}}
+	s.Replace(l)
+	heard := func(id string, after time.Duration) {
+		s.RecordActivity(id, pick.Direct, epoch.Add(after))
+	}
+	heard("x1", -time.Second) // before
+	heard("x2", time.Second)
+	heard("y0", time.Second)
+	i.True(!s.NeighboursHeard("x0", epoch)) // the link to its data centre may be cut
+	heard("x1", time.Second)
+	i.True(s.NeighboursHeard("x0", epoch))
+	i.True(s.NeighboursHeard("x2", epoch)) // alone in its data centre
+	i.True(s.NeighboursHeard("y0", epoch)) // the only one of its service
+	i.True(!s.NeighboursHeard("x2", epoch.Add(2*time.Second)))
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -78,8 +78,8 @@
 	Outcome      Outcome
 }
 
-// Link is this host's link to a pool: the endpoints of one service in one data centre. The zero value is a sound link without observations. It is
-// an immutable value.
+// Link is this host's link to a pool: the endpoints of one service in one data centre. The zero value is a sound link without
+// observations. It is an immutable value.
 type Link struct {
 	state State
 	// since is when state began.
@@ -153,7 +153,7 @@
 // withOpened returns the link after an opening that succeeded.
 func (l Link) withOpened(o Opening) Link {
 	l.failed, l.probed, l.silent = nil, nil, false
-	l.signAt = latest(l.signAt, o.Ended)
+	l.signAt = Latest(l.signAt, o.Ended)
 	switch l.state {
 	case Suspect:
 		l.state, l.since = Sound, o.Ended
@@ -173,7 +173,7 @@
 
 // WithSign returns the link after an answer on an open connection. It says nothing about new ones.
 func (l Link) WithSign(now time.Time) Link {
-	l.signAt = latest(l.signAt, now)
+	l.signAt = Latest(l.signAt, now)
 	return l
 }
 
@@ -300,8 +300,8 @@
 	return append(slices.Clone(list), name)
 }
 
-// latest returns the later one of two times.
-func latest(a, b time.Time) time.Time {
+// Latest returns the later one of two times.
+func Latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
 	}
--- a/relay/links.go
+++ b/relay/links.go
@@ -175,18 +175,22 @@
 	return u.way == pick.Direct && (u.linkLost.Load() || u.job.relay.Endpoints.Link(u.choice.ID) != reach.Sound)
 }
 
-// hasEnded reports whether an endpoint whose host refuses connections has ended. If only this host is refused, others open
-// connections to it: unless runs broke off there, which matters only then, probes of its neighbours decide.
+// hasEnded reports whether an endpoint whose host refuses connections has ended, which matters only if runs broke off there.
+// This host's own links may be the reason for the refusal: probes of the endpoint's neighbours decide, or what is heard of
+// other endpoints if it has none.
 func (u *upstreamAttempt) hasEnded() bool {
 	r := u.job.relay
 	if u.way != pick.Direct || !slices.Contains(r.Poison.Pending(), u.boot()) {
-		return u.way != pick.Direct
+		return false
 	}
 	b := time.Now()
-	r.Endpoints.Doubt(u.choice.ID, b)
+	r.Endpoints.Suspect(u.choice.ID, b)
 	wake(r.linkWake)
-	for t := b; r.Endpoints.Link(u.choice.ID) == reach.Suspect && time.Since(t) < 2*linkProbeTimeout && u.context.Err() == nil; {
+	for time.Since(b) < 2*linkProbeTimeout && u.context.Err() == nil {
 		time.Sleep(wayPoll)
+		if r.Endpoints.NeighboursHeard(u.choice.ID, b) {
+			return true
+		}
 	}
-	return r.Endpoints.Link(u.choice.ID) == reach.Sound
+	return false
 }
