--- a/pick/links.go
+++ b/pick/links.go
@@ -246,8 +246,9 @@
 	Cut bool
 	// Lost holds the data centres in which no endpoint of the service can be reached, and since when.
 	Lost map[string]time.Time
-	// Undecided is set if none is known to be reached, and probes are to decide about some.
-	Undecided bool
+	// Undecided is set if none is known to be reached, and probes are under way that decide about some. Pending is set if
+	// some links are suspect, so that probes are under way or follow.
+	Undecided, Pending bool
 	// Returning is set if the links to some have opened again and carry few requests yet.
 	Returning bool
 	// Silent is set if openings to some get no answer, rather than a refusal at once.
@@ -268,6 +269,7 @@
 		c := e.report.DataCentre
 		l := s.links[e.pool()]
 		r.Silent = r.Silent || l.Silent()
+		r.Pending = r.Pending || l.State() == reach.Suspect
 		switch {
 		case q.LinkDraw >= l.DirectShare(now):
 			r.Lost[c] = reach.Latest(r.Lost[c], l.CutSince())
--- a/relay/detour.go
+++ b/relay/detour.go
@@ -69,11 +69,11 @@
 		r.seek()
 	}
 	switch {
-	case c.Returning, !c.Probed:
+	case c.Returning, !c.Probed && !c.Pending:
 		return foundWay
 	case r.seeking(now):
 		return undecidedWay
-	case !c.Silent, j.runs > 0:
+	case !c.Probed, !c.Silent, j.runs > 0:
 		return foundWay
 	}
 	return noWay
--- a/relay/detour_test.go
+++ b/relay/detour_test.go
@@ -291,3 +291,27 @@
 		i.Equal(len(d.attempts), 1)
 	})
 }
+
+// Guards against a verdict by probes that failed because this host was suspended.
+func TestSuspendedHostGivesNoVerdict(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		w := newHarness(3, func(n int, _ context.Context, _ relay.Attempt) relay.Reply {
+			if n == 1 {
+				time.Sleep(700 * time.Millisecond)
+			}
+			return ran("ok")
+		})
+		d := byOthers()
+		defer w.withDetour(d, 2, func(context.Context, string) relay.Liveness {
+			time.Sleep(time.Second) // far longer than a probe waits
+			return relay.Unclear
+		})()
+		s := w.serve(context.Background(), "/book/1", "key")
+		i.Equal(s.status, 200)
+		time.Sleep(2 * time.Second)
+		for k := range 3 {
+			i.True(w.set.Link(fmt.Sprint("desk", k)) != reach.Cut)
+		}
+		i.Equal(len(d.attempts), 0)
+	})
+}
