Read the body of a call only once its request is to be sent

The bound is taken by the length that is announced; the body of a declined call is skipped. TestBodyOfDeclinedCallIsSkipped.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -335,3 +335,23 @@
 	i.True(r.Asks.Rest > time.Second && r.Asks.Rest <= 2*time.Second)
 	i.Equal(h.sender.count(), 1)
 }
+
+// Guards against memory that bodies take before it is known whether their requests are sent, and against connections that
+// can't be used again after a request with a body was declined.
+func TestBodyOfDeclinedCallIsSkipped(t *testing.T) {
+	i := is.New(t)
+	h := startHelping(t, func(ctx context.Context) relay.Reply { return answering(bytes.NewBufferString("ok"))(ctx) })
+	c := client()
+	a := attempt()
+	a.Body = bytes.Repeat([]byte("x"), 8<<20) // more than the bodies that the host has room for
+	r, p := c.Send(context.Background(), helper(h.address), a)
+	i.Equal(p.Result, relay.Declined)
+	i.Equal(p.Reason, "busy")
+	i.Equal(r.Verdict, relay.NotRun)
+	i.Equal(h.bound.Taken(), 0)
+	r, p = c.Send(context.Background(), helper(h.address), attempt())
+	i.Equal(p.Result, relay.Delivered)
+	i.NoErr(r.Body.Close())
+	i.Equal(h.sender.count(), 1)
+	i.Equal(h.sender.attempts[0].Body, attempt().Body)
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -126,18 +126,23 @@
 		if c.watched != nil {
 			<-c.watched
 		}
-		if _, err := c.reader.Peek(1); err != nil {
-			return
-		}
-		if err := c.conn.SetReadDeadline(time.Now().Add(callTimeout)); err != nil {
-			return
-		}
-		if c.serve() != nil {
+		if c.awaitCall() != nil || c.serve() != nil {
 			return
 		}
 	}
 }
 
+// awaitCall waits for the first byte of a call, and bounds the time that the rest may take.
+func (c *connection) awaitCall() error {
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(callTimeout))
+}
+
 // serve reads one call and answers it.
 func (c *connection) serve() error {
 	k, b, err := readFrame(c.reader, maxHeadBytes)
@@ -154,14 +159,11 @@
 	if k != callFrame {
 		return errFrame
 	}
-	k, b, err = readFrame(c.reader, maxBodyBytes)
+	k, n, err := readHead(c.reader, maxBodyBytes)
 	if err != nil || k != bodyFrame {
 		return errors.Join(errFrame, err)
 	}
-	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
-		return err
-	}
-	return c.handle(v, b)
+	return c.handle(v, n)
 }
 
 // revoke answers whether a call has begun, and keeps it from beginning otherwise.
@@ -186,49 +188,65 @@
 	return refusal{}, false
 }
 
-// handle sends the request of a call to its endpoint, or declines.
-func (c *connection) handle(v call, b []byte) error {
+// handle sends the request of a call to its endpoint, or declines. The body of the request, of a number of bytes, wasn't read.
+func (c *connection) handle(v call, bodyBytes int) error {
 	s := c.server
 	l := s.Log.WithFields(logrus.Fields{"id": v.RequestID, "origin": v.Origin, "endpoint": v.Endpoint.ID, "left": v.RemainingMS})
 	n := time.Now()
 	if f, ok := s.refusalOf(v); ok {
-		return c.decline(f, l)
+		return c.decline(f, bodyBytes, l)
 	}
-	w, ok := s.Bound.Take(v.Origin, v.Priority, int64(len(b)), n)
+	w, ok := s.Bound.Take(v.Origin, v.Priority, int64(bodyBytes), n)
 	if !ok {
-		return c.decline(refusal{Reason: "busy", RetryAfterMS: w.Milliseconds()}, l)
+		return c.decline(refusal{Reason: "busy", RetryAfterMS: w.Milliseconds()}, bodyBytes, l)
 	}
-	defer s.Bound.Release(int64(len(b)))
+	defer s.Bound.Release(int64(bodyBytes))
 	w, ok = s.Relay.Endpoints.BeginRelay(v.Endpoint, n)
 	switch {
 	case w > 0:
-		return c.declineAtRest(w, l)
+		return c.declineAtRest(w, bodyBytes, l)
 	case !ok:
-		return c.decline(refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, l)
+		return c.decline(refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, bodyBytes, l)
 	}
 	defer s.Relay.Endpoints.EndRelay(v.Endpoint.ID)
+	b := make([]byte, bodyBytes)
+	if _, err := io.ReadFull(c.reader, b); err != nil {
+		return err
+	}
 	if !s.calls.begin(v.ID, n) {
-		return c.decline(refusal{Reason: "revoked"}, l)
+		return c.decline(refusal{Reason: "revoked"}, 0, l)
 	}
 	if err := writeFrame(c.conn, begunFrame, nil); err != nil {
 		l.WithError(err).Info("relay: the other host has left before its request was sent")
 		return err
 	}
-	s.Metrics.GetOrCreateCounter("relayed_total{outcome=\"begun\"}").Inc()
+	s.Metrics.GetOrCreateCounter(`relayed_total{outcome="begun"}`).Inc()
 	return c.relay(v, b, l)
 }
 
-// decline says that the request of a call will not be sent.
-func (c *connection) decline(f refusal, l *logrus.Entry) error {
+// skip reads the body of a request that isn't sent, without keeping it.
+func (c *connection) skip(bodyBytes int) error {
+	_, err := io.CopyN(io.Discard, c.reader, int64(bodyBytes))
+	return err
+}
+
+// decline says that the request of a call will not be sent, and skips its body.
+func (c *connection) decline(f refusal, bodyBytes int, l *logrus.Entry) error {
 	c.server.Metrics.GetOrCreateCounter(`relayed_total{outcome="declined"}`).Inc()
 	l.WithFields(logrus.Fields{"reason": f.Reason, "retry-after": f.RetryAfterMS}).Info("relay: a request of another host is declined")
+	if err := c.skip(bodyBytes); err != nil {
+		return err
+	}
 	return writeJSON(c.conn, declinedFrame, f)
 }
 
 // declineAtRest answers for an endpoint that wants nothing from this host for a time. Other endpoints may be asked for.
-func (c *connection) declineAtRest(rest time.Duration, l *logrus.Entry) error {
+func (c *connection) declineAtRest(rest time.Duration, bodyBytes int, l *logrus.Entry) error {
 	c.server.Metrics.GetOrCreateCounter(`relayed_total{outcome="at-rest"}`).Inc()
 	l.WithField("rest", rest.Milliseconds()).Info("relay: the endpoint rests, a request of another host isn't sent")
+	if err := c.skip(bodyBytes); err != nil {
+		return err
+	}
 	if err := writeFrame(c.conn, begunFrame, nil); err != nil {
 		return err
 	}
@@ -242,6 +260,9 @@
 func (c *connection) relay(v call, b []byte, l *logrus.Entry) error {
 	ctx, f := context.WithTimeout(context.Background(), time.Duration(v.RemainingMS)*time.Millisecond)
 	defer f()
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
 	c.watched = make(chan struct{})
 	w := leaveWatch{c, f, c.watched}
 	go w.run()
