--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -30,8 +30,11 @@
 	metricsPort    = 7806
 )
 
-// tunnelOctet is the last byte of the IP of the first tunnel.
-const tunnelOctet = 100
+// tunnelOctet is the last byte of the IP of the first tunnel, and sourceOctet that of the IP of its connections.
+const (
+	tunnelOctet = 100
+	sourceOctet = 150
+)
 
 // Process is one control host or entry host of a deployment.
 type Process struct {
@@ -87,7 +90,7 @@
 	for k := range entries {
 		p := d.newProcess(fmt.Sprint("entry", k), 10+k, k%3, false)
 		if tunnels {
-			p.Tunnel = newTunnel(t, fmt.Sprintf("%s.%d", d.subnet, tunnelOctet+k), d.EndpointIP())
+			p.Tunnel = newTunnel(t, fmt.Sprintf("%s.%d", d.subnet, tunnelOctet+k), fmt.Sprintf("%s.%d", d.subnet, sourceOctet+k), d.EndpointIP())
 		}
 		d.Entry = append(d.Entry, p)
 	}
--- a/itest/tunnel.go
+++ b/itest/tunnel.go
@@ -32,6 +32,9 @@
 type Tunnel struct {
 	t  testing.TB
 	IP string
+	// source is the IP of its connections to endpoints, which tells them which host it is. On its own IP they could take the
+	// ports that it listens on.
+	source string
 	// target is the IP of the endpoints.
 	target string
 
@@ -56,8 +59,8 @@
 }
 
 // newTunnel returns an open tunnel without ports.
-func newTunnel(t testing.TB, ip, target string) *Tunnel {
-	u := &Tunnel{t: t, IP: ip, target: target, ports: map[int]*tunnelPort{}}
+func newTunnel(t testing.TB, ip, source, target string) *Tunnel {
+	u := &Tunnel{t: t, IP: ip, source: source, target: target, ports: map[int]*tunnelPort{}}
 	u.changed = sync.NewCond(&u.lock)
 	t.Cleanup(u.close)
 	return u
@@ -173,7 +176,7 @@
 		if err != nil {
 			return
 		}
-		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(f.tunnel.IP)}} // tells the endpoint which host it is
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(f.tunnel.source)}}
 		s, err := d.Dial("tcp", f.target)
 		if err != nil {
 			_ = c.(*net.TCPConn).SetLinger(0) // the endpoint refused it
