Find the end of requests that went through another host

Callers' requests that a host sent through another one had the cause "its end isn't logged, it was under way when the log ends" in 'hickoryshelf explain' if the other host's line was the last one with the id, since the last line was taken for the end. Ruled out: a missing line; 'request: served' was there.

Lines of the host that sends for another one no longer end a request, and the cause names that host. TestExplainRequestSentByAnotherHost was red before ("its end isn't logged" in place of "served by i-1 through e2").

--- a/trace/trace.go
+++ b/trace/trace.go
@@ -124,13 +124,26 @@
 	for _, k := range slices.Sorted(maps.Keys(n)) {
 		r.HostState = append(r.HostState, n[k])
 	}
-	r.Cause = explainOutcome(r.Lines)
-	if len(r.Lines) > 0 && !strings.HasPrefix(r.Lines[len(r.Lines)-1].Message, "request:") {
-		r.Cause = explainMissingEnd(r.Lines, lines)
-	}
+	r.Cause = explain(r.Lines, lines)
 	return r
 }
 
+// relayPrefix begins the messages of a host that sends a request for another one. Such a line may be later than the last
+// one of the host that the caller chose.
+const relayPrefix = "relay:"
+
+// explain returns the cause of the outcome of a request. own holds its lines, and all those of all hosts.
+func explain(own, all []Line) string {
+	o := slices.DeleteFunc(slices.Clone(own), func(l Line) bool { return strings.HasPrefix(l.Message, relayPrefix) })
+	switch {
+	case len(own) > 0 && len(o) == 0:
+		return "sent for another host, whose log wasn't given: " + own[len(own)-1].Message
+	case len(o) > 0 && !strings.HasPrefix(o[len(o)-1].Message, "request:"):
+		return explainMissingEnd(o, all)
+	}
+	return explainOutcome(o)
+}
+
 // explainMissingEnd returns the cause of a request without a final line: its host restarted, or the log ends while
 // the request was in flight. own holds the lines of the request and isn't empty.
 func explainMissingEnd(own, all []Line) string {
@@ -152,7 +165,7 @@
 	o := stringField(l.Fields, "outcome")
 	switch o {
 	case "served":
-		return fmt.Sprintf("served by %v after %.0f runs", l.Fields["endpoint"], l.numberField("runs"))
+		return fmt.Sprintf("served by %v%s after %.0f runs", l.Fields["endpoint"], describeHelper(l), l.numberField("runs"))
 	case "overloaded":
 		return fmt.Sprintf("refused, not run: the best of %.0f endpoints would have begun to answer in %.0f ms, and %.0f ms were left",
 			l.numberField("candidates"), l.numberField("estimate"), l.numberField("left"))
@@ -228,11 +241,19 @@
 		if w == "" {
 			w = strings.TrimPrefix(l.Message, "attempt: ")
 		}
-		r = append(r, fmt.Sprintf("%v after %.0f ms (%s)", l.Fields["endpoint"], l.numberField("took"), w))
+		r = append(r, fmt.Sprintf("%v%s after %.0f ms (%s)", l.Fields["endpoint"], describeHelper(l), l.numberField("took"), w))
 	}
 	return r
 }
 
+// describeHelper names the host through which the attempt of a line went, or returns an empty text if it went directly.
+func describeHelper(l Line) string {
+	if h := stringField(l.Fields, "relayed-by"); h != "" {
+		return " through " + h
+	}
+	return ""
+}
+
 // Write writes the report to w as text for a terminal.
 func (r Report) Write(w io.Writer) error {
 	var b strings.Builder
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -50,6 +50,30 @@
 	}
 }
 
+const detourLog = `{"host":"e1","id":"a","msg":"attempt: another host didn't send the request","endpoint":"i-1","relayed-by":"e3","hop":"declined","reason":"busy","took":3,"time":"10:00:00.100"}
+{"host":"e1","id":"a","msg":"request: served","outcome":"served","endpoint":"i-1","relayed-by":"e2","runs":1,"time":"10:00:00.200"}
+{"host":"e3","id":"a","msg":"relay: a request of another host is declined","reason":"busy","time":"10:00:00.099"}
+{"host":"e2","id":"a","msg":"relay: a request of another host was sent","endpoint":"i-1","time":"10:00:00.201"}
+{"host":"e1","id":"b","msg":"attempt: broken off in flight","error":"unexpected EOF","endpoint":"i-2","relayed-by":"e2","took":40,"time":"10:00:00.300"}
+{"host":"e1","id":"b","msg":"request: refused","outcome":"answer-lost","left":700,"spent":"attempts","time":"10:00:00.301"}
+{"host":"e2","id":"b","msg":"relay: a request of another host was sent","endpoint":"i-2","time":"10:00:00.302"}
+{"host":"e2","id":"c","msg":"relay: a request of another host was sent","endpoint":"i-2","time":"10:00:00.302"}
+`
+
+// Guards against requests that went through another host and whose end isn't found, since that host logs its line last.
+func TestExplainRequestSentByAnotherHost(t *testing.T) {
+	for id, want := range map[string]string{
+		"a": "served by i-1 through e2 after 1 runs",
+		"b": "may have run, its answer is lost: i-2 through e2 after 40 ms (unexpected EOF); no further run: it may run no more often",
+		"c": "sent for another host, whose log wasn't given: relay: a request of another host was sent",
+	} {
+		i := is.New(t)
+		l, err := trace.Read(strings.NewReader(detourLog))
+		i.NoErr(err)
+		i.Equal(trace.Explain(id, l).Cause, want)
+	}
+}
+
 // Host state lines from before the host's last start or after the request's last line are left out.
 func TestHostStateIsFromBeforeRequestEnd(t *testing.T) {
 	i := is.New(t)
