Send entry hosts hashes of suspected keys in place of all evidence about them

Cause: control hosts sent all cases with two crashes or more, with up to 32 crashes and 16 keys beside each, to all entry hosts again whenever one of them changed, and woke all exchanges for it. With many ends at once under full load some case changes in each judgement, ten times a second.

Ruled out: what hosts report (900 bytes/s a host).

Now cases with verdicts go down whole, as before; of other keys a hash, at most 32 changes in an exchange. A host that has served requests with a watched key says since when; ends before that don't count, whoever saw them. Control hosts merge what arrives once a tick, gossip a verdict's cases only, and save what more than one end speaks for; hosts report their own evidence again. Old builds understand both ways: they get verdicts, and clear what they saw.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -171,6 +171,8 @@
 	// Poison says which requests to hold back, if PoisonSum differs from that of the entry host.
 	Poison    poison.Report
 	PoisonSum uint64
+	// Watch holds changes of the keys that the host watches.
+	Watch poison.WatchUpdate
 }
 
 // HostsSum returns the hash of the names of entry hosts.
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -65,7 +65,7 @@
 	calls    pendingCalls
 	// helpers names entry hosts to those that reach no endpoint.
 	helpers helperCache
-	replies *replyBuilder
+	replies *ReplyBuilder
 	stop    chan struct{}
 
 	lock sync.Mutex
@@ -107,7 +107,7 @@
 	}
 	s = s.WithMemory(m)
 	h := &Host{
-		replies:  newReplyBuilder(),
+		replies:  NewReplyBuilder(),
 		settings: o.Settings, log: o.Log, start: time.Now(), events: make(chan Event, eventQueueSize),
 		stop: make(chan struct{}), changed: make(chan struct{}),
 	}
@@ -399,13 +399,13 @@
 	for {
 		s, c := h.stateAndChange()
 		if hasChanges(s, q.Known) {
-			return h.replies.build(s, q)
+			return h.replies.Build(s, q)
 		}
 		select {
 		case <-c:
 		case <-t.C:
 			s, _ = h.stateAndChange()
-			return h.replies.build(s, q)
+			return h.replies.Build(s, q)
 		case <-h.stop:
 			return ctlrpc.ExchangeReply{}
 		}
--- a/ctrl/memory.go
+++ b/ctrl/memory.go
@@ -30,14 +30,15 @@
 	Reports []fleet.Report `json:"reports"`
 	// PrefillTimes holds the prefill time per prompt token by model.
 	PrefillTimes map[string]time.Duration `json:"prefill-times"`
-	// Poison is the evidence about requests that end endpoints.
+	// Poison is the evidence about requests that end endpoints, but for what one host alone has seen, which that host reports
+	// again.
 	Poison poison.Report `json:"poison"`
 }
 
 // Memory returns the memory of a state: the endpoints that haven't departed and the measured prefill times.
 func (s State) Memory() Memory {
 	r := slices.DeleteFunc(s.Fleet.Reports(), func(r fleet.Report) bool { return r.Phase == fleet.Departed })
-	return Memory{Reports: r, PrefillTimes: s.PrefillTimes(), Poison: s.Poison.Report(s.Now)}
+	return Memory{Reports: r, PrefillTimes: s.PrefillTimes(), Poison: s.Poison.Confirmed(s.Now)}
 }
 
 // WithMemory returns the state of a host that has just started, with the memory of the process before. A remembered
@@ -58,7 +59,7 @@
 func (m memorySaver) run() {
 	t := time.NewTicker(memorySaveInterval)
 	defer t.Stop()
-	var r, p uint64
+	var r, p, w uint64
 	k, f := 0, false
 	for {
 		select {
@@ -68,12 +69,12 @@
 		}
 		s := *m.host.state.Load()
 		n := len(s.PrefillTimes())
-		if s.Fleet.Revision == r && n == k && s.poisonRevision == p {
+		if s.Fleet.Revision == r && n == k && s.sharedPoisonSum == p && s.watchRevision == w {
 			continue
 		}
 		err := saveMemory(m.host.settings.DataFolder, s.Memory())
 		if err == nil {
-			r, k, p = s.Fleet.Revision, n, s.poisonRevision
+			r, k, p, w = s.Fleet.Revision, n, s.sharedPoisonSum, s.watchRevision
 		}
 		if err != nil && !f {
 			m.host.log.WithError(err).Warn("control: the memory for the next start can't be saved")
--- a/ctrl/poison.go
+++ b/ctrl/poison.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
@@ -24,12 +25,21 @@
 
 func (PoisonJudged) effect() {}
 
-// applyPoison merges evidence about requests that end endpoints.
+// applyPoison takes in evidence about requests that end endpoints. It is merged with the next tick.
 func (t *transition) applyPoison(r poison.Report) {
 	if r.Empty() {
 		return
 	}
-	t.Poison = t.Poison.WithReport(r, t.Now)
+	t.poisonInbox = append(slices.Clip(t.poisonInbox), poison.Arrival{Report: r, At: t.Now})
+}
+
+// mergePoison merges the evidence that has arrived.
+func (t *transition) mergePoison() {
+	if len(t.poisonInbox) == 0 {
+		return
+	}
+	t.Poison = t.Poison.WithReports(t.poisonInbox, t.Now)
+	t.poisonInbox = nil
 	t.poisonRevision++
 	t.poisonChangedAt = t.Now
 }
@@ -37,6 +47,7 @@
 // judgePoison judges the evidence if there is new one. Each control host does so; as verdicts are merged, they need no
 // agreement.
 func (t *transition) judgePoison() {
+	t.mergePoison()
 	if t.Now < t.nextJudgement || t.judgedRevision == t.poisonRevision && t.Now > t.poisonChangedAt+rejudgeTime {
 		return
 	}
@@ -45,24 +56,37 @@
 	s, l := t.Poison.Judged(t.Now)
 	if n || len(l) > 0 {
 		t.sharedPoison, t.sharedPoisonSum = s.Shared(t.Now)
+		t.setWatch(s.Watched())
 	}
 	t.Poison = s
 	if len(l) == 0 {
 		return
 	}
+	var k []poison.Key
 	for _, v := range l {
 		t.emit(PoisonJudged{v})
+		k = append(k, v.Rule.Key)
+		k = append(k, v.Rule.With...)
+	}
+	t.emit(SendGossip{Gossip: ctlrpc.Gossip{Poison: s.ReportOf(k, t.Now)}})
+}
+
+// setWatch replaces the keys that entry hosts watch, unless they are the same.
+func (t *transition) setWatch(w poison.Watch) {
+	if !w.Equal(t.watch) {
+		t.watch = w
+		t.watchRevision++
 	}
-	t.emit(SendGossip{Gossip: ctlrpc.Gossip{Poison: s.Report(t.Now)}})
 }
 
 // liftPoison withdraws a verdict here and at the other control hosts.
 func (t *transition) liftPoison(k poison.Key) {
+	t.mergePoison()
 	s, ok := t.Poison.WithLifted(k)
 	if !ok {
 		return
 	}
 	t.Poison = s
 	t.poisonRevision++
-	t.emit(SendGossip{Gossip: ctlrpc.Gossip{Poison: s.Report(t.Now)}})
+	t.emit(SendGossip{Gossip: ctlrpc.Gossip{Poison: s.ReportOf([]poison.Key{k}, t.Now)}})
 }
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 )
 
 const (
@@ -18,21 +19,23 @@
 	sentCleanupSize = 64
 )
 
-// replyBuilder builds exchange replies that hold only what an entry host lacks. It is safe for concurrent use.
-type replyBuilder struct {
+// ReplyBuilder builds exchange replies that hold only what an entry host lacks. It is safe for concurrent use.
+type ReplyBuilder struct {
 	lock      sync.Mutex
-	sent      map[string]sentLoads
+	sent      map[string]sentState
 	aggregate aggregate
 }
 
-// sentLoads records the loads of other entry hosts that an entry host has received, to send only changes.
-type sentLoads struct {
+// sentState records what an entry host has received of loads and watched keys, to send only changes.
+type sentState struct {
 	// start is the incarnation of the entry host.
 	start int64
 	// sequence is the sequence number of the newest report that was answered.
 	sequence uint64
 	loads    map[string]ctlrpc.Load
-	sentAt   time.Duration
+	// watch holds the keys that the host watches.
+	watch  poison.Watch
+	sentAt time.Duration
 }
 
 // aggregate caches loads and rollout views that are computed from the reports of all entry hosts.
@@ -46,11 +49,12 @@
 	overdue    []string
 }
 
-func newReplyBuilder() *replyBuilder { return &replyBuilder{sent: map[string]sentLoads{}} }
+// NewReplyBuilder returns a builder that has sent nothing yet.
+func NewReplyBuilder() *ReplyBuilder { return &ReplyBuilder{sent: map[string]sentState{}} }
 
-// build returns the reply to an exchange request: a newer configuration, rollouts, and changes of the fleet and of
+// Build returns the reply to an exchange request: a newer configuration, rollouts, and changes of the fleet and of
 // loads. Configuration and rollouts are left out until this control host has caught up.
-func (t *replyBuilder) build(s State, q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
+func (t *ReplyBuilder) Build(s State, q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	if !t.aggregate.valid || s.Now-t.aggregate.computedAt > maxAggregateAge {
@@ -102,7 +106,7 @@
 // addLoadChanges adds the loads of other entry hosts: all of them if the entry host holds none from this start of the
 // control host, otherwise those that changed most. A request that is older than the last answered one gets no
 // loads and changes no record, because its reply may never arrive.
-func (t *replyBuilder) addLoadChanges(n *ctlrpc.ExchangeReply, s State, q ctlrpc.ExchangeRequest) {
+func (t *ReplyBuilder) addLoadChanges(n *ctlrpc.ExchangeReply, s State, q ctlrpc.ExchangeRequest) {
 	r := q.Report
 	o, ok := t.sent[r.Host]
 	if ok && (r.Start < o.start || r.Start == o.start && r.Sequence < o.sequence) {
@@ -111,18 +115,21 @@
 	w := t.otherLoads(s, r.Host)
 	if !ok || o.start != r.Start || q.Known.Control != s.StartID {
 		n.LoadsNew, n.Loads = true, w
-		t.recordSent(r.Host, sentLoads{r.Start, r.Sequence, w, s.Now}, s)
+		n.Watch = s.watch.ChangesFrom(poison.Watch{})
+		n.Watch.New = true
+		t.recordSent(r.Host, sentState{r.Start, r.Sequence, w, poison.Watch{}.With(n.Watch), s.Now}, s)
 		return
 	}
 	n.Loads = ctlrpc.LoadChanges(o.loads, w, maxLoadChanges)
 	l := maps.Clone(o.loads)
 	maps.Copy(l, n.Loads)
 	maps.DeleteFunc(l, func(_ string, v ctlrpc.Load) bool { return v == ctlrpc.Load{} })
-	t.recordSent(r.Host, sentLoads{r.Start, r.Sequence, l, s.Now}, s)
+	n.Watch = s.watch.ChangesFrom(o.watch)
+	t.recordSent(r.Host, sentState{r.Start, r.Sequence, l, o.watch.With(n.Watch), s.Now}, s)
 }
 
 // otherLoads returns the sum of the loads of all entry hosts except the named one, by endpoint.
-func (t *replyBuilder) otherLoads(s State, host string) map[string]ctlrpc.Load {
+func (t *ReplyBuilder) otherLoads(s State, host string) map[string]ctlrpc.Load {
 	r := maps.Clone(t.aggregate.loads)
 	for e, k := range s.HostLoads(host) {
 		if l := r[e].Minus(k); l != (ctlrpc.Load{}) {
@@ -136,9 +143,9 @@
 
 // recordSent stores the loads that were sent to an entry host, and removes the records of hosts that had no exchange
 // for hostExpiry.
-func (t *replyBuilder) recordSent(host string, v sentLoads, s State) {
+func (t *ReplyBuilder) recordSent(host string, v sentState, s State) {
 	t.sent[host] = v
 	if len(t.sent) > sentCleanupSize {
-		maps.DeleteFunc(t.sent, func(_ string, o sentLoads) bool { return o.sentAt+hostExpiry < s.Now })
+		maps.DeleteFunc(t.sent, func(_ string, o sentState) bool { return o.sentAt+hostExpiry < s.Now })
 	}
 }
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -104,6 +104,8 @@
 	// judgedRevision is the one that was judged last.
 	Poison         poison.State
 	poisonRevision uint64
+	// poisonInbox holds the reports of it that aren't merged yet.
+	poisonInbox []poison.Arrival
 	// poisonChangedAt is when the last report of it came.
 	poisonChangedAt time.Duration
 	judgedRevision  uint64
@@ -112,6 +114,9 @@
 	// sharedPoison is what entry hosts have to know of the evidence that was judged last, and sharedPoisonSum its hash.
 	sharedPoison    poison.Report
 	sharedPoisonSum uint64
+	// watch holds the keys that entry hosts watch, and watchRevision grows with each change of it.
+	watch         poison.Watch
+	watchRevision uint64
 	// Synced is set once this host leads and is ready, or has applied the entries that the first leader it heard had
 	// committed by then. It stays set until the process ends.
 	Synced bool
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -292,6 +292,7 @@
 		e.Relay.AdoptPoison(r.Poison)
 		e.state.PoisonSum = r.PoisonSum
 	}
+	e.Relay.Poison.AdoptWatch(r.Watch)
 	e.Set.MergeLimits(r.Limits, time.Now())
 	e.overdue = r.Overdue
 	if len(r.Hosts) > 0 {
--- a/poison/case.go
+++ b/poison/case.go
@@ -55,6 +55,10 @@
 	Verdict, Lifted int
 	// AskedAt is when a request with the key last ended an endpoint or was held back.
 	AskedAt time.Duration
+	// ServedAt is the time after which enough requests with the key were served, if Served is set. Ends up to then don't
+	// count against the key, whichever host has seen them.
+	Served   bool
+	ServedAt time.Duration
 }
 
 // InForce reports whether requests with the key are held back.
@@ -164,5 +168,11 @@
 		c = c.WithCrash(b, r, o.AskedAt)
 	}
 	c.Verdict, c.Lifted, c.AskedAt = max(c.Verdict, o.Verdict), max(c.Lifted, o.Lifted), max(c.AskedAt, o.AskedAt)
+	if o.Served && (!c.Served || c.ServedAt < o.ServedAt) {
+		c.Served, c.ServedAt = true, o.ServedAt
+	}
 	return c
 }
+
+// clearedBy reports whether an end at a time doesn't count since requests with the key were served after it.
+func (c Case) clearedBy(end time.Duration) bool { return c.Served && end <= c.ServedAt }
--- a/poison/days_test.go
+++ b/poison/days_test.go
@@ -145,6 +145,9 @@
 	sum     uint64
 	adopted map[int]uint64
 	judged  bool
+	// watch holds the keys that the control host suspects, and watches what each host knows of it.
+	watch   poison.Watch
+	watches map[int]poison.Watch
 	// ruled is the number of rules that were shared last.
 	ruled int
 	// changed is when the control host last heard of evidence.
@@ -156,7 +159,7 @@
 }
 
 func play(d day, seed uint64) outcome {
-	p := &player{day: d, adopted: map[int]uint64{}, random: rand.New(rand.NewPCG(seed, 11)), outcome: outcome{ends: map[string][]time.Duration{}, sends: map[string][]time.Duration{}}}
+	p := &player{day: d, adopted: map[int]uint64{}, watches: map[int]poison.Watch{}, random: rand.New(rand.NewPCG(seed, 11)), outcome: outcome{ends: map[string][]time.Duration{}, sends: map[string][]time.Duration{}}}
 	for range d.hosts {
 		p.hosts = append(p.hosts, poison.NewObserver())
 	}
@@ -393,6 +396,7 @@
 		p.control, _ = p.control.Judged(p.now)
 		if n := len(p.control.Rules()); !p.judged || n != p.ruled {
 			p.shared, p.sum = p.control.Shared(p.now)
+			p.watch = p.control.Watched()
 			p.ruled = n
 		}
 		p.judged = true
@@ -406,12 +410,15 @@
 	if r := h.Take(p.now); !r.Empty() {
 		p.control, p.judged, p.changed = p.control.WithReport(r, p.now), false, p.now
 	}
-	r, s := p.shared, p.sum
+	r, s, w := p.shared, p.sum, p.watch
 	p.after(exchangeTime, func() {
 		if s != p.adopted[n] {
 			h.Adopt(r, p.now)
 			p.adopted[n] = s
 		}
+		u := w.ChangesFrom(p.watches[n])
+		h.AdoptWatch(u)
+		p.watches[n] = p.watches[n].With(u)
 		p.exchange(n)
 	})
 }
--- a/poison/observer.go
+++ b/poison/observer.go
@@ -50,11 +50,17 @@
 	// changedEnds and changedCases are what the next report has to hold.
 	changedEnds  map[Boot]bool
 	changedCases map[Key]bool
-	rules        atomic.Pointer[[]Rule]
-	// suspects holds the keys of requests that have ended as many endpoints as a verdict needs at least.
-	suspects atomic.Pointer[map[Key]bool]
-	// heads holds the heads of the requests against which anything is known.
-	heads atomic.Pointer[map[Key]bool]
+	// watch holds the keys that the control host suspects, and servedAt when requests with such a key were served, as the
+	// next report has to hold it.
+	watch    Watch
+	servedAt map[Key]time.Duration
+	// reportedServed is what the last report held of servedAt.
+	reportedServed map[Key]time.Duration
+	rules          atomic.Pointer[[]Rule]
+	// suspects holds the hashes of the requests that have ended as many endpoints as a verdict needs at least.
+	suspects atomic.Pointer[map[uint64]bool]
+	// heads holds the hashes of the heads of the requests against which anything is known.
+	heads atomic.Pointer[map[uint64]bool]
 }
 
 // pendingRun is a run that broke off.
@@ -68,7 +74,7 @@
 // NewObserver returns an observer that knows nothing.
 func NewObserver() *Observer {
 	return &Observer{
-		usages: map[Key]usage{}, services: map[string]usage{}, pending: map[Boot][]pendingRun{}, clearing: map[Key]int{}, changedEnds: map[Boot]bool{}, changedCases: map[Key]bool{},
+		usages: map[Key]usage{}, services: map[string]usage{}, pending: map[Boot][]pendingRun{}, clearing: map[Key]int{}, changedEnds: map[Boot]bool{}, changedCases: map[Key]bool{}, servedAt: map[Key]time.Duration{},
 		state: State{ends: map[Boot]End{}, cases: map[Key]Case{}},
 	}
 }
@@ -123,7 +129,9 @@
 func (o *Observer) recordServed(service string, keys []Key, now time.Duration) (lifted []Key) {
 	o.services[service] = o.services[service].withServed(now)
 	for _, k := range keys {
-		o.setUsage(k, o.usage(k).withServed(now))
+		u := o.usage(k).withServed(now)
+		o.setUsage(k, u)
+		o.recordWatched(k, u)
 		c, ok := o.state.cases[k]
 		if !ok || c.count() == 0 {
 			continue
@@ -141,6 +149,16 @@
 	return lifted
 }
 
+// recordWatched remembers for the next report since when requests with a watched key were served.
+func (o *Observer) recordWatched(k Key, u usage) {
+	if len(o.watch.keys) == 0 || u.answers < clearingAnswers {
+		return
+	}
+	if _, ok := o.watch.index[k.sum()]; ok {
+		o.servedAt[k] = u.served[clearingAnswers-1]
+	}
+}
+
 // setCase stores a case for the next report. The caller calls updateRules at the end.
 func (o *Observer) setCase(k Key, c Case) {
 	o.state.cases[k] = c
@@ -151,11 +169,14 @@
 func (o *Observer) updateRules() {
 	r := o.state.Rules()
 	o.rules.Store(&r)
-	h, u := map[Key]bool{}, map[Key]bool{}
+	h, u := o.watch.heads(), map[uint64]bool{}
+	for _, k := range o.watch.keys {
+		u[k.Sum] = k.Suspect
+	}
 	for k, c := range o.state.cases {
 		if k.Kind == Request && (c.InForce() || c.count() > 0) {
-			h[k.headKey()] = true
-			u[k] = c.count() >= thresholds[Request].crashes
+			h[k.headKey().sum()] = true
+			u[k.sum()] = u[k.sum()] || c.count() >= thresholds[Request].crashes
 		}
 	}
 	o.heads.Store(&h)
@@ -279,14 +300,14 @@
 // Knows reports whether anything is known against a request with a head.
 func (o *Observer) Knows(head Key) bool {
 	m := o.heads.Load()
-	return m != nil && (*m)[head]
+	return m != nil && len(*m) > 0 && (*m)[head.sum()]
 }
 
 // Suspect reports whether a request with some keys has ended so many endpoints that it isn't worth another one, though
 // this may be a coincidence.
 func (o *Observer) Suspect(keys []Key) bool {
 	m := o.suspects.Load()
-	return m != nil && slices.ContainsFunc(keys, func(k Key) bool { return (*m)[k] })
+	return m != nil && len(*m) > 0 && slices.ContainsFunc(keys, func(k Key) bool { return (*m)[k.sum()] })
 }
 
 // Held returns the rule that holds back a request of an account with some keys, if there is one.
@@ -328,6 +349,17 @@
 	return without(n, b), without(b, n)
 }
 
+// AdoptWatch takes over which keys the control host suspects.
+func (o *Observer) AdoptWatch(u WatchUpdate) {
+	if u.Empty() {
+		return
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.watch = o.watch.With(u)
+	o.updateRules()
+}
+
 // without returns the rules of a whose key no rule of b has.
 func without(a, b []Rule) []Rule {
 	return slices.DeleteFunc(slices.Clone(a), func(r Rule) bool {
@@ -341,8 +373,12 @@
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	r := o.state.report(slices.SortedFunc(maps.Keys(o.changedEnds), Boot.compare), slices.SortedFunc(maps.Keys(o.changedCases), Key.compare), now)
+	for _, k := range slices.SortedFunc(maps.Keys(o.servedAt), Key.compare) {
+		r.Cases = append(r.Cases, CaseReport{Key: k, Idle: evidenceRetention, Served: true, ServedAge: now - o.servedAt[k]})
+	}
 	clear(o.changedEnds)
 	clear(o.changedCases)
+	o.servedAt, o.reportedServed = map[Key]time.Duration{}, o.servedAt
 	return r
 }
 
@@ -354,7 +390,12 @@
 		o.changedEnds[e.Boot] = true
 	}
 	for _, c := range r.Cases {
-		o.changedCases[c.Key] = true
+		if _, ok := o.state.cases[c.Key]; ok {
+			o.changedCases[c.Key] = true
+		}
+	}
+	for k, t := range o.reportedServed {
+		o.servedAt[k] = max(o.servedAt[k], t)
 	}
 }
 
--- a/poison/report.go
+++ b/poison/report.go
@@ -29,6 +29,9 @@
 	Lifted  int           `json:"lifted"`
 	// Idle is the time since AskedAt.
 	Idle time.Duration `json:"idle"`
+	// ServedAge is the time since ServedAt, if Served is set.
+	Served    bool          `json:"served,omitempty"`
+	ServedAge time.Duration `json:"served-age,omitempty"`
 }
 
 // CrashReport is a Crash in a Report.
@@ -47,7 +50,10 @@
 
 // report returns a case as a report of it.
 func (c Case) report(k Key, now time.Duration) CaseReport {
-	r := CaseReport{Key: k, Beside: c.Beside, Verdict: c.Verdict, Lifted: c.Lifted, Idle: now - c.AskedAt}
+	r := CaseReport{Key: k, Beside: c.Beside, Verdict: c.Verdict, Lifted: c.Lifted, Idle: now - c.AskedAt, Served: c.Served}
+	if c.Served {
+		r.ServedAge = now - c.ServedAt
+	}
 	for _, b := range slices.SortedFunc(maps.Keys(c.Crashes), Boot.compare) {
 		r.Crashes = append(r.Crashes, CrashReport{b, c.Crashes[b]})
 	}
@@ -56,7 +62,7 @@
 
 // decode returns the case of a report that arrived at now.
 func (r CaseReport) decode(now time.Duration) Case {
-	c := Case{Crashes: make(map[Boot]Crash, len(r.Crashes)), Beside: r.Beside, Verdict: r.Verdict, Lifted: r.Lifted, AskedAt: now - r.Idle}
+	c := Case{Crashes: make(map[Boot]Crash, len(r.Crashes)), Beside: r.Beside, Verdict: r.Verdict, Lifted: r.Lifted, AskedAt: now - r.Idle, Served: r.Served, ServedAt: now - r.ServedAge}
 	for _, v := range r.Crashes {
 		c.Crashes[v.Boot] = v.Crash
 	}
--- a/poison/state.go
+++ b/poison/state.go
@@ -14,7 +14,7 @@
 	// maxCases and maxEnds bound the evidence that is kept.
 	maxCases = 1024
 	maxEnds  = 512
-	// maxShared bounds the cases that control hosts send to entry hosts.
+	// maxShared bounds the cases that control hosts send to entry hosts with verdicts.
 	maxShared = 128
 	// watchedCrashes is the number of crashes from which entry hosts look out for served requests with the key.
 	watchedCrashes = 2
@@ -36,25 +36,64 @@
 // Case returns the evidence about a key.
 func (s State) Case(k Key) Case { return s.cases[k] }
 
+// Arrival is a report with the time at which it arrived.
+type Arrival struct {
+	Report Report
+	At     time.Duration
+}
+
 // WithReport returns the state with the evidence of a report that arrived at now.
 func (s State) WithReport(r Report, now time.Duration) State {
-	if r.Empty() {
+	return s.WithReports([]Arrival{{r, now}}, now)
+}
+
+// WithReports returns the state with the evidence of several reports. It copies the evidence once, however many there are.
+func (s State) WithReports(l []Arrival, now time.Duration) State {
+	l = slices.DeleteFunc(slices.Clone(l), func(a Arrival) bool { return a.Report.Empty() })
+	if len(l) == 0 {
 		return s
 	}
 	s.ends, s.cases = maps.Clone(s.ends), maps.Clone(s.cases)
 	if s.ends == nil {
 		s.ends, s.cases = map[Boot]End{}, map[Key]Case{}
 	}
-	for _, e := range r.Ends {
-		s.addEnd(e.Boot, End{e.Service, now - e.Age})
-	}
-	for _, c := range r.Cases {
-		s.cases[c.Key] = s.cases[c.Key].merge(c.decode(now))
+	for _, a := range l {
+		s.add(a)
 	}
 	s.expire(now)
 	return s
 }
 
+// add merges a report. The maps belong to the caller.
+func (s State) add(a Arrival) {
+	for _, e := range a.Report.Ends {
+		s.addEnd(e.Boot, End{e.Service, a.At - e.Age})
+	}
+	for _, c := range a.Report.Cases {
+		s.cases[c.Key] = s.withoutServed(s.cases[c.Key].merge(c.decode(a.At)))
+	}
+}
+
+// withoutServed returns a case in which ends don't count after which requests with the key were served.
+func (s State) withoutServed(c Case) Case {
+	var l []Boot
+	for b, r := range c.Crashes {
+		if e, ok := s.ends[b]; ok && !r.Cleared && c.clearedBy(e.At) {
+			l = append(l, b)
+		}
+	}
+	if len(l) == 0 {
+		return c
+	}
+	c.Crashes = maps.Clone(c.Crashes)
+	for _, b := range l {
+		r := c.Crashes[b]
+		r.Cleared = true
+		c.Crashes[b] = r
+	}
+	return c
+}
+
 // addEnd stores an end, and an earlier time of a known one.
 func (s State) addEnd(b Boot, e End) {
 	if o, ok := s.ends[b]; ok && o.At <= e.At+endTolerance {
@@ -126,18 +165,53 @@
 	return r
 }
 
-// Shared returns what entry hosts have to know: verdicts, what can't be told from them, and suspects. sum is a hash of
-// it that leaves out times.
+// Shared returns what entry hosts have to know to hold requests back: the cases with verdicts, and what can't be told from
+// them. sum is a hash of it that leaves out times.
 func (s State) Shared(now time.Duration) (r Report, sum uint64) {
-	l := slices.DeleteFunc(slices.Collect(maps.Keys(s.cases)), func(k Key) bool {
-		c := s.cases[k]
-		return c.Verdict == 0 && c.count() < watchedCrashes
-	})
-	slices.SortFunc(l, s.compareWeight)
+	r = s.report(nil, s.judgedKeys(), now)
+	return r, r.sum()
+}
+
+// judgedKeys returns the sorted keys with verdicts, and those that can't be told from them.
+func (s State) judgedKeys() []Key {
+	m := map[Key]bool{}
+	for k, c := range s.cases {
+		if c.Verdict == 0 {
+			continue
+		}
+		m[k] = true
+		for _, o := range s.rule(k).With {
+			m[o] = true
+		}
+	}
+	l := slices.SortedFunc(maps.Keys(m), s.compareWeight)
 	l = l[max(0, len(l)-maxShared):]
 	slices.SortFunc(l, Key.compare)
-	r = s.report(nil, l, now)
-	return r, r.sum()
+	return l
+}
+
+// Confirmed returns the evidence that isn't of one host alone: the cases with verdicts, those that are watched, and the
+// ends that count against them.
+func (s State) Confirmed(now time.Duration) Report {
+	l := s.judgedKeys()
+	for k, c := range s.cases {
+		if c.Verdict == 0 && c.count() >= watchedCrashes {
+			l = append(l, k)
+		}
+	}
+	slices.SortFunc(l, Key.compare)
+	return s.ReportOf(slices.Compact(l), now)
+}
+
+// ReportOf returns the evidence about some keys, with the ends that count against them.
+func (s State) ReportOf(keys []Key, now time.Duration) Report {
+	b := map[Boot]bool{}
+	for _, k := range keys {
+		for v := range s.cases[k].Crashes {
+			b[v] = true
+		}
+	}
+	return s.report(slices.SortedFunc(maps.Keys(b), Boot.compare), keys, now)
 }
 
 // sum returns a hash of the cases of a report without their times, or 0 if there are none.
