Take the control log before reports, and merge reports that wait

Cause: a control host put all that came into one queue of 8,192 events and took it in the order of arrival, so that votes, appends and orders waited behind reports of entry hosts, and reports of the same host piled up.

Now events of the log and of operators come first, then ticks, then reports; reports that wait are merged by endpoint and by start of an entry host, and evidence is dropped above 1,024 cases.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -3,6 +3,8 @@
 package ctlrpc
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -63,6 +65,30 @@
 	Poison poison.Report
 }
 
+// WithAge returns the report as it reads some time later.
+func (r HostReport) WithAge(d time.Duration) HostReport {
+	if d == 0 {
+		return r
+	}
+	r.Poison = r.Poison.WithAge(d)
+	r.Limits, r.Ages, r.Active = maps.Clone(r.Limits), maps.Clone(r.Ages), slices.Clone(r.Active)
+	for e, l := range r.Limits {
+		l.Age += d
+		r.Limits[e] = l
+	}
+	for s := range r.Ages {
+		r.Ages[s] += d
+	}
+	for n := range r.Active {
+		r.Active[n].Age += d
+	}
+	r.Assist.Answered = maps.Clone(r.Assist.Answered)
+	for p := range r.Assist.Answered {
+		r.Assist.Answered[p] += d
+	}
+	return r
+}
+
 // Pool names the endpoints of a service in a data centre.
 type Pool struct {
 	Service    string
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -26,8 +26,9 @@
 const (
 	// tickInterval is the interval of Tick events.
 	tickInterval = 25 * time.Millisecond
-	// eventQueueSize is the number of events that may wait for Reduce; senders block while the queue is full.
-	eventQueueSize = 8192
+	// eventQueueSize is the number of events of the control log and of operators that may wait for Reduce; senders block
+	// while the queue is full.
+	eventQueueSize = 1024
 	// orderTimeout bounds the wait for the reply of an order, and the call that forwards an order to the leader.
 	orderTimeout = 900 * time.Millisecond
 	// joinInterval is the interval of join orders from a host that isn't in the control log or hears no leader. It
@@ -58,11 +59,13 @@
 	settings conf.Node
 	log      *logrus.Logger
 	start    time.Time
-	events   chan Event
-	state    atomic.Pointer[State]
-	writer   *writer
-	links    *links
-	calls    pendingCalls
+	// events holds those of the control log and of operators. Reduce takes them before reports.
+	events  chan Event
+	reports *ReportQueue
+	state   atomic.Pointer[State]
+	writer  *writer
+	links   *links
+	calls   pendingCalls
 	// helpers names entry hosts to those that reach no endpoint.
 	helpers helperCache
 	replies *ReplyBuilder
@@ -111,6 +114,7 @@
 		settings: o.Settings, log: o.Log, start: time.Now(), events: make(chan Event, eventQueueSize),
 		stop: make(chan struct{}), changed: make(chan struct{}),
 	}
+	h.reports = NewReportQueue(h.now)
 	h.state.Store(&s)
 	h.writer = newWriter(h, d)
 	h.links = newLinks(h)
@@ -213,11 +217,8 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
-		var e Event = Tick{}
-		select {
-		case e = <-h.events:
-		case <-t.C:
-		case <-h.stop:
+		e, ok := h.next(t.C)
+		if !ok {
 			return
 		}
 		o := h.state.Load()
@@ -231,6 +232,37 @@
 	}
 }
 
+// next waits for the next event. Those of the control log and of operators come first, then ticks, then reports. It is
+// false once the host stops.
+func (h *Host) next(tick <-chan time.Time) (Event, bool) {
+	for {
+		select {
+		case e := <-h.events:
+			return e, true
+		case <-h.stop:
+			return nil, false
+		default:
+		}
+		select {
+		case <-tick:
+			return Tick{}, true
+		default:
+		}
+		select {
+		case e := <-h.events:
+			return e, true
+		case <-tick:
+			return Tick{}, true
+		case <-h.stop:
+			return nil, false
+		case <-h.reports.wake:
+			if e, ok := h.reports.Pop(); ok {
+				return e, true
+			}
+		}
+	}
+}
+
 // logAssessment returns a log entry with a rollout and the evidence about it. elapsed is in ms.
 func (h *Host) logAssessment(r canary.Rollout, elapsed time.Duration, a canary.Assessment) *logrus.Entry {
 	return h.log.WithFields(logrus.Fields{
@@ -339,6 +371,8 @@
 	})
 	g("control_table_version", func(s State) float64 { return float64(s.StateMachine.Document.Version) })
 	g("control_poison_rules", func(s State) float64 { return float64(len(s.Poison.Rules())) })
+	m.NewGauge("control_reports_waiting", func() float64 { n, _ := h.reports.Load(); return float64(n) })
+	m.NewGauge("control_evidence_dropped_total", func() float64 { _, n := h.reports.Load(); return float64(n) })
 	g("control_entries", func(s State) float64 { return float64(s.EntryHosts()) })
 }
 
@@ -363,7 +397,7 @@
 // the call to it has failed or timed out.
 func (h *Host) Report(r fleet.Report) {
 	o, ok := h.state.Load().Fleet.Get(r.ID)
-	h.post(EndpointReported{Report: r})
+	h.reports.AddEndpoint(Direct, r)
 	if !ok || o.Phase != r.Phase || o.Born != r.Born {
 		h.log.WithFields(logrus.Fields{
 			"endpoint": r.ID, "born": r.Born, "sequence": r.Sequence, "phase": r.Phase.String(), "service": r.Service, "address": r.Address, "version": r.Version,
@@ -390,9 +424,9 @@
 // Exchange queues an entry host's report for Reduce and returns the changes that the entry host doesn't hold yet. It
 // returns at once if there are any, otherwise at the next change or after q.Wait, at most maxExchangeWait.
 func (h *Host) Exchange(q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
-	h.post(HostReported{Report: q.Report})
+	h.reports.AddHost(Direct, q.Report)
 	for _, r := range q.Leaving {
-		h.post(EndpointReported{Report: r})
+		h.reports.AddEndpoint(Direct, r)
 	}
 	t := time.NewTimer(min(q.Wait, maxExchangeWait))
 	defer t.Stop()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,9 +74,9 @@
 	return State{endpoints: immutable.NewSortedMap[string, Endpoint](nil), removed: immutable.NewSortedMap[string, uint64](nil)}
 }
 
-// supersedes reports whether r replaces the report in o. The start time is compared first, then the phase and then
-// the sequence number; the higher one replaces the lower one.
-func supersedes(r Report, o Endpoint) bool {
+// supersedes reports whether r replaces o. The start time is compared first, then the phase and then the sequence number;
+// the higher one replaces the lower one.
+func (r Report) supersedes(o Report) bool {
 	if r.Born != o.Born {
 		return r.Born > o.Born
 	}
@@ -86,17 +86,28 @@
 	return r.Sequence > o.Sequence
 }
 
+// Merge returns what two reports of one endpoint say together: the one that replaces the other. A report of departure
+// without an address keeps the fields of the report before.
+func Merge(a, b Report) Report {
+	if !b.supersedes(a) {
+		return a
+	}
+	if b.Phase == Departed && b.Address == "" {
+		a.Phase, a.Sequence = Departed, max(a.Sequence, b.Sequence)
+		return a
+	}
+	return b
+}
+
 // WithReport returns the state after a report that arrived at now. changed is false if the report was late or
 // repeated. A report of departure without an address keeps the fields of the previous report.
 func (s State) WithReport(r Report, now time.Duration) (next State, changed bool) {
 	o, ok := s.endpoints.Get(r.ID)
-	if ok && !supersedes(r, o) {
+	if ok && !r.supersedes(o.Report) {
 		return s, false
 	}
-	if ok && r.Phase == Departed && r.Address == "" {
-		i, b := o.Report, r.Sequence
-		i.Phase, i.Sequence = Departed, max(b, i.Sequence)
-		r = i
+	if ok {
+		r = Merge(o.Report, r)
 	}
 	n := s
 	if !ok || o.Address != r.Address || o.Born != r.Born {
--- a/poison/report.go
+++ b/poison/report.go
@@ -48,6 +48,22 @@
 	return Report{Ends: slices.Concat(r.Ends, o.Ends), Cases: slices.Concat(r.Cases, o.Cases)}
 }
 
+// WithAge returns the report as it reads some time later.
+func (r Report) WithAge(d time.Duration) Report {
+	if d == 0 || r.Empty() {
+		return r
+	}
+	r.Ends, r.Cases = slices.Clone(r.Ends), slices.Clone(r.Cases)
+	for n := range r.Ends {
+		r.Ends[n].Age += d
+	}
+	for n := range r.Cases {
+		r.Cases[n].Idle += d
+		r.Cases[n].ServedAge += d
+	}
+	return r
+}
+
 // report returns a case as a report of it.
 func (c Case) report(k Key, now time.Duration) CaseReport {
 	r := CaseReport{Key: k, Beside: c.Beside, Verdict: c.Verdict, Lifted: c.Lifted, Idle: now - c.AskedAt, Served: c.Served}
