Tell control hosts of leaving endpoints together, and keep the log's connection apart

What callers saw: control hosts end for memory, configurations aren't acknowledged or can't be read back, hosts hear of changes late.

Each report is a call of its own to each other control host, with a timeout of 0.25 s that closes the connection for all other calls on it, votes and appends of the log among them. Each failed call makes the gossip send everything again (626 endpoints, 0.26 MB a link each 0.76 s), the receivers get slower, entry hosts change control hosts and ask for everything too: allocations rise from 60 to 380 MB/s.

Ruled out: evidence about ends (23 cases of 4 KB are shared at that time), the number of tallies (unchanged through the collapse).

Now gossip waits in an outbox by receiver, merged; leaving endpoints wake it and wait for its next acknowledgement. What a failed call held is sent again; everything only to another process of the receiver, which says in its acknowledgement who it is. The log and orders have their own connection.

TestManyLeavingEndpointsAreSentTogether, red before: 242 messages for 240 endpoints and a connection broken off; now 1 and none.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -265,7 +265,11 @@
 type QuarantineList struct{ Rules []poison.Rule }
 
 // Ack is the reply of methods that return no data.
-type Ack struct{ OK bool }
+type Ack struct {
+	OK bool
+	// Control identifies the control host's process, as in ExchangeReply. Older builds leave it empty.
+	Control string
+}
 
 // Messages carries messages of the replicated control log to one host.
 type Messages struct{ Messages []quorum.Message }
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -122,7 +122,7 @@
 // Note queues the gossip of another control host for Reduce.
 func (s *Service) Note(n ctlrpc.Gossip, reply *ctlrpc.Ack) error {
 	s.host.reports.AddGossip(Relayed, n)
-	reply.OK = true
+	reply.OK, reply.Control = true, s.host.state.Load().StartID
 	return nil
 }
 
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -394,7 +394,7 @@
 
 // Report queues an endpoint's report for Reduce. When the report is the first to say that the endpoint is leaving or
 // has departed, Report also sends it to the other control hosts and returns after each of them has acknowledged it or
-// the call to it has failed or timed out.
+// gossipTimeout is over.
 func (h *Host) Report(r fleet.Report) {
 	o, ok := h.state.Load().Fleet.Get(r.ID)
 	h.reports.AddEndpoint(Direct, r)
@@ -405,7 +405,9 @@
 		}).Info("control: endpoint reports a new state")
 	}
 	if r.Phase != fleet.Ready && (!ok || o.Phase != r.Phase) {
-		h.links.gossipAndWait(ctlrpc.Gossip{Reports: []fleet.Report{r}})
+		if m := h.links.gossipAndWait(ctlrpc.Gossip{Reports: []fleet.Report{r}}); len(m) > 0 {
+			h.log.WithFields(logrus.Fields{"endpoint": r.ID, "controls": m}).Warn("control: other control hosts were not told of a leaving endpoint in time")
+		}
 	}
 }
 
--- /dev/null
+++ b/ctrl/leaving_test.go
@@ -0,0 +1,148 @@
+package ctrl_test
+
+import (
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/ctrl"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+)
+
+const (
+	// leavingEndpoints is the number of endpoints that leave at once.
+	leavingEndpoints = 240
+	// slowNote is how long a slow control host takes for a gossip message.
+	slowNote = 400 * time.Millisecond
+	// maxReportTime is the longest time that the answer to a leaving endpoint may take: 250 ms for the other control hosts,
+	// and time to compute.
+	maxReportTime = 600 * time.Millisecond
+)
+
+// slowControl is a control host that is slow to take gossip. It counts messages and what they hold.
+type slowControl struct {
+	notes, leaving, accepted atomic.Int64
+	conns                    sync.WaitGroup
+	listener                 net.Listener
+	server                   *rpc.Server
+}
+
+// slowService is the RPC service of a slowControl.
+type slowService struct{ control *slowControl }
+
+// Note takes gossip.
+func (s slowService) Note(g ctlrpc.Gossip, reply *ctlrpc.Ack) error {
+	s.control.notes.Add(1)
+	time.Sleep(slowNote)
+	for _, r := range g.Reports {
+		if r.Phase == fleet.Leaving {
+			s.control.leaving.Add(1)
+		}
+	}
+	reply.OK, reply.Control = true, "slow"
+	return nil
+}
+
+// Quorum takes messages of the control log.
+func (s slowService) Quorum(_ ctlrpc.Messages, reply *ctlrpc.Ack) error {
+	reply.OK = true
+	return nil
+}
+
+func (c *slowControl) run() {
+	for {
+		n, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		c.accepted.Add(1)
+		s := slowConn{c, n}
+		go s.run()
+	}
+}
+
+// slowConn serves one connection of a slowControl.
+type slowConn struct {
+	control *slowControl
+	conn    net.Conn
+}
+
+func (c slowConn) run() { c.control.server.ServeConn(c.conn) }
+
+// reporter lets one endpoint report that it leaves, and notes how long the answer took.
+type reporter struct {
+	host  *ctrl.Host
+	id    int
+	took  *atomic.Int64
+	group *sync.WaitGroup
+}
+
+func (r reporter) run() {
+	defer r.group.Done()
+	b := time.Now()
+	r.host.Report(fleet.Report{ID: fmt.Sprint("e", r.id), Born: 1, Sequence: 2, Service: "s", Address: fmt.Sprint("10.0.0.1:", r.id), Phase: fleet.Leaving})
+	for d := int64(time.Since(b)); ; {
+		if o := r.took.Load(); o >= d || r.took.CompareAndSwap(o, d) {
+			return
+		}
+	}
+}
+
+// Guards against control hosts that break off each other's connections, those of the control log too, and send everything
+// again, since one of them was slow to hear of endpoints that left at once.
+func TestManyLeavingEndpointsAreSentTogether(t *testing.T) {
+	i := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	defer l.Close() //nolint:errcheck // the test ends
+	p := l.Addr().(*net.TCPAddr).Port
+	c := &slowControl{server: rpc.NewServer()}
+	c.listener, err = net.Listen("tcp", fmt.Sprint("127.0.0.2:", p))
+	i.NoErr(err)
+	defer c.listener.Close() //nolint:errcheck // the test ends
+	i.NoErr(c.server.RegisterName(ctlrpc.ServiceName, slowService{c}))
+	go c.run()
+	s := conf.Node{
+		Part: conf.PartControl, Name: "c1", IP: "127.0.0.1", PeerPort: uint16(p), Seeds: []string{"127.0.0.1:1", "127.0.0.2:1"}, Bootstrap: true, DataFolder: t.TempDir(),
+		Bounds: conf.Bounds{Heartbeat: conf.Duration(time.Second)},
+	}
+	g := logrus.New()
+	g.SetOutput(t.Output())
+	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: metrics.NewSet()})
+	i.NoErr(err)
+	defer h.Stop()
+	for n := range leavingEndpoints {
+		h.Report(fleet.Report{ID: fmt.Sprint("e", n), Born: 1, Sequence: 1, Service: "s", Address: fmt.Sprint("10.0.0.1:", n)})
+	}
+	time.Sleep(2 * slowNote)
+	a, m := c.accepted.Load(), c.notes.Load()
+	var took atomic.Int64
+	var w sync.WaitGroup
+	for n := range leavingEndpoints {
+		w.Add(1)
+		r := reporter{h, n, &took, &w}
+		go r.run()
+	}
+	w.Wait()
+	for range 40 {
+		if c.leaving.Load() >= leavingEndpoints {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("longest answer %v, %d messages, %d connections", time.Duration(took.Load()), c.notes.Load()-m, c.accepted.Load()-a)
+	i.True(time.Duration(took.Load()) <= maxReportTime)
+	i.True(c.leaving.Load() >= leavingEndpoints) // all are told in the end
+	i.True(c.notes.Load()-m <= 12)               // together, one message after the other
+	i.Equal(c.accepted.Load(), a)                // nothing is broken off
+}
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -7,20 +7,21 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
 
 const (
-	// linkQueueSize is the number of control log messages that may wait for one host, and the same for gossip messages.
-	// Further ones are dropped.
+	// linkQueueSize is the number of control log messages that may wait for one host. Further ones are dropped.
 	linkQueueSize = 512
 	// callTimeout bounds one call between control hosts. It is larger than the time of a disk sync.
 	callTimeout = 700 * time.Millisecond
 	// retryDelay is the pause of a send loop after a failed call.
 	retryDelay = 60 * time.Millisecond
-	// gossipInterval is the interval at which queued gossip messages are merged and sent.
+	// gossipInterval is the interval at which gossip that waits is sent.
 	gossipInterval = 40 * time.Millisecond
 )
 
@@ -42,7 +43,10 @@
 	defer l.lock.Unlock()
 	k, ok := l.byAddress[address]
 	if !ok {
-		k = &link{host: l.host, address: address, messages: make(chan quorum.Message, linkQueueSize), gossip: make(chan ctlrpc.Gossip, linkQueueSize)}
+		k = &link{
+			host: l.host, address: address, messages: make(chan quorum.Message, linkQueueSize), outbox: newOutbox(l.host.now),
+			log: peerConn{host: l.host, address: address, purpose: "log"}, notes: peerConn{host: l.host, address: address, purpose: "gossip"},
+		}
 		l.byAddress[address] = k
 		m, n := messageLoop{k}, gossipLoop{k}
 		go m.run()
@@ -56,7 +60,8 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	for _, k := range l.byAddress {
-		k.disconnect(nil)
+		k.log.disconnect(nil)
+		k.notes.disconnect(nil)
 	}
 }
 
@@ -83,55 +88,64 @@
 	return r
 }
 
-// gossip queues a gossip message for all other control hosts. Hosts whose queue is full don't get it.
+// gossip queues a gossip message for all other control hosts.
 func (l *links) gossip(n ctlrpc.Gossip) {
 	for _, a := range l.otherHosts() {
-		select {
-		case l.link(a).gossip <- n:
-		default:
-		}
+		l.link(a).outbox.add(n)
 	}
 }
 
-// gossipAndWait sends a gossip message to all other control hosts at the same time. It returns when each of them has
-// acknowledged the message or the call to it has failed, at most after gossipTimeout and the time to connect.
-func (l *links) gossipAndWait(n ctlrpc.Gossip) {
-	var w sync.WaitGroup
-	for _, a := range l.otherHosts() {
-		w.Add(1)
-		c := gossipCall{l, a, n, &w}
-		go c.run()
+// gossipAndWait sends a gossip message to all other control hosts at once. It returns when each of them has acknowledged
+// the message, at most after gossipTimeout. missing holds those that haven't.
+func (l *links) gossipAndWait(n ctlrpc.Gossip) (missing []string) {
+	o := l.otherHosts()
+	w := make([]<-chan struct{}, len(o))
+	for i, a := range o {
+		w[i] = l.link(a).outbox.addUrgent(n)
 	}
-	w.Wait()
-}
-
-// gossipCall sends a gossip message to one control host and then calls Done on the group.
-type gossipCall struct {
-	links   *links
-	address string
-	gossip  ctlrpc.Gossip
-	group   *sync.WaitGroup
-}
-
-func (c gossipCall) run() {
-	defer c.group.Done()
-	var d ctlrpc.Ack
-	if err := c.links.call(c.address, "Note", c.gossip, &d, gossipTimeout); err != nil {
-		c.links.host.log.WithError(err).WithField("control", c.address).Warn("control: another control host was not told of a leaving endpoint")
+	t := time.NewTimer(gossipTimeout)
+	defer t.Stop()
+	late := false
+	for i, a := range o {
+		if !late {
+			select {
+			case <-w[i]:
+				continue
+			case <-t.C:
+				late = true
+			}
+		}
+		select {
+		case <-w[i]:
+		default:
+			missing = append(missing, a)
+		}
 	}
+	return missing
 }
 
-// call calls a method of the Control RPC service on a host; see link.call.
+// call calls a method of the Control RPC service on a host, on the connection for the control log; see peerConn.call.
 func (l *links) call(address, method string, args, reply any, timeout time.Duration) error {
-	return l.link(address).call(method, args, reply, timeout)
+	return l.link(address).log.call(method, args, reply, timeout)
 }
 
-// link is the connection to one control host with its queues. The connection is opened at the first call.
+// link holds the connections to one control host with its queues. The control log has a connection of its own, so that its
+// messages and orders don't wait for gossip, and a call that fails breaks off no others than its like.
 type link struct {
 	host     *Host
 	address  string
 	messages chan quorum.Message
-	gossip   chan ctlrpc.Gossip
+	outbox   *outbox
+	log      peerConn
+	notes    peerConn
+}
+
+// peerConn is a connection to a control host. It is opened at the first call.
+type peerConn struct {
+	host    *Host
+	address string
+	// purpose says in log lines what the connection is for.
+	purpose string
 
 	lock   sync.Mutex
 	client *rpc.Client
@@ -140,7 +154,7 @@
 }
 
 // connect returns the open connection or opens one.
-func (k *link) connect() (*rpc.Client, error) {
+func (k *peerConn) connect() (*rpc.Client, error) {
 	k.lock.Lock()
 	defer k.lock.Unlock()
 	if k.client != nil {
@@ -155,7 +169,7 @@
 }
 
 // disconnect closes the current connection if it is c, or whichever is open if c is nil.
-func (k *link) disconnect(c *rpc.Client) {
+func (k *peerConn) disconnect(c *rpc.Client) {
 	k.lock.Lock()
 	defer k.lock.Unlock()
 	if k.client == nil || c != nil && k.client != c {
@@ -169,7 +183,7 @@
 
 // call calls a method of the Control RPC service and waits for the reply, at most for timeout. It closes the connection
 // after a timeout or a transport error, but not after an error that the method itself returned.
-func (k *link) call(method string, args, reply any, timeout time.Duration) error {
+func (k *peerConn) call(method string, args, reply any, timeout time.Duration) error {
 	c, err := k.connect()
 	if err != nil {
 		k.recordResult(err)
@@ -193,12 +207,12 @@
 }
 
 // recordResult records whether a call succeeded and logs a line when the host becomes unreachable or reachable.
-func (k *link) recordResult(err error) {
+func (k *peerConn) recordResult(err error) {
 	k.lock.Lock()
 	o := k.down
 	k.down = err != nil
 	k.lock.Unlock()
-	l := k.host.log.WithField("control", k.address)
+	l := k.host.log.WithFields(logrus.Fields{"control": k.address, "for": k.purpose})
 	switch {
 	case err != nil && !o:
 		l.WithError(err).Warn("control: dependency lost, another control host")
@@ -223,62 +237,65 @@
 			m.Messages = append(m.Messages, <-l.link.messages)
 		}
 		var d ctlrpc.Ack
-		if l.link.call("Quorum", m, &d, callTimeout) != nil {
+		if l.link.log.call("Quorum", m, &d, callTimeout) != nil {
 			time.Sleep(retryDelay)
 		}
 	}
 }
 
-// gossipLoop sends queued gossip messages, merged into one call for each interval. The first call, and each one after a
-// failed call, holds all confirmed reports and all evidence about requests that end endpoints.
+// gossipLoop sends what waits in the outbox, in one call for each interval, or at once if something is urgent. What a failed
+// call held is sent again. The first call to each process of the other host is followed by one with all confirmed reports
+// and all evidence about requests that end endpoints.
 type gossipLoop struct{ link *link }
 
 func (l gossipLoop) run() {
+	k := l.link
 	t := time.NewTicker(gossipInterval)
 	defer t.Stop()
-	w := true
+	sync := fullSync{}
 	for {
 		select {
 		case <-t.C:
-		case <-l.link.host.stop:
+		case <-k.outbox.urgent:
+		case <-k.host.stop:
 			return
 		}
-		n := l.mergeQueued(w)
+		b := k.outbox.take()
+		n := b.gossip(k.host.now())
+		if sync.due {
+			s := k.host.state.Load()
+			n.Reports = append(n.Reports, s.ConfirmedReports()...)
+			n.Poison = n.Poison.Plus(s.Poison.Report(s.Now))
+		}
 		if len(n.Reports) == 0 && len(n.Hosts) == 0 && n.Poison.Empty() {
 			continue
 		}
 		var d ctlrpc.Ack
-		w = l.link.call("Note", n, &d, callTimeout) != nil
-		if w {
+		err := k.notes.call("Note", n, &d, callTimeout)
+		sync = sync.after(d, err)
+		if err != nil {
+			k.outbox.restore(b)
 			time.Sleep(retryDelay)
+			continue
 		}
+		b.acknowledge()
 	}
 }
 
-// mergeQueued merges the queued gossip messages into one. Of several reports of the same incarnation of an entry host
-// it keeps the last, with the tallies of all of them. With fullSync the result also holds all confirmed reports.
-func (l gossipLoop) mergeQueued(fullSync bool) ctlrpc.Gossip {
-	var n ctlrpc.Gossip
-	h := map[string]int{}
-	for len(l.link.gossip) > 0 {
-		v := <-l.link.gossip
-		n.Reports = append(n.Reports, v.Reports...)
-		n.Poison = n.Poison.Plus(v.Poison)
-		for _, r := range v.Hosts {
-			if i, ok := h[r.Host]; ok && n.Hosts[i].Start == r.Start {
-				r.Tallies = append(n.Hosts[i].Tallies, r.Tallies...)
-				r.Poison = n.Hosts[i].Poison.Plus(r.Poison)
-				n.Hosts[i] = r
-				continue
-			}
-			h[r.Host] = len(n.Hosts)
-			n.Hosts = append(n.Hosts, r)
-		}
-	}
-	if fullSync {
-		s := l.link.host.state.Load()
-		n.Reports = append(n.Reports, s.ConfirmedReports()...)
-		n.Poison = n.Poison.Plus(s.Poison.Report(s.Now))
+// fullSync tells when the other control host may lack reports that were sent before.
+type fullSync struct {
+	// control identifies the process of the other host that acknowledged last.
+	control string
+	// due is set if the next call has to hold all reports.
+	due bool
+}
+
+// after returns the value after a call. An older build doesn't say which process it is, so that any failure may mean
+// another one.
+func (f fullSync) after(a ctlrpc.Ack, err error) fullSync {
+	if err != nil {
+		f.due = f.due || f.control == ""
+		return f
 	}
-	return n
+	return fullSync{control: a.Control, due: a.Control != f.control}
 }
