Compute sizes of load changes and the sum of host names once

Cause: each reply sorted up to 250 changed loads with a comparison that looked up both loads in two maps, and hashed the names of all hosts.

--- a/ctlrpc/loads.go
+++ b/ctlrpc/loads.go
@@ -22,26 +22,33 @@
 // LoadChanges returns the changes from previous to current loads, by endpoint ID. If there are more than limit, it
 // returns the limit largest. An endpoint that has no load any more is returned with an empty load.
 func LoadChanges(previous, current map[string]Load, limit int) map[string]Load {
-	var l []string
+	var l []loadChange
 	for e, n := range current {
-		if previous[e] != n {
-			l = append(l, e)
+		if o := previous[e]; o != n {
+			l = append(l, loadChange{e, n, n.distance(o)})
 		}
 	}
 	for e, o := range previous {
 		if _, ok := current[e]; !ok && o != (Load{}) {
-			l = append(l, e)
+			l = append(l, loadChange{e, Load{}, Load{}.distance(o)})
 		}
 	}
 	if len(l) > limit {
-		slices.SortFunc(l, func(a, b string) int {
-			return cmp.Or(cmp.Compare(current[b].distance(previous[b]), current[a].distance(previous[a])), cmp.Compare(a, b))
+		slices.SortFunc(l, func(a, b loadChange) int {
+			return cmp.Or(cmp.Compare(b.distance, a.distance), cmp.Compare(a.endpoint, b.endpoint))
 		})
 		l = l[:limit]
 	}
 	r := make(map[string]Load, len(l))
-	for _, e := range l {
-		r[e] = current[e]
+	for _, c := range l {
+		r[c.endpoint] = c.load
 	}
 	return r
 }
+
+// loadChange is the new load of an endpoint with the size of the change.
+type loadChange struct {
+	endpoint string
+	load     Load
+	distance int
+}
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -46,7 +46,9 @@
 	views      []canary.View
 	limits     map[string]ctlrpc.Limit
 	hosts      []string
-	overdue    []string
+	// hostsSum is the hash of hosts.
+	hostsSum uint64
+	overdue  []string
 }
 
 // NewReplyBuilder returns a builder that has sent nothing yet.
@@ -59,9 +61,10 @@
 	defer t.lock.Unlock()
 	if !t.aggregate.valid || s.Now-t.aggregate.computedAt > maxAggregateAge {
 		t.aggregate = aggregate{computedAt: s.Now, valid: true, loads: s.Loads(), views: s.Views(), limits: s.Limits(), hosts: s.HostNames(), overdue: s.Fleet.Overdue(s.Now-overdueHeartbeats*s.Heartbeat, maxOverdue)}
+		t.aggregate.hostsSum = ctlrpc.HostsSum(t.aggregate.hosts)
 	}
 	n := ctlrpc.ExchangeReply{
-		Control: s.StartID, Sure: s.Synced, Current: s.Current(), FleetRevision: s.Fleet.Revision, Entries: s.EntryHosts(), Controls: s.ControlAddresses(),
+		Control: s.StartID, Sure: s.Synced, Current: s.Current(), FleetRevision: s.Fleet.Revision, Entries: len(t.aggregate.hosts), Controls: s.ControlAddresses(),
 	}
 	if d := s.StateMachine.Document; s.Synced && d.Version > q.Known.TableVersion {
 		n.TableVersion, n.Document = d.Version, d.Content
@@ -74,7 +77,7 @@
 	if n.PoisonSum = s.sharedPoisonSum; n.PoisonSum != q.Known.PoisonSum {
 		n.Poison = s.sharedPoison
 	}
-	if q.Known.HostsSum != ctlrpc.HostsSum(t.aggregate.hosts) {
+	if q.Known.HostsSum != t.aggregate.hostsSum {
 		n.Hosts = t.aggregate.hosts
 	}
 	addFleetChanges(&n, s, q)
