Lend among hosts what each of them can't keep of its retry budget

Cause: each host has a bucket of its own. The fleet as a whole needs 0.5 to 0.6 of the 0.9 allowed.

Now a host reports the sum of what it couldn't keep and what it wants; its control host lends the one for the other, within 0.3 s. Both are sums since the start of the connection, so that lost, repeated and late messages lend nothing twice. Half of the cap is kept for retries after faults as before; a quarter while what a host wants is lent. Hosts and control hosts of older builds do without. The budget is a package without network and clock.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/dial"
@@ -177,7 +178,7 @@
 	r := relay.New(relay.Options{
 		Detour: &proxy.Client{Host: n.settings.Name, Start: rand.Text(), Pool: h}, Helpers: assist.NewBoard(n.settings.DataCentre),
 		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel}, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
-		Budget: relay.NewRetryBudget(n.settings.Bounds.RetryRatio, n.settings.Bounds.RetrySlack, n.settings.Bounds.RetryWindow.Std()),
+		Budget: budget.NewHost(budget.Limits{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow.Std()}),
 	})
 	a := entry.Assisting{Address: n.settings.PeerAddress(), Token: k, Bound: assist.NewBound(n.settings.Descriptors, n.settings.MemoryMB)}
 	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pools: []*dial.Pool{o, h}, Assisting: a, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
@@ -63,6 +64,8 @@
 	Active []ActiveEndpoint
 	// Poison is what the host has observed of requests that end endpoints since the last exchange that got a reply.
 	Poison poison.Report
+	// Budget is what the host says of its retry budget, by service.
+	Budget map[string]budget.Statement
 }
 
 // WithAge returns the report as it reads some time later.
@@ -197,6 +200,8 @@
 	// Poison says which requests to hold back, if PoisonSum differs from that of the entry host.
 	Poison    poison.Report
 	PoisonSum uint64
+	// Grants holds what was lent to the host's retry budget, by service.
+	Grants map[string]budget.Grant
 	// Watch holds changes of the keys that the host watches.
 	Watch poison.WatchUpdate
 }
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/poison"
@@ -24,6 +25,8 @@
 	lock      sync.Mutex
 	sent      map[string]sentState
 	aggregate aggregate
+	// budgets lends retries among the entry hosts.
+	budgets *budget.Pool
 }
 
 // sentState records what an entry host has received of loads and watched keys, to send only changes.
@@ -52,7 +55,9 @@
 }
 
 // NewReplyBuilder returns a builder that has sent nothing yet.
-func NewReplyBuilder() *ReplyBuilder { return &ReplyBuilder{sent: map[string]sentState{}} }
+func NewReplyBuilder() *ReplyBuilder {
+	return &ReplyBuilder{sent: map[string]sentState{}, budgets: budget.NewPool()}
+}
 
 // Build returns the reply to an exchange request: a newer configuration, rollouts, and changes of the fleet and of
 // loads. Configuration and rollouts are left out until this control host has caught up.
@@ -106,7 +111,7 @@
 	n.FleetNew, n.Reports = true, s.Fleet.Reports()
 }
 
-// addLoadChanges adds the loads of other entry hosts: all of them if the entry host holds none from this start of the
+// addLoadChanges adds what differs between entry hosts: grants, changes of watched keys, and the loads of other entry hosts, all of them if the entry host holds none from this start of the
 // control host, otherwise those that changed most. A request that is older than the last answered one gets no
 // loads and changes no record, because its reply may never arrive.
 func (t *ReplyBuilder) addLoadChanges(n *ctlrpc.ExchangeReply, s State, q ctlrpc.ExchangeRequest) {
@@ -116,7 +121,9 @@
 		return
 	}
 	w := t.otherLoads(s, r.Host)
-	if !ok || o.start != r.Start || q.Known.Control != s.StartID {
+	first := !ok || o.start != r.Start || q.Known.Control != s.StartID
+	n.Grants = t.budgets.Exchange(r.Host, r.Start, first, r.Budget, s.Now)
+	if first {
 		n.LoadsNew, n.Loads = true, w
 		n.Watch = s.watch.ChangesFrom(poison.Watch{})
 		n.Watch.New = true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 		p = e.Relay.Prefill.Measured()
 	}
 	q := ctlrpc.ExchangeRequest{
-		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges(), Assist: e.assistReport(), Active: e.Set.Active(e.overdue, time.Now()), Poison: e.Relay.TakePoison()},
+		Report: ctlrpc.HostReport{Host: e.Settings.Name, Start: e.start, Sequence: e.sequence, Loads: e.Set.LocalLoads(), Limits: e.Set.Limits(time.Now()), Tallies: e.Relay.TakeTallies(), Reads: p, Ages: e.Set.RolloutAges(), Assist: e.assistReport(), Active: e.Set.Active(e.overdue, time.Now()), Poison: e.Relay.TakePoison(), Budget: e.Relay.Budget.Statements()},
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
@@ -228,6 +228,7 @@
 	e.state.Control = ""
 	e.Relay.ResendTallies()
 	e.Relay.Poison.Resend()
+	e.Relay.Budget.Begin()
 	return e.client, nil
 }
 
@@ -293,6 +294,7 @@
 		e.state.PoisonSum = r.PoisonSum
 	}
 	e.Relay.Poison.AdoptWatch(r.Watch)
+	e.Relay.Budget.Accept(r.Control, r.Grants)
 	e.Set.MergeLimits(r.Limits, time.Now())
 	e.overdue = r.Overdue
 	if len(r.Hosts) > 0 {
--- a/relay/job.go
+++ b/relay/job.go
@@ -233,7 +233,7 @@
 	if v == undelivered {
 		return true
 	}
-	if !j.relay.Budget.Withdraw(j.service.Name) {
+	if !j.relay.Budget.Withdraw(j.service.Name, j.relay.sinceStart()) {
 		j.noRetryReason = "budget"
 		return false
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
@@ -28,7 +29,7 @@
 	Detour    Detour
 	Helpers   *assist.Board
 	Endpoints *pick.Set
-	Budget    *RetryBudget
+	Budget    *budget.Host
 	Log       *logrus.Logger
 	Metrics   *metrics.Set
 	// Weights are the assumptions behind the choice of model tiers. The zero value means tiers.DefaultWeights.
@@ -173,7 +174,7 @@
 	c, f := context.WithDeadline(ctx, j.deadline)
 	defer f()
 	r.awaitEndpoint(c, j.service.Name)
-	r.Budget.Deposit(j.service.Name)
+	r.Budget.Deposit(j.service.Name, r.sinceStart())
 	j.run(c)
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -85,7 +85,7 @@
 		return 0, false
 	}
 	n, ok := j.relay.chooser.Next(j.tierRequest(), j.tier, r.Confidence)
-	if ok && !j.relay.Budget.WithdrawOptional(j.service.Name) {
+	if ok && !j.relay.Budget.WithdrawOptional(j.service.Name, j.relay.sinceStart()) {
 		j.noRetryReason = "spare budget"
 		return 0, false
 	}
