--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -49,6 +49,8 @@
 	Tunnel *Tunnel
 	// cmd is the latest start of the process; it is nil before the first one.
 	cmd atomic.Pointer[exec.Cmd]
+	// Binary is the program that the next start runs.
+	Binary string
 	// bootstrap is true at the first start of the deployment, in which the seeds create the control log.
 	bootstrap bool
 }
@@ -57,7 +59,6 @@
 // subnet is the first three bytes of these IPs.
 type Deployment struct {
 	t           testing.TB
-	binary      string
 	folder      string
 	proxyServer *toxiproxy.ApiServer
 	subnet      string
@@ -81,7 +82,7 @@
 func startDeployment(t testing.TB, binary string, entries int, tunnels bool) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, binary: binary, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	for k := range 3 {
@@ -95,7 +96,7 @@
 		d.Entry = append(d.Entry, p)
 	}
 	for _, p := range append(d.Control, d.Entry...) {
-		p.bootstrap = true
+		p.bootstrap, p.Binary = true, binary
 		d.Start(p)
 		p.bootstrap = false
 	}
@@ -162,7 +163,7 @@
 		d.t.Fatal(err)
 	}
 	defer l.Close() //nolint:errcheck // the child process has its own descriptor
-	c := exec.Command(d.binary, "serve", "--settings", f)
+	c := exec.Command(p.Binary, "serve", "--settings", f)
 	c.Stdout, c.Stderr = l, l
 	if err := c.Start(); err != nil {
 		d.t.Fatal(err)
