Split the files of control hosts by concern

host.go held the start, the event loop, exchanges, logs, metrics and accepted connections; link.go the connections beside the queues; addLoadChanges added grants and watched keys too.

--- /dev/null
+++ b/ctrl/bootstrap.go
@@ -0,0 +1,50 @@
+package ctrl
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/store"
+)
+
+// openDisk opens the data folder. With the setting Found, at the first start of a deployment, a new data folder of a
+// seed starts with the bootstrap snapshot of the control log.
+func openDisk(n conf.Node) (*store.Disk, error) {
+	if !n.Bootstrap {
+		d, _, err := store.OpenDisk(n.DataFolder)
+		return d, err
+	}
+	return store.BootstrapDisk(n.DataFolder, bootstrapDisk, bootstrapSnapshot(n))
+}
+
+// bootstrapDisk is the disk identity of all seeds at the first start of a deployment. A disk that replaces a lost one
+// gets another identity.
+const bootstrapDisk = "founder"
+
+// bootstrapSnapshot returns the snapshot that each seed starts from. All seeds have the same list of seeds in their
+// settings and so derive the same peers. It returns an empty snapshot on a host that isn't a seed.
+func bootstrapSnapshot(n conf.Node) quorum.Snapshot {
+	var l []quorum.NodeID
+	o := false
+	for _, a := range n.SeedPeers() {
+		l = append(l, Node(a, bootstrapDisk))
+		o = o || a == n.PeerAddress()
+	}
+	if !o {
+		return quorum.Snapshot{}
+	}
+	return quorum.Snapshot{Index: 1, Term: 1, Peers: BootstrapPeers(l)}
+}
+
+func newStartID() string { return rand.Text()[:10] }
+
+func randomSeed() uint64 {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return uint64(time.Now().UnixNano())
+	}
+	return binary.LittleEndian.Uint64(b[:])
+}
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"net"
+	"net/rpc"
 	"sync"
 	"time"
 
@@ -147,3 +149,28 @@
 	}
 	return nil
 }
+
+// acceptor accepts RPC connections from other hosts.
+type acceptor struct {
+	listener net.Listener
+	server   *rpc.Server
+}
+
+func (a acceptor) run() {
+	for {
+		c, err := a.listener.Accept()
+		if err != nil {
+			return
+		}
+		s := connection{c, a.server}
+		go s.run()
+	}
+}
+
+// connection serves RPC calls on one connection.
+type connection struct {
+	conn   net.Conn
+	server *rpc.Server
+}
+
+func (s connection) run() { s.server.ServeConn(s.conn) }
--- /dev/null
+++ b/ctrl/exchange.go
@@ -0,0 +1,76 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+)
+
+// maxExchangeWait bounds the long poll of an exchange request.
+const maxExchangeWait = time.Second
+
+// published identifies the state at the last wake-up of waiting exchanges.
+type published struct {
+	version int64
+	fleet   uint64
+	synced  bool
+	// rolloutSum adds up the serials and outcomes of all rollouts, so that it changes when a rollout starts or ends.
+	rolloutSum uint64
+	// poisonSum is the hash of what entry hosts have to know about requests that end endpoints.
+	poisonSum uint64
+}
+
+// notifyExchanges wakes the waiting exchanges when the configuration, the fleet, the synced flag or a rollout changed.
+func (h *Host) notifyExchanges(s State) {
+	v := published{version: s.StateMachine.Document.Version, fleet: s.Fleet.Revision, synced: s.Synced, poisonSum: s.sharedPoisonSum}
+	for _, r := range s.StateMachine.Rollouts {
+		v.rolloutSum += r.Serial + uint64(r.Outcome)
+	}
+	if v == h.published {
+		return
+	}
+	h.published = v
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// stateAndChange returns the current state and a channel that is closed at the next change.
+func (h *Host) stateAndChange() (State, chan struct{}) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return *h.state.Load(), h.changed
+}
+
+// Exchange queues an entry host's report for Reduce and returns the changes that the entry host doesn't hold yet. It
+// returns at once if there are any, otherwise at the next change or after q.Wait, at most maxExchangeWait.
+func (h *Host) Exchange(q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
+	h.reports.AddHost(Direct, q.Report)
+	for _, r := range q.Leaving {
+		h.reports.AddEndpoint(Direct, r)
+	}
+	t := time.NewTimer(min(q.Wait, maxExchangeWait))
+	defer t.Stop()
+	for {
+		s, c := h.stateAndChange()
+		if hasChanges(s, q.Known) {
+			return h.replies.Build(s, q)
+		}
+		select {
+		case <-c:
+		case <-t.C:
+			s, _ = h.stateAndChange()
+			return h.replies.Build(s, q)
+		case <-h.stop:
+			return ctlrpc.ExchangeReply{}
+		}
+	}
+}
+
+// hasChanges reports whether the state has a newer configuration or fleet than an entry host holds. A fleet from
+// another start of the control host counts as outdated.
+func hasChanges(s State, k ctlrpc.EntryState) bool {
+	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID || k.FleetRevision != s.Fleet.Revision ||
+		k.PoisonSum != s.sharedPoisonSum
+}
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -1,8 +1,6 @@
 package ctrl
 
 import (
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
@@ -20,7 +18,6 @@
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
-	"github.com/hickoryshelf/hickoryshelf/store"
 )
 
 const (
@@ -38,8 +35,6 @@
 	joinAfterSilence = 1500 * time.Millisecond
 	// gossipTimeout bounds the wait for the other control hosts to acknowledge that an endpoint is leaving.
 	gossipTimeout = 250 * time.Millisecond
-	// maxExchangeWait bounds the long poll of an exchange request.
-	maxExchangeWait = time.Second
 )
 
 // timing holds the heartbeat interval and the election timeout. Both are long compared with a round trip between
@@ -77,17 +72,6 @@
 	published published
 }
 
-// published identifies the state at the last wake-up of waiting exchanges.
-type published struct {
-	version int64
-	fleet   uint64
-	synced  bool
-	// rolloutSum adds up the serials and outcomes of all rollouts, so that it changes when a rollout starts or ends.
-	rolloutSum uint64
-	// poisonSum is the hash of what entry hosts have to know about requests that end endpoints.
-	poisonSum uint64
-}
-
 // NewHost opens the data folder and starts the goroutines of the host. It fails if the data folder can't be
 // opened or holds a snapshot that this build can't decode, or if the RPC service can't be registered.
 func NewHost(o HostOptions) (*Host, error) {
@@ -136,70 +120,6 @@
 	return h, nil
 }
 
-// openDisk opens the data folder. With the setting Found, at the first start of a deployment, a new data folder of a
-// seed starts with the bootstrap snapshot of the control log.
-func openDisk(n conf.Node) (*store.Disk, error) {
-	if !n.Bootstrap {
-		d, _, err := store.OpenDisk(n.DataFolder)
-		return d, err
-	}
-	return store.BootstrapDisk(n.DataFolder, bootstrapDisk, bootstrapSnapshot(n))
-}
-
-// bootstrapDisk is the disk identity of all seeds at the first start of a deployment. A disk that replaces a lost one
-// gets another identity.
-const bootstrapDisk = "founder"
-
-// bootstrapSnapshot returns the snapshot that each seed starts from. All seeds have the same list of seeds in their
-// settings and so derive the same peers. It returns an empty snapshot on a host that isn't a seed.
-func bootstrapSnapshot(n conf.Node) quorum.Snapshot {
-	var l []quorum.NodeID
-	o := false
-	for _, a := range n.SeedPeers() {
-		l = append(l, Node(a, bootstrapDisk))
-		o = o || a == n.PeerAddress()
-	}
-	if !o {
-		return quorum.Snapshot{}
-	}
-	return quorum.Snapshot{Index: 1, Term: 1, Peers: BootstrapPeers(l)}
-}
-
-func newStartID() string { return rand.Text()[:10] }
-
-func randomSeed() uint64 {
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return uint64(time.Now().UnixNano())
-	}
-	return binary.LittleEndian.Uint64(b[:])
-}
-
-// acceptor accepts RPC connections from other hosts.
-type acceptor struct {
-	listener net.Listener
-	server   *rpc.Server
-}
-
-func (a acceptor) run() {
-	for {
-		c, err := a.listener.Accept()
-		if err != nil {
-			return
-		}
-		s := connection{c, a.server}
-		go s.run()
-	}
-}
-
-// connection serves RPC calls on one connection.
-type connection struct {
-	conn   net.Conn
-	server *rpc.Server
-}
-
-func (s connection) run() { s.server.ServeConn(s.conn) }
-
 func (h *Host) now() time.Duration { return time.Since(h.start) }
 
 // post queues an event for Reduce. It blocks while the queue is full.
@@ -263,14 +183,6 @@
 	}
 }
 
-// logAssessment returns a log entry with a rollout and the evidence about it. elapsed is in ms.
-func (h *Host) logAssessment(r canary.Rollout, elapsed time.Duration, a canary.Assessment) *logrus.Entry {
-	return h.log.WithFields(logrus.Fields{
-		"service": r.Service, "target": r.Target, "serial": r.Serial, "elapsed": elapsed.Milliseconds(), "log-odds": a.LogOdds, "suspicion": a.Suspicion,
-		"answers": a.Answers, "bad": a.Bad, "other-answers": a.OtherAnswers, "other-bad": a.OtherBad, "kinds": a.Kinds,
-	})
-}
-
 func (h *Host) perform(e Effect) {
 	switch v := e.(type) {
 	case Write:
@@ -297,85 +209,6 @@
 	}
 }
 
-// notifyExchanges wakes the waiting exchanges when the configuration, the fleet, the synced flag or a rollout changed.
-func (h *Host) notifyExchanges(s State) {
-	v := published{version: s.StateMachine.Document.Version, fleet: s.Fleet.Revision, synced: s.Synced, poisonSum: s.sharedPoisonSum}
-	for _, r := range s.StateMachine.Rollouts {
-		v.rolloutSum += r.Serial + uint64(r.Outcome)
-	}
-	if v == h.published {
-		return
-	}
-	h.published = v
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	close(h.changed)
-	h.changed = make(chan struct{})
-}
-
-// stateAndChange returns the current state and a channel that is closed at the next change.
-func (h *Host) stateAndChange() (State, chan struct{}) {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	return *h.state.Load(), h.changed
-}
-
-// logChanges logs the differences between two states: role, leader or term, configuration in force, voters and
-// learners, rollouts, and whether the host has caught up.
-func (h *Host) logChanges(o, s State) {
-	if o.Log.Role != s.Log.Role || o.Log.Leader != s.Log.Leader || o.Log.Hard.Term != s.Log.Hard.Term {
-		h.log.WithFields(logrus.Fields{
-			"role": s.Log.Role.String(), "leader": s.Log.Leader, "term": s.Log.Hard.Term, "commit": s.Log.Commit, "last": s.Log.LastIndex(),
-		}).Info("control: role or leader changed")
-	}
-	if o.StateMachine.Document.Version != s.StateMachine.Document.Version {
-		h.log.WithFields(logrus.Fields{"version": s.StateMachine.Document.Version, "index": s.StateMachine.Applied}).Info("control: configuration in force")
-	}
-	if !sameNodes(o.Log.Peers.Voters, s.Log.Peers.Voters) || !sameNodes(o.Log.Peers.Learners, s.Log.Peers.Learners) {
-		h.log.WithFields(logrus.Fields{"voters": s.Log.Peers.Voters, "learners": s.Log.Peers.Learners}).Info("control: voters or learners changed")
-	}
-	for k, r := range s.StateMachine.Rollouts {
-		if p := o.StateMachine.Rollouts[k]; p.Serial != r.Serial || p.Outcome != r.Outcome {
-			h.log.WithFields(logrus.Fields{"service": k, "target": r.Target, "serial": r.Serial, "outcome": r.Outcome.String()}).Info("control: roll-out changed")
-		}
-	}
-	if o.Synced != s.Synced {
-		h.log.WithFields(logrus.Fields{"version": s.StateMachine.Document.Version}).Info("control: caught up after the start")
-	}
-}
-
-func sameNodes(a, b []quorum.NodeID) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
-func (h *Host) registerGauges(m *metrics.Set) {
-	g := func(name string, f func(State) float64) {
-		m.NewGauge(name, func() float64 { return f(*h.state.Load()) })
-	}
-	g("control_term", func(s State) float64 { return float64(s.Log.Hard.Term) })
-	g("control_commit", func(s State) float64 { return float64(s.Log.Commit) })
-	g("control_lag", func(s State) float64 { return float64(s.Log.LastIndex() - s.Log.Commit) })
-	g("control_leads", func(s State) float64 {
-		if s.Log.Role == quorum.Leader {
-			return 1
-		}
-		return 0
-	})
-	g("control_table_version", func(s State) float64 { return float64(s.StateMachine.Document.Version) })
-	g("control_poison_rules", func(s State) float64 { return float64(len(s.Poison.Rules())) })
-	m.NewGauge("control_reports_waiting", func() float64 { n, _ := h.reports.Load(); return float64(n) })
-	m.NewGauge("control_evidence_dropped_total", func() float64 { _, n := h.reports.Load(); return float64(n) })
-	g("control_entries", func(s State) float64 { return float64(s.EntryHosts()) })
-}
-
 // Do executes an order on this host if it leads, otherwise on the leader. If no reply comes within
 // orderTimeout, Do returns one with the status Unavailable; the order may still take effect.
 func (h *Host) Do(o ctlrpc.Order) ctlrpc.OrderReply {
@@ -422,35 +255,3 @@
 	close(h.stop)
 	h.links.close()
 }
-
-// Exchange queues an entry host's report for Reduce and returns the changes that the entry host doesn't hold yet. It
-// returns at once if there are any, otherwise at the next change or after q.Wait, at most maxExchangeWait.
-func (h *Host) Exchange(q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
-	h.reports.AddHost(Direct, q.Report)
-	for _, r := range q.Leaving {
-		h.reports.AddEndpoint(Direct, r)
-	}
-	t := time.NewTimer(min(q.Wait, maxExchangeWait))
-	defer t.Stop()
-	for {
-		s, c := h.stateAndChange()
-		if hasChanges(s, q.Known) {
-			return h.replies.Build(s, q)
-		}
-		select {
-		case <-c:
-		case <-t.C:
-			s, _ = h.stateAndChange()
-			return h.replies.Build(s, q)
-		case <-h.stop:
-			return ctlrpc.ExchangeReply{}
-		}
-	}
-}
-
-// hasChanges reports whether the state has a newer configuration or fleet than an entry host holds. A fleet from
-// another start of the control host counts as outdated.
-func hasChanges(s State, k ctlrpc.EntryState) bool {
-	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID || k.FleetRevision != s.Fleet.Revision ||
-		k.PoisonSum != s.sharedPoisonSum
-}
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -1,16 +1,10 @@
 package ctrl
 
 import (
-	"errors"
-	"fmt"
-	"net/rpc"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
-	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
 
@@ -25,9 +19,6 @@
 	gossipInterval = 40 * time.Millisecond
 )
 
-// ErrTimeout is returned by a call that got no reply within its timeout.
-var ErrTimeout = errors.New("no reply within the timeout; the host is down, unreachable or overloaded")
-
 // links holds the links to the other control hosts by peer address. It is safe for concurrent use.
 type links struct {
 	host      *Host
@@ -140,87 +131,6 @@
 	notes    peerConn
 }
 
-// peerConn is a connection to a control host. It is opened at the first call.
-type peerConn struct {
-	host    *Host
-	address string
-	// purpose says in log lines what the connection is for.
-	purpose string
-
-	lock   sync.Mutex
-	client *rpc.Client
-	// down is whether the last call failed.
-	down bool
-}
-
-// connect returns the open connection or opens one.
-func (k *peerConn) connect() (*rpc.Client, error) {
-	k.lock.Lock()
-	defer k.lock.Unlock()
-	if k.client != nil {
-		return k.client, nil
-	}
-	c, err := dial.Connect(k.address)
-	if err != nil {
-		return nil, fmt.Errorf("connect to control host %s: %w; check that it is running", k.address, err)
-	}
-	k.client = rpc.NewClient(c)
-	return k.client, nil
-}
-
-// disconnect closes the current connection if it is c, or whichever is open if c is nil.
-func (k *peerConn) disconnect(c *rpc.Client) {
-	k.lock.Lock()
-	defer k.lock.Unlock()
-	if k.client == nil || c != nil && k.client != c {
-		return
-	}
-	if err := k.client.Close(); err != nil && !errors.Is(err, rpc.ErrShutdown) {
-		k.host.log.WithError(err).Debug("control: closing a connection failed")
-	}
-	k.client = nil
-}
-
-// call calls a method of the Control RPC service and waits for the reply, at most for timeout. It closes the connection
-// after a timeout or a transport error, but not after an error that the method itself returned.
-func (k *peerConn) call(method string, args, reply any, timeout time.Duration) error {
-	c, err := k.connect()
-	if err != nil {
-		k.recordResult(err)
-		return err
-	}
-	t := time.NewTimer(timeout)
-	defer t.Stop()
-	d := c.Go(ctlrpc.ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-d.Done:
-		err = d.Error
-	case <-t.C:
-		err = ErrTimeout
-	}
-	var e rpc.ServerError
-	if err != nil && !errors.As(err, &e) {
-		k.disconnect(c)
-	}
-	k.recordResult(err)
-	return err
-}
-
-// recordResult records whether a call succeeded and logs a line when the host becomes unreachable or reachable.
-func (k *peerConn) recordResult(err error) {
-	k.lock.Lock()
-	o := k.down
-	k.down = err != nil
-	k.lock.Unlock()
-	l := k.host.log.WithFields(logrus.Fields{"control": k.address, "for": k.purpose})
-	switch {
-	case err != nil && !o:
-		l.WithError(err).Warn("control: dependency lost, another control host")
-	case err == nil && o:
-		l.Info("control: dependency regained, another control host")
-	}
-}
-
 // messageLoop sends queued control log messages in order, all that are waiting in one call.
 type messageLoop struct{ link *link }
 
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -86,7 +86,7 @@
 		n.Hosts = t.aggregate.hosts
 	}
 	addFleetChanges(&n, s, q)
-	t.addLoadChanges(&n, s, q)
+	t.addHostChanges(&n, s, q)
 	return n
 }
 
@@ -111,31 +111,38 @@
 	n.FleetNew, n.Reports = true, s.Fleet.Reports()
 }
 
-// addLoadChanges adds what differs between entry hosts: grants, changes of watched keys, and the loads of other entry hosts, all of them if the entry host holds none from this start of the
-// control host, otherwise those that changed most. A request that is older than the last answered one gets no
-// loads and changes no record, because its reply may never arrive.
-func (t *ReplyBuilder) addLoadChanges(n *ctlrpc.ExchangeReply, s State, q ctlrpc.ExchangeRequest) {
+// addHostChanges adds what differs between entry hosts: grants, changes of watched keys, and changes of the loads of other
+// entry hosts. A host that holds nothing from this start of the control host gets all loads. A request that is older than the
+// last answered one gets none of it and changes no record, because its reply may never arrive.
+func (t *ReplyBuilder) addHostChanges(n *ctlrpc.ExchangeReply, s State, q ctlrpc.ExchangeRequest) {
 	r := q.Report
 	o, ok := t.sent[r.Host]
 	if ok && (r.Start < o.start || r.Start == o.start && r.Sequence < o.sequence) {
 		return
 	}
-	w := t.otherLoads(s, r.Host)
 	first := !ok || o.start != r.Start || q.Known.Control != s.StartID
-	n.Grants = t.budgets.Exchange(r.Host, r.Start, first, r.Budget, s.Now)
 	if first {
-		n.LoadsNew, n.Loads = true, w
-		n.Watch = s.watch.ChangesFrom(poison.Watch{})
-		n.Watch.New = true
-		t.recordSent(r.Host, sentState{r.Start, r.Sequence, w, poison.Watch{}.With(n.Watch), s.Now}, s)
-		return
+		o = sentState{}
 	}
-	n.Loads = ctlrpc.LoadChanges(o.loads, w, maxLoadChanges)
-	l := maps.Clone(o.loads)
-	maps.Copy(l, n.Loads)
-	maps.DeleteFunc(l, func(_ string, v ctlrpc.Load) bool { return v == ctlrpc.Load{} })
+	n.Grants = t.budgets.Exchange(r.Host, r.Start, first, r.Budget, s.Now)
 	n.Watch = s.watch.ChangesFrom(o.watch)
-	t.recordSent(r.Host, sentState{r.Start, r.Sequence, l, o.watch.With(n.Watch), s.Now}, s)
+	n.Watch.New = first
+	l := t.otherLoads(s, r.Host)
+	if first {
+		n.LoadsNew, n.Loads = true, l
+	} else {
+		n.Loads = ctlrpc.LoadChanges(o.loads, l, maxLoadChanges)
+		l = withLoads(o.loads, n.Loads)
+	}
+	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), sentAt: s.Now}, s)
+}
+
+// withLoads returns loads after changes. Those that are empty then are left out.
+func withLoads(loads, changes map[string]ctlrpc.Load) map[string]ctlrpc.Load {
+	r := maps.Clone(loads)
+	maps.Copy(r, changes)
+	maps.DeleteFunc(r, func(_ string, v ctlrpc.Load) bool { return v == ctlrpc.Load{} })
+	return r
 }
 
 // otherLoads returns the sum of the loads of all entry hosts except the named one, by endpoint.
@@ -151,7 +158,7 @@
 	return r
 }
 
-// recordSent stores the loads that were sent to an entry host, and removes the records of hosts that had no exchange
+// recordSent stores what was sent to an entry host, and removes the records of hosts that had no exchange
 // for hostExpiry.
 func (t *ReplyBuilder) recordSent(host string, v sentState, s State) {
 	t.sent[host] = v
