--- a/ctrl/outbox.go
+++ b/ctrl/outbox.go
@@ -72,7 +72,8 @@
 		n := p.reports[k].aged(now).gossip(k)
 		g.Reports = append(g.Reports, n.Reports...)
 		g.Hosts = append(g.Hosts, n.Hosts...)
-		g.Poison = g.Poison.Plus(n.Poison)
+		g.Poison.Ends = append(g.Poison.Ends, n.Poison.Ends...)
+		g.Poison.Cases = append(g.Poison.Cases, n.Poison.Cases...)
 	}
 	return g
 }
--- a/ctrl/queue.go
+++ b/ctrl/queue.go
@@ -12,7 +12,8 @@
 	"github.com/hickoryshelf/hickoryshelf/poison"
 )
 
-// maxQueuedCases bounds the evidence about requests that end endpoints in a ReportQueue. Further evidence is dropped.
+// maxQueuedCases bounds the cases of evidence about requests that end endpoints from one host, or gossiped apart from hosts'
+// reports, in a ReportQueue. The oldest are dropped.
 const maxQueuedCases = 1024
 
 // Source says where a report comes from.
@@ -33,11 +34,13 @@
 	start    int64
 }
 
-// queuedReport is a report that waits. Only the part that its key names is set.
+// queuedReport is a report that waits. Only the part that its key names is set, and evidence, which hosts report too.
 type queuedReport struct {
 	endpoint fleet.Report
-	host     ctlrpc.HostReport
-	poison   poison.Report
+	// host holds no evidence.
+	host ctlrpc.HostReport
+	// evidence holds the evidence of the merged reports, the oldest first.
+	evidence []poison.Arrival
 	// at is when the newest of the merged reports came. Ages in it count from then.
 	at time.Duration
 }
@@ -69,7 +72,13 @@
 
 // AddHost queues an entry host's report.
 func (q *ReportQueue) AddHost(s Source, r ctlrpc.HostReport) {
-	q.add(reportKey{source: s, host: r.Host, start: r.Start}, queuedReport{host: r, at: q.now()})
+	n := queuedReport{at: q.now()}
+	if !r.Poison.Empty() {
+		n.evidence = []poison.Arrival{{Report: r.Poison, At: n.at}}
+	}
+	r.Poison = poison.Report{}
+	n.host = r
+	q.add(reportKey{source: s, host: r.Host, start: r.Start}, n)
 }
 
 // AddGossip queues the reports of a gossip message one by one.
@@ -81,7 +90,8 @@
 		q.AddHost(s, r)
 	}
 	if !g.Poison.Empty() {
-		q.add(reportKey{source: s}, queuedReport{poison: g.Poison, at: q.now()})
+		n := q.now()
+		q.add(reportKey{source: s}, queuedReport{evidence: []poison.Arrival{{Report: g.Poison, At: n}}, at: n})
 	}
 }
 
@@ -94,18 +104,24 @@
 	} else {
 		q.order = append(q.order, k)
 	}
-	r.poison, r.host.Poison = q.bound(r.poison), q.bound(r.host.Poison)
+	r.evidence = q.bound(r.evidence)
 	q.reports[k] = r
 	q.signal()
 }
 
-// bound returns evidence without the oldest cases above maxQueuedCases.
-func (q *ReportQueue) bound(r poison.Report) poison.Report {
-	if n := len(r.Cases) - maxQueuedCases; n > 0 {
-		q.dropped += n
-		r.Cases = r.Cases[n:]
+// bound returns evidence without the oldest reports, so that it holds at most maxQueuedCases cases unless it is one report.
+func (q *ReportQueue) bound(l []poison.Arrival) []poison.Arrival {
+	n := 0
+	for _, a := range l {
+		n += len(a.Report.Cases)
 	}
-	return r
+	for n > maxQueuedCases && len(l) > 1 {
+		k := len(l[0].Report.Cases)
+		n -= k
+		q.dropped += k
+		l = l[1:]
+	}
+	return l
 }
 
 func (q *ReportQueue) signal() {
@@ -155,7 +171,7 @@
 	case k.source == Direct && k.endpoint != "":
 		return EndpointReported{Report: r.endpoint}, true
 	case k.source == Direct && k.host != "":
-		return HostReported{Report: r.host}, true
+		return HostReported{Report: r.hostReport()}, true
 	}
 	return GossipReceived{Gossip: r.gossip(k)}, true
 }
@@ -175,23 +191,29 @@
 	case k.endpoint != "":
 		return ctlrpc.Gossip{Reports: []fleet.Report{r.endpoint}}
 	case k.host != "":
-		return ctlrpc.Gossip{Hosts: []ctlrpc.HostReport{r.host}}
+		return ctlrpc.Gossip{Hosts: []ctlrpc.HostReport{r.hostReport()}}
 	}
-	return ctlrpc.Gossip{Poison: r.poison}
+	return ctlrpc.Gossip{Poison: poison.Collect(r.evidence, r.at)}
 }
 
 // aged returns the report with the ages that it has at a time.
 func (r queuedReport) aged(now time.Duration) queuedReport {
-	d := now - r.at
-	r.host, r.poison, r.at = r.host.WithAge(d), r.poison.WithAge(d), now
+	r.host, r.at = r.host.WithAge(now-r.at), now
 	return r
 }
 
+// hostReport returns the report of an entry host with its evidence.
+func (r queuedReport) hostReport() ctlrpc.HostReport {
+	h := r.host
+	h.Poison = poison.Collect(r.evidence, r.at)
+	return h
+}
+
 // merge returns what a report and a later one about the same say together.
 func (r queuedReport) merge(n queuedReport) queuedReport {
 	r = r.aged(n.at)
 	n.endpoint = fleet.Merge(r.endpoint, n.endpoint)
-	n.poison = r.poison.Plus(n.poison)
+	n.evidence = append(r.evidence, n.evidence...)
 	n.host = mergeHostReports(r.host, n.host)
 	return n
 }
@@ -209,7 +231,6 @@
 		b.Reads = a.Reads
 	}
 	b.Active = slices.Concat(a.Active, b.Active)
-	b.Poison = a.Poison.Plus(b.Poison)
 	b.Tallies = mergeTallies(a.Tallies, b.Tallies)
 	return b
 }
--- a/poison/report.go
+++ b/poison/report.go
@@ -48,6 +48,19 @@
 	return Report{Ends: slices.Concat(r.Ends, o.Ends), Cases: slices.Concat(r.Cases, o.Cases)}
 }
 
+// Collect returns what reports that arrived one after the other say together at now.
+func Collect(l []Arrival, now time.Duration) Report {
+	if len(l) == 1 {
+		return l[0].Report.WithAge(now - l[0].At)
+	}
+	var r Report
+	for _, a := range l {
+		v := a.Report.WithAge(now - a.At)
+		r.Ends, r.Cases = append(r.Ends, v.Ends...), append(r.Cases, v.Cases...)
+	}
+	return r
+}
+
 // WithAge returns the report as it reads some time later.
 func (r Report) WithAge(d time.Duration) Report {
 	if d == 0 || r.Empty() {
