Forget which keys were suspected with a new connection

A host that changes from a control host of this build to one of the build before would have kept the suspects that it knew for good, as only this build names and withdraws them. TestNewWatchReplacesTheOneBefore guards the update itself.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
@@ -228,6 +229,7 @@
 	e.state.Control = ""
 	e.Relay.ResendTallies()
 	e.Relay.Poison.Resend()
+	e.Relay.Poison.AdoptWatch(poison.WatchUpdate{New: true}) // a control host of an older build names no keys
 	e.Relay.Budget.Begin()
 	return e.client, nil
 }
--- a/poison/watch_test.go
+++ b/poison/watch_test.go
@@ -66,3 +66,21 @@
 		i.Equal(s.Case(k).Crashes[poison.Boot{Endpoint: "e1"}].Cleared, !c.watched)
 	}
 }
+
+// Guards against requests that stay suspected at hosts whose control host names no suspects any more.
+func TestNewWatchReplacesTheOneBefore(t *testing.T) {
+	i := is.New(t)
+	o := poison.NewObserver()
+	k := poison.Key{Kind: poison.Request, ID: "head-digest"}
+	var s poison.State
+	for e := range 3 {
+		b := poison.Boot{Endpoint: fmt.Sprint("e", e)}
+		s = s.WithReport(poison.Report{Ends: []poison.EndReport{{Boot: b, Service: "s"}}, Cases: []poison.CaseReport{{Key: k, Crashes: []poison.CrashReport{{Boot: b}}}}}, time.Second)
+	}
+	o.AdoptWatch(s.Watched().ChangesFrom(poison.Watch{}))
+	i.True(o.Suspect([]poison.Key{k}))
+	i.True(o.Knows(poison.Key{Kind: poison.Request, ID: "head"}))
+	o.AdoptWatch(poison.WatchUpdate{New: true})
+	i.True(!o.Suspect([]poison.Key{k}))
+	i.True(!o.Knows(poison.Key{Kind: poison.Request, ID: "head"}))
+}
