--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -58,7 +58,7 @@
 
 func (f forwardCall) run() {
 	var r ctlrpc.OrderReply
-	err := f.host.links.call(Address(f.effect.To), "Order", f.effect.Order, &r, orderTimeout)
+	err := f.host.links.order(Address(f.effect.To), f.effect.Order, &r, orderTimeout)
 	if err != nil {
 		f.host.log.WithError(err).WithField("leader", f.effect.To).Warn("control: forwarding an order to the leader failed")
 	}
@@ -93,7 +93,7 @@
 		return
 	}
 	var r ctlrpc.OrderReply
-	err := j.host.links.call(p, "Order", ctlrpc.Order{Verb: ctlrpc.Join, Node: s.Node}, &r, joinInterval)
+	err := j.host.links.order(p, ctlrpc.Order{Verb: ctlrpc.Join, Node: s.Node}, &r, joinInterval)
 	if err != nil || r.Status != ctlrpc.Accepted {
 		j.host.log.WithError(err).WithField("control", p).Debug("control: join order failed, another host is asked next")
 	}
--- a/ctrl/conn.go
+++ b/ctrl/conn.go
@@ -22,6 +22,9 @@
 	address string
 	// purpose says in log lines what the connection is for.
 	purpose string
+	// shared is set if several calls may be under way. One that takes too long then doesn't close the connection, which fails
+	// by itself if the other host is gone.
+	shared bool
 
 	lock   sync.Mutex
 	client *rpc.Client
@@ -58,7 +61,8 @@
 }
 
 // call calls a method of the Control RPC service and waits for the reply, at most for timeout. It closes the connection
-// after a timeout or a transport error, but not after an error that the method itself returned.
+// after a transport error and, unless the connection is shared, after a timeout, but not after an error that the method
+// itself returned.
 func (k *peerConn) call(method string, args, reply any, timeout time.Duration) error {
 	c, err := k.connect()
 	if err != nil {
@@ -75,7 +79,7 @@
 		err = ErrTimeout
 	}
 	var e rpc.ServerError
-	if err != nil && !errors.As(err, &e) {
+	if err != nil && !errors.As(err, &e) && !(k.shared && errors.Is(err, ErrTimeout)) {
 		k.disconnect(c)
 	}
 	k.recordResult(err)
--- a/ctrl/leaving_test.go
+++ b/ctrl/leaving_test.go
@@ -24,6 +24,8 @@
 	leavingEndpoints = 240
 	// slowNote is how long a slow control host takes for a gossip message.
 	slowNote = 400 * time.Millisecond
+	// slowOrder is how long it takes for an order.
+	slowOrder = 5 * time.Second
 	// maxReportTime is the longest time that the answer to a leaving endpoint may take: 250 ms for the other control hosts,
 	// and time to compute.
 	maxReportTime = 600 * time.Millisecond
@@ -31,10 +33,10 @@
 
 // slowControl is a control host that is slow to take gossip. It counts messages and what they hold.
 type slowControl struct {
-	notes, leaving, accepted atomic.Int64
-	conns                    sync.WaitGroup
-	listener                 net.Listener
-	server                   *rpc.Server
+	notes, leaving, orders, accepted atomic.Int64
+	conns                            sync.WaitGroup
+	listener                         net.Listener
+	server                           *rpc.Server
 }
 
 // slowService is the RPC service of a slowControl.
@@ -59,6 +61,13 @@
 	return nil
 }
 
+// Order takes an order and is slow to reply.
+func (s slowService) Order(_ ctlrpc.Order, _ *ctlrpc.OrderReply) error {
+	s.control.orders.Add(1)
+	time.Sleep(slowOrder)
+	return nil
+}
+
 func (c *slowControl) run() {
 	for {
 		n, err := c.listener.Accept()
@@ -98,18 +107,18 @@
 	}
 }
 
-// Guards against control hosts that break off each other's connections, those of the control log too, and send everything
-// again, since one of them was slow to hear of endpoints that left at once.
-func TestManyLeavingEndpointsAreSentTogether(t *testing.T) {
+// startBesideSlowControl starts a control host and a slow one, which are the seeds of a deployment.
+func startBesideSlowControl(t *testing.T) (*ctrl.Host, *slowControl) {
+	t.Helper()
 	i := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	i.NoErr(err)
-	defer l.Close() //nolint:errcheck // the test ends
+	t.Cleanup(func() { _ = l.Close() })
 	p := l.Addr().(*net.TCPAddr).Port
 	c := &slowControl{server: rpc.NewServer()}
 	c.listener, err = net.Listen("tcp", fmt.Sprint("127.0.0.2:", p))
 	i.NoErr(err)
-	defer c.listener.Close() //nolint:errcheck // the test ends
+	t.Cleanup(func() { _ = c.listener.Close() })
 	i.NoErr(c.server.RegisterName(ctlrpc.ServiceName, slowService{c}))
 	go c.run()
 	s := conf.Node{
@@ -120,7 +129,29 @@
 	g.SetOutput(t.Output())
 	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: metrics.NewSet()})
 	i.NoErr(err)
-	defer h.Stop()
+	t.Cleanup(h.Stop)
+	return h, c
+}
+
+// Guards against orders that take long and break off the connection for messages of the control log and for other orders.
+func TestSlowOrderBreaksOffNothing(t *testing.T) {
+	i := is.New(t)
+	_, c := startBesideSlowControl(t)
+	for c.orders.Load() < 2 { // the host hears no leader and asks to join
+		time.Sleep(10 * time.Millisecond)
+	}
+	a, n := c.accepted.Load(), c.orders.Load()
+	time.Sleep(2 * time.Second)
+	t.Logf("%d orders, %d connections", c.orders.Load()-n, c.accepted.Load()-a)
+	i.True(c.orders.Load() > n)
+	i.Equal(c.accepted.Load(), a)
+}
+
+// Guards against control hosts that break off each other's connections, those of the control log too, and send everything
+// again, since one of them was slow to hear of endpoints that left at once.
+func TestManyLeavingEndpointsAreSentTogether(t *testing.T) {
+	i := is.New(t)
+	h, c := startBesideSlowControl(t)
 	for n := range leavingEndpoints {
 		h.Report(fleet.Report{ID: fmt.Sprint("e", n), Born: 1, Sequence: 1, Service: "s", Address: fmt.Sprint("10.0.0.1:", n)})
 	}
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -36,7 +36,8 @@
 	if !ok {
 		k = &link{
 			host: l.host, address: address, messages: make(chan quorum.Message, linkQueueSize), outbox: newOutbox(l.host.now),
-			log: peerConn{host: l.host, address: address, purpose: "log"}, notes: peerConn{host: l.host, address: address, purpose: "gossip"},
+			log:    peerConn{host: l.host, address: address, purpose: "log"},
+			orders: peerConn{host: l.host, address: address, purpose: "orders", shared: true}, notes: peerConn{host: l.host, address: address, purpose: "gossip"},
 		}
 		l.byAddress[address] = k
 		m, n := messageLoop{k}, gossipLoop{k}
@@ -52,6 +53,7 @@
 	defer l.lock.Unlock()
 	for _, k := range l.byAddress {
 		k.log.disconnect(nil)
+		k.orders.disconnect(nil)
 		k.notes.disconnect(nil)
 	}
 }
@@ -115,19 +117,20 @@
 	return missing
 }
 
-// call calls a method of the Control RPC service on a host, on the connection for the control log; see peerConn.call.
-func (l *links) call(address, method string, args, reply any, timeout time.Duration) error {
-	return l.link(address).log.call(method, args, reply, timeout)
+// order sends an order to a host; see peerConn.call.
+func (l *links) order(address string, o ctlrpc.Order, reply *ctlrpc.OrderReply, timeout time.Duration) error {
+	return l.link(address).orders.call("Order", o, reply, timeout)
 }
 
-// link holds the connections to one control host with its queues. The control log has a connection of its own, so that its
-// messages and orders don't wait for gossip, and a call that fails breaks off no others than its like.
+// link holds the connections to one control host with its queues. The control log and orders have connections of their own,
+// so that they don't wait for gossip, and a call that fails breaks off no others than its like.
 type link struct {
 	host     *Host
 	address  string
 	messages chan quorum.Message
 	outbox   *outbox
 	log      peerConn
+	orders   peerConn
 	notes    peerConn
 }
 
