Split the attempts of a request by concern

relay/attempt.go, the widest file, held the watchdog, the counts for roll-outs and plain answers beside the attempt itself.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,18 +13,6 @@
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
-const (
-	// busyTimeoutFactor multiplies the timeout of the watchdog when it is extended for a busy endpoint.
-	busyTimeoutFactor = 3
-	// maxAnswerBytes bounds an answer whose head names no length.
-	maxAnswerBytes = 64 << 20
-	// sideBodyTimeout bounds the time in which the body of a refusal or a failure is read. The request waits for it.
-	sideBodyTimeout = 500 * time.Millisecond
-	// maxBufferedBytes is the largest body of a plain answer that is read to its end before it is passed on. The
-	// request can still be repeated while the body is read.
-	maxBufferedBytes = 512 << 10
-)
-
 // upstreamAttempt is one attempt of a job at one endpoint.
 type upstreamAttempt struct {
 	job    *job
@@ -55,69 +40,6 @@
 	cancel context.CancelFunc
 }
 
-// watchdog cancels an attempt from which nothing was received for a timeout. The timeout is extended once if the
-// endpoint has answered other requests in the meantime: the endpoint is busy then, and running the request a second
-// time elsewhere would only add to the load. Before the timeout it looks after the link to the endpoint.
-type watchdog struct {
-	attempt *upstreamAttempt
-	timeout time.Duration
-	// limit is the time without a sign after which the attempt is cancelled, and heardAt is when the last sign came.
-	limit   time.Duration
-	heardAt time.Time
-	// busyWindow is how recently the endpoint must have answered another request to count as busy. 0 turns the
-	// extension off.
-	busyWindow time.Duration
-	lock       sync.Mutex
-	timer      *time.Timer
-	extended   bool
-	stopped    bool
-}
-
-// startWatchdog starts a watchdog that cancels the attempt after timeout.
-func (u *upstreamAttempt) startWatchdog(timeout, busyWindow time.Duration) *watchdog {
-	w := &watchdog{attempt: u, timeout: timeout, limit: timeout, busyWindow: busyWindow, heardAt: time.Now()}
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	w.timer = time.AfterFunc(min(timeout, u.linkGrace()), w.expire)
-	return w
-}
-
-// expire runs when the timer fires: it checks the link, extends the timeout or cancels the attempt.
-func (w *watchdog) expire() {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	q := time.Since(w.heardAt)
-	switch {
-	case w.stopped:
-	case q < w.limit && w.attempt.checkLink(q):
-		w.attempt.cancel()
-	case q < w.limit:
-		w.timer.Reset(min(w.limit-q, linkCheckInterval))
-	case !w.extended && w.busyWindow > 0 && w.attempt.job.relay.Endpoints.ActiveSince(w.attempt.choice.ID, time.Now().Add(-w.busyWindow)):
-		w.extended = true
-		w.limit = q + busyTimeoutFactor*w.timeout
-		w.timer.Reset(linkCheckInterval)
-	default:
-		w.attempt.cancel()
-	}
-}
-
-// reset restarts the timeout after an event of the answer was received.
-func (w *watchdog) reset() {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	w.extended, w.limit, w.heardAt = false, w.timeout, time.Now()
-	w.timer.Reset(min(w.timeout, eventLinkGrace))
-}
-
-// stop ends the watchdog. It does not cancel the attempt afterwards.
-func (w *watchdog) stop() {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	w.stopped = true
-	w.timer.Stop()
-}
-
 // begin removes the attempt's work from the queued work of the endpoint. Further calls do nothing.
 func (u *upstreamAttempt) begin() {
 	if !u.began {
@@ -273,12 +195,6 @@
 	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
 }
 
-// onTrial reports whether a running rollout of the service judges the version of the endpoint.
-func (u *upstreamAttempt) onTrial() bool {
-	v, ok := u.job.relay.Endpoints.Rollout(u.job.service.Name)
-	return ok && v.Outcome == canary.Running && u.choice.Version == v.Target
-}
-
 // learnDuration adds a duration to the average with a key. A version on trial is left out, since it is compared
 // with the averages.
 func (u *upstreamAttempt) learnDuration(key string, d time.Duration) {
@@ -287,52 +203,6 @@
 	}
 }
 
-// tallyAnswer counts an answer or a failed run for the newest rollout of the service, if it runs.
-func (u *upstreamAttempt) tallyAnswer(failed bool, wait time.Duration) {
-	u.slow = canary.IsSlow(wait, u.choice.Expected)
-	u.count(func(t canary.Tally) canary.Tally { return t.WithAnswer(failed, wait, u.choice.Expected) })
-}
-
-// tallyFault counts a failed run. A run without an answer is counted like one whose caller left if this host's own link may
-// be the reason, since it says nothing about the version then.
-func (u *upstreamAttempt) tallyFault(answered bool, wait time.Duration) {
-	if !answered && u.linkDoubted() {
-		u.count(canary.Tally.WithLeaver)
-		return
-	}
-	u.tallyAnswer(true, wait)
-}
-
-// tallyLeaver counts a request whose caller left after wait: as a slow answer if it was one by then.
-func (u *upstreamAttempt) tallyLeaver(wait time.Duration) {
-	if canary.IsSlow(wait, u.choice.Expected) {
-		u.tallyAnswer(false, wait)
-		return
-	}
-	u.count(canary.Tally.WithLeaver)
-}
-
-// count changes the tally of the attempt for the newest rollout of the service, if it runs.
-func (u *upstreamAttempt) count(change func(canary.Tally) canary.Tally) {
-	j := u.job
-	v, ok := j.relay.Endpoints.Rollout(j.service.Name)
-	if !ok || v.Outcome != canary.Running {
-		return
-	}
-	u.tally = canary.Tally{Serial: v.Serial, Version: u.choice.Version, Kind: j.kind(), Slice: v.Slice(v.Elapsed)}
-	if u.choice.Version == v.Target {
-		u.tally.Endpoint = u.choice.ID
-	}
-	j.relay.tallies.update(u.tally, change)
-}
-
-// tallyBreak counts an answer as failed that has broken off, if its start was counted.
-func (u *upstreamAttempt) tallyBreak() {
-	if u.tally.Serial > 0 && !u.linkDoubted() {
-		u.job.relay.tallies.update(u.tally, func(t canary.Tally) canary.Tally { return t.WithLateFailure(u.slow) })
-	}
-}
-
 // causeText returns the text of the reply's cause, or an empty text.
 func causeText(r Reply) string {
 	if r.Cause == nil {
@@ -363,95 +233,3 @@
 	}
 	return j.ttft > j.route.Objective || j.route.EventGapObjective > 0 && j.longestGap > j.route.EventGapObjective
 }
-
-// bufferedReply is an answer whose body, or the first maxBufferedBytes+1 bytes of it, was read.
-type bufferedReply struct {
-	status int
-	reply  Reply
-	body   []byte
-}
-
-// readReply reads up to maxBufferedBytes+1 bytes of an answer, so that a longer body is recognised by its length. It
-// returns io.ErrUnexpectedEOF if there is no body.
-func readReply(r Reply) (*bufferedReply, error) {
-	if r.Body == nil {
-		return nil, io.ErrUnexpectedEOF
-	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	return &bufferedReply{status: r.Status, reply: r, body: b}, nil
-}
-
-// readSideBody reads the body of an answer that isn't the one that the caller waits for, for sideBodyTimeout at most.
-func (u *upstreamAttempt) readSideBody(r Reply) (*bufferedReply, error) {
-	w := u.startWatchdog(sideBodyTimeout, 0)
-	defer w.stop()
-	b, err := readReply(r)
-	if err == nil && len(b.body) > maxBufferedBytes {
-		return nil, errTooLong
-	}
-	return b, err
-}
-
-// errTooLong means that an endpoint's answer exceeds a bound on its size.
-var errTooLong = errors.New("the endpoint's answer is too long; it is given up")
-
-// deliver passes a buffered answer on to the caller.
-func (j *job) deliver(w *bufferedReply) {
-	j.sink.Begin(w.status, w.reply.Header, int64(len(w.body)))
-	if err := j.sink.Write(w.body); err != nil {
-		j.log().WithError(err).Info("request: the caller left before the end of its answer")
-	}
-}
-
-// relayPlain passes on an answer that is not a stream. A body of up to maxBufferedBytes is read to its end first, and
-// the attempt may be repeated if it breaks off; a longer body is passed on as it arrives.
-func (u *upstreamAttempt) relayPlain(r Reply) nextStep {
-	j := u.job
-	w, err := readReply(r)
-	if err != nil {
-		u.tallyBreak()
-		u.log().WithError(err).Warn("attempt: the answer broke off")
-		j.tried[u.choice.ID] = true
-		u.recordBreak(err)
-		return rerun
-	}
-	u.learnDuration(holdKey(j.route.Name, j.model()), time.Since(u.sent))
-	if len(w.body) <= maxBufferedBytes {
-		j.deliver(w)
-		u.recordServed(w.status)
-		return done
-	}
-	j.answerBegun = true
-	j.sink.Begin(w.status, w.reply.Header, r.Length)
-	if err := j.sink.Write(w.body); err != nil {
-		return ended
-	}
-	if err := copyBounded(sinkWriter{j.sink}, r); err != nil {
-		u.log().WithError(err).Warn("attempt: the answer broke off")
-		j.sink.Abort()
-		return done
-	}
-	u.recordServed(w.status)
-	return done
-}
-
-// copyBounded copies the rest of an answer, up to maxAnswerBytes if the answer names no length.
-func copyBounded(w io.Writer, r Reply) error {
-	b := r.Body.(io.Reader)
-	if r.Length < 0 {
-		b = io.LimitReader(r.Body, maxAnswerBytes+1)
-	}
-	n, err := io.Copy(w, b)
-	if err == nil && r.Length < 0 && n > maxAnswerBytes {
-		return errTooLong
-	}
-	return err
-}
-
-// sinkWriter is an io.Writer that writes to a Sink.
-type sinkWriter struct{ sink Sink }
-
-func (w sinkWriter) Write(b []byte) (int, error) { return len(b), w.sink.Write(b) }
