--- a/relay/job.go
+++ b/relay/job.go
@@ -235,6 +235,7 @@
 	}
 	if !j.relay.Budget.Withdraw(j.service.Name, j.relay.sinceStart()) {
 		j.noRetryReason = "budget"
+		j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="fault"}`).Inc()
 		return false
 	}
 	return true
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -87,6 +87,7 @@
 	n, ok := j.relay.chooser.Next(j.tierRequest(), j.tier, r.Confidence)
 	if ok && !j.relay.Budget.WithdrawOptional(j.service.Name, j.relay.sinceStart()) {
 		j.noRetryReason = "spare budget"
+		j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="optional"}`).Inc()
 		return 0, false
 	}
 	return n, ok
