Don't serve requests on idle connections that are being closed

Suspected cause, found by reading: a timer closes connections that are idle for too long; once it has expired, a request that comes before Close runs is served beside it, its context ends, and it gets no answer though an endpoint may have run it. Nothing excluded the two.

Now closing begins under the tracker's lock: a request that came first keeps the connection, one that came later isn't passed on. The tracker is a package of its own.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +18,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/budget"
+	"github.com/hickoryshelf/hickoryshelf/caller"
 	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/dial"
@@ -28,6 +28,7 @@
 	"github.com/hickoryshelf/hickoryshelf/platform"
 	"github.com/hickoryshelf/hickoryshelf/proxy"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
 const (
@@ -182,10 +183,10 @@
 	})
 	a := entry.Assisting{Address: n.settings.PeerAddress(), Token: k, Bound: assist.NewBound(n.settings.Descriptors, n.settings.MemoryMB)}
 	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pools: []*dial.Pool{o, h}, Assisting: a, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
-	i := &connTracker{relay: r, timers: map[net.Conn]*time.Timer{}}
+	i := caller.NewTracker(func() time.Duration { return idleTimeout(r.Table()) })
 	s := &http.Server{
-		Handler: &platform.CallerHandler{Relay: r, Stopping: e.Stopping}, ReadHeaderTimeout: nodeHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: i.track,
+		Handler: i.Guard(&platform.CallerHandler{Relay: r, Stopping: e.Stopping}), ReadHeaderTimeout: nodeHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: i.Track, ConnContext: i.ConnContext,
 	}
 	d := &http.Server{Handler: readinessHandler{e}, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	y := proxy.NewServer(proxy.Options{Token: k, Relay: r, Bound: a.Bound, Stopping: e.Stopping, Log: n.log, Metrics: n.metrics})
@@ -211,11 +212,11 @@
 
 // busyCounter counts the requests in flight of callers and of other hosts.
 type busyCounter struct {
-	callers *connTracker
+	callers *caller.Tracker
 	others  *assist.Bound
 }
 
-func (c busyCounter) busyCount() int { return c.callers.busyCount() + c.others.Taken() }
+func (c busyCounter) busyCount() int { return c.callers.Busy() + c.others.Taken() }
 
 // readinessHandler answers the readiness checks of the load balancer.
 type readinessHandler struct{ entry *entry.Entry }
@@ -255,48 +256,10 @@
 	e.Stop()
 }
 
-// connTracker tracks the state of callers' connections. It closes a connection that is idle longer than the timeout in
-// the configuration, and counts the connections with a request in flight.
-type connTracker struct {
-	relay  *relay.Relay
-	lock   sync.Mutex
-	timers map[net.Conn]*time.Timer // idle connections and the timers that close them
-	busy   map[net.Conn]bool        // connections with a request in flight
-}
-
-// track records the new state of a connection; see http.Server.ConnState.
-func (c *connTracker) track(n net.Conn, s http.ConnState) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	if t, ok := c.timers[n]; ok {
-		t.Stop()
-		delete(c.timers, n)
-	}
-	if c.busy == nil {
-		c.busy = map[net.Conn]bool{}
-	}
-	switch s {
-	case http.StateActive:
-		c.busy[n] = true
-	case http.StateIdle:
-		delete(c.busy, n)
-		c.timers[n] = time.AfterFunc(c.idleTimeout(), func() { _ = n.Close() }) // the caller sees the connection end
-	case http.StateClosed, http.StateHijacked:
-		delete(c.busy, n)
-	}
-}
-
-// idleTimeout returns the idle timeout of the configuration in force, or defaultIdleTimeout.
-func (c *connTracker) idleTimeout() time.Duration {
-	if t := c.relay.Table(); t != nil && t.Limits.IdleTimeout > 0 {
+// idleTimeout returns the idle timeout of a configuration, or defaultIdleTimeout if it names none.
+func idleTimeout(t *table.Table) time.Duration {
+	if t != nil && t.Limits.IdleTimeout > 0 {
 		return t.Limits.IdleTimeout
 	}
 	return defaultIdleTimeout
 }
-
-// busyCount returns the number of connections with a request in flight.
-func (c *connTracker) busyCount() int {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	return len(c.busy)
-}
