Open tunnels of tests again while processes are being started

Cause, a fault of the test: a process that is being started holds copies of its parent's sockets until it runs its own program, closed listeners among them, and tests with processes run in parallel. Ruled out: sockets that are inherited for good (they are closed on exec). Now a port that is still in use is tried again for a second.

--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -91,7 +91,7 @@
 	for k := range entries {
 		p := d.newProcess(fmt.Sprint("entry", k), 10+k, k%3, false)
 		if tunnels {
-			p.Tunnel = newTunnel(t, fmt.Sprintf("%s.%d", d.subnet, tunnelOctet+k), fmt.Sprintf("%s.%d", d.subnet, sourceOctet+k), d.EndpointIP())
+			p.Tunnel = NewTunnel(t, fmt.Sprintf("%s.%d", d.subnet, tunnelOctet+k), fmt.Sprintf("%s.%d", d.subnet, sourceOctet+k), d.EndpointIP())
 		}
 		d.Entry = append(d.Entry, p)
 	}
--- a/itest/tunnel.go
+++ b/itest/tunnel.go
@@ -1,6 +1,7 @@
 package itest
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -58,8 +59,8 @@
 	held net.Conn
 }
 
-// newTunnel returns an open tunnel without ports.
-func newTunnel(t testing.TB, ip, source, target string) *Tunnel {
+// NewTunnel returns an open tunnel without ports.
+func NewTunnel(t testing.TB, ip, source, target string) *Tunnel {
 	u := &Tunnel{t: t, IP: ip, source: source, target: target, ports: map[int]*tunnelPort{}}
 	u.changed = sync.NewCond(&u.lock)
 	t.Cleanup(u.close)
@@ -103,24 +104,44 @@
 	}
 }
 
+const (
+	// bindTime is how long a port may stay in use after its listener was closed. A process that is being started holds
+	// copies of all sockets until it runs its own program.
+	bindTime = time.Second
+	// bindPause is the pause between two attempts to listen.
+	bindPause = 2 * time.Millisecond
+)
+
 // listen replaces the listener of a port by one that fits the cut.
 func (u *Tunnel) listen(p *tunnelPort) {
 	p.close()
+	f := func() error { return nil }
 	switch p.cut {
 	case Open:
-		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", u.IP, p.port))
-		if err != nil {
-			u.t.Error(err)
-			return
-		}
-		p.listener = l
-		f := portForwarder{u, p, l, fmt.Sprintf("%s:%d", u.target, p.port)}
-		go f.run()
+		f = func() error { return u.listenOpen(p) }
 	case Silent:
-		if err := p.listenSilently(u.IP); err != nil {
-			u.t.Error(err)
-		}
+		f = func() error { return p.listenSilently(u.IP) }
+	}
+	err := f()
+	for b := time.Now(); errors.Is(err, syscall.EADDRINUSE) && time.Since(b) < bindTime; err = f() {
+		p.close()
+		time.Sleep(bindPause)
+	}
+	if err != nil {
+		u.t.Error(err)
+	}
+}
+
+// listenOpen listens and forwards all connections.
+func (u *Tunnel) listenOpen(p *tunnelPort) error {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", u.IP, p.port))
+	if err != nil {
+		return err
 	}
+	p.listener = l
+	f := portForwarder{u, p, l, fmt.Sprintf("%s:%d", u.target, p.port)}
+	go f.run()
+	return nil
 }
 
 // close closes the listener.
