--- a/ctrl/outbox.go
+++ b/ctrl/outbox.go
@@ -19,8 +19,8 @@
 	waiters []chan struct{}
 }
 
-// parcel is what is sent at a time, with those that wait for its acknowledgement.
-type parcel struct {
+// batch is what is sent at a time, with those that wait for its acknowledgement.
+type batch struct {
 	keys    []reportKey
 	reports map[reportKey]queuedReport
 	waiters []chan struct{}
@@ -48,25 +48,25 @@
 }
 
 // take removes all that waits.
-func (o *outbox) take() parcel {
+func (o *outbox) take() batch {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	p := parcel{waiters: o.waiters}
+	p := batch{waiters: o.waiters}
 	o.waiters = nil
 	p.keys, p.reports = o.reports.popAll()
 	return p
 }
 
 // restore puts back what could not be sent.
-func (o *outbox) restore(p parcel) {
+func (o *outbox) restore(p batch) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	o.reports.restore(p.keys, p.reports)
 	o.waiters = append(p.waiters, o.waiters...)
 }
 
-// gossip returns the parcel as a message that is sent now.
-func (p parcel) gossip(now time.Duration) ctlrpc.Gossip {
+// gossip returns the batch as a message that is sent now.
+func (p batch) gossip(now time.Duration) ctlrpc.Gossip {
 	var g ctlrpc.Gossip
 	for _, k := range p.keys {
 		n := p.reports[k].aged(now).gossip(k)
@@ -78,8 +78,8 @@
 	return g
 }
 
-// acknowledge wakes those that wait for the parcel.
-func (p parcel) acknowledge() {
+// acknowledge wakes those that wait for the batch.
+func (p batch) acknowledge() {
 	for _, c := range p.waiters {
 		close(c)
 	}
