Tell how far a control host is behind: event wait, late ticks, call times, late votes

Change: histograms of the wait of events, the lateness of ticks and calls of the control log; counters of late votes and of first exchanges; a line each second in which a host is behind, and one with the age of each voter's last answer when a leader steps down. No logic is changed.

--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -93,6 +93,10 @@
 // EntryFailed logs that a log entry or a snapshot could not be encoded or applied.
 type EntryFailed struct{ Err error }
 
+// VoteIgnored records that a vote came after the campaign that it was for.
+type VoteIgnored struct{}
+
+func (VoteIgnored) effect()        {}
 func (Write) effect()              {}
 func (Respond) effect()            {}
 func (Forward) effect()            {}
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -46,6 +46,7 @@
 // Exchange queues an entry host's report for Reduce and returns the changes that the entry host doesn't hold yet. It
 // returns at once if there are any, otherwise at the next change or after q.Wait, at most maxExchangeWait.
 func (h *Host) Exchange(q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
+	h.strain.exchanged(q.Known.Control == "", h.now())
 	h.reports.AddHost(Direct, q.Report)
 	for _, r := range q.Leaving {
 		h.reports.AddEndpoint(Direct, r)
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -55,8 +55,9 @@
 	log      *logrus.Logger
 	start    time.Time
 	// events holds those of the control log and of operators. Reduce takes them before reports.
-	events  chan Event
+	events  chan queuedEvent
 	reports *ReportQueue
+	strain  *strainMeter
 	state   atomic.Pointer[State]
 	writer  *writer
 	links   *links
@@ -95,10 +96,11 @@
 	s = s.WithMemory(m)
 	h := &Host{
 		replies:  NewReplyBuilder(),
-		settings: o.Settings, log: o.Log, start: time.Now(), events: make(chan Event, eventQueueSize),
+		settings: o.Settings, log: o.Log, start: time.Now(), events: make(chan queuedEvent, eventQueueSize),
 		stop: make(chan struct{}), changed: make(chan struct{}),
 	}
 	h.reports = NewReportQueue(h.now)
+	h.strain = newStrainMeter(o.Metrics)
 	h.state.Store(&s)
 	h.writer = newWriter(h, d)
 	h.links = newLinks(h)
@@ -125,22 +127,35 @@
 // post queues an event for Reduce. It blocks while the queue is full.
 func (h *Host) post(e Event) {
 	select {
-	case h.events <- e:
+	case h.events <- queuedEvent{e, h.now()}:
 	case <-h.stop:
 	}
 }
 
+// queuedEvent is an event with the time at which it came.
+type queuedEvent struct {
+	event Event
+	came  time.Duration
+}
+
 // run reduces events and performs their effects. A random delay before the first tick keeps hosts that start together
 // from starting their election campaigns at the same moment.
 func (h *Host) run() {
 	time.Sleep(mathrand.N(tickInterval))
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	b := h.now() // the last tick
 	for {
 		e, ok := h.next(t.C)
 		if !ok {
 			return
 		}
+		if _, ok := e.(Tick); ok {
+			n := h.now()
+			h.strain.ticked(n-b, n)
+			h.logStrain(n)
+			b = n
+		}
 		o := h.state.Load()
 		s, f := Reduce(*o, h.now(), e)
 		h.state.Store(&s)
@@ -158,7 +173,7 @@
 	for {
 		select {
 		case e := <-h.events:
-			return e, true
+			return h.take(e), true
 		case <-h.stop:
 			return nil, false
 		default:
@@ -170,7 +185,7 @@
 		}
 		select {
 		case e := <-h.events:
-			return e, true
+			return h.take(e), true
 		case <-tick:
 			return Tick{}, true
 		case <-h.stop:
@@ -183,6 +198,12 @@
 	}
 }
 
+// take returns an event that was queued and records how long it waited.
+func (h *Host) take(e queuedEvent) Event {
+	h.strain.eventTaken(e.came, h.now())
+	return e.event
+}
+
 func (h *Host) perform(e Effect) {
 	switch v := e.(type) {
 	case Write:
@@ -204,6 +225,8 @@
 			"key": r.Key.String(), "with": r.With, "account": r.Account, "any-account": r.AnyAccount, "crashes": a.Crashes, "ends": a.Ends,
 			"over": (a.Last - a.First).Milliseconds(), "log-odds": a.LogOdds,
 		}).Warn("control: requests end the endpoints that run them and are held back")
+	case VoteIgnored:
+		h.strain.votedLate(h.now())
 	case EntryFailed:
 		h.log.WithError(v.Err).Error("control: a log entry or snapshot can't be encoded or applied")
 	}
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -150,7 +150,11 @@
 			m.Messages = append(m.Messages, <-l.link.messages)
 		}
 		var d ctlrpc.Ack
-		if l.link.log.call("Quorum", m, &d, callTimeout) != nil {
+		h := l.link.host
+		b := h.now()
+		err := l.link.log.call("Quorum", m, &d, callTimeout)
+		h.strain.called(h.now()-b, h.now())
+		if err != nil {
 			time.Sleep(retryDelay)
 		}
 	}
--- a/ctrl/logging.go
+++ b/ctrl/logging.go
@@ -26,6 +26,9 @@
 			"role": s.Log.Role.String(), "leader": s.Log.Leader, "term": s.Log.Hard.Term, "commit": s.Log.Commit, "last": s.Log.LastIndex(),
 		}).Info("control: role or leader changed")
 	}
+	if o.Log.Role == quorum.Leader && s.Log.Role != quorum.Leader {
+		h.logStepDown(o, s)
+	}
 	if o.StateMachine.Document.Version != s.StateMachine.Document.Version {
 		h.log.WithFields(logrus.Fields{"version": s.StateMachine.Document.Version, "index": s.StateMachine.Applied}).Info("control: configuration in force")
 	}
@@ -42,6 +45,28 @@
 	}
 }
 
+// logStepDown logs why a leader no longer leads: how long ago each voter answered it, and what this host was behind with.
+func (h *Host) logStepDown(o, s State) {
+	a := map[string]int64{}
+	for _, n := range o.Log.Peers.Voters {
+		if n != o.Node {
+			a[Address(n)] = (s.Now - o.Log.LastAcked(n)).Milliseconds()
+		}
+	}
+	w, _ := h.reports.Load()
+	h.log.WithFields(h.strain.recent(s.Now).fields()).WithFields(logrus.Fields{
+		"own-term": o.Log.Hard.Term == s.Log.Hard.Term, "answered-ago": a, "reports-waiting": w,
+	}).Warn("control: no longer leads")
+}
+
+// logStrain logs a line each second in which this host was behind its work.
+func (h *Host) logStrain(now time.Duration) {
+	if s, ok := h.strain.finished(now); ok && s.overloaded() {
+		w, _ := h.reports.Load()
+		h.log.WithFields(s.fields()).WithField("reports-waiting", w).Warn("control: is behind its work")
+	}
+}
+
 func sameNodes(a, b []quorum.NodeID) bool {
 	if len(a) != len(b) {
 		return false
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -148,6 +148,9 @@
 			t.catchUpIndex = max(m.Commit, 1)
 		}
 	}
+	if t.Log.VoteIsLate(m) {
+		t.emit(VoteIgnored{})
+	}
 	t.stepLog(quorum.Receive{Message: m})
 }
 
--- /dev/null
+++ b/ctrl/strain.go
@@ -0,0 +1,142 @@
+package ctrl
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// strainWindow is the time over which a Strain is taken.
+	strainWindow = time.Second
+	// longDelay is the delay of a tick or of an event of the control log from which a host is logged as overloaded.
+	longDelay = 150 * time.Millisecond
+)
+
+// Strain says how far a control host was behind its work in a time of strainWindow. Durations are the longest ones in it.
+type Strain struct {
+	// EventWait is how long an event of the control log or an order waited for the event loop.
+	EventWait time.Duration
+	// TickLate is how late a tick was.
+	TickLate time.Duration
+	// CallTime is how long another control host took to acknowledge messages of the control log.
+	CallTime time.Duration
+	// Exchanges counts the exchanges of entry hosts, and FirstExchanges those that were the first of their connection.
+	Exchanges      int
+	FirstExchanges int
+	// LateVotes counts votes that came after the campaign that they were for.
+	LateVotes int
+}
+
+// plus returns the strain of two times together.
+func (s Strain) plus(o Strain) Strain {
+	return Strain{
+		EventWait: max(s.EventWait, o.EventWait), TickLate: max(s.TickLate, o.TickLate), CallTime: max(s.CallTime, o.CallTime),
+		Exchanges: s.Exchanges + o.Exchanges, FirstExchanges: s.FirstExchanges + o.FirstExchanges, LateVotes: s.LateVotes + o.LateVotes,
+	}
+}
+
+// overloaded reports whether the host was behind its work for longer than longDelay.
+func (s Strain) overloaded() bool { return max(s.EventWait, s.TickLate) > longDelay }
+
+// fields returns the strain as fields of a log line, with durations in ms.
+func (s Strain) fields() logrus.Fields {
+	return logrus.Fields{
+		"event-wait": s.EventWait.Milliseconds(), "tick-late": s.TickLate.Milliseconds(), "call-time": s.CallTime.Milliseconds(), "exchanges": s.Exchanges, "first-exchanges": s.FirstExchanges,
+		"late-votes": s.LateVotes,
+	}
+}
+
+// strainMeter measures the strain of a host and keeps histograms of it. It is safe for concurrent use.
+type strainMeter struct {
+	eventWait, tickLate, callTime *metrics.Histogram
+	lateVotes, firstExchanges     *metrics.Counter
+
+	lock sync.Mutex
+	// began is when the current window began. before is the strain in the window before it.
+	began           time.Duration
+	current, before Strain
+}
+
+func newStrainMeter(m *metrics.Set) *strainMeter {
+	return &strainMeter{
+		eventWait: m.NewHistogram("control_event_wait_seconds"), tickLate: m.NewHistogram("control_tick_late_seconds"), callTime: m.NewHistogram("control_log_call_seconds"),
+		lateVotes: m.NewCounter("control_late_votes_total"), firstExchanges: m.NewCounter("control_first_exchanges_total"),
+	}
+}
+
+// add adds an observation to the current window.
+func (m *strainMeter) add(now time.Duration, s Strain) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.advance(now)
+	m.current = m.current.plus(s)
+}
+
+// advance begins another window if the current one is over, and reports whether it did.
+func (m *strainMeter) advance(now time.Duration) bool {
+	if now < m.began+strainWindow {
+		return false
+	}
+	m.before, m.current = m.current, Strain{}
+	if now >= m.began+2*strainWindow {
+		m.before = Strain{}
+	}
+	m.began = now
+	return true
+}
+
+// eventTaken records that an event that came at a time is taken by the event loop.
+func (m *strainMeter) eventTaken(came, now time.Duration) {
+	m.eventWait.Update((now - came).Seconds())
+	m.add(now, Strain{EventWait: now - came})
+}
+
+// ticked records a tick that comes some time after the one before.
+func (m *strainMeter) ticked(since, now time.Duration) {
+	d := max(0, since-tickInterval)
+	m.tickLate.Update(d.Seconds())
+	m.add(now, Strain{TickLate: d})
+}
+
+// called records a call with messages of the control log that took some time.
+func (m *strainMeter) called(took, now time.Duration) {
+	m.callTime.Update(took.Seconds())
+	m.add(now, Strain{CallTime: took})
+}
+
+// exchanged records an exchange of an entry host.
+func (m *strainMeter) exchanged(first bool, now time.Duration) {
+	s := Strain{Exchanges: 1}
+	if first {
+		s.FirstExchanges = 1
+		m.firstExchanges.Inc()
+	}
+	m.add(now, s)
+}
+
+// votedLate records a vote that came after its campaign.
+func (m *strainMeter) votedLate(now time.Duration) {
+	m.lateVotes.Inc()
+	m.add(now, Strain{LateVotes: 1})
+}
+
+// recent returns the strain of the current window and the one before.
+func (m *strainMeter) recent(now time.Duration) Strain {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.advance(now)
+	return m.before.plus(m.current)
+}
+
+// finished returns the strain of the window that has ended at now. It is false while the current one goes on.
+func (m *strainMeter) finished(now time.Duration) (Strain, bool) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if !m.advance(now) {
+		return Strain{}, false
+	}
+	return m.before, true
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -237,6 +237,19 @@
 // answered.
 func (s State) LastAcked(node NodeID) time.Duration { return s.progressOf(node).acked }
 
+// VoteIsLate reports whether a message grants a vote for a campaign of this node that is over and wasn't won.
+func (s State) VoteIsLate(m Message) bool {
+	switch {
+	case m.Reject:
+		return false
+	case m.Kind == VoteReply:
+		return m.Term < s.Hard.Term || s.Role != Candidate && s.Role != Leader
+	case m.Kind == PreVoteReply:
+		return m.Term <= s.Hard.Term && s.Role != Candidate && s.Role != Leader
+	}
+	return false
+}
+
 // Reopened returns the state of a node whose disk was opened again at time now. As after a restart, everything that
 // isn't on disk is lost, but the election timeout has its normal length.
 func (s State) Reopened(hard HardState, snapshot Snapshot, entries []Entry, now time.Duration) State {
