Count votes however late they come, and let campaigns last longer after each failure

What callers saw: no acknowledgement of a valid change for seconds, though all control hosts ran and were connected. Cause: a campaign lasted 150 to 300 ms. Votes that came later were ignored, and the next campaign had another term, which ended those of the other hosts too. A round trip with its sync that takes longer elected nobody, for ever. Change: votes for the current term count until it ends; each failed campaign in a row lasts twice as long, up to 1.2 to 2.4 s; a voter that has just granted its vote doesn't grant a third node a pre-vote; a node that didn't run for a while hears what waits before it campaigns.

--- /dev/null
+++ b/quorum/slow_test.go
@@ -0,0 +1,179 @@
+package quorum_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+)
+
+const (
+	// slowTick is the interval of ticks in a slowNetwork.
+	slowTick = 5 * time.Millisecond
+	// ackBound is the time of calm after which a valid change has to be acknowledged, from the stated target.
+	ackBound = 6 * time.Second
+)
+
+// deployedTiming holds the timeouts of the product.
+var deployedTiming = quorum.Timing{Heartbeat: 120 * time.Millisecond, Election: 600 * time.Millisecond}
+
+// delayed is a message on its way.
+type delayed struct {
+	at      time.Duration
+	message quorum.Message
+}
+
+// slowNetwork runs nodes that are all up and connected. Messages, with the sync before them, take a time.
+type slowNetwork struct {
+	nodes   map[quorum.NodeID]quorum.State
+	ids     []quorum.NodeID
+	now     time.Duration
+	pending []delayed
+	// persisted holds what is synced later.
+	persisted []delayedSync
+	random    *rand.Rand
+	// delay returns how long a message takes.
+	delay func(m quorum.Message) time.Duration
+	// stopped reports whether a node doesn't run. What is sent to it waits.
+	stopped func(id quorum.NodeID) bool
+	// messages counts those that were sent.
+	messages int
+}
+
+// delayedSync is a write of entries on its way to a node's disk.
+type delayedSync struct {
+	at time.Duration
+	id quorum.NodeID
+	quorum.Persisted
+}
+
+func newSlowNetwork(voters int, seed uint64) *slowNetwork {
+	n := &slowNetwork{nodes: map[quorum.NodeID]quorum.State{}, random: rand.New(rand.NewPCG(seed, 1))}
+	n.delay = func(quorum.Message) time.Duration { return time.Millisecond }
+	n.stopped = func(quorum.NodeID) bool { return false }
+	for k := range voters {
+		n.ids = append(n.ids, quorum.NodeID(fmt.Sprint("n", k)))
+	}
+	s := quorum.Snapshot{Index: 1, Term: 1, Peers: quorum.Peers{Voters: n.ids}}
+	for k, i := range n.ids {
+		n.nodes[i] = quorum.New(i, deployedTiming, quorum.HardState{Term: 1}, s, nil, seed*100+uint64(k))
+	}
+	return n
+}
+
+// between returns a delay of messages that is drawn evenly.
+func (n *slowNetwork) between(a, b time.Duration) func(quorum.Message) time.Duration {
+	return func(quorum.Message) time.Duration { return a + time.Duration(n.random.Int64N(int64(b-a)+1)) }
+}
+
+// step runs an input on a node and sends its messages.
+func (n *slowNetwork) step(id quorum.NodeID, i quorum.Input) quorum.Output {
+	s, o := quorum.Step(n.nodes[id], n.now, i)
+	n.nodes[id] = s
+	for _, m := range o.Messages {
+		n.messages++
+		n.pending = append(n.pending, delayed{n.now + n.delay(m), m})
+	}
+	if k := len(o.Persist.Entries); k > 0 {
+		e := o.Persist.Entries[k-1]
+		n.persisted = append(n.persisted, delayedSync{n.now + time.Millisecond, id, quorum.Persisted{Index: e.Index, Term: e.Term}})
+	}
+	return o
+}
+
+// run runs all nodes for some time. each is called after each step.
+func (n *slowNetwork) run(d time.Duration, each func()) {
+	for e := n.now + d; n.now < e; n.now += slowTick {
+		p := n.pending
+		n.pending = nil
+		for _, m := range p {
+			if m.at > n.now || n.stopped(m.message.To) {
+				n.pending = append(n.pending, m)
+				continue
+			}
+			n.step(m.message.To, quorum.Receive{Message: m.message})
+		}
+		q := n.persisted
+		n.persisted = nil
+		for _, s := range q {
+			if s.at > n.now || n.stopped(s.id) {
+				n.persisted = append(n.persisted, s)
+				continue
+			}
+			n.step(s.id, s.Persisted)
+		}
+		for _, i := range n.ids {
+			if !n.stopped(i) {
+				n.step(i, quorum.Tick{})
+			}
+		}
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// leader returns a node that leads and is ready, or nothing.
+func (n *slowNetwork) leader() quorum.NodeID {
+	for _, i := range n.ids {
+		if n.nodes[i].Ready(n.now) {
+			return i
+		}
+	}
+	return ""
+}
+
+// highestTerm returns the highest term of all nodes.
+func (n *slowNetwork) highestTerm() uint64 {
+	var r uint64
+	for _, s := range n.nodes {
+		r = max(r, s.Hard.Term)
+	}
+	return r
+}
+
+// Guards against campaigns that end before the votes come: control hosts short of processor time, all of them up and
+// connected, had no leader for 22 s, with another term each 0.7 s.
+func TestLeaderIsElectedThoughVotesTakeLong(t *testing.T) {
+	for _, d := range []time.Duration{50, 100, 150, 200, 250} {
+		t.Run((2 * d * time.Millisecond).String(), func(t *testing.T) {
+			i := is.New(t)
+			late, worst := 0, time.Duration(0)
+			for s := range uint64(40) {
+				n := newSlowNetwork(5, s+1)
+				n.delay = n.between(d*time.Millisecond*8/10, d*time.Millisecond)
+				first := time.Duration(0)
+				n.run(ackBound, func() {
+					if first == 0 && n.leader() != "" {
+						first = n.now
+					}
+				})
+				if first == 0 {
+					late++
+					continue
+				}
+				worst = max(worst, first)
+			}
+			t.Logf("%d of 40 without a leader in %v, the others within %v", late, ackBound, worst)
+			i.Equal(late, 0)
+		})
+	}
+}
+
+// Guards against elections that make more messages the longer they fail.
+func TestFailedCampaignsMakeFewMessages(t *testing.T) {
+	i := is.New(t)
+	n := newSlowNetwork(5, 1)
+	n.run(3*time.Second, nil)
+	n.stopped = func(id quorum.NodeID) bool { return !slices.Contains(n.ids[:2], id) } // no majority
+	n.run(5*time.Second, nil)
+	b := n.messages
+	n.run(10*time.Second, nil)
+	t.Logf("%d messages in 10 s", n.messages-b)
+	i.True(n.messages-b <= 2*4*10*2) // each of two nodes asks four others, twice a second at most
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// campaignDivisor divides the election timeout of a node that campaigns.
+	// campaignDivisor divides the election timeout of a node whose first campaign in a row begins. Each further campaign lasts
+	// twice as long as the one before, maxDoublings times.
 	campaignDivisor = 4
+	maxDoublings    = 3
 	// startDivisor divides the election timeout that bounds the wait of a node that has just started.
 	startDivisor = 6
 )
@@ -44,7 +46,16 @@
 	timing   Timing
 	entries  *immutable.List[Entry]
 	progress []progress
+	// votes holds the voters that have granted this node their vote in the current term, and preVotes those that would do so
+	// in the next one. Both count however late they come.
 	votes    []NodeID
+	preVotes []NodeID
+	// campaigns counts the campaigns since a leader was last heard of.
+	campaigns int
+	// votedAt is when this node last granted another node its vote.
+	votedAt time.Duration
+	// tickedAt is the time of the last tick.
+	tickedAt time.Duration
 	// lastContact is the time of the last message from the leader. deadline is the time at which a leader sends the
 	// next heartbeats and any other voter starts a campaign.
 	lastContact time.Duration
@@ -72,11 +83,12 @@
 	return s
 }
 
-// withShortDeadline draws a short election timeout, for use after a campaign, when other nodes may have campaigned at
-// the same time.
-func (s State) withShortDeadline(now time.Duration) State {
+// withCampaignDeadline draws the time at which a campaign that begins now has failed. The first one is short, since other
+// nodes may have campaigned at the same time. Later ones last longer and differ more: votes may take long, and each campaign
+// is work for all nodes.
+func (s State) withCampaignDeadline(now time.Duration) State {
 	s = s.withDeadline(now)
-	s.deadline = now + (s.deadline-now)/campaignDivisor
+	s.deadline = now + (s.deadline-now)/campaignDivisor<<min(s.campaigns, maxDoublings)
 	return s
 }
 
@@ -243,9 +255,9 @@
 	case m.Reject:
 		return false
 	case m.Kind == VoteReply:
-		return m.Term < s.Hard.Term || s.Role != Candidate && s.Role != Leader
+		return m.Term < s.Hard.Term || s.Role == Follower
 	case m.Kind == PreVoteReply:
-		return m.Term <= s.Hard.Term && s.Role != Candidate && s.Role != Leader
+		return m.Term <= s.Hard.Term && s.Role == PreCandidate || s.Role == Follower
 	}
 	return false
 }
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -63,10 +63,16 @@
 }
 
 func (t *step) tick() {
+	p := t.now - t.tickedAt
+	t.tickedAt = t.now
 	if t.Role == Leader {
 		t.tickLeader()
 		return
 	}
+	if p > t.timing.Heartbeat {
+		// This node didn't run for a while. Messages of the leader may wait to be received.
+		t.deadline = max(t.deadline, t.now+t.timing.Heartbeat)
+	}
 	if t.now >= t.deadline && t.Peers.IsVoter(t.ID) {
 		t.campaign(PreCandidate)
 	}
@@ -90,15 +96,17 @@
 func (t *step) campaign(role Role) {
 	t.Role = role
 	t.Leader = ""
-	t.votes = []NodeID{t.ID}
-	t.State = t.withShortDeadline(t.now)
+	t.State = t.withCampaignDeadline(t.now)
 	k, e := PreVote, t.Hard.Term+1
 	if role == Candidate {
 		t.Hard = HardState{Term: t.Hard.Term + 1, Vote: t.ID}
 		k, e = Vote, t.Hard.Term
+		t.votes = []NodeID{t.ID}
+	} else {
+		t.preVotes = []NodeID{t.ID}
+		t.campaigns++
 	}
-	if t.hasMajority() {
-		t.advanceCampaign()
+	if t.advanceCampaign() {
 		return
 	}
 	l, _ := t.termAt(t.LastIndex())
@@ -109,16 +117,21 @@
 	}
 }
 
-// hasMajority reports whether a campaign has votes from more than half of the voters.
-func (t *step) hasMajority() bool { return 2*len(t.votes) > len(t.Peers.Voters) }
+// isMajority reports whether votes are those of more than half of the voters.
+func (t *step) isMajority(votes []NodeID) bool { return 2*len(votes) > len(t.Peers.Voters) }
 
-// advanceCampaign turns a pre-candidate with a majority into a candidate, and a candidate into the leader.
-func (t *step) advanceCampaign() {
-	if t.Role == PreCandidate {
+// advanceCampaign turns a node with the votes of a majority into the leader, and a pre-candidate with their pre-votes into a
+// candidate. It reports whether the node has advanced. A node that campaigns again still wins with the votes for its term.
+func (t *step) advanceCampaign() bool {
+	switch {
+	case t.Hard.Vote == t.ID && t.isMajority(t.votes):
+		t.becomeLeader()
+	case t.Role == PreCandidate && t.isMajority(t.preVotes):
 		t.campaign(Candidate)
-		return
+	default:
+		return false
 	}
-	t.becomeLeader()
+	return true
 }
 
 // becomeLeader starts leading. It proposes an empty entry, because a leader may commit entries of earlier terms only
@@ -127,6 +140,8 @@
 	t.Role = Leader
 	t.Leader = t.ID
 	t.electedAt = t.now
+	t.campaigns = 0
+	t.votes = nil
 	t.progress = nil
 	t.propose(Entry{})
 	t.deadline = t.now + t.timing.Heartbeat
@@ -136,6 +151,7 @@
 func (t *step) becomeFollower(term uint64, leader NodeID) {
 	if term > t.Hard.Term {
 		t.Hard = HardState{Term: term}
+		t.votes = nil
 	}
 	t.Role = Follower
 	t.Leader = leader
@@ -159,6 +175,13 @@
 	}
 }
 
+// expectsLeader reports whether this node has lately granted another node than the given one its vote. A pre-vote for a
+// third node would only disturb that campaign.
+func (t *step) expectsLeader(other NodeID) bool {
+	v := t.Hard.Vote
+	return v != "" && v != t.ID && v != other && t.now < t.votedAt+t.timing.Election
+}
+
 // hasCurrentLeader reports whether this node is a leader with a lease or has heard from a leader within the last
 // Timing.Election. Such a node doesn't vote for another leader, which keeps leases valid.
 func (t *step) hasCurrentLeader() bool {
@@ -177,7 +200,7 @@
 	}
 	l, _ := t.termAt(t.LastIndex())
 	u := m.LogTerm > l || (m.LogTerm == l && m.Index >= t.LastIndex())
-	if m.Kind == PreVote && u && m.Term > t.Hard.Term {
+	if m.Kind == PreVote && u && m.Term > t.Hard.Term && !t.expectsLeader(m.From) {
 		t.send(Message{Kind: PreVoteReply, To: m.From, Term: m.Term})
 		return
 	}
@@ -193,6 +216,7 @@
 		return
 	}
 	t.Hard.Vote = m.From
+	t.votedAt = t.now
 	t.State = t.withDeadline(t.now)
 	t.send(Message{Kind: VoteReply, To: m.From})
 }
@@ -212,17 +236,26 @@
 		}
 		return
 	}
-	w, e := Candidate, t.Hard.Term
-	if m.Kind == PreVoteReply {
-		w, e = PreCandidate, t.Hard.Term+1
+	if t.Role != PreCandidate && t.Role != Candidate || !t.Peers.IsVoter(m.From) {
+		return
 	}
-	if t.Role != w || m.Term != e || slices.Contains(t.votes, m.From) || !t.Peers.IsVoter(m.From) {
+	switch {
+	case m.Kind == VoteReply && m.Term == t.Hard.Term:
+		t.votes = withVote(t.votes, m.From)
+	case m.Kind == PreVoteReply && m.Term == t.Hard.Term+1 && t.Role == PreCandidate:
+		t.preVotes = withVote(t.preVotes, m.From)
+	default:
 		return
 	}
-	t.votes = append(slices.Clone(t.votes), m.From)
-	if t.hasMajority() {
-		t.advanceCampaign()
+	t.advanceCampaign()
+}
+
+// withVote returns votes with that of a voter, which counts once.
+func withVote(votes []NodeID, voter NodeID) []NodeID {
+	if slices.Contains(votes, voter) {
+		return votes
 	}
+	return append(slices.Clone(votes), voter)
 }
 
 // receiveEntries processes an Append or InstallSnapshot. It rejects messages of earlier terms, and an Append whose
@@ -234,6 +267,7 @@
 	}
 	t.becomeFollower(m.Term, m.From)
 	t.lastContact = t.now
+	t.campaigns = 0
 	if m.Kind == InstallSnapshot {
 		t.install(m)
 		return
