--- a/quorum/state.go
+++ b/quorum/state.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// campaignDivisor divides the election timeout of a node whose first campaign in a row begins. Each further campaign lasts
-	// twice as long as the one before, maxDoublings times.
+	// campaignDivisor divides the election timeout of a node that campaigns. After shortCampaigns campaigns in a row
+	// each further one lasts twice as long as the one before, up to maxDoublings times.
 	campaignDivisor = 4
+	shortCampaigns  = 2
 	maxDoublings    = 3
 	// startDivisor divides the election timeout that bounds the wait of a node that has just started.
 	startDivisor = 6
@@ -83,12 +84,12 @@
 	return s
 }
 
-// withCampaignDeadline draws the time at which a campaign that begins now has failed. The first one is short, since other
+// withCampaignDeadline draws the time at which a campaign that begins now has failed. The first ones are short, since other
 // nodes may have campaigned at the same time. Later ones last longer and differ more: votes may take long, and each campaign
 // is work for all nodes.
 func (s State) withCampaignDeadline(now time.Duration) State {
 	s = s.withDeadline(now)
-	s.deadline = now + (s.deadline-now)/campaignDivisor<<min(s.campaigns, maxDoublings)
+	s.deadline = now + (s.deadline-now)/campaignDivisor<<min(max(0, s.campaigns-shortCampaigns), maxDoublings)
 	return s
 }
 
