Let a leader wait for late answers before it steps down

What callers saw: a leader that no fault touched stepped down, 1.07 s without any, though the same host was elected again. Cause: it stepped down in the tick in which its lease had ended. Answers that came a moment later were worth nothing, and the election made more work than the wait. Change: without answers of a majority for two election timeouts it steps down.

--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -165,6 +165,41 @@
 	}
 }
 
+// Guards against a sound leader that steps down since answers came late once, which made all hosts and callers look for
+// another one: it can't be sure of its lead for that time, but is the one who gets it back soonest.
+func TestLeaderWhoseAnswersAreLateOnceKeepsLeading(t *testing.T) {
+	i := is.New(t)
+	for s := range uint64(40) {
+		n := newSlowNetwork(5, s+1)
+		n.run(3*time.Second, nil)
+		l, h := n.leader(), n.highestTerm()
+		i.True(l != "")
+		b := n.now
+		n.delay = func(m quorum.Message) time.Duration {
+			if m.Kind == quorum.AppendReply && n.now < b+500*time.Millisecond {
+				return b + 900*time.Millisecond - n.now // the answers come together
+			}
+			return time.Millisecond
+		}
+		n.run(3*time.Second, func() { i.True(n.leader() == "" || n.leader() == l) })
+		i.Equal(n.leader(), l)
+		i.Equal(n.highestTerm(), h) // no election
+	}
+}
+
+// Guards against a leader that answers as one after its lease, while it waits for answers to get it back.
+func TestLeaderThatWaitsForAnswersHasNoLease(t *testing.T) {
+	i := is.New(t)
+	n := newSlowNetwork(5, 1)
+	n.run(3*time.Second, nil)
+	l := n.leader()
+	n.stopped = func(id quorum.NodeID) bool { return id != l }
+	n.run(deployedTiming.Election+deployedTiming.Heartbeat, nil)
+	i.Equal(n.leader(), quorum.NodeID(""))
+	n.run(2*deployedTiming.Election, nil)
+	i.True(n.nodes[l].Role != quorum.Leader) // it gives up in the end
+}
+
 // Guards against elections that make more messages the longer they fail.
 func TestFailedCampaignsMakeFewMessages(t *testing.T) {
 	i := is.New(t)
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -14,6 +14,8 @@
 	campaignDivisor = 4
 	shortCampaigns  = 2
 	maxDoublings    = 3
+	// stepDownElections is the number of election timeouts without answers of a majority after which a leader gives up.
+	stepDownElections = 2
 	// startDivisor divides the election timeout that bounds the wait of a node that has just started.
 	startDivisor = 6
 )
@@ -243,6 +245,12 @@
 	})
 }
 
+// GivesUpAt returns the time at which this leader steps down unless a majority answers. It is later than the end of its
+// lease: a leader whose answers are late is sooner back by waiting for them than by an election.
+func (s State) GivesUpAt(now time.Duration) time.Duration {
+	return max(s.electedAt, s.quorumContact(now)) + stepDownElections*s.timing.Election
+}
+
 // ElectedAt returns the time at which this leader was elected, on its own clock.
 func (s State) ElectedAt() time.Duration { return s.electedAt }
 
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -78,10 +78,9 @@
 	}
 }
 
-// tickLeader sends heartbeats when they are due. A leader without a lease steps down, except in the first
-// Timing.Election after its election.
+// tickLeader sends heartbeats when they are due. A leader that no majority has answered for long steps down.
 func (t *step) tickLeader() {
-	if t.now-t.electedAt > t.timing.Election && !t.HasLease(t.now) {
+	if t.now > t.GivesUpAt(t.now) {
 		t.becomeFollower(t.Hard.Term, "")
 		return
 	}
