Name the slowest event and reply of a control host, and log each second in which it is behind

Cause: the line for a second in which a host is behind was never written: another observation began the next window before the tick asked for it. Change: a window that is over is kept until it has been read; the longest event with its kind, and the longest reply. Result: TestHostThatIsBehindItsWorkSaysSo, red without the first part.

--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -56,19 +56,27 @@
 	for {
 		s, c := h.stateAndChange()
 		if hasChanges(s, q.Known) {
-			return h.replies.Build(s, q)
+			return h.reply(s, q)
 		}
 		select {
 		case <-c:
 		case <-t.C:
 			s, _ = h.stateAndChange()
-			return h.replies.Build(s, q)
+			return h.reply(s, q)
 		case <-h.stop:
 			return ctlrpc.ExchangeReply{}
 		}
 	}
 }
 
+// reply builds the reply to an exchange request.
+func (h *Host) reply(s State, q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
+	b := h.now()
+	r := h.replies.Build(s, q)
+	h.strain.replied(h.now()-b, h.now())
+	return r
+}
+
 // hasChanges reports whether the state has a newer configuration or fleet than an entry host holds. A fleet from
 // another start of the control host counts as outdated.
 func hasChanges(s State, k ctlrpc.EntryState) bool {
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -157,13 +157,15 @@
 			b = n
 		}
 		o := h.state.Load()
-		s, f := Reduce(*o, h.now(), e)
+		a := h.now()
+		s, f := Reduce(*o, a, e)
 		h.state.Store(&s)
 		h.logChanges(*o, s)
 		h.notifyExchanges(s)
 		for _, v := range f {
 			h.perform(v)
 		}
+		h.strain.reduced(e, h.now()-a, h.now())
 	}
 }
 
--- a/ctrl/strain.go
+++ b/ctrl/strain.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +23,11 @@
 	EventWait time.Duration
 	// TickLate is how late a tick was.
 	TickLate time.Duration
+	// EventTime is how long an event took, and SlowestEvent the kind of that event.
+	EventTime    time.Duration
+	SlowestEvent string
+	// ReplyTime is how long it took to build the reply to an entry host.
+	ReplyTime time.Duration
 	// CallTime is how long another control host took to acknowledge messages of the control log.
 	CallTime time.Duration
 	// Exchanges counts the exchanges of entry hosts, and FirstExchanges those that were the first of their connection.
@@ -32,8 +39,13 @@
 
 // plus returns the strain of two times together.
 func (s Strain) plus(o Strain) Strain {
+	e := s
+	if o.EventTime > s.EventTime {
+		e = o
+	}
 	return Strain{
 		EventWait: max(s.EventWait, o.EventWait), TickLate: max(s.TickLate, o.TickLate), CallTime: max(s.CallTime, o.CallTime),
+		EventTime: e.EventTime, SlowestEvent: e.SlowestEvent, ReplyTime: max(s.ReplyTime, o.ReplyTime),
 		Exchanges: s.Exchanges + o.Exchanges, FirstExchanges: s.FirstExchanges + o.FirstExchanges, LateVotes: s.LateVotes + o.LateVotes,
 	}
 }
@@ -45,24 +57,27 @@
 func (s Strain) fields() logrus.Fields {
 	return logrus.Fields{
 		"event-wait": s.EventWait.Milliseconds(), "tick-late": s.TickLate.Milliseconds(), "call-time": s.CallTime.Milliseconds(), "exchanges": s.Exchanges, "first-exchanges": s.FirstExchanges,
-		"late-votes": s.LateVotes,
+		"late-votes": s.LateVotes, "event-time": s.EventTime.Milliseconds(), "slowest-event": s.SlowestEvent, "reply-time": s.ReplyTime.Milliseconds(),
 	}
 }
 
 // strainMeter measures the strain of a host and keeps histograms of it. It is safe for concurrent use.
 type strainMeter struct {
-	eventWait, tickLate, callTime *metrics.Histogram
-	lateVotes, firstExchanges     *metrics.Counter
+	eventWait, eventTime, tickLate, callTime, replyTime *metrics.Histogram
+	lateVotes, firstExchanges                           *metrics.Counter
 
 	lock sync.Mutex
 	// began is when the current window began. before is the strain in the window before it.
 	began           time.Duration
 	current, before Strain
+	// unread is set while the window before hasn't been returned by finished.
+	unread bool
 }
 
 func newStrainMeter(m *metrics.Set) *strainMeter {
 	return &strainMeter{
-		eventWait: m.NewHistogram("control_event_wait_seconds"), tickLate: m.NewHistogram("control_tick_late_seconds"), callTime: m.NewHistogram("control_log_call_seconds"),
+		eventWait: m.NewHistogram("control_event_wait_seconds"), eventTime: m.NewHistogram("control_event_seconds"), replyTime: m.NewHistogram("control_reply_seconds"),
+		tickLate: m.NewHistogram("control_tick_late_seconds"), callTime: m.NewHistogram("control_log_call_seconds"),
 		lateVotes: m.NewCounter("control_late_votes_total"), firstExchanges: m.NewCounter("control_first_exchanges_total"),
 	}
 }
@@ -75,17 +90,16 @@
 	m.current = m.current.plus(s)
 }
 
-// advance begins another window if the current one is over, and reports whether it did.
-func (m *strainMeter) advance(now time.Duration) bool {
+// advance begins another window if the current one is over.
+func (m *strainMeter) advance(now time.Duration) {
 	if now < m.began+strainWindow {
-		return false
+		return
 	}
-	m.before, m.current = m.current, Strain{}
+	m.before, m.current, m.unread = m.current, Strain{}, true
 	if now >= m.began+2*strainWindow {
 		m.before = Strain{}
 	}
 	m.began = now
-	return true
 }
 
 // eventTaken records that an event that came at a time is taken by the event loop.
@@ -94,6 +108,24 @@
 	m.add(now, Strain{EventWait: now - came})
 }
 
+// reduced records that an event and its effects took some time.
+func (m *strainMeter) reduced(e Event, took, now time.Duration) {
+	m.eventTime.Update(took.Seconds())
+	m.add(now, Strain{EventTime: took, SlowestEvent: eventKind(e)})
+}
+
+// eventKind returns the name of an event's type without its package.
+func eventKind(e Event) string {
+	_, n, _ := strings.Cut(fmt.Sprintf("%T", e), ".")
+	return n
+}
+
+// replied records that building the reply to an entry host took some time.
+func (m *strainMeter) replied(took, now time.Duration) {
+	m.replyTime.Update(took.Seconds())
+	m.add(now, Strain{ReplyTime: took})
+}
+
 // ticked records a tick that comes some time after the one before.
 func (m *strainMeter) ticked(since, now time.Duration) {
 	d := max(0, since-tickInterval)
@@ -131,12 +163,12 @@
 	return m.before.plus(m.current)
 }
 
-// finished returns the strain of the window that has ended at now. It is false while the current one goes on.
+// finished returns the strain of a window that is over, once for each window.
 func (m *strainMeter) finished(now time.Duration) (Strain, bool) {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	if !m.advance(now) {
-		return Strain{}, false
-	}
-	return m.before, true
+	m.advance(now)
+	k := m.unread
+	m.unread = false
+	return m.before, k
 }
