Keep control hosts without a leader for a while, and try silent ones less and less

What callers saw: changes without acknowledgement for up to 22 s after a leader was lost. Cause: while no control host had a leader each entry host dropped its connection after each exchange and opened another one after 60 ms, with all tallies, all loads and new type descriptions: some 1,400 first exchanges a second from 295 hosts. The lost leader made the work that kept control hosts from electing one.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,8 +28,16 @@
 	longPollWait = 150 * time.Millisecond
 	// exchangeTimeout is the time without a reply after which the entry host changes to another control host.
 	exchangeTimeout = 700 * time.Millisecond
-	// exchangeRetryPause is the pause between a failed exchange and the next one.
-	exchangeRetryPause = 60 * time.Millisecond
+	// leastRetryPause and mostRetryPause bound the pause between a failed exchange and the next one, which grows with each
+	// failure in a row: a control host that is short of processor time needs fewer connections, not more.
+	leastRetryPause = 120 * time.Millisecond
+	mostRetryPause  = 2 * time.Second
+	// leastStaleTime and mostStaleTime bound how long a control host without a leader is kept before another one is tried. An
+	// election is usually over sooner, and until then no other control host has a leader either.
+	leastStaleTime = 1500 * time.Millisecond
+	mostStaleTime  = 6 * time.Second
+	// stalePause is the pause between two exchanges with such a control host.
+	stalePause = 60 * time.Millisecond
 	// prefillReportEvery is the number of exchanges after which the measured prefill times of models are sent again.
 	prefillReportEvery = 16
 	// tallyResendEvery is the number of exchanges after which all tallies are sent again, since control hosts may miss
@@ -78,6 +86,10 @@
 	current atomic.Pointer[rpc.Client]
 	// leaderless is set if the last control host connected to has answered that it has no leader.
 	leaderless bool
+	// retryPause is the pause after the next failed exchange, and staleTime how long the next control host without a leader is
+	// kept. leaveAt is when the current one is left, or zero if it has a leader.
+	retryPause, staleTime pause
+	leaveAt               time.Time
 	// controlLost is true from a failed exchange until a reply of a control host that is current.
 	controlLost bool
 	stopping    atomic.Bool
@@ -95,7 +107,10 @@
 
 // New registers the metrics and starts to exchange state with the control hosts of the settings.
 func New(o Options) *Entry {
-	e := &Entry{Options: o, start: time.Now().UnixNano(), controls: o.Settings.SeedPeers(), stop: make(chan struct{})}
+	e := &Entry{
+		Options: o, start: time.Now().UnixNano(), controls: o.Settings.SeedPeers(), stop: make(chan struct{}),
+		retryPause: pause{least: leastRetryPause, most: mostRetryPause}, staleTime: pause{least: leastStaleTime, most: mostStaleTime},
+	}
 	o.Metrics.NewGauge("control_age_seconds", func() float64 { return time.Since(time.Unix(0, e.lastExchange.Load())).Seconds() })
 	o.Metrics.NewGauge("table_version", func() float64 {
 		if t := o.Relay.Table(); t != nil {
@@ -156,7 +171,7 @@
 		}
 		if err := e.exchange(); err != nil {
 			e.closeConnection(err)
-			time.Sleep(exchangeRetryPause)
+			time.Sleep(e.retryPause.next())
 		}
 	}
 }
@@ -193,10 +208,27 @@
 		return err
 	}
 	e.apply(r)
+	e.retryPause.reset()
 	e.leaderless = !r.Current
-	if !r.Current && len(e.controls) > 1 {
+	return e.checkLeader()
+}
+
+// checkLeader returns ErrStale once the control host has had no leader for so long that another one is to be tried.
+func (e *Entry) checkLeader() error {
+	if !e.leaderless {
+		e.leaveAt = time.Time{}
+		e.staleTime.reset()
+		return nil
+	}
+	e.recordLoss(ErrStale)
+	if e.leaveAt.IsZero() {
+		e.leaveAt = time.Now().Add(e.staleTime.next())
+	}
+	if time.Now().After(e.leaveAt) && len(e.controls) > 1 {
+		e.leaveAt = time.Time{}
 		return ErrStale
 	}
+	time.Sleep(stalePause)
 	return nil
 }
 
@@ -247,12 +279,17 @@
 	return l[:min(len(l), n)]
 }
 
-// closeConnection closes the connection after a failed exchange. It logs only the first of several failures in a row.
-func (e *Entry) closeConnection(err error) {
+// recordLoss logs a failed exchange, but only the first one of several in a row.
+func (e *Entry) recordLoss(err error) {
 	if !e.controlLost {
 		e.Log.WithError(err).WithField("control", e.address).Warn("entry: dependency lost, the control host doesn't answer")
 	}
 	e.controlLost = true
+}
+
+// closeConnection closes the connection after a failed exchange.
+func (e *Entry) closeConnection(err error) {
+	e.recordLoss(err)
 	if e.client == nil {
 		return
 	}
