Send messages of the control log though a reply to earlier ones is late

Cause: all messages of the control log to a host waited for the reply to those before them, up to 0.7 s, which is longer than the lease of 0.6 s and than the shortest election timeout.

--- a/ctrl/conn.go
+++ b/ctrl/conn.go
@@ -60,6 +60,16 @@
 	k.client = nil
 }
 
+// begin calls a method of the Control RPC service and doesn't wait for the reply. The call comes on done when it has ended.
+func (k *peerConn) begin(method string, args, reply any, done chan *rpc.Call) (*rpc.Call, error) {
+	c, err := k.connect()
+	if err != nil {
+		k.recordResult(err)
+		return nil, err
+	}
+	return c.Go(ctlrpc.ServiceName+"."+method, args, reply, done), nil
+}
+
 // call calls a method of the Control RPC service and waits for the reply, at most for timeout. It closes the connection
 // after a transport error and, unless the connection is shared, after a timeout, but not after an error that the method
 // itself returned.
--- a/ctrl/leaving_test.go
+++ b/ctrl/leaving_test.go
@@ -34,9 +34,14 @@
 // slowControl is a control host that is slow to take gossip. It counts messages and what they hold.
 type slowControl struct {
 	notes, leaving, orders, accepted atomic.Int64
-	conns                            sync.WaitGroup
-	listener                         net.Listener
-	server                           *rpc.Server
+	// messages counts the calls with messages of the control log. secondAfter is the time between the first two of them, in ns.
+	messages, secondAfter atomic.Int64
+	// holdsLog is set if it never answers the first of these calls.
+	holdsLog    bool
+	firstLogged time.Time
+	conns       sync.WaitGroup
+	listener    net.Listener
+	server      *rpc.Server
 }
 
 // slowService is the RPC service of a slowControl.
@@ -57,6 +62,15 @@
 
 // Quorum takes messages of the control log.
 func (s slowService) Quorum(_ ctlrpc.Messages, reply *ctlrpc.Ack) error {
+	switch c := s.control; c.messages.Add(1) {
+	case 1:
+		c.firstLogged = time.Now()
+		if c.holdsLog {
+			time.Sleep(slowOrder)
+		}
+	case 2:
+		c.secondAfter.Store(int64(time.Since(c.firstLogged)))
+	}
 	reply.OK = true
 	return nil
 }
@@ -108,7 +122,7 @@
 }
 
 // startBesideSlowControl starts a control host and a slow one, which are the seeds of a deployment.
-func startBesideSlowControl(t *testing.T) (*ctrl.Host, *slowControl) {
+func startBesideSlowControl(t *testing.T, change ...func(*slowControl)) (*ctrl.Host, *slowControl) {
 	t.Helper()
 	i := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -116,6 +130,9 @@
 	t.Cleanup(func() { _ = l.Close() })
 	p := l.Addr().(*net.TCPAddr).Port
 	c := &slowControl{server: rpc.NewServer()}
+	for _, f := range change {
+		f(c)
+	}
 	c.listener, err = net.Listen("tcp", fmt.Sprint("127.0.0.2:", p))
 	i.NoErr(err)
 	t.Cleanup(func() { _ = c.listener.Close() })
@@ -147,6 +164,18 @@
 	i.Equal(c.accepted.Load(), a)
 }
 
+// Guards against one late reply that holds back all messages of the control log to a host for longer than a lease lasts.
+func TestLateReplyHoldsBackNoMessagesOfTheLog(t *testing.T) {
+	i := is.New(t)
+	_, c := startBesideSlowControl(t, func(c *slowControl) { c.holdsLog = true })
+	for b := time.Now(); c.messages.Load() < 2 && time.Since(b) < 5*time.Second; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("the next messages came after %v", time.Duration(c.secondAfter.Load()))
+	i.True(c.messages.Load() >= 2)
+	i.True(time.Duration(c.secondAfter.Load()) < timing.Election) // the lease of a leader
+}
+
 // Guards against control hosts that break off each other's connections, those of the control log too, and send everything
 // again, since one of them was slow to hear of endpoints that left at once.
 func TestManyLeavingEndpointsAreSentTogether(t *testing.T) {
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -11,7 +11,7 @@
 const (
 	// linkQueueSize is the number of control log messages that may wait for one host. Further ones are dropped.
 	linkQueueSize = 512
-	// callTimeout bounds one call between control hosts. It is larger than the time of a disk sync.
+	// callTimeout bounds one call with gossip between control hosts.
 	callTimeout = 700 * time.Millisecond
 	// retryDelay is the pause of a send loop after a failed call.
 	retryDelay = 60 * time.Millisecond
@@ -40,7 +40,7 @@
 			orders: peerConn{host: l.host, address: address, purpose: "orders", shared: true}, notes: peerConn{host: l.host, address: address, purpose: "gossip"},
 		}
 		l.byAddress[address] = k
-		m, n := messageLoop{k}, gossipLoop{k}
+		m, n := newMessageLoop(k), gossipLoop{k}
 		go m.run()
 		go n.run()
 	}
@@ -134,32 +134,6 @@
 	notes    peerConn
 }
 
-// messageLoop sends queued control log messages in order, all that are waiting in one call.
-type messageLoop struct{ link *link }
-
-func (l messageLoop) run() {
-	for {
-		var m ctlrpc.Messages
-		select {
-		case v := <-l.link.messages:
-			m.Messages = append(m.Messages, v)
-		case <-l.link.host.stop:
-			return
-		}
-		for len(l.link.messages) > 0 {
-			m.Messages = append(m.Messages, <-l.link.messages)
-		}
-		var d ctlrpc.Ack
-		h := l.link.host
-		b := h.now()
-		err := l.link.log.call("Quorum", m, &d, callTimeout)
-		h.strain.called(h.now()-b, h.now())
-		if err != nil {
-			time.Sleep(retryDelay)
-		}
-	}
-}
-
 // gossipLoop sends what waits in the outbox, in one call for each interval, or at once if something is urgent. What a failed
 // call held is sent again. The first call to each process of the other host is followed by one with all confirmed reports
 // and all evidence about requests that end endpoints.
