Answer entry hosts some times a second, however many endpoints change, and less often while behind

Cause: each change of an endpoint woke all exchanges that waited, and an entry host asks again at once. While 200 endpoints left in a second, each control host answered thousands of exchanges, in the same run queue as the control log. Change: changes of endpoints and evidence wait until 0.1 s after the reply before, by entry host; a configuration and the first reply don't. A host whose ticks or log events are late answers less often, up to 0.45 s, and gossips up to each 0.2 s.

--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -44,22 +44,30 @@
 }
 
 // Exchange queues an entry host's report for Reduce and returns the changes that the entry host doesn't hold yet. It
-// returns at once if there are any, otherwise at the next change or after q.Wait, at most maxExchangeWait.
+// returns at once if the entry host lacks a configuration or asks this process for the first time. Other changes wait until
+// the reply before is Strain.ReplyInterval ago. Without changes it returns after q.Wait, at most maxExchangeWait.
 func (h *Host) Exchange(q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
 	h.strain.exchanged(q.Known.Control == "", h.now())
 	h.reports.AddHost(Direct, q.Report)
 	for _, r := range q.Leaving {
 		h.reports.AddEndpoint(Direct, r)
 	}
-	t := time.NewTimer(min(q.Wait, maxExchangeWait))
+	n := h.now()
+	v := h.strain.recent(n).ReplyInterval()
+	p := time.NewTimer(max(0, h.replies.SentAt(q.Report.Host)+v-n)) // from then on changes are sent
+	defer p.Stop()
+	t := time.NewTimer(max(min(q.Wait, maxExchangeWait), v-leastReplyInterval))
 	defer t.Stop()
+	paced := true
 	for {
 		s, c := h.stateAndChange()
-		if hasChanges(s, q.Known) {
+		if isUrgent(s, q.Known) || !paced && hasChanges(s, q.Known) {
 			return h.reply(s, q)
 		}
 		select {
 		case <-c:
+		case <-p.C:
+			paced = false
 		case <-t.C:
 			s, _ = h.stateAndChange()
 			return h.reply(s, q)
@@ -77,9 +85,13 @@
 	return r
 }
 
-// hasChanges reports whether the state has a newer configuration or fleet than an entry host holds. A fleet from
-// another start of the control host counts as outdated.
+// isUrgent reports whether an entry host lacks the newest configuration or holds nothing from this process.
+func isUrgent(s State, k ctlrpc.EntryState) bool {
+	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID
+}
+
+// hasChanges reports whether the state has another fleet than an entry host holds, or other evidence about requests that end
+// endpoints.
 func hasChanges(s State, k ctlrpc.EntryState) bool {
-	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID || k.FleetRevision != s.Fleet.Revision ||
-		k.PoisonSum != s.sharedPoisonSum
+	return k.FleetRevision != s.Fleet.Revision || k.PoisonSum != s.sharedPoisonSum
 }
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -15,7 +15,7 @@
 	callTimeout = 700 * time.Millisecond
 	// retryDelay is the pause of a send loop after a failed call.
 	retryDelay = 60 * time.Millisecond
-	// gossipInterval is the interval at which gossip that waits is sent.
+	// gossipInterval is the interval at which gossip that waits is sent while this host isn't behind its work.
 	gossipInterval = 40 * time.Millisecond
 )
 
@@ -141,10 +141,12 @@
 
 func (l gossipLoop) run() {
 	k := l.link
-	t := time.NewTicker(gossipInterval)
+	h := k.host
+	t := time.NewTimer(gossipInterval)
 	defer t.Stop()
 	sync := fullSync{}
 	for {
+		t.Reset(h.strain.recent(h.now()).GossipInterval())
 		select {
 		case <-t.C:
 		case <-k.outbox.urgent:
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -90,6 +90,13 @@
 	return n
 }
 
+// SentAt returns when the last reply to an entry host was built, or 0 if there was none.
+func (t *ReplyBuilder) SentAt(host string) time.Duration {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.sent[host].sentAt
+}
+
 // addFleetChanges adds the fleet changes since the revision that the entry host holds. It adds the full fleet when the
 // changes since that revision aren't known any more, or when the entry host's fleet comes from another start of a
 // control host and has another checksum.
--- a/ctrl/strain.go
+++ b/ctrl/strain.go
@@ -51,7 +51,7 @@
 }
 
 // overloaded reports whether the host was behind its work for longer than longDelay.
-func (s Strain) overloaded() bool { return max(s.EventWait, s.TickLate) > longDelay }
+func (s Strain) overloaded() bool { return s.delay() > longDelay }
 
 // fields returns the strain as fields of a log line, with durations in ms.
 func (s Strain) fields() logrus.Fields {
--- /dev/null
+++ b/ctrl/wakeup_test.go
@@ -0,0 +1,164 @@
+package ctrl_test
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/ctrl"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+)
+
+const (
+	// pollingHosts is the number of entry hosts of one control host, from the target: 360 with five control hosts.
+	pollingHosts = 72
+	// pollTime is how long a control host may wait with a reply.
+	pollTime = 150 * time.Millisecond
+	// leavingTime is the time in which endpoints leave one after the other.
+	leavingTime = time.Second
+	// maxNewsTime is how long a change may take to reach an entry host that waits for a reply, and a configuration.
+	maxNewsTime = pollTime
+	maxConfTime = 50 * time.Millisecond
+)
+
+// pollingHost is an entry host that exchanges messages and holds what it was told.
+type pollingHost struct {
+	control *ctrl.Host
+	name    string
+	// exchanges counts those of all hosts.
+	exchanges *atomic.Int64
+	stop      <-chan struct{}
+	group     *sync.WaitGroup
+
+	lock     sync.Mutex
+	revision uint64
+	version  int64
+}
+
+func (p *pollingHost) run() {
+	defer p.group.Done()
+	q := ctlrpc.ExchangeRequest{Report: ctlrpc.HostReport{Host: p.name, Start: 1}, Wait: pollTime}
+	for {
+		select {
+		case <-p.stop:
+			return
+		default:
+		}
+		q.Report.Sequence++
+		r := p.control.Exchange(q)
+		p.exchanges.Add(1)
+		q.Known.Control, q.Known.FleetRevision, q.Known.PoisonSum = r.Control, r.FleetRevision, r.PoisonSum
+		q.Known.TableVersion = max(q.Known.TableVersion, r.TableVersion)
+		if len(r.Hosts) > 0 {
+			q.Known.HostsSum = ctlrpc.HostsSum(r.Hosts)
+		}
+		p.lock.Lock()
+		p.revision, p.version = q.Known.FleetRevision, q.Known.TableVersion
+		p.lock.Unlock()
+	}
+}
+
+// holds reports whether the host holds a revision of the endpoints and a version of the configuration.
+func (p *pollingHost) holds(revision uint64, version int64) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.revision >= revision && p.version >= version
+}
+
+// startPolling starts a control host that is its own leader and the entry hosts that ask it.
+func startPolling(t *testing.T) (h *ctrl.Host, hosts []*pollingHost, exchanges *atomic.Int64) {
+	t.Helper()
+	i := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	p := l.Addr().(*net.TCPAddr).Port
+	g := logrus.New()
+	g.SetOutput(t.Output())
+	g.SetLevel(logrus.WarnLevel)
+	s := conf.Node{Part: conf.PartControl, Name: "c", IP: "127.0.0.1", PeerPort: uint16(p), Seeds: []string{fmt.Sprint("127.0.0.1:", p)}, Bootstrap: true, DataFolder: t.TempDir()}
+	s.Bounds.Heartbeat = conf.Duration(time.Second)
+	h, err = ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: metrics.NewSet()})
+	i.NoErr(err)
+	t.Cleanup(h.Stop)
+	putConfiguration(h, 1)
+	for n := range leavingEndpoints {
+		h.Report(leavingReport(n, fleet.Ready))
+	}
+	exchanges = &atomic.Int64{}
+	c := make(chan struct{})
+	var w sync.WaitGroup
+	for n := range pollingHosts {
+		w.Add(1)
+		o := &pollingHost{control: h, name: fmt.Sprint("h", n), exchanges: exchanges, stop: c, group: &w}
+		hosts = append(hosts, o)
+		go o.run()
+	}
+	t.Cleanup(func() { close(c); w.Wait() })
+	time.Sleep(time.Second)
+	return h, hosts, exchanges
+}
+
+// putConfiguration sends a configuration until it is accepted.
+func putConfiguration(h *ctrl.Host, version int64) {
+	for h.Do(ctlrpc.Order{Verb: ctlrpc.Put, Version: version, Document: []byte("{}")}).Status != ctlrpc.Accepted {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// leavingReport returns the report of an endpoint in a phase.
+func leavingReport(n int, p fleet.Phase) fleet.Report {
+	return fleet.Report{ID: fmt.Sprint("e", n), Born: 1, Sequence: 1 + int64(p), Service: "s", Address: fmt.Sprint("10.0.0.1:", n), Phase: p}
+}
+
+// timeUntilAllHold returns how long it takes until all hosts hold a revision and a version, at most a second.
+func timeUntilAllHold(hosts []*pollingHost, revision uint64, version int64) time.Duration {
+	b := time.Now()
+	for _, p := range hosts {
+		for !p.holds(revision, version) && time.Since(b) < time.Second {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(b)
+}
+
+// Guards against control hosts that answer each entry host once for each of hundreds of endpoints that leave at once: that
+// took the processor time which the leader needs to keep its lease.
+func TestManyLeavingEndpointsAreToldToEntryHostsTogether(t *testing.T) {
+	i := is.New(t)
+	h, l, n := startPolling(t)
+	b := n.Load()
+	time.Sleep(leavingTime)
+	calm := n.Load() - b
+	b = n.Load()
+	for k := range leavingEndpoints {
+		h.Report(leavingReport(k, fleet.Leaving))
+		time.Sleep(leavingTime / leavingEndpoints)
+	}
+	busy := n.Load() - b
+	d := timeUntilAllHold(l, 2*leavingEndpoints, 1)
+	t.Logf("%d exchanges in %v without changes, %d while %d endpoints leave, all known after %v", calm, leavingTime, busy, leavingEndpoints, d)
+	i.True(busy <= 2*calm)
+	i.True(d <= maxNewsTime)
+}
+
+// Guards against a single change, or a configuration, that waits as the many changes of a fleet do.
+func TestConfigurationIsToldToEntryHostsAtOnce(t *testing.T) {
+	i := is.New(t)
+	h, l, _ := startPolling(t)
+	h.Report(leavingReport(0, fleet.Leaving))
+	i.True(timeUntilAllHold(l, leavingEndpoints+1, 1) <= maxNewsTime)
+	putConfiguration(h, 2)
+	d := timeUntilAllHold(l, 0, 2)
+	t.Logf("configuration known after %v", d)
+	i.True(d <= maxConfTime)
+}
