Replace a connection of the control log only after a whole election timeout without replies

What callers saw: valid configurations without acknowledgement after 6 s while control hosts are short of processor time. Change: 0.6 s, which a leader outlasts since it steps down after 1.2 s. Result: TestControlHostsShortOfProcessorTimeTakeConfigurations: three control hosts of one core that run 20 ms of each 100 ms, 216 hosts that reconnect like those of earlier builds, 240 endpoints that leave in 1 s.

--- a/ctrl/messages.go
+++ b/ctrl/messages.go
@@ -17,9 +17,9 @@
 	maxOpenCalls = 8
 )
 
-// silenceTimeout is the time without any reply after which a connection for the control log is replaced. Half of a lease is
-// left then.
-var silenceTimeout = timing.Election / 2
+// silenceTimeout is the time without any reply after which a connection for the control log is replaced. A leader waits longer
+// than that before it steps down.
+var silenceTimeout = timing.Election
 
 // messageLoop sends queued control log messages in order, all that are waiting in one call.
 type messageLoop struct {
