Don't take an endpoint's earlier refusal for the answer to the next request

Cause: an endpoint wrote an earlier refusal once more on a kept connection. Without X-Request-Id it was taken for the answer to the request that was sent next; with it, for that of the same request when it was sent to the endpoint again.

--- a/dial/pool.go
+++ b/dial/pool.go
@@ -67,6 +67,26 @@
 		}
 		p.Drop(c)
 	}
+	return p.connect(ctx, address, limit)
+}
+
+// GetNew opens a new connection. It closes an idle one if limit connections to the address are open, and returns ErrPoolFull
+// if all of them are in use.
+func (p *Pool) GetNew(ctx context.Context, address string, limit int) (*Conn, error) {
+	c, err := p.connect(ctx, address, limit)
+	if !errors.Is(err, ErrPoolFull) {
+		return c, err
+	}
+	o := p.pop(address)
+	if o == nil {
+		return nil, err
+	}
+	p.Drop(o)
+	return p.connect(ctx, address, limit)
+}
+
+// connect opens a connection, or returns ErrPoolFull.
+func (p *Pool) connect(ctx context.Context, address string, limit int) (*Conn, error) {
 	if !p.reserve(address, limit) {
 		return nil, ErrPoolFull
 	}
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -75,7 +75,7 @@
 	v := call{
 		ID: x.id, Token: x.helper.Token, Origin: x.client.Host, RequestID: a.ID, Method: a.Method, Host: a.Host, Target: a.Target, Header: a.Header, Prompt: a.Prompt,
 		Endpoint: a.Endpoint, Account: a.Account, Model: a.Model, RemainingMS: a.Remaining.Milliseconds(), ResumeAfter: a.ResumeAfter, Priority: a.Priority,
-		MaxConnections: a.MaxConnections,
+		MaxConnections: a.MaxConnections, Repeated: a.Repeated,
 	}
 	if err := writeJSON(x.conn, callFrame, v); err != nil {
 		return err
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -74,6 +74,8 @@
 	Priority    int    `json:"priority"`
 	// MaxConnections is the number of connections that the asking host may open to the endpoint, which are free now.
 	MaxConnections int `json:"max-connections"`
+	// Repeated is as in relay.Attempt. Hosts of earlier builds leave it out.
+	Repeated bool `json:"repeated"`
 }
 
 // refusal says why a host declines a call.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -321,6 +321,6 @@
 	return relay.Attempt{
 		Request:  &relay.Request{ID: v.RequestID, Method: v.Method, Host: v.Host, Target: v.Target, Header: v.Header, Prompt: v.Prompt, Body: b},
 		Endpoint: v.Endpoint, Account: v.Account, Model: v.Model, Remaining: time.Duration(v.RemainingMS) * time.Millisecond, ResumeAfter: v.ResumeAfter,
-		Priority: v.Priority, MaxConnections: v.MaxConnections * (1 + origins),
+		Priority: v.Priority, MaxConnections: v.MaxConnections * (1 + origins), Repeated: v.Repeated,
 	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -63,6 +63,8 @@
 	// tried holds the IDs of the endpoints that failed or refused the request since the last retry round began, and
 	// unreached those that this host didn't reach: another host may.
 	tried, unreached map[string]bool
+	// sentTo holds the IDs of all endpoints that the request was sent to.
+	sentTo map[string]bool
 	// sends counts the attempts that reached an endpoint, and runs the attempts that ran or may have run.
 	sends int
 	runs  int
@@ -322,8 +324,9 @@
 	j.sent, j.answering = u.sent, false
 	a := Attempt{
 		Request: j.request, Endpoint: c.Report, Account: j.account, Remaining: time.Until(j.deadline),
-		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, MaxConnections: j.maxConnections(),
+		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, MaxConnections: j.maxConnections(), Repeated: j.sentTo[c.ID],
 	}
+	j.sentTo[c.ID] = true
 	if len(j.route.Tiers) > 0 {
 		a.Model = j.route.Tiers[j.tier]
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,7 +140,7 @@
 // to s. It returns when the request has ended. ctx has to be cancelled when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, q *Request, s Sink) {
 	t := r.awaitConfiguration(ctx)
-	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}, unreached: map[string]bool{}, callerContext: ctx}
+	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}, unreached: map[string]bool{}, sentTo: map[string]bool{}, callerContext: ctx}
 	if t == nil {
 		j.refuse(NoConfiguration, configurationRetryAfter)
 		return
--- a/relay/request.go
+++ b/relay/request.go
@@ -87,6 +87,8 @@
 	Priority int
 	// MaxConnections is the number of connections that this host may open to the endpoint.
 	MaxConnections int
+	// Repeated is set if the request was sent to this endpoint before, so that the ID doesn't tell the answers apart.
+	Repeated bool
 }
 
 // Verdict says whether a request ran on an endpoint, as far as the reply tells.
