Pass on only the rest of a stream after its beginning

Cause: on routes for streams each answer that wasn't a failure was passed on event by event: a 404, a redirect, an answer of another type, text or an answer's head with an empty line behind it, events from the start again. An empty answer ended the stream. Change: an answer goes on with a stream that has begun only if it is a stream of the same type, and only with events of higher IDs; without any it isn't the end; comments wait for the next event. A stream whose last event had no ID isn't resumed. On a route for streams what isn't a stream is passed on as a whole, and only as the first answer.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,6 +28,10 @@
 	began bool
 	// wait is the time from sending the request to the head of the answer.
 	wait time.Duration
+	// continues is set if the caller had begun to receive the answer before this attempt.
+	continues bool
+	// held holds the comments of such an attempt that wait for the next event.
+	held []byte
 	// openEnded is set if the answer has neither a length nor chunks.
 	openEnded bool
 	// tally is the tally in which the answer was counted; its Serial is 0 if the answer wasn't counted. slow is set if it
@@ -95,10 +99,16 @@
 		}
 		return rerun
 	}
+	if j.answerBegun && !j.mayContinue(r) {
+		j.runs++
+		r.Cause = errNotContinued
+		u.recordFault(r, wait)
+		return rerun
+	}
 	j.runs++
 	j.mayHaveRun, j.answering = true, true
 	u.recordStart(wait)
-	if j.route.Kind == table.Stream {
+	if j.route.Kind == table.Stream && isStream(r) {
 		return u.relayStream(r)
 	}
 	return u.relayPlain(r)
--- a/relay/job.go
+++ b/relay/job.go
@@ -102,6 +102,10 @@
 	// passed on, after which the request can no longer be refused.
 	lastEventID string
 	answerBegun bool
+	// passed counts the events that were passed on, and contentType is the media type of their stream. lastEventID is empty if
+	// the last of them had no ID.
+	passed      int
+	contentType string
 	// lastEventAt is when the last event was passed on, and longestGap the longest time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
@@ -223,6 +227,10 @@
 			j.noRetryReason = "attempts"
 			return false
 		}
+		if !j.resumable() {
+			j.noRetryReason = "event without id"
+			return false
+		}
 		if j.relay.Poison.Suspect(j.keys) {
 			j.noRetryReason = "suspect"
 			return false
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,8 +37,8 @@
 		j.tier = n
 		return escalate
 	}
-	if !j.answerBegun {
-		j.answerBegun, j.confidence = true, r.Confidence
+	if u.continues = j.answerBegun; !u.continues {
+		j.answerBegun, j.confidence, j.contentType = true, r.Confidence, mediaType(r)
 		j.sink.Begin(r.Status, r.Header, -1)
 	}
 	w := u.startWatchdog(j.silenceTimeout())
@@ -110,11 +109,11 @@
 }
 
 // relayEvents passes on complete events until the end of the body, and resets the watchdog with each. It returns
-// io.ErrUnexpectedEOF if the body ends within an event, errTooLong if it exceeds maxAnswerBytes, errCallerLeft if the caller has disconnected,
-// and otherwise the error of reading the body.
+// io.ErrUnexpectedEOF if the body ends within an event, errTooLong if it exceeds maxAnswerBytes, errCallerLeft if the caller has
+// disconnected, errNotContinued if the body doesn't go on with the stream that has begun, and otherwise the error of reading it.
 func (u *upstreamAttempt) relayEvents(body io.Reader, w *watchdog) error {
-	j := u.job
 	b := bufio.NewReaderSize(body, eventBufferBytes)
+	c := u.job.passed
 	var e []byte
 	var n int
 	for {
@@ -123,61 +122,78 @@
 		if n += len(l); n > maxAnswerBytes {
 			return errTooLong
 		}
-		if errors.Is(err, bufio.ErrBufferFull) && len(e) < maxEventBytes {
-			continue
-		}
-		if err == nil && len(bytes.TrimRight(l, "\r\n")) > 0 && len(e) < maxEventBytes {
-			continue
-		}
-		if err == nil {
-			if err := j.sink.Write(e); err != nil {
-				return errCallerLeft
-			}
-			if !hasData(e) {
-				e = e[:0]
-				continue
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(e) < maxEventBytes:
+		case err == nil && len(bytes.TrimRight(l, "\r\n")) > 0 && len(e) < maxEventBytes:
+		case err == nil:
+			if err := u.passEvent(e, w); err != nil {
+				return err
 			}
-			j.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
-			if id, ok := eventID(e); ok {
-				j.lastEventID = id
-			}
-			if j.lastEventAt.IsZero() {
-				j.ttft = time.Since(j.request.Received)
-				u.learnDuration(firstEventKey(j.route.Name, j.model()), time.Since(u.sent)-u.wait)
-			} else {
-				j.longestGap = max(j.longestGap, time.Since(j.lastEventAt))
-			}
-			j.lastEventAt = time.Now()
-			w.reset()
 			e = e[:0]
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e)) == 0 {
-			return nil
-		}
-		if errors.Is(err, io.EOF) {
+		case !errors.Is(err, io.EOF):
+			return err
+		case len(bytes.TrimSpace(e)) > 0:
 			return io.ErrUnexpectedEOF
+		case u.continues && u.job.passed == c:
+			return errNotContinued // an earlier attempt broke off, so that nothing tells the end from a failure
+		default:
+			return nil
 		}
-		return err
 	}
 }
 
-// hasData reports whether what ends with an empty line holds more than comments. Only that is progress.
-func hasData(e []byte) bool {
+// passEvent passes a complete event on to the caller.
+func (u *upstreamAttempt) passEvent(e []byte, w *watchdog) error {
+	j := u.job
+	if !hasData(e) && u.continues {
+		u.held = append(u.held, e...)
+		return nil
+	}
+	if hasData(e) && !u.mayFollow(e) {
+		return errNotContinued
+	}
+	b := e
+	if len(u.held) > 0 {
+		b, u.held = append(u.held, e...), nil
+	}
+	if err := j.sink.Write(b); err != nil {
+		return errCallerLeft
+	}
+	if !hasData(e) {
+		return nil
+	}
+	j.passed++
+	j.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
+	if i, ok := eventID(e); ok || hasField(e, "data") {
+		j.lastEventID = i
+	}
+	if j.lastEventAt.IsZero() {
+		j.ttft = time.Since(j.request.Received)
+		u.learnDuration(firstEventKey(j.route.Name, j.model()), time.Since(u.sent)-u.wait)
+	} else {
+		j.longestGap = max(j.longestGap, time.Since(j.lastEventAt))
+	}
+	j.lastEventAt = time.Now()
+	w.reset()
+	return nil
+}
+
+// hasField reports whether an event has a field.
+func hasField(e []byte, name string) bool {
 	for l := range bytes.Lines(e) {
-		if l = bytes.TrimRight(l, "\r\n"); len(l) > 0 && l[0] != ':' {
+		if bytes.HasPrefix(l, []byte(name+":")) {
 			return true
 		}
 	}
 	return false
 }
 
-// eventID returns the ID of a server-sent event, or false if the event has none.
-func eventID(e []byte) (string, bool) {
-	for _, l := range strings.Split(string(e), "\n") {
-		if v, ok := strings.CutPrefix(l, "id:"); ok {
-			return strings.TrimSpace(v), true
+// hasData reports whether what ends with an empty line holds more than comments. Only that is progress.
+func hasData(e []byte) bool {
+	for l := range bytes.Lines(e) {
+		if l = bytes.TrimRight(l, "\r\n"); len(l) > 0 && l[0] != ':' {
+			return true
 		}
 	}
-	return "", false
+	return false
 }
