Start control hosts of tests in one place; names and goroutines of earlier tests

Cause: five tests of ctrl started a control host with the same lines; longer locals and goroutines that are no run or loop method. Change: startHost, startLeader; Prober.Start; one-letter locals.

--- a/assist/assist_test.go
+++ b/assist/assist_test.go
@@ -29,16 +29,16 @@
 func TestOnlyHostsAnsweredSinceAreChosen(t *testing.T) {
 	i := is.New(t)
 	b := assist.NewBoard("c0")
-	now := epoch.Add(5 * time.Second)
-	b.Set(helpers(3, 4, 5), now)
-	h, ok := b.Choose("s", lost(epoch.Add(4*time.Second)), now, nil)
+	n := epoch.Add(5 * time.Second)
+	b.Set(helpers(3, 4, 5), n)
+	h, ok := b.Choose("s", lost(epoch.Add(4*time.Second)), n, nil)
 	i.True(ok)
 	i.Equal(h.Host, "h2")
-	_, ok = b.Choose("s", lost(epoch.Add(4*time.Second)), now, map[string]bool{"h2": true})
+	_, ok = b.Choose("s", lost(epoch.Add(4*time.Second)), n, map[string]bool{"h2": true})
 	i.True(!ok)
-	_, ok = b.Choose("other", lost(epoch), now, nil)
+	_, ok = b.Choose("other", lost(epoch), n, nil)
 	i.True(!ok)
-	_, ok = b.Choose("s", lost(epoch), now.Add(3*time.Second), nil) // no news since
+	_, ok = b.Choose("s", lost(epoch), n.Add(3*time.Second), nil) // no news since
 	i.True(!ok)
 }
 
@@ -82,7 +82,7 @@
 func TestHelpIsBoundedByPriority(t *testing.T) {
 	i := is.New(t)
 	b := assist.NewBound(4100, 284)
-	take := func(p int) int {
+	f := func(p int) int {
 		n := 0
 		for {
 			w, ok := b.Take("o", p, 1000, epoch)
@@ -93,13 +93,13 @@
 			n++
 		}
 	}
-	low := take(9)
-	high := take(0)
-	i.True(low > 0)
-	i.True(high >= low/2)
-	i.True(low+high <= 284)
-	i.Equal(b.Taken(), low+high)
-	for range low + high {
+	l := f(9)
+	h := f(0)
+	i.True(l > 0)
+	i.True(h >= l/2)
+	i.True(l+h <= 284)
+	i.Equal(b.Taken(), l+h)
+	for range l + h {
 		b.Release(1000)
 	}
 	i.Equal(b.Taken(), 0)
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -118,26 +118,27 @@
 	for range f.controls {
 		pools = append(pools, budget.NewPool())
 	}
-	control, begin, next := make([]int, f.hosts), make([]bool, f.hosts), make([]time.Duration, f.hosts)
+	// c and b hold the control host of each host and whether it has just connected there, and x the time of its next exchange.
+	c, b, x := make([]int, f.hosts), make([]bool, f.hosts), make([]time.Duration, f.hosts)
 	for k := range f.hosts {
 		h := budget.NewHost(f.Limits)
 		h.SetHosts(f.hosts)
 		hosts = append(hosts, h)
-		control[k], begin[k], next[k] = k%f.controls, true, time.Duration(d.Int64N(int64(exchangeEvery)))
+		c[k], b[k], x[k] = k%f.controls, true, time.Duration(d.Int64N(int64(exchangeEvery)))
 	}
 	var due []optionalRetry
 	for now := time.Duration(0); now < f.length; now += 5 * time.Millisecond {
 		for k, h := range hosts {
-			if now >= next[k] {
-				next[k] += exchangeEvery
-				g := pools[control[k]].Exchange(fmt.Sprint("h", k), 1, begin[k], h.Statements(), now)
-				begin[k] = false
+			if now >= x[k] {
+				x[k] += exchangeEvery
+				g := pools[c[k]].Exchange(fmt.Sprint("h", k), 1, b[k], h.Statements(), now)
+				b[k] = false
 				switch {
 				case d.Float64() < f.moves:
-					control[k], begin[k] = d.IntN(f.controls), true
+					c[k], b[k] = d.IntN(f.controls), true
 					h.Begin()
 				case d.Float64() >= f.lost:
-					h.Accept(fmt.Sprint("c", control[k]), g)
+					h.Accept(fmt.Sprint("c", c[k]), g)
 				}
 			}
 			if d.Float64() >= f.perSec*0.005 {
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -144,12 +144,12 @@
 		t.Run(n, func(t *testing.T) {
 			for s := range uint64(60) {
 				i := is.New(t)
-				o, at, k := simulate(simulation{failure: f, broken: -1}, s)
+				o, a, k := simulate(simulation{failure: f, broken: -1}, s)
 				i.Equal(o, canary.RolledBack)
-				if at >= budget {
-					t.Log(s, at, o, k)
+				if a >= budget {
+					t.Log(s, a, o, k)
 				}
-				i.True(at < budget)
+				i.True(a < budget)
 				i.True(float64(k) <= exposure*perSec*budget.Seconds()+slack) // exposed requests
 			}
 		})
@@ -162,9 +162,9 @@
 	for s := range uint64(60) {
 		i := is.New(t)
 		w := simulation{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 2.3 }, broken: -1, load: 2.5}
-		o, at, _ := simulate(w, s)
+		o, a, _ := simulate(w, s)
 		i.Equal(o, canary.RolledBack)
-		i.True(at < budget*9/10) // before the ramp
+		i.True(a < budget*9/10) // before the ramp
 	}
 }
 
@@ -180,9 +180,9 @@
 		for s := range uint64(60) {
 			i := is.New(t)
 			for _, slow := range []int{0, 2} {
-				o, at, _ := simulate(simulation{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: broken, slow: slow}, s)
+				o, a, _ := simulate(simulation{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: broken, slow: slow}, s)
 				i.Equal(o, canary.Done)
-				i.True(at < budget)
+				i.True(a < budget)
 			}
 		}
 	}
@@ -195,9 +195,9 @@
 		for s := range uint64(60) {
 			i := is.New(t)
 			w := simulation{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: -1, exposure: x}
-			o, at, k := simulate(w, s)
+			o, a, k := simulate(w, s)
 			i.Equal(o, canary.Done)
-			rest := (budget - at).Seconds() * perSec                   // requests until the budget ends
+			rest := (budget - a).Seconds() * perSec                    // requests until the budget ends
 			i.True(float64(k)+rest <= x*perSec*budget.Seconds()+slack) // exposed requests
 		}
 	}
--- a/ctrl/flood_test.go
+++ b/ctrl/flood_test.go
@@ -2,17 +2,12 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
-	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/poison"
@@ -61,20 +56,7 @@
 // Guards against orders and reads of the configuration that wait behind the reports of all entry hosts.
 func TestOrdersAreAnsweredWhileAllHostsReport(t *testing.T) {
 	i := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	i.NoErr(err)
-	defer l.Close() //nolint:errcheck // the test ends
-	p := l.Addr().(*net.TCPAddr).Port
-	g := logrus.New()
-	g.SetOutput(io.Discard)
-	s := conf.Node{Part: conf.PartControl, Name: "c", IP: "127.0.0.1", PeerPort: uint16(p), Seeds: []string{"127.0.0.1:1"}, Bootstrap: true, DataFolder: t.TempDir()}
-	s.Bounds.Heartbeat = conf.Duration(time.Second)
-	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: metrics.NewSet()})
-	i.NoErr(err)
-	defer h.Stop()
-	for h.Do(ctlrpc.Order{Verb: ctlrpc.Put, Version: 1, Document: []byte("{}")}).Status != ctlrpc.Accepted {
-		time.Sleep(50 * time.Millisecond)
-	}
+	h := startLeader(t, startOptions{})
 	e := time.Now().Add(floodTime)
 	var w sync.WaitGroup
 	for n := range floodHosts {
--- a/ctrl/leaving_test.go
+++ b/ctrl/leaving_test.go
@@ -9,11 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
-	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
@@ -125,28 +122,18 @@
 func startBesideSlowControl(t *testing.T, change ...func(*slowControl)) (*ctrl.Host, *slowControl) {
 	t.Helper()
 	i := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	i.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	p := l.Addr().(*net.TCPAddr).Port
 	c := &slowControl{server: rpc.NewServer()}
 	for _, f := range change {
 		f(c)
 	}
-	c.listener, err = net.Listen("tcp", fmt.Sprint("127.0.0.2:", p))
-	i.NoErr(err)
-	t.Cleanup(func() { _ = c.listener.Close() })
 	i.NoErr(c.server.RegisterName(ctlrpc.ServiceName, slowService{c}))
-	go c.run()
-	s := conf.Node{
-		Part: conf.PartControl, Name: "c1", IP: "127.0.0.1", PeerPort: uint16(p), Seeds: []string{"127.0.0.1:1", "127.0.0.2:1"}, Bootstrap: true, DataFolder: t.TempDir(),
-		Bounds: conf.Bounds{Heartbeat: conf.Duration(time.Second)},
-	}
-	g := logrus.New()
-	g.SetOutput(t.Output())
-	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: metrics.NewSet()})
-	i.NoErr(err)
+	h, p := startHost(t, startOptions{Seeds: []string{"127.0.0.1", "127.0.0.2"}, Output: t.Output()})
 	t.Cleanup(h.Stop)
+	l, err := net.Listen("tcp", fmt.Sprint("127.0.0.2:", p))
+	i.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	c.listener = l
+	go c.run()
 	return h, c
 }
 
--- a/ctrl/memory_test.go
+++ b/ctrl/memory_test.go
@@ -1,50 +1,26 @@
 package ctrl_test
 
 import (
-	"io"
-	"net"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
-	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 )
 
-// startHost starts a control host on a data folder. It isn't a member of a control log.
-func startHost(t *testing.T, folder string) *ctrl.Host {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := logrus.New()
-	g.SetOutput(io.Discard)
-	s := conf.Node{Name: "c", IP: "127.0.0.1", PeerPort: 1, DataFolder: folder, Seeds: []string{"127.0.0.1:1"}}
-	s.Bounds.Heartbeat = conf.Duration(time.Second)
-	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: metrics.NewSet()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	return h
-}
-
 // Endpoints report every few seconds, but callers return at once after a restart of all control hosts: the endpoints
 // known before are known again from the start.
 func TestEndpointsAreKnownAtOnceAfterRestartOfAllHosts(t *testing.T) {
 	i := is.New(t)
 	d := t.TempDir()
-	h := startHost(t, d)
+	h, _ := startHost(t, startOptions{Folder: d})
 	h.Report(fleet.Report{ID: "a", Service: "s", Address: "10.0.0.1:80"})
 	time.Sleep(1200 * time.Millisecond) // longer than the interval of writes
 	h.Stop()
-	h = startHost(t, d)
+	h, _ = startHost(t, startOptions{Folder: d})
 	defer h.Stop()
 	e, ok := h.Endpoint("a")
 	i.True(ok)
--- /dev/null
+++ b/ctrl/start_test.go
@@ -0,0 +1,84 @@
+package ctrl_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/ctrl"
+)
+
+// startOptions are what tests choose of a control host that listens on a socket. The zero value is that of one without log.
+type startOptions struct {
+	// Folder is the data folder, or empty for a new one.
+	Folder string
+	// Seeds are the IPs of the control hosts that begin a control log, or empty for a host that is in none.
+	Seeds []string
+	// Output gets the log, or nil for none.
+	Output io.Writer
+	// Hooks are those of the log.
+	Hooks   []logrus.Hook
+	Metrics *metrics.Set
+}
+
+// startHost starts a control host on 127.0.0.1. Its listener is closed at the end of the test; the port is that of all seeds.
+func startHost(t *testing.T, o startOptions) (h *ctrl.Host, port int) {
+	t.Helper()
+	i := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	p := l.Addr().(*net.TCPAddr).Port
+	if o.Folder == "" {
+		o.Folder = t.TempDir()
+	}
+	if o.Output == nil {
+		o.Output = io.Discard
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	g := logrus.New()
+	g.SetOutput(o.Output)
+	for _, k := range o.Hooks {
+		g.AddHook(k)
+	}
+	s := conf.Node{
+		Part: conf.PartControl, Name: "c", IP: "127.0.0.1", PeerPort: uint16(p), Bootstrap: len(o.Seeds) > 0, DataFolder: o.Folder, Seeds: []string{"127.0.0.1:1"},
+		Bounds: conf.Bounds{Heartbeat: conf.Duration(time.Second)},
+	}
+	if len(o.Seeds) > 0 {
+		s.Seeds = nil
+	}
+	for _, a := range o.Seeds {
+		s.Seeds = append(s.Seeds, fmt.Sprint(a, ":1"))
+	}
+	h, err = ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: o.Metrics})
+	i.NoErr(err)
+	return h, p
+}
+
+// startLeader starts a control host that is the only one of its control log, and gives it a configuration.
+func startLeader(t *testing.T, o startOptions) *ctrl.Host {
+	t.Helper()
+	o.Seeds = []string{"127.0.0.1"}
+	h, _ := startHost(t, o)
+	t.Cleanup(h.Stop)
+	putConfiguration(h, 1)
+	return h
+}
+
+// putConfiguration sends a configuration until it is accepted.
+func putConfiguration(h *ctrl.Host, version int64) {
+	for h.Do(ctlrpc.Order{Verb: ctlrpc.Put, Version: version, Document: []byte("{}")}).Status != ctlrpc.Accepted {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/ctrl/wakeup_test.go
+++ b/ctrl/wakeup_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
-	"github.com/hickoryshelf/hickoryshelf/conf"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
@@ -77,20 +73,7 @@
 // startPolling starts a control host that is its own leader and the entry hosts that ask it.
 func startPolling(t *testing.T) (h *ctrl.Host, hosts []*pollingHost, exchanges *atomic.Int64) {
 	t.Helper()
-	i := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	i.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	p := l.Addr().(*net.TCPAddr).Port
-	g := logrus.New()
-	g.SetOutput(t.Output())
-	g.SetLevel(logrus.WarnLevel)
-	s := conf.Node{Part: conf.PartControl, Name: "c", IP: "127.0.0.1", PeerPort: uint16(p), Seeds: []string{fmt.Sprint("127.0.0.1:", p)}, Bootstrap: true, DataFolder: t.TempDir()}
-	s.Bounds.Heartbeat = conf.Duration(time.Second)
-	h, err = ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: metrics.NewSet()})
-	i.NoErr(err)
-	t.Cleanup(h.Stop)
-	putConfiguration(h, 1)
+	h = startLeader(t, startOptions{})
 	for n := range leavingEndpoints {
 		h.Report(leavingReport(n, fleet.Ready))
 	}
@@ -108,13 +91,6 @@
 	return h, hosts, exchanges
 }
 
-// putConfiguration sends a configuration until it is accepted.
-func putConfiguration(h *ctrl.Host, version int64) {
-	for h.Do(ctlrpc.Order{Verb: ctlrpc.Put, Version: version, Document: []byte("{}")}).Status != ctlrpc.Accepted {
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // leavingReport returns the report of an endpoint in a phase.
 func leavingReport(n int, p fleet.Phase) fleet.Report {
 	return fleet.Report{ID: fmt.Sprint("e", n), Born: 1, Sequence: 1 + int64(p), Service: "s", Address: fmt.Sprint("10.0.0.1:", n), Phase: p}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -127,7 +127,7 @@
 	go e.run()
 	go s.run()
 	f := &helperFinder{entry: e}
-	go p.Run()
+	p.Start()
 	go f.run()
 	return e
 }
--- a/relay/detour_test.go
+++ b/relay/detour_test.go
@@ -65,7 +65,7 @@
 	h.nameHelpers(helpers)
 	c := make(chan struct{})
 	p := relay.Prober{Relay: h.relay, Stop: c}
-	go p.Run()
+	p.Start()
 	return func() {
 		close(c)
 		time.Sleep(200 * time.Millisecond) // the last probes end
--- a/relay/links.go
+++ b/relay/links.go
@@ -34,8 +34,8 @@
 	Stop  <-chan struct{}
 }
 
-// Run probes until Stop is closed.
-func (p Prober) Run() { p.run() }
+// Start starts to probe until Stop is closed.
+func (p Prober) Start() { go p.run() }
 
 func (p Prober) run() {
 	t := time.NewTicker(proberInterval)
