--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -197,6 +197,26 @@
 	}
 }
 
+// ProcessorTime returns the processor time that the latest process of p has used, or 0 if it isn't known.
+func (d *Deployment) ProcessorTime(p *Process) time.Duration {
+	l, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Load().Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var r time.Duration
+	for _, f := range l {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			continue // the thread has ended
+		}
+		var n int64
+		if _, err := fmt.Sscan(string(b), &n); err == nil {
+			r += time.Duration(n)
+		}
+	}
+	return r
+}
+
 // Kill ends the process of p with SIGKILL and waits for its exit.
 func (d *Deployment) Kill(p *Process) {
 	d.Signal(p, syscall.SIGKILL)
