--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -43,6 +43,8 @@
 	stopped func(id quorum.NodeID) bool
 	// messages counts those that were sent.
 	messages int
+	// tickEvery is the interval of ticks, or 0 for slowTick.
+	tickEvery time.Duration
 }
 
 // delayedSync is a write of entries on its way to a node's disk.
@@ -108,7 +110,7 @@
 			n.step(s.id, s.Persisted)
 		}
 		for _, i := range n.ids {
-			if !n.stopped(i) {
+			if !n.stopped(i) && n.now%max(n.tickEvery, slowTick) == 0 {
 				n.step(i, quorum.Tick{})
 			}
 		}
@@ -212,3 +214,34 @@
 	t.Logf("%d messages in 10 s", n.messages-b)
 	i.True(n.messages-b <= 2*4*10*2) // each of two nodes asks four others, twice a second at most
 }
+
+// Guards against nodes that never campaign since all their ticks are late, as if they had only just begun to run again.
+func TestLeaderIsElectedThoughTicksAreLate(t *testing.T) {
+	i := is.New(t)
+	for s := range uint64(40) {
+		n := newSlowNetwork(5, s+1)
+		n.tickEvery = 3 * deployedTiming.Heartbeat / 2
+		n.run(ackBound, nil)
+		i.True(n.leader() != "")
+	}
+}
+
+// Guards against a node that didn't run for a while and campaigns before it has received what its leader sent meanwhile.
+func TestNodeThatRunsAgainHearsItsLeaderFirst(t *testing.T) {
+	i := is.New(t)
+	for s := range uint64(40) {
+		n := newSlowNetwork(5, s+1)
+		n.run(3*time.Second, nil)
+		l, k := n.leader(), n.ids[0]
+		if k == l {
+			k = n.ids[1]
+		}
+		n.stopped = func(id quorum.NodeID) bool { return id == k }
+		n.run(3*time.Second, nil)
+		n.stopped = func(quorum.NodeID) bool { return false }
+		n.step(k, quorum.Tick{}) // before the messages that wait
+		i.Equal(n.nodes[k].Role, quorum.Follower)
+		n.run(time.Second, func() { i.Equal(n.nodes[k].Role, quorum.Follower) })
+		i.Equal(n.nodes[k].Leader, l)
+	}
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -57,8 +57,10 @@
 	campaigns int
 	// votedAt is when this node last granted another node its vote.
 	votedAt time.Duration
-	// tickedAt is the time of the last tick.
+	// tickedAt is the time of the last tick. resumed is set once a campaign was put off since the tick before was
+	// long ago, until the campaign or the next message of a leader.
 	tickedAt time.Duration
+	resumed  bool
 	// lastContact is the time of the last message from the leader. deadline is the time at which a leader sends the
 	// next heartbeats and any other voter starts a campaign.
 	lastContact time.Duration
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -69,13 +69,16 @@
 		t.tickLeader()
 		return
 	}
-	if p > t.timing.Heartbeat {
-		// This node didn't run for a while. Messages of the leader may wait to be received.
-		t.deadline = max(t.deadline, t.now+t.timing.Heartbeat)
+	if t.now < t.deadline || !t.Peers.IsVoter(t.ID) {
+		return
 	}
-	if t.now >= t.deadline && t.Peers.IsVoter(t.ID) {
-		t.campaign(PreCandidate)
+	if p > t.timing.Heartbeat && !t.resumed {
+		// This node didn't run for a while. Messages of the leader may wait to be received.
+		t.resumed, t.deadline = true, t.now+t.timing.Heartbeat
+		return
 	}
+	t.resumed = false
+	t.campaign(PreCandidate)
 }
 
 // tickLeader sends heartbeats when they are due. A leader that no majority has answered for long steps down.
@@ -266,7 +269,7 @@
 	}
 	t.becomeFollower(m.Term, m.From)
 	t.lastContact = t.now
-	t.campaigns = 0
+	t.campaigns, t.resumed = 0, false
 	if m.Kind == InstallSnapshot {
 		t.install(m)
 		return
