Ask other control hosts for a leader instead of staying with one without

Cause: two of five control hosts were cut off from the others. Entry hosts stayed with one for 0.75 to 1.5 s, took the next at random, and stayed there for up to 3 and 6 s if it was cut off too. Change: while its control host has no leader, an entry host goes on to report there and asks as many others as can't all be cut off with it, with a small question, 0.35 to 0.7 s after the loss and then less and less; the first with a leader gets its connection.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -276,5 +276,8 @@
 	Control string
 }
 
+// LeaderReply tells whether a control host has contact with a leader, as ExchangeReply.Current does.
+type LeaderReply struct{ Current bool }
+
 // Messages carries messages of the replicated control log to one host.
 type Messages struct{ Messages []quorum.Message }
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -128,6 +128,12 @@
 	return nil
 }
 
+// Leader tells whether this host has contact with a leader.
+func (s *Service) Leader(_ ctlrpc.Ack, reply *ctlrpc.LeaderReply) error {
+	reply.Current = s.host.Current()
+	return nil
+}
+
 // Helpers names entry hosts through which another one may send requests.
 func (s *Service) Helpers(q ctlrpc.HelperRequest, reply *ctlrpc.HelperReply) error {
 	reply.Helpers = s.host.helpers.helpersFor(q, *s.host.state.Load())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,10 +32,10 @@
 	// failure in a row: a control host that is short of processor time needs fewer connections, not more.
 	leastRetryPause = 120 * time.Millisecond
 	mostRetryPause  = 2 * time.Second
-	// leastStaleTime and mostStaleTime bound how long a control host without a leader is kept before another one is tried. An
-	// election is usually over sooner, and until then no other control host has a leader either.
-	leastStaleTime = 1500 * time.Millisecond
-	mostStaleTime  = 6 * time.Second
+	// leastStaleTime and mostStaleTime bound the time between two searches for a control host with a leader while the current one
+	// has none.
+	leastStaleTime = 700 * time.Millisecond
+	mostStaleTime  = 4 * time.Second
 	// stalePause is the pause between two exchanges with such a control host.
 	stalePause = 60 * time.Millisecond
 	// prefillReportEvery is the number of exchanges after which the measured prefill times of models are sent again.
@@ -86,10 +86,10 @@
 	current atomic.Pointer[rpc.Client]
 	// leaderless is set if the last control host connected to has answered that it has no leader.
 	leaderless bool
-	// retryPause is the pause after the next failed exchange, and staleTime how long the next control host without a leader is
-	// kept. leaveAt is when the current one is left, or zero if it has a leader.
+	// retryPause is the pause after the next failed exchange, and staleTime that before the next search for a control host with a
+	// leader. searchAt is when that is due, or zero if the current one has a leader.
 	retryPause, staleTime pause
-	leaveAt               time.Time
+	searchAt              time.Time
 	// controlLost is true from a failed exchange until a reply of a control host that is current.
 	controlLost bool
 	stopping    atomic.Bool
@@ -210,26 +210,30 @@
 	e.apply(r)
 	e.retryPause.reset()
 	e.leaderless = !r.Current
-	return e.checkLeader()
+	e.checkLeader()
+	return nil
 }
 
-// checkLeader returns ErrStale once the control host has had no leader for so long that another one is to be tried.
-func (e *Entry) checkLeader() error {
+// checkLeader searches for a control host with a leader from time to time while the current one has none, and goes on with it.
+func (e *Entry) checkLeader() {
 	if !e.leaderless {
-		e.leaveAt = time.Time{}
+		e.searchAt = time.Time{}
 		e.staleTime.reset()
-		return nil
+		return
 	}
 	e.recordLoss(ErrStale)
-	if e.leaveAt.IsZero() {
-		e.leaveAt = time.Now().Add(e.staleTime.next())
-	}
-	if time.Now().After(e.leaveAt) && len(e.controls) > 1 {
-		e.leaveAt = time.Time{}
-		return ErrStale
+	switch {
+	case e.searchAt.IsZero():
+		e.searchAt = time.Now().Add(e.staleTime.next())
+	case time.Now().After(e.searchAt):
+		if a, c, ok := e.findLeader(); ok {
+			e.closeConnection(ErrStale)
+			e.useConnection(a, c)
+			return
+		}
+		e.searchAt = time.Now().Add(e.staleTime.next())
 	}
 	time.Sleep(stalePause)
-	return nil
 }
 
 // call sends the request and waits for the reply, at most for exchangeTimeout.
@@ -246,7 +250,7 @@
 }
 
 // connect returns the current connection. If there is none, it opens one to the first of several control hosts that
-// answers. A new control host may lack this host's state, so all tallies are sent again.
+// answers.
 func (e *Entry) connect() (*rpc.Client, error) {
 	if e.client != nil {
 		return e.client, nil
@@ -256,27 +260,28 @@
 		e.address = ""
 		return nil, err
 	}
-	e.address, e.client = a, rpc.NewClient(c)
-	e.current.Store(e.client)
+	e.useConnection(a, rpc.NewClient(c))
+	return e.client, nil
+}
+
+// useConnection makes a new connection the current one. The control host may lack this host's state.
+func (e *Entry) useConnection(address string, c *rpc.Client) {
+	e.address, e.client = address, c
+	e.current.Store(c)
+	e.leaderless, e.searchAt = false, time.Time{}
 	e.state.Control = ""
 	e.Relay.ResendTallies()
 	e.Relay.Poison.Resend()
 	e.Relay.Poison.AdoptWatch(poison.WatchUpdate{New: true}) // a control host of an older build names no keys
 	e.Relay.Budget.Begin()
-	return e.client, nil
 }
 
 // candidates returns the control hosts to connect to: up to maxCandidates random ones, if possible without the one
-// connected to before. After an answer from a control host without a leader it is only one, since that host and the
-// network are fine and connections to several wouldn't help.
+// connected to before.
 func (e *Entry) candidates() []string {
 	l := slices.DeleteFunc(slices.Clone(e.controls), func(a string) bool { return a == e.address && len(e.controls) > 1 })
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	n := maxCandidates
-	if e.leaderless {
-		n = 1
-	}
-	return l[:min(len(l), n)]
+	return l[:min(len(l), maxCandidates)]
 }
 
 // recordLoss logs a failed exchange, but only the first one of several in a row.
