--- a/review/trial/cluster.go
+++ b/review/trial/cluster.go
@@ -32,7 +32,9 @@
 	name, ip, zone string
 	control        bool
 	cluster        *cluster
-	cmd            *exec.Cmd
+	// seeds replaces the seeds of the cluster, unless it is nil.
+	seeds []string
+	cmd   *exec.Cmd
 }
 
 // cluster is a small deployment: control hosts and entry hosts in three zones.
@@ -41,6 +43,8 @@
 	folder, subnet               string
 	peer, admin, front, ready, m int
 	controls, entries            []*process
+	// firstSeeds holds the seeds of the first start.
+	firstSeeds []string
 }
 
 // newCluster returns a deployment that hasn't started.
@@ -58,6 +62,7 @@
 	for k := range controls {
 		c.controls = append(c.controls, &process{name: fmt.Sprintf("core-%d", k), ip: fmt.Sprintf("%s.%d", c.subnet, 1+k), zone: fmt.Sprintf("zone-%d", k%3), control: true, cluster: c})
 	}
+	c.firstSeeds = c.seeds()
 	for k := range entries {
 		c.entries = append(c.entries, &process{name: fmt.Sprintf("edge-%d", k), ip: fmt.Sprintf("%s.%d", c.subnet, 20+k), zone: fmt.Sprintf("zone-%d", k%3), cluster: c})
 	}
@@ -93,9 +98,13 @@
 
 // settings returns what deploy/settings.json renders to.
 func (p *process) settings(first bool) map[string]any {
+	l := p.seeds
+	if l == nil {
+		l = p.cluster.firstSeeds
+	}
 	m := map[string]any{
 		"part": "entry", "name": p.name, "data-centre": p.zone, "ip": p.ip, "caller-address": "", "ready-address": "", "admin-address": "",
-		"peer-port": p.cluster.peer, "metrics-port": p.cluster.m, "seeds": p.cluster.seeds(), "found": first, "data-folder": "", "memory-mb": 284, "descriptors": 4100,
+		"peer-port": p.cluster.peer, "metrics-port": p.cluster.m, "seeds": l, "found": first, "data-folder": "", "memory-mb": 284, "descriptors": 4100,
 		"bounds": map[string]any{
 			"grace": "8s", "drain": "2000ms", "heartbeat": "1200ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58,
 			"exposure-share": 0.15, "exposure-extra": 30,
@@ -202,7 +211,7 @@
 			return p, v, nil
 		}
 		if err == nil {
-			err = fmt.Errorf("%s answered %d: %s", p.name, a.StatusCode, v)
+			err = fmt.Errorf("%s answered %d: %s", p.name, a.StatusCode, bytes.TrimSpace(v))
 		}
 	}
 	return nil, nil, err
