--- a/review/trial/cluster.go
+++ b/review/trial/cluster.go
@@ -149,6 +149,13 @@
 	_ = p.cmd.Wait()                          // the error only says that it was killed
 }
 
+// terminate stops the process as planned and waits for its exit.
+func (p *process) terminate() {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM) // fails only if it has ended
+	_ = p.cmd.Wait()                          // how it exits doesn't matter
+	p.cmd = nil
+}
+
 // startAll starts all processes for the first time.
 func (c *cluster) startAll() error {
 	for _, p := range append(append([]*process{}, c.controls...), c.entries...) {
