--- a/review/trial/client.go
+++ b/review/platform/client.go
@@ -22,6 +22,15 @@
 	sent   map[string]time.Time
 	served int
 	others int
+	// answers holds all answers in their order.
+	answers []answer
+}
+
+// answer is what a client got for one request.
+type answer struct {
+	machine string
+	sent    time.Time
+	status  string
 }
 
 // startClients starts a number of clients that send a request each pause.
@@ -72,8 +81,9 @@
 		q.Host = "desk.example"
 		q.Header.Set("X-Request-Id", d)
 		q.Header.Set("X-Deadline-Ms", "1500")
+		t := time.Now()
 		l.lock.Lock()
-		l.sent[d] = time.Now()
+		l.sent[d] = t
 		l.lock.Unlock()
 		s := "no answer"
 		if a, err := h.Do(q); err == nil {
@@ -82,6 +92,7 @@
 			s = a.Status
 		}
 		l.lock.Lock()
+		l.answers = append(l.answers, answer{p.name, t, s})
 		if strings.HasPrefix(s, "200") {
 			l.served++
 		} else {
--- a/review/trial/cluster.go
+++ b/review/platform/cluster.go
@@ -34,7 +34,9 @@
 	cluster        *cluster
 	// seeds replaces the seeds of the cluster, unless it is nil.
 	seeds []string
-	cmd   *exec.Cmd
+	// tunnel is the IP of a proxy to which the connections to servers go, or empty.
+	tunnel string
+	cmd    *exec.Cmd
 }
 
 // cluster is a small deployment: control hosts and entry hosts in three zones.
@@ -114,6 +116,9 @@
 		m["part"], m["admin-address"], m["data-folder"] = "control", p.adminAddress(), filepath.Join(p.cluster.folder, p.name)
 		return m
 	}
+	if p.tunnel != "" {
+		m["endpoint-tunnel"] = p.tunnel
+	}
 	m["caller-address"], m["ready-address"] = p.frontAddress(), fmt.Sprintf("%s:%d", p.ip, p.cluster.ready)
 	return m
 }
