--- a/review/platform/leaver.go
+++ b/review/platform/leaver.go
@@ -108,14 +108,23 @@
 	return nil
 }
 
-// deskConfig returns a configuration with a route for requests that may be repeated.
+// deskConfig returns a configuration with a route for requests that may be repeated and one for streams.
 func deskConfig(version int) map[string]any {
 	return map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{
-			"name": "look", "host": "desk.example", "path-prefix": "/look/", "type": "safe", "timeout-ms": 800, "slo-ms": 300, "priority": 2, "service": "desk", "attempts": 2, "public": true,
-		}},
-		"services": []any{map[string]any{"name": "desk", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"routes": []any{
+			map[string]any{
+				"name": "look", "host": "desk.example", "path-prefix": "/look/", "type": "safe", "timeout-ms": 800, "slo-ms": 300, "priority": 2, "service": "desk", "attempts": 2, "public": true,
+			},
+			map[string]any{
+				"name": "draft", "host": "desk.example", "path-prefix": "/draft/", "type": "stream", "timeout-ms": 25000, "slo-ms": 3000, "priority": 0, "service": "draft", "attempts": 3, "public": true,
+				"sticky": true, "resumable": true, "itl-target-ms": 1000,
+			},
+		},
+		"services": []any{
+			map[string]any{"name": "desk", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": false},
+			map[string]any{"name": "draft", "health-path": "/healthz", "max-conns": 370, "protocol": "h1", "tls": false},
+		},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	}
 }
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -21,6 +21,7 @@
 // trials maps the names of the trials to what plays them. trouble is false if the disruption is left out.
 var trials = map[string]func(r *record, trouble bool) error{
 	"forgotten-leaver": playForgottenLeaver,
+	"deadly-part":      playDeadlyPart,
 	"partition":        playPartition,
 	"second-loss":      playSecondLoss,
 }
