--- a/review/platform/leaver.go
+++ b/review/platform/leaver.go
@@ -75,7 +75,7 @@
 			}
 		}
 		r.print("platform: the processes of the core are back, %d ms after they were killed", time.Since(acks[leavers-1]).Milliseconds())
-		touch = time.Now().Add(contactTime)
+		touch = time.Now().Add(2 * contactTime) // as after a final fault that took most of the core
 	}
 	time.Sleep(time.Until(acks[leavers-1].Add(lingerTime)))
 	k.close()
