End a candidacy's votes with it

Cause: becomeFollower kept the votes of its own term, and votes were counted against the number of the voters of the moment. A candidate that lost with two votes of five became leader of a term that had one, without a message, once its leader had removed two other voters and fell silent. It matters now since voters are to be replaced sooner. Change: votes and pre-votes end with the candidacy, late ones count only while there is one, and only those of present voters count. Test: TestLostCandidateDoesNotLeadItsTermAfterRemovals, red before ("not true: s.Role != quorum.Leader"), green after.

--- a/quorum/state.go
+++ b/quorum/state.go
@@ -49,8 +49,9 @@
 	timing   Timing
 	entries  *immutable.List[Entry]
 	progress []progress
-	// votes holds the voters that have granted this node their vote in the current term, and preVotes those that would do so
-	// in the next one. Both count however late they come.
+	// votes holds the voters that have granted this node their vote in the current term, with this node, and preVotes those
+	// that would do so in the next one. Both count however late they come, but both are empty once this node has followed or
+	// was the leader in the term: the voters don't change during a candidacy.
 	votes    []NodeID
 	preVotes []NodeID
 	// campaigns counts the campaigns since a leader was last heard of.
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -119,8 +119,16 @@
 	}
 }
 
-// isMajority reports whether votes are those of more than half of the voters.
-func (t *step) isMajority(votes []NodeID) bool { return 2*len(votes) > len(t.Peers.Voters) }
+// isMajority reports whether more than half of the voters are among votes.
+func (t *step) isMajority(votes []NodeID) bool {
+	n := 0
+	for _, v := range t.Peers.Voters {
+		if slices.Contains(votes, v) {
+			n++
+		}
+	}
+	return 2*n > len(t.Peers.Voters)
+}
 
 // advanceCampaign turns a node with the votes of a majority into the leader, and a pre-candidate with their pre-votes into a
 // candidate. It reports whether the node has advanced. A node that campaigns again still wins with the votes for its term.
@@ -149,12 +157,13 @@
 	t.deadline = t.now + t.timing.Heartbeat
 }
 
-// becomeFollower makes this node a follower in the term, which may be the current one. leader may be empty.
+// becomeFollower makes this node a follower in the term, which may be the current one. leader may be empty. A candidacy ends
+// with it, and its votes: the voters may be others when this node campaigns again.
 func (t *step) becomeFollower(term uint64, leader NodeID) {
 	if term > t.Hard.Term {
 		t.Hard = HardState{Term: term}
-		t.votes = nil
 	}
+	t.votes, t.preVotes = nil, nil
 	t.Role = Follower
 	t.Leader = leader
 	t.progress = nil
@@ -242,7 +251,7 @@
 		return
 	}
 	switch {
-	case m.Kind == VoteReply && m.Term == t.Hard.Term:
+	case m.Kind == VoteReply && m.Term == t.Hard.Term && len(t.votes) > 0:
 		t.votes = withVote(t.votes, m.From)
 	case m.Kind == PreVoteReply && m.Term == t.Hard.Term+1 && t.Role == PreCandidate:
 		t.preVotes = withVote(t.preVotes, m.From)
