Refuse membership changes whose majorities needn't share a node

Cause: proposePeers compared the number of voters only, so that a voter could be replaced by another in one entry, and it didn't ask whether the leader had committed an entry of its term, without which a change of an earlier leader may still be pending. ctrl proposed neither so far; both become reachable when voters are replaced sooner. Change: at most one voter is added or removed, and the leader has committed an entry of its term. Test: TestUnsafeMembershipChangesAreRefused, red before ("3 != 0"), green after.

--- a/quorum/state.go
+++ b/quorum/state.go
@@ -234,8 +234,13 @@
 // Ready reports whether this leader has a lease and has committed an entry of its own term. Only then is its commit
 // index known to cover all entries that earlier leaders committed.
 func (s State) Ready(now time.Duration) bool {
+	return s.HasLease(now) && s.hasCommittedInTerm()
+}
+
+// hasCommittedInTerm reports whether the entry at the commit index is of the current term.
+func (s State) hasCommittedInTerm() bool {
 	t, ok := s.termAt(s.Commit)
-	return s.HasLease(now) && ok && t == s.Hard.Term
+	return ok && t == s.Hard.Term
 }
 
 // quorumContact returns the latest time such that a majority of the voters has answered messages sent at or after it.
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -385,13 +385,14 @@
 	t.broadcast()
 }
 
-// proposePeers appends a membership change on the leader. It refuses a change while another one is pending, one
-// without voters, and one that changes the number of voters by more than one.
+// proposePeers appends a membership change on the leader. It refuses a change while another one is pending or may be, one
+// without voters, and one that adds or removes more than one voter, since its majorities needn't share a node with those
+// before it.
 func (t *step) proposePeers(p Peers) {
-	if t.Role != Leader || t.peersPending() || len(p.Voters) == 0 {
+	if t.Role != Leader || t.peersPending() || !t.hasCommittedInTerm() || len(p.Voters) == 0 {
 		return
 	}
-	if d := len(p.Voters) - len(t.Peers.Voters); d < -1 || d > 1 {
+	if p.votersNotIn(t.Peers)+t.Peers.votersNotIn(p) > 1 {
 		return
 	}
 	t.propose(Entry{Peers: &p})
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -30,6 +30,17 @@
 // IsVoter reports whether the node is a voter.
 func (p Peers) IsVoter(node NodeID) bool { return slices.Contains(p.Voters, node) }
 
+// votersNotIn returns the number of voters that aren't voters among other peers.
+func (p Peers) votersNotIn(other Peers) int {
+	n := 0
+	for _, v := range p.Voters {
+		if !other.IsVoter(v) {
+			n++
+		}
+	}
+	return n
+}
+
 // All returns the voters followed by the learners.
 func (p Peers) All() []NodeID { return slices.Concat(p.Voters, p.Learners) }
 
@@ -170,8 +181,8 @@
 // Propose asks the leader to append an entry with data. Other nodes refuse it.
 type Propose struct{ Data []byte }
 
-// ProposePeers asks the leader to change the membership. The number of voters may change by at most one, and no
-// other change may be pending.
+// ProposePeers asks the leader to change the membership. At most one voter may be added or removed, no other change may be
+// pending, and the leader must have committed an entry of its term, so that no change of an earlier leader is pending either.
 type ProposePeers struct{ Peers Peers }
 
 // Persisted reports that the entries up to Index are synced to disk. Term is the term of the entry at Index.
--- a/quorum/votes_test.go
+++ b/quorum/votes_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -41,3 +42,28 @@
 		i.True(s.Role != quorum.Leader)
 	}
 }
+
+// Guards against a change that replaces a voter at once, or that is proposed before the leader knows that no change of an
+// earlier leader is pending: the majorities before and after it needn't share a node.
+func TestUnsafeMembershipChangesAreRefused(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork(3)
+	n.runWithoutFaults(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	p := n.nodes[l].state.Peers
+	o := p.Voters[0]
+	if o == l {
+		o = p.Voters[1]
+	}
+	i.Equal(n.step(l, quorum.ProposePeers{Peers: p.Without(o).WithVoter("new")}).Index, uint64(0))
+	i.True(n.step(l, quorum.ProposePeers{Peers: p.Without(o).WithLearner("new")}).Index > 0)
+	s := quorum.New("x", timing, quorum.HardState{Term: 1}, quorum.Snapshot{Index: 1, Term: 1, Peers: quorum.Peers{Voters: []quorum.NodeID{"x"}}}, nil, 1)
+	for now := time.Second; s.Role != quorum.Leader; now += timing.Heartbeat {
+		s, _ = quorum.Step(s, now, quorum.Tick{})
+	}
+	s, r := quorum.Step(s, 2*time.Second, quorum.ProposePeers{Peers: s.Peers.WithLearner("new")})
+	i.Equal(r.Proposed.Index, uint64(0)) // its first entry isn't synced
+	s, _ = quorum.Step(s, 2*time.Second, quorum.Persisted{Index: 2, Term: 2})
+	_, r = quorum.Step(s, 2*time.Second, quorum.ProposePeers{Peers: s.Peers.WithLearner("new")})
+	i.True(r.Proposed.Index > 0)
+}
