Let a node campaign that only its own entry makes no voter

Cause: a node campaigned only if it was a voter by its newest entry. A leader that wrote its own removal or demotion and ended before another node had it didn't campaign after its start, and the others couldn't win its vote, since its log was longer: no leader, for good, with all nodes up. Change: a node also campaigns if it was a voter before a change that isn't known to be committed. As leader it commits that and steps down.

--- a/quorum/state.go
+++ b/quorum/state.go
@@ -144,6 +144,12 @@
 	return false
 }
 
+// mayCampaign reports whether this node is a voter, or was one before a membership change that isn't known to be committed. If
+// only this node holds that change, no other one can win its vote.
+func (s State) mayCampaign() bool {
+	return s.Peers.IsVoter(s.ID) || s.peersPending() && s.peersAt(s.Commit).IsVoter(s.ID)
+}
+
 // withDeadline draws a random election timeout from the seed.
 func (s State) withDeadline(now time.Duration) State {
 	r := rand.New(rand.NewPCG(s.seed, uint64(now)))
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -69,7 +69,7 @@
 		t.tickLeader()
 		return
 	}
-	if t.now < t.deadline || !t.Peers.IsVoter(t.ID) {
+	if t.now < t.deadline || !t.mayCampaign() {
 		return
 	}
 	if p > t.timing.Heartbeat && !t.resumed {
--- a/quorum/votes_test.go
+++ b/quorum/votes_test.go
@@ -1,11 +1,13 @@
 package quorum_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
@@ -67,3 +69,64 @@
 	_, r = quorum.Step(s, 2*time.Second, quorum.ProposePeers{Peers: s.Peers.WithLearner("new")})
 	i.True(r.Proposed.Index > 0)
 }
+
+// Guards against a log without a leader for good: a leader has written its own removal and nobody else has it; then it doesn't
+// campaign as it is no voter, and the other one can't win its vote.
+func TestLeaderThatAloneHoldsItsRemovalCampaigns(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork(2)
+	n.runWithoutFaults(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	n.connected = func(a, b quorum.NodeID) bool { return a == b }
+	i.True(n.step(l, quorum.ProposePeers{Peers: n.nodes[l].state.Peers.Without(l)}).Index > 0)
+	n.runWithoutFaults(10 * time.Millisecond)
+	n.crash(l)
+	n.connected = nil
+	n.restart(l, 7)
+	n.runWithoutFaults(5 * time.Second)
+	o := n.leaders[slices.Max(terms(n))]
+	i.True(o != l) // the removal is committed
+	i.True(n.nodes[o].state.Ready(n.now))
+}
+
+// maxNodes bounds the nodes of a network whose membership changes.
+const maxNodes = 7
+
+// changePeers proposes a random change of the membership on a node: another learner, a promotion of a learner that has caught
+// up, a demotion, a removal, or both of the last two with a new learner.
+func (n *network) changePeers(t *rapid.T, id quorum.NodeID) {
+	d := n.nodes[id]
+	if !d.up || d.state.Role != quorum.Leader {
+		return
+	}
+	p := d.state.Peers
+	k := rapid.SampledFrom(p.All()).Draw(t, "peer")
+	switch rapid.IntRange(0, 4).Draw(t, "change") {
+	case 0:
+		p = p.WithLearner(n.addNode())
+	case 1:
+		if d.state.Match(k) >= d.state.Commit {
+			p = p.WithVoter(k)
+		}
+	case 2:
+		if p.IsVoter(k) {
+			p = p.Without(k).WithLearner(k)
+		}
+	case 3:
+		p = p.Without(k)
+	case 4:
+		p = p.Without(k).WithLearner(n.addNode())
+	}
+	n.step(id, quorum.ProposePeers{Peers: p})
+}
+
+// addNode returns a new node with an empty disk, or the newest one if there are maxNodes.
+func (n *network) addNode() quorum.NodeID {
+	if len(n.ids) == maxNodes {
+		return n.ids[maxNodes-1]
+	}
+	i := quorum.NodeID(fmt.Sprintf("n%d", len(n.ids)))
+	n.ids = append(n.ids, i)
+	n.nodes[i] = &node{up: true, state: quorum.New(i, timing, quorum.HardState{}, quorum.Snapshot{}, nil, uint64(len(n.ids)))}
+	return i
+}
