Hand a vote over before a planned stop, and replace a silent voter sooner

Cause: a successor that had caught up stayed a learner. A host that ended kept its vote until it had been silent for 6 s and 6 s had passed since the last election, longer than the time after which the second host may be lost (catch-up-s 4). Then one voter of three was left. Not the cause: the catch-up of the successor (it held all entries within milliseconds), and the host that lost its disk (its new identity joins at any leader, but there was none). Change: a control host that is told to stop asks the leader to be replaced (order leave), and ends once a learner that has caught up has its vote and it has none, or nobody can take it; at most 1.5 s. A voter that is silent for 1.5 s is replaced by such a learner, counted from the last election at the earliest. Voters are still removed without a replacement only after 6 s, unless their number is even: the others tolerate more without it, and two hosts of which one stops went on without a majority before.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -157,6 +157,7 @@
 	s := server{a, l[1]}
 	go s.run()
 	n.stop = func() {
+		h.Leave()
 		c, f := context.WithTimeout(context.Background(), time.Second)
 		defer f()
 		if err := a.Shutdown(c); err != nil {
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -222,13 +222,15 @@
 type Verb int
 
 // Verbs of orders. Put stores a configuration document and Read returns the one in force. StartRollout starts a
-// rollout and ReadRollout returns the one of a service. Join adds a control host to the replicated log as a learner.
+// rollout and ReadRollout returns the one of a service. Join adds a control host to the replicated log as a learner. Leave says that a control host is about to stop; it is
+// accepted once no other control host can take its vote any more, as it has none or none has caught up.
 const (
 	Put          Verb = iota // put
 	Read                     // read
 	StartRollout             // start-rollout
 	ReadRollout              // read-rollout
 	Join                     // join
+	Leave                    // leave
 )
 
 // Order is a request to the leader. Any control host accepts it and forwards it.
@@ -240,7 +242,7 @@
 	// Rollout is set for StartRollout, and Service for ReadRollout.
 	Rollout canary.Rollout
 	Service string
-	// Node is set for Join.
+	// Node is set for Join and Leave.
 	Node quorum.NodeID
 	// Hops counts how often the order was forwarded, which control hosts bound.
 	Hops int
--- a/ctlrpc/enum_string.go
+++ b/ctlrpc/enum_string.go
@@ -13,11 +13,12 @@
 	_ = x[StartRollout-2]
 	_ = x[ReadRollout-3]
 	_ = x[Join-4]
+	_ = x[Leave-5]
 }
 
-const _Verb_name = "putreadstart-rolloutread-rolloutjoin"
+const _Verb_name = "putreadstart-rolloutread-rolloutjoinleave"
 
-var _Verb_index = [...]uint8{0, 3, 7, 20, 32, 36}
+var _Verb_index = [...]uint8{0, 3, 7, 20, 32, 36, 41}
 
 func (i Verb) String() string {
 	idx := int(i) - 0
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -78,7 +78,7 @@
 			return
 		}
 		s := j.host.state.Load()
-		if s.Log.Peers.Has(s.Node) && s.LeaderSilence() < joinAfterSilence {
+		if j.host.leaving.Load() || s.Log.Peers.Has(s.Node) && s.LeaderSilence() < joinAfterSilence {
 			continue
 		}
 		j.join(s, i)
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -66,6 +66,8 @@
 	helpers helperCache
 	replies *ReplyBuilder
 	stop    chan struct{}
+	// leaving is set once a planned stop has begun. The host then doesn't join the control log again.
+	leaving atomic.Bool
 
 	lock sync.Mutex
 	// changed is closed and replaced when waiting exchanges have to check for changes.
--- a/ctrl/order.go
+++ b/ctrl/order.go
@@ -30,6 +30,8 @@
 	case ctlrpc.Join:
 		t.addControlHost(a.Order.Node)
 		t.emit(Respond{CallID: a.CallID, Reply: ctlrpc.OrderReply{Status: ctlrpc.Accepted}})
+	case ctlrpc.Leave:
+		t.releaseVoter(a)
 	default:
 		t.emit(Respond{CallID: a.CallID, Reply: t.orderReply(a.Order)})
 	}
@@ -108,6 +110,8 @@
 // addControlHost adds a control host to the control log as a learner. It replaces a node with the same address and
 // another disk, because the former disk is lost.
 func (t *transition) addControlHost(n quorum.NodeID) {
+	t.leaving = maps.Clone(t.leaving)
+	delete(t.leaving, n)
 	p := t.Log.Peers
 	if p.Has(n) {
 		return
@@ -120,6 +124,21 @@
 	t.stepLog(quorum.ProposePeers{Peers: p.WithLearner(n)})
 }
 
+// releaseVoter notes that a control host is about to stop, so that adjustVoters replaces it while it can still help to commit
+// that. It answers Unavailable as long as a change of the voters is due or under way; the host then asks again.
+func (t *transition) releaseVoter(a OrderReceived) {
+	t.leaving = maps.Clone(t.leaving)
+	if t.leaving == nil {
+		t.leaving = map[quorum.NodeID]time.Duration{}
+	}
+	t.leaving[a.Order.Node] = t.Now
+	r := ctlrpc.OrderReply{Status: ctlrpc.Accepted}
+	if _, due := t.nextPeers(); due || t.Log.PeersPending() {
+		r.Status = ctlrpc.Unavailable
+	}
+	t.emit(Respond{CallID: a.CallID, Reply: r})
+}
+
 // runLeaderTasks runs the periodic tasks of a ready leader: it adjusts the voters and ends rollouts.
 func (t *transition) runLeaderTasks() {
 	if t.Log.Role != quorum.Leader || !t.Log.Ready(t.Now) {
--- a/ctrl/voters.go
+++ b/ctrl/voters.go
@@ -8,12 +8,17 @@
 )
 
 const (
-	// voterTimeout is how long a voter may be silent before it counts as lost. A lost voter is replaced by a learner, and
-	// removed if at least minVoters others are live.
+	// voterTimeout is how long a voter may be silent before it counts as lost. It is then removed even without a replacement,
+	// if at least minVoters others are sound.
 	voterTimeout = 6 * time.Second
+	// replaceTimeout is the silence of a voter after which a learner that has caught up takes its place. Until then a second
+	// loss may cost the majority, so that it has to be well below the time that a host has to catch up.
+	replaceTimeout = 1500 * time.Millisecond
 	// learnerTimeout is the longest silence of a learner that may become a voter.
 	learnerTimeout = time.Second
-	// minVoters is the number of live voters from which a silent voter is removed.
+	// leaveTimeout is how long a host that has said that it stops counts as stopping. It says so again and again until then.
+	leaveTimeout = 2 * time.Second
+	// minVoters is the number of sound voters from which a lost voter is removed.
 	minVoters = 3
 )
 
@@ -35,44 +40,78 @@
 	return n - 1 + n%2
 }
 
-// adjustVoters proposes at most one change of peers to reach an odd number of live voters. It promotes a learner that has
-// caught up if there are too few live voters, removes a silent voter once at least minVoters are live, or demotes a
-// voter if all are live and one is too many. Voters count as silent only voterTimeout after the election, so that a new
-// leader can hear from them first.
+// adjustVoters proposes the next change of peers on the way to an odd number of live voters, if one is due.
 func (t *transition) adjustVoters() {
-	p := t.Log.Peers
-	var g, r []quorum.NodeID // silent voters and learners that have caught up
-	for _, n := range p.Voters {
-		if t.silentFor(n, voterTimeout) && t.Now-t.Log.ElectedAt() > voterTimeout {
-			g = append(g, n)
-		}
-	}
-	for _, n := range p.Learners {
-		if m := t.Log.Match(n); m >= t.Log.Commit && m > 0 && !t.silentFor(n, learnerTimeout) {
-			r = append(r, n)
-		}
+	if p, ok := t.nextPeers(); ok {
+		t.stepLog(quorum.ProposePeers{Peers: p})
 	}
+}
+
+// nextPeers returns the peers after the next change of the voters, and false if none is due. A learner that has caught up is
+// promoted if there are too few sound voters: those that neither stop nor were silent for replaceTimeout. One that isn't sound
+// is removed if the number of voters is even, since the others tolerate more without it. Otherwise it stays for voterTimeout,
+// as it may be back before that, and is removed then if at least minVoters are sound. A sound voter is demoted if one is too
+// many.
+func (s State) nextPeers() (quorum.Peers, bool) {
+	p := s.Log.Peers
+	g := s.unsoundVoters()
+	r := s.promotableLearners()
 	l := len(p.Voters) - len(g)
 	w := voterCount(l + len(r))
 	switch {
-	case l < w:
-		t.stepLog(quorum.ProposePeers{Peers: p.WithVoter(r[0])})
-	case len(g) > 0 && l >= minVoters:
-		t.stepLog(quorum.ProposePeers{Peers: p.Without(g[0])})
+	case l < w && len(r) > 0:
+		return p.WithVoter(r[0]), true
+	case len(g) > 0 && len(p.Voters)%2 == 0:
+		return p.Without(g[0]), true
+	case l >= minVoters && slices.ContainsFunc(g, s.isLost):
+		return p.Without(g[slices.IndexFunc(g, s.isLost)]), true
 	case len(g) == 0 && l > w:
-		t.stepLog(quorum.ProposePeers{Peers: t.withVoterDemoted(p)})
+		return s.withVoterDemoted(p), true
 	}
+	return p, false
+}
+
+// unsoundVoters returns the voters that stop or were silent for replaceTimeout.
+func (s State) unsoundVoters() []quorum.NodeID {
+	var r []quorum.NodeID
+	for _, n := range s.Log.Peers.Voters {
+		if s.isLeaving(n) || s.isSilent(n, replaceTimeout) {
+			r = append(r, n)
+		}
+	}
+	return r
+}
+
+// promotableLearners returns the learners that hold all committed entries and neither stop nor are silent.
+func (s State) promotableLearners() []quorum.NodeID {
+	var r []quorum.NodeID
+	for _, n := range s.Log.Peers.Learners {
+		if m := s.Log.Match(n); m >= s.Log.Commit && m > 0 && !s.isLeaving(n) && !s.isSilent(n, learnerTimeout) {
+			r = append(r, n)
+		}
+	}
+	return r
+}
+
+// isLost reports whether a voter was silent for so long that it is removed without a replacement.
+func (s State) isLost(n quorum.NodeID) bool { return s.isSilent(n, voterTimeout) }
+
+// isLeaving reports whether a control host has lately said that it is about to stop.
+func (s State) isLeaving(n quorum.NodeID) bool {
+	a, ok := s.leaving[n]
+	return ok && s.Now-a < leaveTimeout
 }
 
-// silentFor reports whether a node other than this one has answered no message for longer than d.
-func (t *transition) silentFor(n quorum.NodeID, d time.Duration) bool {
-	return n != t.Node && t.Now-t.Log.LastAcked(n) > d
+// isSilent reports whether a node other than this one has answered no message for longer than d, all of it since this host
+// was elected.
+func (s State) isSilent(n quorum.NodeID, d time.Duration) bool {
+	return n != s.Node && s.Now-max(s.Log.LastAcked(n), s.Log.ElectedAt()) > d
 }
 
 // withVoterDemoted returns the peers with one voter made a learner: the last in the order of ids that isn't this host.
-func (t *transition) withVoterDemoted(p quorum.Peers) quorum.Peers {
+func (s State) withVoterDemoted(p quorum.Peers) quorum.Peers {
 	for _, n := range slices.Backward(slices.Sorted(slices.Values(p.Voters))) {
-		if n != t.Node {
+		if n != s.Node {
 			return p.Without(n).WithLearner(n)
 		}
 	}
--- /dev/null
+++ b/ctrl/voters_test.go
@@ -0,0 +1,134 @@
+package ctrl_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/ctrl"
+	"github.com/hickoryshelf/hickoryshelf/quorum"
+)
+
+const (
+	// catchUpTime is how long a host counts as lost after it has started, and coreTouch the time after which the control hosts
+	// count as stable again.
+	catchUpTime = 4 * time.Second
+	coreTouch   = 3 * time.Second
+)
+
+// stop stops a host as planned: it asks to be replaced as a voter, at most for 1.5 s, and ends.
+func (c *cluster) stop(a string) {
+	o := ctlrpc.Order{Verb: ctlrpc.Leave, Node: c.hosts[a].state.Node}
+	for e := c.now + 1500*time.Millisecond; c.now < e && c.hosts[a].state.Log.Peers.Has(o.Node); {
+		if c.submit(a, o).Status == ctlrpc.Accepted {
+			break
+		}
+		c.run(10 * step)
+	}
+	c.kill(a)
+}
+
+// expectVersion checks that a host that runs reads a version of the configuration within the time that it has.
+func (c *cluster) expectVersion(v int64, within time.Duration) {
+	c.t.Helper()
+	for e := c.now + within; c.now < e; c.run(100 * time.Millisecond) {
+		for a, b := range c.hosts {
+			if r := c.submit(a, ctlrpc.Order{Verb: ctlrpc.Read}); b.up && r.Status == ctlrpc.Accepted {
+				is.New(c.t).Equal(r.Version, v)
+				return
+			}
+		}
+	}
+	c.t.Fatal("no host reads the configuration")
+}
+
+// Guards against a log without a majority for good, and an acknowledged configuration that doesn't come: one control host is
+// replaced, and another one loses its disk once the successor has had time to catch up.
+func TestLostDiskAfterReplacementKeepsTheMajority(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		for k := range 9 {
+			x, y := k/3, k%3
+			if x == y {
+				continue
+			}
+			t.Run(fmt.Sprintf("planned %t, host %d replaced, host %d wiped", planned, x, y), func(t *testing.T) {
+				messageQueue = nil
+				c := newCluster(t, 3)
+				c.run(5 * time.Second)
+				if !planned {
+					c.kill(address(x))
+					c.run(time.Second)
+				}
+				c.hosts[address(3)] = &testHost{diskID: "successor"}
+				c.start(address(3))
+				c.run(catchUpTime + 300*time.Millisecond)
+				if planned {
+					c.stop(address(x))
+				}
+				if planned {
+					c.run(coreTouch)
+				}
+				is.New(t).Equal(c.put(address(3), 2).Status, ctlrpc.Accepted)
+				c.kill(address(y))
+				c.run(time.Second)
+				c.wipe(address(y))
+				c.expectVersion(2, 12*time.Second)
+				is.New(t).Equal(c.put(address(3), 3).Status, ctlrpc.Accepted)
+			})
+		}
+	}
+}
+
+// Guards against a vote that a host takes with it: another disk is lost right after the end of a planned stop.
+func TestPlannedStopHandsTheVoteOver(t *testing.T) {
+	for x := range 3 {
+		i := is.New(t)
+		messageQueue = nil
+		c := newCluster(t, 3)
+		c.hosts[address(3)] = &testHost{diskID: "successor"}
+		c.start(address(3))
+		c.run(5 * time.Second)
+		i.Equal(c.put(address(x), 1).Status, ctlrpc.Accepted)
+		b := c.now
+		c.stop(address(x))
+		i.True(c.now-b < time.Second)
+		c.wipe(address((x + 1) % 3))
+		c.expectVersion(1, 12*time.Second)
+		c.start(address(x)) // is back after all
+		c.run(5 * time.Second)
+		i.Equal(len(c.hosts[c.leader()].state.Log.Peers.Voters), 3)
+	}
+}
+
+// Guards against a stop that costs the others their majority: a host that nobody can replace keeps its vote, and one of two
+// gives it up.
+func TestPlannedStopWithoutSuccessor(t *testing.T) {
+	for n := 2; n <= 5; n++ {
+		i := is.New(t)
+		messageQueue = nil
+		c := newCluster(t, n)
+		c.run(5 * time.Second)
+		for x := range n {
+			b := c.now
+			c.stop(address(x))
+			i.True(c.now-b < time.Second)
+			c.run(3 * time.Second)
+			i.Equal(c.put(address((x+1)%n), int64(x+1)).Status, ctlrpc.Accepted)
+			c.start(address(x))
+			c.run(5 * time.Second)
+			i.Equal(len(c.hosts[c.leader()].state.Log.Peers.Voters), len(ctrl.BootstrapPeers(nodes(n)).Voters))
+		}
+	}
+}
+
+// nodes returns the ids of n control hosts.
+func nodes(n int) []quorum.NodeID {
+	var r []quorum.NodeID
+	for k := range n {
+		r = append(r, ctrl.Node(address(k), "founder"))
+	}
+	return r
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -134,8 +134,8 @@
 	return s.Snapshot.Peers
 }
 
-// peersPending reports whether the log contains a membership change that isn't committed yet.
-func (s State) peersPending() bool {
+// PeersPending reports whether the log contains a membership change that isn't committed yet.
+func (s State) PeersPending() bool {
 	for i := s.Commit + 1; i <= s.LastIndex(); i++ {
 		if s.entries.Get(int(i-s.Snapshot.Index-1)).Peers != nil {
 			return true
@@ -147,7 +147,7 @@
 // mayCampaign reports whether this node is a voter, or was one before a membership change that isn't known to be committed. If
 // only this node holds that change, no other one can win its vote.
 func (s State) mayCampaign() bool {
-	return s.Peers.IsVoter(s.ID) || s.peersPending() && s.peersAt(s.Commit).IsVoter(s.ID)
+	return s.Peers.IsVoter(s.ID) || s.PeersPending() && s.peersAt(s.Commit).IsVoter(s.ID)
 }
 
 // withDeadline draws a random election timeout from the seed.
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -389,7 +389,7 @@
 // without voters, and one that adds or removes more than one voter, since its majorities needn't share a node with those
 // before it.
 func (t *step) proposePeers(p Peers) {
-	if t.Role != Leader || t.peersPending() || !t.hasCommittedInTerm() || len(p.Voters) == 0 {
+	if t.Role != Leader || t.PeersPending() || !t.hasCommittedInTerm() || len(p.Voters) == 0 {
 		return
 	}
 	if p.votersNotIn(t.Peers)+t.Peers.votersNotIn(p) > 1 {
