Record leaving endpoints in the control log before the acknowledgement

Cause: the acknowledgement said only that other control hosts had the report in memory. What they remember for their next start is up to 500 ms old, entry hosts hear of a change up to some 100 ms later, and an endpoint that has departed says nothing more. Not the cause: the entry hosts' reports of endpoints that answer (a departed endpoint isn't brought back by them, one that is remembered as ready is). Change: the report is passed on as before, and then recorded in the control log (order retire) before the acknowledgement; what is recorded already, and repeated by each heartbeat, costs no entry. The replicated state holds the last 1,024 such endpoints, each with its start and phase; reports and memories of an earlier phase of that start are corrected by it. The same cause elsewhere: a departure without a start time that reached a host which didn't know the endpoint was acknowledged and held nowhere; the leader now fills in the start that it knows. Configurations and roll-outs are in the log already.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -223,7 +223,8 @@
 
 // Verbs of orders. Put stores a configuration document and Read returns the one in force. StartRollout starts a
 // rollout and ReadRollout returns the one of a service. Join adds a control host to the replicated log as a learner. Leave says that a control host is about to stop; it is
-// accepted once no other control host can take its vote any more, as it has none or none has caught up.
+// accepted once no other control host can take its vote any more, as it has none or none has caught up. Retire records that an
+// endpoint is leaving or has departed.
 const (
 	Put          Verb = iota // put
 	Read                     // read
@@ -231,6 +232,7 @@
 	ReadRollout              // read-rollout
 	Join                     // join
 	Leave                    // leave
+	Retire                   // retire
 )
 
 // Order is a request to the leader. Any control host accepts it and forwards it.
@@ -244,6 +246,8 @@
 	Service string
 	// Node is set for Join and Leave.
 	Node quorum.NodeID
+	// Endpoint is set for Retire.
+	Endpoint fleet.Report
 	// Hops counts how often the order was forwarded, which control hosts bound.
 	Hops int
 }
--- a/ctlrpc/enum_string.go
+++ b/ctlrpc/enum_string.go
@@ -14,11 +14,12 @@
 	_ = x[ReadRollout-3]
 	_ = x[Join-4]
 	_ = x[Leave-5]
+	_ = x[Retire-6]
 }
 
-const _Verb_name = "putreadstart-rolloutread-rolloutjoinleave"
+const _Verb_name = "putreadstart-rolloutread-rolloutjoinleaveretire"
 
-var _Verb_index = [...]uint8{0, 3, 7, 20, 32, 36, 41}
+var _Verb_index = [...]uint8{0, 3, 7, 20, 32, 36, 41, 47}
 
 func (i Verb) String() string {
 	idx := int(i) - 0
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -252,10 +252,11 @@
 	}
 }
 
-// Report queues an endpoint's report for Reduce. When the report is the first to say that the endpoint is leaving or
-// has departed, Report also sends it to the other control hosts and returns after each of them has acknowledged it or
-// gossipTimeout is over.
-func (h *Host) Report(r fleet.Report) {
+// Report queues an endpoint's report for Reduce and reports whether it may be acknowledged. When the report is the first to say
+// that the endpoint is leaving or has departed, Report also sends it to the other control hosts and waits until each of them
+// has acknowledged it or gossipTimeout is over. Such a report may be acknowledged once it is recorded in the control log and
+// this host is current, since other hosts may not learn of it otherwise.
+func (h *Host) Report(r fleet.Report) bool {
 	o, ok := h.state.Load().Fleet.Get(r.ID)
 	h.reports.AddEndpoint(Direct, r)
 	if !ok || o.Phase != r.Phase || o.Born != r.Born {
@@ -264,11 +265,25 @@
 			"from": o.Phase.String(), "known": ok,
 		}).Info("control: endpoint reports a new state")
 	}
-	if r.Phase != fleet.Ready && (!ok || o.Phase != r.Phase) {
+	if r.Phase == fleet.Ready {
+		return true
+	}
+	if !ok || o.Phase != r.Phase {
 		if m := h.links.gossipAndWait(ctlrpc.Gossip{Reports: []fleet.Report{r}}); len(m) > 0 {
 			h.log.WithFields(logrus.Fields{"endpoint": r.ID, "controls": m}).Warn("control: other control hosts were not told of a leaving endpoint in time")
 		}
 	}
+	return h.record(r)
+}
+
+// record has the control log hold that an endpoint is leaving or has departed, and reports whether it does and this host is
+// current.
+func (h *Host) record(r fleet.Report) bool {
+	if !h.state.Load().StateMachine.HasLeft(leaverOf(r)) && h.Do(ctlrpc.Order{Verb: ctlrpc.Retire, Endpoint: r}).Status != ctlrpc.Accepted {
+		h.log.WithFields(logrus.Fields{"endpoint": r.ID, "phase": r.Phase.String()}).Warn("control: a leaving endpoint isn't acknowledged, as the control log doesn't hold it")
+		return false
+	}
+	return h.Current()
 }
 
 // Endpoint returns the endpoint with an id, and false if it isn't known.
--- a/ctrl/memory.go
+++ b/ctrl/memory.go
@@ -45,7 +45,7 @@
 // endpoint is removed unless it reports within rememberedHeartbeats.
 func (s State) WithMemory(m Memory) State {
 	for _, r := range m.Reports {
-		s.Fleet, _ = s.Fleet.WithReport(r, (rememberedHeartbeats-maxMissedHeartbeats)*s.Heartbeat)
+		s.Fleet, _ = s.Fleet.WithReport(s.StateMachine.Corrected(r), (rememberedHeartbeats-maxMissedHeartbeats)*s.Heartbeat)
 	}
 	s.rememberedPrefill = m.PrefillTimes
 	s.Poison = s.Poison.WithReport(m.Poison, 0)
--- a/ctrl/order.go
+++ b/ctrl/order.go
@@ -30,6 +30,8 @@
 	case ctlrpc.Join:
 		t.addControlHost(a.Order.Node)
 		t.emit(Respond{CallID: a.CallID, Reply: ctlrpc.OrderReply{Status: ctlrpc.Accepted}})
+	case ctlrpc.Retire:
+		t.retireEndpoint(a)
 	case ctlrpc.Leave:
 		t.releaseVoter(a)
 	default:
@@ -107,6 +109,20 @@
 	}
 }
 
+// retireEndpoint proposes to record that an endpoint is leaving or has departed. What is recorded already is acknowledged
+// without a proposal. A report without a start time is about the start that this host knows.
+func (t *transition) retireEndpoint(a OrderReceived) {
+	l := leaverOf(a.Order.Endpoint)
+	if e, ok := t.Fleet.Get(l.ID); ok && l.Born == 0 {
+		l.Born = e.Born
+	}
+	if t.StateMachine.HasLeft(l) {
+		t.emit(Respond{CallID: a.CallID, Reply: t.orderReply(a.Order)})
+		return
+	}
+	t.propose(a, Command{Retire: &l})
+}
+
 // addControlHost adds a control host to the control log as a learner. It replaces a node with the same address and
 // another disk, because the former disk is lost.
 func (t *transition) addControlHost(n quorum.NodeID) {
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -92,6 +92,7 @@
 	}
 	t.StateMachine = m
 	t.trackRollouts()
+	t.retireLeavers(0)
 }
 
 // applyEntry applies a committed entry and answers the pending order that proposed it.
@@ -102,6 +103,7 @@
 	}
 	t.StateMachine = m
 	t.trackRollouts()
+	t.retireLeavers(e.Index)
 	t.pending = slices.DeleteFunc(slices.Clone(t.pending), func(w pendingOrder) bool {
 		if w.index != e.Index || w.term != e.Term {
 			return false
@@ -177,6 +179,7 @@
 // applyReport adds an endpoint's report to the fleet. A report that changes the fleet and came directly from the endpoint
 // is passed on by gossip.
 func (t *transition) applyReport(r fleet.Report, direct bool) {
+	r = t.StateMachine.Corrected(r)
 	n, ok := t.Fleet.WithReport(r, t.Now)
 	t.Fleet = n
 	if ok && direct {
--- a/ctrl/statemachine.go
+++ b/ctrl/statemachine.go
@@ -17,6 +17,8 @@
 	Start *canary.Rollout `json:"start,omitempty"`
 	// End sets the outcome of a running rollout.
 	End *canary.Rollout `json:"end,omitempty"`
+	// Retire records an endpoint that is leaving or has departed.
+	Retire *Leaver `json:"retire,omitempty"`
 }
 
 // Document is a configuration as the operator wrote it, with its version.
@@ -34,6 +36,8 @@
 	Document Document `json:"document"`
 	// Rollouts holds the newest rollout of each service.
 	Rollouts map[string]canary.Rollout `json:"rollouts"`
+	// Leavers holds the endpoints that were last acknowledged as leaving or departed, by id, at most maxLeavers.
+	Leavers map[string]Leaver `json:"leavers,omitempty"`
 }
 
 // WithEntry returns the state after a log entry. Entries that were applied before change nothing. If the entry can't be
@@ -61,6 +65,8 @@
 		return m.withStart(*c.Start, index)
 	case c.End != nil:
 		return m.withEnd(*c.End)
+	case c.Retire != nil:
+		return m.withLeaver(*c.Retire, index)
 	}
 	return m
 }
