Drop what the control log writes and sends before it knows of a failed write

Cause: after a failed write the data folder is opened again and the log restarts from it, by an event that waits behind all others. What the log appended and answered until then went to the new file, without the entries dropped before: the file had a gap, and the host had acknowledged entries that it then forgot. Two such hosts of three leave the leader without anybody who takes its entries. The busier the host, the longer the time. Change: each write carries the generation of the log; a failed write begins another one, and writes and messages of an earlier one are dropped. So no reply and no Persisted leaves a host for an entry that its disk doesn't hold. Not played with real disks that are full.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -28,9 +28,12 @@
 	up     bool
 	// startedAt is the cluster time at which the host's own clock was 0.
 	startedAt time.Duration
-	// stalled is set while the disk writes nothing; writes wait in pendingWrites.
-	stalled       bool
-	pendingWrites []ctrl.Write
+	// writes are those that wait for the disk. stalled is set while it writes nothing.
+	writes  *ctrl.WriteQueue
+	stalled bool
+	// full is set while each write fails. generation is that of the writes after the newest failure, if failed is set.
+	full, failed bool
+	generation   uint64
 }
 
 // cluster runs control hosts on a simulated clock and without a network. Messages arrive at once unless blocked returns
@@ -77,7 +80,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	b.state, b.up, b.pendingWrites, b.startedAt = s, true, nil, c.now
+	b.state, b.up, b.writes, b.startedAt, b.failed = s, true, ctrl.NewWriteQueue(), c.now, false
 }
 
 // kill stops a host and loses the writes that are not on its disk.
@@ -108,7 +111,7 @@
 	switch v := e.(type) {
 	case ctrl.Write:
 		b := c.hosts[a]
-		b.pendingWrites = append(b.pendingWrites, v)
+		b.writes.Add(v)
 		if !b.stalled {
 			c.flush(a)
 		}
@@ -132,9 +135,11 @@
 // flush performs the pending writes of a host and queues their messages.
 func (c *cluster) flush(a string) {
 	b := c.hosts[a]
-	w := b.pendingWrites
-	b.pendingWrites = nil
-	for _, v := range w {
+	for _, v := range b.writes.Take() {
+		if b.full && !v.Persist.Empty() {
+			b.failed, b.generation = true, b.writes.Advance()
+			return
+		}
 		b.stored = withPersisted(b.stored, v.Persist)
 		for _, m := range v.Messages {
 			if to := ctrl.Address(m.To); !c.blocked(a, to) && c.hosts[to] != nil {
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -22,8 +22,12 @@
 // Persisted reports that the disk has synced log entries up to an index.
 type Persisted struct{ quorum.Persisted }
 
-// DiskReopened reports that the disk accepts writes again after a failed one. State is the content of the disk.
-type DiskReopened struct{ State store.QuorumState }
+// DiskReopened reports that the disk accepts writes again after a failed one. State is the content of the disk. Generation is
+// that of the writes which follow from it.
+type DiskReopened struct {
+	State      store.QuorumState
+	Generation uint64
+}
 
 // OrderReceived carries an order. Its reply is returned in a Respond effect with the same CallID.
 type OrderReceived struct {
@@ -52,10 +56,11 @@
 // Effect is an output of Reduce: I/O that Host performs.
 type Effect interface{ effect() }
 
-// Write syncs Persist to disk and sends Messages only after the sync.
+// Write syncs Persist to disk and sends Messages only after the sync. Generation is that of the log; see WriteQueue.
 type Write struct {
-	Persist  quorum.Persist
-	Messages []quorum.Message
+	Persist    quorum.Persist
+	Messages   []quorum.Message
+	Generation uint64
 }
 
 // Respond completes the pending call CallID with a reply.
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -211,7 +211,7 @@
 func (h *Host) perform(e Effect) {
 	switch v := e.(type) {
 	case Write:
-		h.writer.enqueue(v)
+		h.writer.queue.Add(v)
 	case Respond:
 		h.calls.complete(v)
 	case Forward:
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -68,7 +68,7 @@
 	l, o := quorum.Step(t.Log, t.Now, i)
 	t.Log = l
 	if !o.Persist.Empty() || len(o.Messages) > 0 {
-		t.emit(Write{Persist: o.Persist, Messages: o.Messages})
+		t.emit(Write{Persist: o.Persist, Messages: o.Messages, Generation: t.diskGeneration})
 	}
 	for _, e := range o.Persist.Entries {
 		t.bytesSinceSnapshot += len(e.Data)
@@ -158,6 +158,7 @@
 
 // reopenLog restarts the control log from the content of the disk, as after a restart of the process.
 func (t *transition) reopenLog(r DiskReopened) {
+	t.diskGeneration = r.Generation
 	t.Log = t.Log.Reopened(r.State.Hard, r.State.Snapshot, r.State.Entries, t.Now)
 	t.restoreSnapshot(r.State.Snapshot)
 }
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -136,6 +136,8 @@
 	bytesSinceSnapshot int
 	// rememberedPrefill holds the prefill times that the process before has saved.
 	rememberedPrefill map[string]time.Duration
+	// diskGeneration is the generation of the log; see WriteQueue.
+	diskGeneration uint64
 	// leaving holds the control hosts that are about to stop, with the times at which they last said so to this host as leader.
 	leaving map[quorum.NodeID]time.Duration
 	// leaderHeardAt is when the last message of a leader came.
--- a/ctrl/writer.go
+++ b/ctrl/writer.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"sync"
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/quorum"
@@ -12,52 +11,27 @@
 const reopenInterval = 400 * time.Millisecond
 
 // writer syncs the writes of the control log to disk and sends their messages only after the sync. After a failed write
-// it drops all queued writes until the data folder can be opened again; the control log then restarts from the content
-// of the disk.
+// it drops all writes of the log until the data folder can be opened again; the log then restarts from the content of the disk.
 type writer struct {
-	host *Host
-	disk *store.Disk
-
-	lock  sync.Mutex
-	queue []Write
-	wake  chan struct{}
+	host  *Host
+	disk  *store.Disk
+	queue *WriteQueue
 }
 
 func newWriter(h *Host, d *store.Disk) *writer {
-	return &writer{host: h, disk: d, wake: make(chan struct{}, 1)}
-}
-
-// enqueue queues a write. The queue has no limit of its own: the control log appends only as far as other hosts answer,
-// which bounds the number of waiting writes.
-func (w *writer) enqueue(o Write) {
-	w.lock.Lock()
-	w.queue = append(w.queue, o)
-	w.lock.Unlock()
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
-}
-
-// dequeueAll empties the queue and returns its writes.
-func (w *writer) dequeueAll() []Write {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	q := w.queue
-	w.queue = nil
-	return q
+	return &writer{host: h, disk: d, queue: NewWriteQueue()}
 }
 
 func (w *writer) run() {
 	for {
 		select {
-		case <-w.wake:
+		case <-w.queue.wake:
 		case <-w.host.stop:
 			return
 		}
-		if err := w.write(w.dequeueAll()); err != nil {
+		if err := w.write(w.queue.Take()); err != nil {
 			w.host.log.WithError(err).Error("control: dependency lost, the control log can't be written")
-			w.reopen()
+			w.reopen(w.queue.Advance())
 		}
 	}
 }
@@ -113,9 +87,9 @@
 	return nil
 }
 
-// reopen closes the disk and tries to open it until it accepts writes again. It then drops the writes that were queued
-// meanwhile and posts DiskReopened.
-func (w *writer) reopen() {
+// reopen closes the disk and tries to open it until it accepts writes again. It then posts DiskReopened, with which the
+// generation begins.
+func (w *writer) reopen(generation uint64) {
 	if err := w.disk.Close(); err != nil {
 		w.host.log.WithError(err).Warn("control: can't close the data folder after a failed write")
 	}
@@ -133,9 +107,8 @@
 			continue
 		}
 		w.disk = d
-		w.dequeueAll()
 		w.host.log.Info("control: dependency regained, the control log can be written")
-		w.host.post(DiskReopened{State: d.QuorumState()})
+		w.host.post(DiskReopened{State: d.QuorumState(), Generation: generation})
 		return
 	}
 }
