Send entries again to a control host that has forgotten them

Cause: a leader never sends again what a host has acknowledged. If two of three have acknowledged entries that they don't hold (a build before the last commit, or a disk that lost them), each rejection was answered at once by the same Append, without end; the rejections renewed the lease, so that no election came, and nothing was committed in that term any more. Change: a rejection of a newer message than the last accepted one, with less than was acknowledged, lowers what counts for the host, which gets the rest again. It is logged as an error with the remedy, so that such a host is told apart from one that is merely behind.

--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -98,10 +98,14 @@
 // EntryFailed logs that a log entry or a snapshot could not be encoded or applied.
 type EntryFailed struct{ Err error }
 
+// EntriesForgotten logs that a control host holds less of the log than it had acknowledged to this leader.
+type EntriesForgotten struct{ quorum.Forgotten }
+
 // VoteIgnored records that a vote came after the campaign that it was for.
 type VoteIgnored struct{}
 
 func (VoteIgnored) effect()        {}
+func (EntriesForgotten) effect()   {}
 func (Write) effect()              {}
 func (Respond) effect()            {}
 func (Forward) effect()            {}
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -229,6 +229,8 @@
 			"key": r.Key.String(), "with": r.With, "account": r.Account, "any-account": r.AnyAccount, "crashes": a.Crashes, "ends": a.Ends,
 			"over": (a.Last - a.First).Milliseconds(), "log-odds": a.LogOdds,
 		}).Warn("control: requests end the endpoints that run them and are held back")
+	case EntriesForgotten:
+		h.log.WithFields(logrus.Fields{"control": v.Node, "acknowledged": v.Acknowledged, "held": v.Held}).Error("control: another control host holds less of the log than it has acknowledged; it gets the rest again; check its disk")
 	case VoteIgnored:
 		h.strain.votedLate(h.now())
 	case EntryFailed:
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -70,6 +70,9 @@
 	if !o.Persist.Empty() || len(o.Messages) > 0 {
 		t.emit(Write{Persist: o.Persist, Messages: o.Messages, Generation: t.diskGeneration})
 	}
+	for _, f := range o.Forgotten {
+		t.emit(EntriesForgotten{f})
+	}
 	for _, e := range o.Persist.Entries {
 		t.bytesSinceSnapshot += len(e.Data)
 	}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -26,6 +26,8 @@
 	// match is the last index known to be synced on the node. next is the next index to send.
 	match uint64
 	next  uint64
+	// matchedAt is the time at which the leader sent the newest message that the node accepted.
+	matchedAt time.Duration
 	// acked is the time, on the leader's clock, at which the leader sent the newest message that the node answered.
 	acked time.Duration
 	// snapshotSent is the time at which a snapshot was last sent. It prevents another one with each heartbeat.
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -334,12 +334,21 @@
 		return
 	}
 	o := t.progressOf(m.From)
+	f := m.Reject && m.Index < o.match && m.Stamp > o.matchedAt
+	if f {
+		t.out.Forgotten = append(t.out.Forgotten, Forgotten{Node: m.From, Acknowledged: o.match, Held: m.Index})
+	}
 	t.State = t.withProgress(m.From, func(p progress) progress {
 		p.acked = max(p.acked, m.Stamp)
+		if f {
+			p.match, p.next = m.Index, m.Index+1
+			return p
+		}
 		if m.Reject {
 			p.next = max(p.match+1, min(p.next-1, m.Index+1))
 			return p
 		}
+		p.matchedAt = max(p.matchedAt, m.Stamp)
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
 		return p
--- a/quorum/step_test.go
+++ b/quorum/step_test.go
@@ -314,3 +314,34 @@
 	}
 	i.True(n.leaders[slices.Max(terms(n))] != l)
 }
+
+// Guards against a term in which nothing is committed any more: two followers have acknowledged entries that their disks don't
+// hold, and the leader sends each of them the same entries without end.
+func TestFollowersThatForgotEntriesGetThemAgain(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork(3)
+	n.runWithoutFaults(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	for _, f := range n.ids {
+		if f == l {
+			continue
+		}
+		d := n.nodes[f]
+		h, s, e := d.hard, d.snapshot, slices.Clone(d.entries)
+		n.connected = func(a, b quorum.NodeID) bool { return (a == l || a == f) && (b == l || b == f) }
+		i.True(n.step(l, quorum.Propose{Data: []byte(f)}).Index > 0)
+		n.runWithoutFaults(100 * time.Millisecond)
+		d.state, d.hard, d.snapshot, d.entries, d.unsynced = d.state.Reopened(h, s, e, n.now), h, s, e, nil
+		d.applied = d.applied[:min(len(d.applied), len(e)+int(s.Index)-1)]
+		n.connected = nil
+		n.runWithoutFaults(time.Second)
+	}
+	c := len(n.committed)
+	i.True(n.step(l, quorum.Propose{Data: []byte("last")}).Index > 0)
+	n.runWithoutFaults(time.Second)
+	i.True(len(n.committed) > c)
+	i.Equal(n.nodes[l].state.Role, quorum.Leader)
+	for _, f := range n.ids {
+		i.Equal(n.nodes[f].state.LastIndex(), n.nodes[l].state.LastIndex())
+	}
+}
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -165,10 +165,19 @@
 	Restore *Snapshot
 	// Committed lists the newly committed entries in order.
 	Committed []Entry
+	// Forgotten lists the nodes that hold less than they had acknowledged to this leader. They get the entries again.
+	Forgotten []Forgotten
 	// Proposed is the entry appended for a proposal. It is the zero Entry if the proposal was refused.
 	Proposed Entry
 }
 
+// Forgotten says that a node holds the log only up to the index Held, though it has acknowledged it up to Acknowledged: it was
+// opened with less, or its answers came in another order.
+type Forgotten struct {
+	Node               NodeID
+	Acknowledged, Held uint64
+}
+
 // Input is an event that Step processes.
 type Input interface{ input() }
 
