--- a/ctrl/voters_test.go
+++ b/ctrl/voters_test.go
@@ -46,42 +46,61 @@
 }
 
 // Guards against a log without a majority for good, and an acknowledged configuration that doesn't come: one control host is
-// replaced, and another one loses its disk once the successor has had time to catch up.
+// replaced, and as many others as may be lost at once lose their disks once the successor has had time to catch up.
 func TestLostDiskAfterReplacementKeepsTheMajority(t *testing.T) {
-	for _, planned := range []bool{true, false} {
-		for k := range 9 {
-			x, y := k/3, k%3
-			if x == y {
-				continue
-			}
-			t.Run(fmt.Sprintf("planned %t, host %d replaced, host %d wiped", planned, x, y), func(t *testing.T) {
-				messageQueue = nil
-				c := newCluster(t, 3)
-				c.run(5 * time.Second)
-				if !planned {
-					c.kill(address(x))
+	for _, n := range []int{3, 5} {
+		for _, planned := range []bool{true, false} {
+			for k := range n * (n - 1) {
+				x, y := k/(n-1), (k/(n-1)+1+k%(n-1))%n
+				t.Run(fmt.Sprintf("%d hosts, planned %t, host %d replaced, from host %d on wiped", n, planned, x, y), func(t *testing.T) {
+					i := is.New(t)
+					messageQueue = nil
+					c := newCluster(t, n)
+					c.run(5 * time.Second)
+					c.replace(address(x), address(n), planned)
+					i.Equal(c.put(address(n), 2).Status, ctlrpc.Accepted)
+					l := c.others(x, y, n, n/2)
+					for _, a := range l {
+						c.kill(a)
+					}
 					c.run(time.Second)
-				}
-				c.hosts[address(3)] = &testHost{diskID: "successor"}
-				c.start(address(3))
-				c.run(catchUpTime + 300*time.Millisecond)
-				if planned {
-					c.stop(address(x))
-				}
-				if planned {
-					c.run(coreTouch)
-				}
-				is.New(t).Equal(c.put(address(3), 2).Status, ctlrpc.Accepted)
-				c.kill(address(y))
-				c.run(time.Second)
-				c.wipe(address(y))
-				c.expectVersion(2, 12*time.Second)
-				is.New(t).Equal(c.put(address(3), 3).Status, ctlrpc.Accepted)
-			})
+					for _, a := range l {
+						c.wipe(a)
+					}
+					c.expectVersion(2, 12*time.Second)
+					i.Equal(c.put(address(n), 3).Status, ctlrpc.Accepted)
+				})
+			}
 		}
 	}
 }
 
+// replace adds a successor of a host and stops the host, as planned once the successor has caught up, or before it starts.
+func (c *cluster) replace(a, successor string, planned bool) {
+	if !planned {
+		c.kill(a)
+		c.run(time.Second)
+	}
+	c.hosts[successor] = &testHost{diskID: "successor"}
+	c.start(successor)
+	c.run(catchUpTime + 300*time.Millisecond)
+	if planned {
+		c.stop(a)
+		c.run(coreTouch)
+	}
+}
+
+// others returns count of the first n hosts from host first on, without host x.
+func (c *cluster) others(x, first, n, count int) []string {
+	var r []string
+	for k := 0; len(r) < count; k++ {
+		if h := (first + k) % n; h != x {
+			r = append(r, address(h))
+		}
+	}
+	return r
+}
+
 // Guards against a vote that a host takes with it: another disk is lost right after the end of a planned stop.
 func TestPlannedStopHandsTheVoteOver(t *testing.T) {
 	for x := range 3 {
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -64,6 +64,8 @@
 	subnet      string
 	Control     []*Process
 	Entry       []*Process
+	// Grace is the time that processes have for a planned stop. A change holds for processes that start after it.
+	Grace time.Duration
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -82,7 +84,7 @@
 func startDeployment(t testing.TB, binary string, entries int, tunnels bool) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	for k := range 3 {
@@ -126,7 +128,7 @@
 		"part": "entry", "name": p.Name, "data-centre": p.DataCentre, "ip": p.IP, "peer-port": peerPort, "metrics-port": metricsPort,
 		"seeds": s, "found": p.bootstrap, "memory-mb": 280, "descriptors": 4000, "caller-address": "", "ready-address": "", "admin-address": "", "data-folder": "",
 		"bounds": map[string]any{
-			"grace": "4s", "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
+			"grace": d.Grace.String(), "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
 		},
 	}
 	if p.Control {
@@ -268,10 +270,10 @@
 	}
 }
 
-// WaitExit waits for a process that is expected to exit without a signal and returns its exit error. A process that
-// still runs after exitTimeout is killed and fails the test.
+// WaitExit waits for a process that is expected to exit without another signal and returns its exit error. A process that
+// still runs exitMargin after the time of a planned stop is killed and fails the test.
 func (d *Deployment) WaitExit(p *Process) error {
-	t := time.AfterFunc(exitTimeout, func() {
+	t := time.AfterFunc(d.Grace+exitMargin, func() {
 		d.t.Errorf("%s still runs but should have exited", p.Name)
 		d.Signal(p, syscall.SIGKILL)
 	})
@@ -279,8 +281,12 @@
 	return p.cmd.Load().Wait()
 }
 
-// exitTimeout is the longest wait for a process to exit without a signal.
-const exitTimeout = 5 * time.Second
+const (
+	// usualGrace is the time that processes have for a planned stop unless a test changes it.
+	usualGrace = 4 * time.Second
+	// exitMargin is how much longer than that a process may take to exit.
+	exitMargin = time.Second
+)
 
 // stop ends all processes and proxies.
 func (d *Deployment) stop() {
@@ -312,6 +318,26 @@
 	return a.StatusCode, b, err
 }
 
+// AwaitConfig sends a configuration until it is acknowledged, and waits until all entry hosts are ready.
+func (d *Deployment) AwaitConfig(document []byte) {
+	d.t.Helper()
+	Eventually(d.t, 15*time.Second, func() error {
+		c, _, err := d.Admin(d.Control[0], http.MethodPost, "/config/put", document)
+		if err == nil && c != http.StatusOK {
+			err = fmt.Errorf("status %d", c)
+		}
+		return err
+	})
+	for _, e := range d.Entry {
+		Eventually(d.t, 10*time.Second, func() error {
+			if !d.Ready(e) {
+				return fmt.Errorf("%s isn't ready", e.Name)
+			}
+			return nil
+		})
+	}
+}
+
 // CallerURL returns the base URL at which an entry host takes requests of callers.
 func (d *Deployment) CallerURL(p *Process) string {
 	return fmt.Sprintf("http://%s:%d", p.IP, callerPort)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -148,7 +148,7 @@
 	if r.WrongEndpoint || r.Refused && u.hasEnded() {
 		u.recordEnd()
 	}
-	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "cause": causeText(r), "banned": ejected.Milliseconds()}).Info("attempt: the endpoint did not run the request")
+	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "new-connection": r.Connected, "cause": causeText(r), "banned": ejected.Milliseconds()}).Info("attempt: the endpoint did not run the request")
 	if r.Status == 0 {
 		j.sends--
 		j.undelivered++
@@ -176,7 +176,7 @@
 	}
 	u.tallyFault(r.Status != 0, wait)
 	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
-	u.log().WithFields(logrus.Fields{"outcome": r.Verdict.String(), "status": r.Status, "cause": causeText(r), "banned": b.Milliseconds()}).Warn("attempt: the endpoint failed")
+	u.log().WithFields(logrus.Fields{"outcome": r.Verdict.String(), "status": r.Status, "new-connection": r.Connected, "cause": causeText(r), "banned": b.Milliseconds()}).Warn("attempt: the endpoint failed")
 }
 
 // recordTimeout records a fault of the endpoint if the deadline passed before it answered. If the caller has
