--- a/ctrl/leaving_test.go
+++ b/ctrl/leaving_test.go
@@ -35,7 +35,7 @@
 	messages, secondAfter atomic.Int64
 	// holdsLog is set if it never answers the first of these calls.
 	holdsLog    bool
-	firstLogged time.Time
+	firstLogged atomic.Int64 // Unix time in ns
 	conns       sync.WaitGroup
 	listener    net.Listener
 	server      *rpc.Server
@@ -61,12 +61,12 @@
 func (s slowService) Quorum(_ ctlrpc.Messages, reply *ctlrpc.Ack) error {
 	switch c := s.control; c.messages.Add(1) {
 	case 1:
-		c.firstLogged = time.Now()
+		c.firstLogged.Store(time.Now().UnixNano())
 		if c.holdsLog {
 			time.Sleep(slowOrder)
 		}
 	case 2:
-		c.secondAfter.Store(int64(time.Since(c.firstLogged)))
+		c.secondAfter.Store(time.Now().UnixNano() - c.firstLogged.Load())
 	}
 	reply.OK = true
 	return nil
--- a/ctrl/order.go
+++ b/ctrl/order.go
@@ -149,7 +149,7 @@
 	}
 	t.leaving[a.Order.Node] = t.Now
 	r := ctlrpc.OrderReply{Status: ctlrpc.Accepted}
-	if _, due := t.nextPeers(); due || t.Log.PeersPending() {
+	if _, ok := t.nextPeers(); ok || t.Log.PeersPending() {
 		r.Status = ctlrpc.Unavailable
 	}
 	t.emit(Respond{CallID: a.CallID, Reply: r})
