--- a/ctrl/full_test.go
+++ b/ctrl/full_test.go
@@ -26,11 +26,17 @@
 		c.put(c.leader(), version+4+k)
 		c.run(20 * time.Millisecond)
 	}
-	if b.failed {
+	is.New(c.t).Equal(len(s.Entries), len(b.stored.Entries)) // nothing was written meanwhile
+	c.reopen(a)
+	c.run(2 * time.Second)
+}
+
+// reopen tells a host the content of its disk, if a write has failed since it was last told.
+func (c *cluster) reopen(a string) {
+	if b := c.hosts[a]; b.failed {
 		b.failed = false
-		c.reduce(a, ctrl.DiskReopened{State: s, Generation: b.generation})
+		c.reduce(a, ctrl.DiskReopened{State: b.stored, Generation: b.generation})
 	}
-	c.run(2 * time.Second)
 }
 
 // Guards against changes that are refused for good, though all hosts run: the disks of the control hosts are full one after
--- a/ctrl/linearizability_test.go
+++ b/ctrl/linearizability_test.go
@@ -95,8 +95,8 @@
 	})
 }
 
-// Orders of several clients at several hosts are linearizable while hosts are killed, wiped, isolated, stalled or all
-// restarted at the same time.
+// Orders of several clients at several hosts are linearizable while hosts are killed, wiped, isolated, stalled, stopped as
+// planned or all restarted at the same time, while successors are added, and while disks are full.
 func TestOrdersAreLinearizable(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		messageQueue = nil
@@ -140,7 +140,7 @@
 // injectFault injects one random fault or ends one.
 func injectFault(r *rapid.T, c *cluster, n int) {
 	a := address(rapid.IntRange(0, n-1).Draw(r, "host"))
-	switch rapid.IntRange(0, 6).Draw(r, "what") {
+	switch rapid.IntRange(0, 9).Draw(r, "what") {
 	case 0:
 		c.kill(a)
 	case 1:
@@ -164,6 +164,19 @@
 		for b := range c.hosts {
 			c.start(b)
 		}
+	case 7:
+		if c.hosts[a].up {
+			c.stop(a)
+		}
+	case 8:
+		if s := address(n); c.hosts[s] == nil {
+			c.hosts[s] = &testHost{diskID: "successor"}
+			c.start(s)
+		}
+	case 9:
+		if c.hosts[a].full = !c.hosts[a].full; !c.hosts[a].full {
+			c.reopen(a)
+		}
 	case 6:
 		c.hosts[a].stalled = !c.hosts[a].stalled
 		if !c.hosts[a].stalled {
@@ -179,6 +192,8 @@
 		if !x.up {
 			c.start(b)
 		}
+		x.full = false
+		c.reopen(b)
 		if x.stalled {
 			x.stalled = false
 			c.flush(b)
