--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -222,9 +222,9 @@
 type Verb int
 
 // Verbs of orders. Put stores a configuration document and Read returns the one in force. StartRollout starts a
-// rollout and ReadRollout returns the one of a service. Join adds a control host to the replicated log as a learner. Leave says that a control host is about to stop; it is
-// accepted once no other control host can take its vote any more, as it has none or none has caught up. Retire records that an
-// endpoint is leaving or has departed.
+// rollout and ReadRollout returns the one of a service. Join adds a control host to the replicated log as a learner. Leave
+// says that a control host is about to stop; it is accepted once the host has no vote, or no other one can take it. Retire
+// records that an endpoint is leaving or has departed.
 const (
 	Put          Verb = iota // put
 	Read                     // read
