Remove voters that end together once the others tolerate more without them

Cause: with an odd number of voters of whom two end, nobody was removed for 6 s, and two live successors had been promoted beside them: five hosts of which two are replaced had seven voters, five of them sound, and two lost disks after that left three of seven. Found by widening TestLostDiskAfterReplacementKeepsTheMajority to as many replacements as losses are to be borne: 30 of 30 such cases red (five hosts, two replaced, planned or not), green with the change. Change: a voter that stops or was silent for 1.5 s is removed if that makes the others tolerate more: if the number of voters is even, or if two aren't sound and at least three are. Removals come before promotions. A single voter of an odd number still stays for 6 s.

--- a/ctrl/voters.go
+++ b/ctrl/voters.go
@@ -47,11 +47,11 @@
 	}
 }
 
-// nextPeers returns the peers after the next change of the voters, and false if none is due. A learner that has caught up is
-// promoted if there are too few sound voters: those that neither stop nor were silent for replaceTimeout. One that isn't sound
-// is removed if the number of voters is even, since the others tolerate more without it. Otherwise it stays for voterTimeout,
-// as it may be back before that, and is removed then if at least minVoters are sound. A sound voter is demoted if one is too
-// many.
+// nextPeers returns the peers after the next change of the voters, and false if none is due. A voter that isn't sound, because it
+// stops or was silent for replaceTimeout, is removed if the others tolerate more losses without it, or without it and another one:
+// if the number of voters is even, or at least minVoters are sound and two aren't. A learner that has caught up is promoted if
+// there are too few sound voters. A single voter that can't be replaced stays for voterTimeout, as it may be back before that,
+// and is removed then if at least minVoters are sound. A sound voter is demoted if one is too many.
 func (s State) nextPeers() (quorum.Peers, bool) {
 	p := s.Log.Peers
 	g := s.unsoundVoters()
@@ -59,10 +59,10 @@
 	l := len(p.Voters) - len(g)
 	w := voterCount(l + len(r))
 	switch {
-	case l < w && len(r) > 0:
-		return p.WithVoter(r[0]), true
-	case len(g) > 0 && len(p.Voters)%2 == 0:
+	case len(g) > 0 && len(p.Voters)%2 == 0, len(g) > 1 && l >= minVoters:
 		return p.Without(g[0]), true
+	case l < w:
+		return p.WithVoter(r[0]), true
 	case l >= minVoters && slices.ContainsFunc(g, s.isLost):
 		return p.Without(g[slices.IndexFunc(g, s.isLost)]), true
 	case len(g) == 0 && l > w:
--- a/ctrl/voters_test.go
+++ b/ctrl/voters_test.go
@@ -42,6 +42,9 @@
 			}
 		}
 	}
+	for a, b := range c.hosts {
+		c.t.Logf("%s: up %t, %s in term %d, commit %d, last %d, peers %v", a, b.up, b.state.Log.Role, b.state.Log.Hard.Term, b.state.Log.Commit, b.state.Log.LastIndex(), b.state.Log.Peers)
+	}
 	c.t.Fatal("no host reads the configuration")
 }
 
@@ -49,17 +52,18 @@
 // replaced, and as many others as may be lost at once lose their disks once the successor has had time to catch up.
 func TestLostDiskAfterReplacementKeepsTheMajority(t *testing.T) {
 	for _, n := range []int{3, 5} {
-		for _, planned := range []bool{true, false} {
-			for k := range n * (n - 1) {
-				x, y := k/(n-1), (k/(n-1)+1+k%(n-1))%n
-				t.Run(fmt.Sprintf("%d hosts, planned %t, host %d replaced, from host %d on wiped", n, planned, x, y), func(t *testing.T) {
+		for replaced := 1; replaced <= n/2; replaced++ {
+			for k := range 2 * n * (n - replaced) {
+				planned, first, next := k%2 == 0, k/2/(n-replaced), k/2%(n-replaced)
+				t.Run(fmt.Sprintf("%d hosts, planned %t, %d replaced from host %d on, then lost disks from the one %d after them", n, planned, replaced, first, next), func(t *testing.T) {
 					i := is.New(t)
 					messageQueue = nil
 					c := newCluster(t, n)
 					c.run(5 * time.Second)
-					c.replace(address(x), address(n), planned)
+					c.replace(addresses(n, first, replaced), n, planned)
 					i.Equal(c.put(address(n), 2).Status, ctlrpc.Accepted)
-					l := c.others(x, y, n, n/2)
+					l := addresses(n, first+replaced, n-replaced)
+					l = append(l[next:], l[:next]...)[:n/2]
 					for _, a := range l {
 						c.kill(a)
 					}
@@ -75,28 +79,33 @@
 	}
 }
 
-// replace adds a successor of a host and stops the host, as planned once the successor has caught up, or before it starts.
-func (c *cluster) replace(a, successor string, planned bool) {
+// replace adds a successor for each of some hosts, from number next on, and stops the hosts: as planned once the successors
+// have caught up, or before they start.
+func (c *cluster) replace(hosts []string, next int, planned bool) {
 	if !planned {
-		c.kill(a)
+		for _, a := range hosts {
+			c.kill(a)
+		}
 		c.run(time.Second)
 	}
-	c.hosts[successor] = &testHost{diskID: "successor"}
-	c.start(successor)
+	for k := range hosts {
+		c.hosts[address(next+k)] = &testHost{diskID: "successor"}
+		c.start(address(next + k))
+	}
 	c.run(catchUpTime + 300*time.Millisecond)
 	if planned {
-		c.stop(a)
+		for _, a := range hosts {
+			c.stop(a)
+		}
 		c.run(coreTouch)
 	}
 }
 
-// others returns count of the first n hosts from host first on, without host x.
-func (c *cluster) others(x, first, n, count int) []string {
+// addresses returns the addresses of count of n hosts, from the given one on and then from the first.
+func addresses(n, first, count int) []string {
 	var r []string
-	for k := 0; len(r) < count; k++ {
-		if h := (first + k) % n; h != x {
-			r = append(r, address(h))
-		}
+	for k := range count {
+		r = append(r, address((first+k)%n))
 	}
 	return r
 }
