Keep a granted lease when a disk is opened again

Cause: after a failed write the state of a follower is made anew from the disk, without the leader that it follows. It then voted for another node at once, while the old leader still had a lease that rested on its answer, and might answer reads with an older configuration for up to 0.6 s. Found while reading the path of full disks. A process that starts again within 0.6 s forgets the lease too: left, suspected only. Test: TestReopenedFollowerKeepsTheLease, red before, green after.

--- a/quorum/state.go
+++ b/quorum/state.go
@@ -288,7 +288,12 @@
 }
 
 // Reopened returns the state of a node whose disk was opened again at time now. As after a restart, everything that
-// isn't on disk is lost, but the election timeout has its normal length.
+// isn't on disk is lost, but the election timeout has its normal length, and the lease holds that this node has granted to a
+// leader: it votes for no other one until then.
 func (s State) Reopened(hard HardState, snapshot Snapshot, entries []Entry, now time.Duration) State {
-	return New(s.ID, s.timing, hard, snapshot, entries, s.seed).withDeadline(now)
+	n := New(s.ID, s.timing, hard, snapshot, entries, s.seed).withDeadline(now)
+	if s.Role != Leader && hard.Term == s.Hard.Term {
+		n.Leader, n.lastContact = s.Leader, s.lastContact
+	}
+	return n
 }
--- a/quorum/votes_test.go
+++ b/quorum/votes_test.go
@@ -89,6 +89,27 @@
 	i.True(n.nodes[o].state.Ready(n.now))
 }
 
+// Guards against two leaders of which both have a lease: a follower whose disk was full forgets that it has granted one, and
+// votes for another node at once.
+func TestReopenedFollowerKeepsTheLease(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork(3)
+	n.runWithoutFaults(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	var o []quorum.NodeID
+	for _, d := range n.ids {
+		if d != l {
+			o = append(o, d)
+		}
+	}
+	d := n.nodes[o[0]]
+	s := d.state.Reopened(d.hard, d.snapshot, d.entries, n.now)
+	_, r := quorum.Step(s, n.now, quorum.Receive{Message: quorum.Message{Kind: quorum.Vote, From: o[1], To: o[0], Term: s.Hard.Term + 1, Index: s.LastIndex(), LogTerm: s.Hard.Term}})
+	i.True(n.nodes[l].state.HasLease(n.now))
+	i.Equal(len(r.Messages), 1)
+	i.True(r.Messages[0].Reject)
+}
+
 // maxNodes bounds the nodes of a network whose membership changes.
 const maxNodes = 7
 
