Don't take an overtaken rejection for forgotten entries

Calls of the control log may overtake each other, so that a rejection of an Append which was sent only a moment after the accepted one needn't mean that entries are lost. It has to be of a message sent a heartbeat later. TestFollowersThatForgotEntriesGetThemAgain and TestSafety green.

--- a/quorum/step.go
+++ b/quorum/step.go
@@ -334,7 +334,7 @@
 		return
 	}
 	o := t.progressOf(m.From)
-	f := m.Reject && m.Index < o.match && m.Stamp > o.matchedAt
+	f := m.Reject && m.Index < o.match && m.Stamp >= o.matchedAt+t.timing.Heartbeat // earlier ones may have been overtaken
 	if f {
 		t.out.Forgotten = append(t.out.Forgotten, Forgotten{Node: m.From, Acknowledged: o.match, Held: m.Index})
 	}
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -171,8 +171,8 @@
 	Proposed Entry
 }
 
-// Forgotten says that a node holds the log only up to the index Held, though it has acknowledged it up to Acknowledged: it was
-// opened with less, or its answers came in another order.
+// Forgotten says that a node holds the log only up to the index Held, though it has acknowledged it up to Acknowledged and was
+// asked again later: its disk has lost entries.
 type Forgotten struct {
 	Node               NodeID
 	Acknowledged, Held uint64
