Let a control host that stops wait for half of its grace period until its vote is taken

Cause: a stop waited 1.5 s at most. While there is none, the vote of the host that stops is needed to elect one. Change: the wait is half of the grace period. No test shows the difference; the tests of planned stops are green.

--- a/ctrl/leave.go
+++ b/ctrl/leave.go
@@ -12,18 +12,20 @@
 const (
 	// leaveInterval is the pause between two leave orders of a host that stops.
 	leaveInterval = 50 * time.Millisecond
-	// leaveWait bounds the time for which a host that stops waits until another one has its vote.
-	leaveWait = 1500 * time.Millisecond
+	// leaveShare is the fraction of the grace period for which a host that stops waits until another one has its vote. While
+	// there is no leader its vote may be needed to elect one.
+	leaveShare = 0.5
 )
 
 // Leave hands this host's vote over before a planned stop: it tells the leader and returns once another control host has
-// the vote or none can take it, at most after leaveWait. The host goes on to serve meanwhile, and after it until Stop. It may
+// the vote or none can take it, at most after leaveShare of the grace period. The host goes on to serve meanwhile, and after it until Stop. It may
 // start again later and then joins as another learner.
 func (h *Host) Leave() {
 	h.leaving.Store(true)
 	n := h.state.Load().Node
 	b := time.Now()
-	for ok := false; !ok && time.Since(b) < leaveWait; {
+	w := time.Duration(leaveShare * float64(h.settings.Bounds.Grace.Std()))
+	for ok := false; !ok && time.Since(b) < w; {
 		if ok = h.state.Load().hasLeft() || h.Do(ctlrpc.Order{Verb: ctlrpc.Leave, Node: n}).Status == ctlrpc.Accepted; !ok {
 			time.Sleep(leaveInterval)
 		}
