--- a/ctrl/leave.go
+++ b/ctrl/leave.go
@@ -18,8 +18,8 @@
 )
 
 // Leave hands this host's vote over before a planned stop: it tells the leader and returns once another control host has
-// the vote or none can take it, at most after leaveShare of the grace period. The host goes on to serve meanwhile, and after it until Stop. It may
-// start again later and then joins as another learner.
+// the vote or none can take it, at most after leaveShare of the grace period. The host goes on to serve until Stop. It may start
+// again later and then joins as another learner.
 func (h *Host) Leave() {
 	h.leaving.Store(true)
 	n := h.state.Load().Node
