Log who ends a begun answer, and for how long its endpoint was silent

Cause: after a cut nothing told whether this host, the endpoint or the caller ended the answer: a cancelled read says only 'i/o timeout', and 'the caller left' is below the warning level, so that the rate limit can leave it out. Change: a warning when an attempt is given up for silence (silent, answering, runs), a warning with the last event and its age when a caller leaves a begun answer, and 'late' where an answer ends at its deadline. No logic is changed.

--- a/relay/job.go
+++ b/relay/job.go
@@ -255,11 +255,11 @@
 // endpoint, or refuses the request.
 func (j *job) giveUp(v nextStep) {
 	if j.callerContext.Err() != nil {
-		j.countUnserved("caller-left").Info("request: the caller left")
+		j.logCallerLeft()
 		return
 	}
 	if j.answerBegun {
-		j.countUnserved("broken-off").WithField("last-event", j.lastEventID).Warn("request: the answer ends early")
+		j.countUnserved("broken-off").WithFields(logrus.Fields{"last-event": j.lastEventID, "late": time.Until(j.deadline) <= 0}).Warn("request: the answer ends early")
 		j.sink.Abort()
 		return
 	}
@@ -285,6 +285,20 @@
 	}
 }
 
+// logCallerLeft logs and counts a request whose caller disconnected. If the answer had begun, the line is a warning: it tells an
+// answer that the caller gave up from one that this host cut.
+func (j *job) logCallerLeft() {
+	l := logrus.InfoLevel
+	if j.answerBegun {
+		l = logrus.WarnLevel
+	}
+	e := j.countUnserved("caller-left").WithField("last-event", j.lastEventID)
+	if !j.lastEventAt.IsZero() {
+		e = e.WithField("event-age", time.Since(j.lastEventAt).Milliseconds())
+	}
+	e.Log(l, "request: the caller left")
+}
+
 // retryAfter estimates when an endpoint of an overloaded service has room again: 0.5 to 1.5 times the hold time, or the
 // time until its limits let another request through, spread by the hash of the request ID. If endpoints rest, it isn't
 // before the end of the first rest.
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // busyTimeoutFactor multiplies the timeout of the watchdog when it is extended for a busy endpoint.
@@ -23,12 +25,18 @@
 	lock       sync.Mutex
 	timer      *time.Timer
 	extended   bool
-	stopped    bool
+	// answering and runs are the job's when the watchdog was started, for the log.
+	answering bool
+	runs      int
+	stopped   bool
 }
 
 // startWatchdog starts a watchdog that cancels the attempt after timeout.
 func (u *upstreamAttempt) startWatchdog(timeout, busyWindow time.Duration) *watchdog {
-	w := &watchdog{attempt: u, timeout: timeout, limit: timeout, busyWindow: busyWindow, heardAt: time.Now()}
+	w := &watchdog{
+		attempt: u, timeout: timeout, limit: timeout, busyWindow: busyWindow, heardAt: time.Now(),
+		answering: u.job.answering, runs: u.job.runs,
+	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.timer = time.AfterFunc(min(timeout, u.linkGrace()), w.expire)
@@ -51,6 +59,7 @@
 		w.limit = q + busyTimeoutFactor*w.timeout
 		w.timer.Reset(linkCheckInterval)
 	default:
+		w.attempt.log().WithFields(logrus.Fields{"silent": q.Milliseconds(), "answering": w.answering, "runs": w.runs}).Warn("attempt: given up, the endpoint is silent")
 		w.attempt.cancel()
 	}
 }
