Make another attempt beside a silent one, and give up the first only once the other goes on

Cause: when the endpoint of a running attempt was silent for a time, the host cancelled the attempt first, and only then looked at the retry budget, the bound on sends, the suspicion of the request, an endpoint with room, its answer and the ID to go on from. Where one of these was missing, a sound answer was cut. A change that moves traffic makes that likelier: fewer endpoints with room, an empty budget. Class: something that works is given up before its replacement is known to work.

Change: package watchdog's place is taken by 'silence', which only measures, and by the successor: an attempt beside the silent one that is made if all limits allow it and an endpoint takes it. Its first event that may follow (its head, while nothing was passed on) cancels the silent attempt; an event of the silent one cancels the successor; a successor that refuses, fails, ends or goes on with something else is recorded and leaves the first attempt open. Two endpoints run a stream for 0.25 s at most once the second has begun. Attempts read in a goroutine of their own; the job's goroutine alone changes the job. The same holds for a link that is cut. Answers without events, and refusals, are read as before.

Ruled out: asking all limits before the cancel (refusals, closed ports and failures of the others show only when they are asked).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -19,13 +19,19 @@
 	choice pick.Choice
 	// way is the way by which the attempt goes to the endpoint.
 	way pick.Way
-	// linkLost is set once the attempt was cancelled because this host has lost its link to the endpoint.
-	linkLost atomic.Bool
+	// helper is the host through which the attempt goes, if it isn't sent directly.
+	helper assist.Choice
+	// order is what is sent.
+	order Attempt
+	// linkLost is set if this host has lost its link to the endpoint since the last event.
+	linkLost bool
 	// work is the work that Choose counted as queued at the endpoint until the answer begins.
 	work time.Duration
 	sent time.Time
 	// began is set once AnswerStarted was called, because the answer has begun or will not come.
 	began bool
+	// answering is set once the endpoint has begun a usable answer.
+	answering bool
 	// wait is the time from sending the request to the head of the answer.
 	wait time.Duration
 	// continues is set if the caller had begun to receive the answer before this attempt.
@@ -42,6 +48,15 @@
 	context context.Context
 	// cancel cancels the call of Sender.Send and the reading of its reply, which stops the run at the endpoint.
 	cancel context.CancelFunc
+	// signals carries what run receives to the goroutine of the job, until closed is closed. ended is closed at the end of run.
+	signals       chan signal
+	closed, ended chan struct{}
+	// replied is set once the outcome was taken from signals.
+	replied bool
+	// received holds the signals that were taken while the attempt was a successor.
+	received []signal
+	// patience fires when a successor has to be dropped, or the attempt beside it. It is nil for other attempts.
+	patience *time.Timer
 }
 
 // begin removes the attempt's work from the queued work of the endpoint. Further calls do nothing.
@@ -52,24 +67,38 @@
 	}
 }
 
-// end removes the attempt from the requests in flight at the endpoint.
+// end removes the attempt from the requests in flight at the endpoint and at the host that it goes through.
 func (u *upstreamAttempt) end() {
 	u.begin()
 	u.job.relay.Endpoints.RequestEnded(u.choice.ID)
+	if u.way == pick.Relayed {
+		u.job.relay.Helpers.End(u.helper.Host)
+	}
+}
+
+// uncounted returns the number of runs of the attempt that the job doesn't count yet.
+func (u *upstreamAttempt) uncounted() int {
+	if u.answering {
+		return 0
+	}
+	return 1
 }
 
 // log returns a log entry with the fields of the request and of the attempt. backlog, estimate and took are in ms.
 func (u *upstreamAttempt) log() *logrus.Entry {
 	return u.job.log().WithFields(logrus.Fields{
 		"endpoint": u.choice.ID, "address": u.choice.Address, "version": u.choice.Version, "model": u.job.model(), "send": u.job.sends,
-		"load": u.choice.Load.Requests, "backlog": u.choice.Load.Backlog, "estimate": u.choice.Wait.Milliseconds(), "candidates": u.choice.Candidates, "relayed-by": u.helper(),
+		"load": u.choice.Load.Requests, "backlog": u.choice.Load.Backlog, "estimate": u.choice.Wait.Milliseconds(), "candidates": u.choice.Candidates, "relayed-by": u.helper.Host,
 		"took": time.Since(u.sent).Milliseconds(),
 	})
 }
 
-// handleReply records the outcome of the attempt, passes a usable answer on, and returns how the request continues.
-func (u *upstreamAttempt) handleReply(r Reply) nextStep {
-	j := u.job
+// handleOutcome records the outcome of the attempt, passes a usable answer on, and returns how the request continues.
+func (u *upstreamAttempt) handleOutcome(o *outcome) nextStep {
+	if o.hop.Result != Delivered {
+		return u.handleHop(o.reply, o.hop)
+	}
+	j, r := u.job, o.reply
 	u.begin()
 	b := u.recordOpening(r)
 	if r.Body != nil {
@@ -105,10 +134,11 @@
 		u.recordFault(r, wait)
 		return rerun
 	}
+	j.dropSuccessor("the endpoint answers")
 	j.runs++
-	j.mayHaveRun, j.answering = true, true
+	j.mayHaveRun, u.answering = true, true
 	u.recordStart(wait)
-	if j.route.Kind == table.Stream && isStream(r) {
+	if u.isEvents(r) {
 		return u.relayStream(r)
 	}
 	return u.relayPlain(r)
@@ -169,7 +199,7 @@
 // recordFault records that the endpoint failed: it answered with a failure or its outcome is unknown.
 func (u *upstreamAttempt) recordFault(r Reply, wait time.Duration) {
 	j := u.job
-	u.exclude(u.linkLost.Load())
+	u.exclude(u.linkLost)
 	if r.Verdict == Unknown {
 		j.mayHaveRun = true
 		j.runs++
--- a/relay/break.go
+++ b/relay/break.go
@@ -31,9 +31,9 @@
 	}
 	u.job.addDigest()
 	l := u.probe()
-	v := u.run()
+	v := u.poisonRun()
 	u.log().WithError(cause).WithFields(logrus.Fields{
-		"born": v.Boot.Born, "liveness": l.String(), "answering": u.job.answering, "suspect-for": v.Age.Milliseconds(), "keys": u.job.keys,
+		"born": v.Boot.Born, "liveness": l.String(), "answering": u.answering, "suspect-for": v.Age.Milliseconds(), "keys": u.job.keys,
 	}).Warn("attempt: broken off in flight")
 	if !u.job.relay.Endpoints.IsReady(u.choice.ID) {
 		return
@@ -54,11 +54,11 @@
 	return u.job.relay.probe(c, u.choice.Report)
 }
 
-// run returns what the suspicion of a request is based on: what was in flight where, and for how long.
-func (u *upstreamAttempt) run() poison.Run {
+// poisonRun returns what the suspicion of a request is based on: what was in flight where, and for how long.
+func (u *upstreamAttempt) poisonRun() poison.Run {
 	j := u.job
 	b := u.sent
-	if j.answering {
+	if u.answering {
 		b = b.Add(u.wait)
 	}
 	return poison.Run{
@@ -87,7 +87,7 @@
 	j := u.job
 	switch {
 	case u.openEnded:
-		j.relay.Poison.Broke(u.run(), j.relay.sinceStart())
+		j.relay.Poison.Broke(u.poisonRun(), j.relay.sinceStart())
 	case status < http.StatusMultipleChoices:
 		j.relay.logLifted(j.relay.Poison.Served(j.service.Name, j.keys, j.relay.sinceStart()))
 	}
--- a/relay/detour.go
+++ b/relay/detour.go
@@ -29,23 +29,36 @@
 // findWay decides by which way the next attempt goes: directly, or through another host if this one reaches no endpoint of
 // the service. It waits a moment while probes are to decide, or helpers are looked for. It reports false if there is no way.
 func (j *job) findWay(ctx context.Context, q *pick.Request) bool {
-	q.LinkDraw = j.fraction
 	for b := time.Now(); ctx.Err() == nil; time.Sleep(wayPoll) {
-		n := time.Now()
-		c := j.relay.Endpoints.CutOff(*q, n)
-		switch {
-		case c.Cut:
-			if w := j.wayOfCutOff(q, c, n); w != undecidedWay {
-				return w == foundWay
-			}
-		case !c.Undecided || n.Sub(b) > verdictWait:
-			j.considerHelper(q, c, n)
-			return true
+		if w := j.tryWay(q, time.Since(b)); w != undecidedWay {
+			return w == foundWay
 		}
 	}
 	return false
 }
 
+// tryWay is like findWay, but doesn't wait. waited is how long the attempt has waited for a way.
+func (j *job) tryWay(q *pick.Request, waited time.Duration) wayResult {
+	q.LinkDraw = j.fraction
+	n := time.Now()
+	c := j.relay.Endpoints.CutOff(*q, n)
+	switch {
+	case c.Cut:
+		return j.wayOfCutOff(q, c, n)
+	case c.Undecided && waited <= verdictWait:
+		return undecidedWay
+	}
+	j.considerHelper(q, c, n)
+	return foundWay
+}
+
+// releaseWay gives up the way of an attempt that isn't made.
+func (j *job) releaseWay(q pick.Request) {
+	if q.Way == pick.Relayed {
+		j.relay.Helpers.End(j.helper.Host)
+	}
+}
+
 // wayResult is the result of looking for a way.
 type wayResult int
 
@@ -130,21 +143,13 @@
 // SeekWake returns the channel that is signalled when this host begins to look for others.
 func (r *Relay) SeekWake() <-chan struct{} { return r.seekWake }
 
-// helper returns the name of the host that the attempt goes through, or an empty text.
-func (u *upstreamAttempt) helper() string {
-	if u.way == pick.Direct {
-		return ""
-	}
-	return u.job.helper.Host
-}
-
 // send sends the attempt by its way.
-func (u *upstreamAttempt) send(a Attempt) (Reply, Hop) {
-	j := u.job
+func (u *upstreamAttempt) send() (Reply, Hop) {
+	r := u.job.relay
 	if u.way == pick.Direct {
-		return j.relay.Sender.Send(u.context, a), Hop{}
+		return r.Sender.Send(u.context, u.order), Hop{}
 	}
-	return j.relay.Detour.Send(u.context, j.helper.Helper, a)
+	return r.Detour.Send(u.context, u.helper.Helper, u.order)
 }
 
 // handleHop records that another host didn't send the attempt, or that it is unknown whether it did.
@@ -154,13 +159,13 @@
 	if j.refusedBy == nil {
 		j.refusedBy = map[string]bool{}
 	}
-	j.refusedBy[j.helper.Host] = true
+	j.refusedBy[u.helper.Host] = true
 	j.hops++
 	j.hopWait = max(j.hopWait, h.RetryAfter)
 	if h.Result == Declined {
-		j.relay.Helpers.Decline(j.helper.Host, h.RetryAfter, n)
+		j.relay.Helpers.Decline(u.helper.Host, h.RetryAfter, n)
 	} else if u.context.Err() == nil {
-		j.relay.Helpers.Fail(j.helper.Host, n)
+		j.relay.Helpers.Fail(u.helper.Host, n)
 	}
 	u.log().WithError(r.Cause).WithFields(logrus.Fields{"hop": h.Result.String(), "reason": h.Reason, "outcome": r.Verdict.String()}).Info("attempt: another host didn't send the request")
 	if r.Verdict == NotRun {
--- a/relay/estimate.go
+++ b/relay/estimate.go
@@ -27,11 +27,11 @@
 	defaultHoldTime = 40 * time.Millisecond
 )
 
-// startTimeout returns how long an attempt may take to begin its answer before it is cancelled and the request is
-// sent to another endpoint. If the request may not run again, this is all of the time left.
-func (j *job) startTimeout(estimate time.Duration) time.Duration {
+// startTimeout returns how long an attempt may take to begin its answer before another endpoint is asked. uncounted is the
+// number of attempts beside it that runs doesn't count yet. If the request may not run again, this is all of the time left.
+func (j *job) startTimeout(estimate time.Duration, uncounted int) time.Duration {
 	l := time.Until(j.deadline)
-	if !j.route.Idempotent() || j.runs+1 >= max(1, j.route.Attempts) {
+	if !j.route.Idempotent() || j.runs+uncounted+1 >= max(1, j.route.Attempts) {
 		return l
 	}
 	if j.route.Kind == table.Stream {
--- a/relay/job.go
+++ b/relay/job.go
@@ -72,13 +72,15 @@
 	retryRounds int
 	// undelivered counts the attempts that did not reach an endpoint.
 	undelivered int
-	// choice is the endpoint that was chosen last, and sent is when the request was last sent.
+	// context ends at the deadline of the request and when the caller disconnects.
+	context context.Context
+	// choice is the endpoint that was chosen last.
 	choice pick.Choice
-	sent   time.Time
-	// answering is set once the endpoint of the latest attempt has begun a usable answer.
-	answering bool
-	// helper is the host through which the latest attempt went, if that wasn't sent directly. refusedBy holds the hosts that
-	// declined this request or didn't respond, and hops counts the attempts that ended so.
+	// current is the attempt whose answer is awaited or passed on, or the last one, or nil. successor is the attempt that is
+	// made beside it while it is silent, or nil.
+	current, successor *upstreamAttempt
+	// helper is the host that was last chosen to send the request through. refusedBy holds the hosts that declined this
+	// request or didn't respond, and hops counts the attempts that ended so.
 	helper    assist.Choice
 	refusedBy map[string]bool
 	hops      int
@@ -136,10 +138,11 @@
 func (j *job) countUnserved(outcome string) *logrus.Entry {
 	j.count(outcome)
 	e := j.log().WithFields(logrus.Fields{"outcome": outcome, "sends": j.sends, "runs": j.runs, "spent": j.noRetryReason})
-	if j.sent.IsZero() {
+	u := j.current
+	if u == nil {
 		return e
 	}
-	return e.WithFields(logrus.Fields{"endpoint": j.choice.ID, "waited": time.Since(j.sent).Milliseconds(), "answering": j.answering})
+	return e.WithFields(logrus.Fields{"endpoint": u.choice.ID, "waited": time.Since(u.sent).Milliseconds(), "answering": u.answering})
 }
 
 // refuse logs and counts a refusal and ends the request with it.
@@ -155,6 +158,7 @@
 // run sends the request until it has an answer or may not be sent again. ctx ends at the deadline of the request and
 // when the caller disconnects.
 func (j *job) run(ctx context.Context) {
+	j.context = ctx
 	if j.relay.outlivesStop(j.route) {
 		j.refuse(Stopping, stoppingRetryAfter)
 		return
@@ -166,11 +170,15 @@
 	}
 	j.setKeys()
 	for {
-		v := j.attempt(ctx)
-		if v == done {
-			return
+		v := j.attempt()
+		if v == done || v == ended {
+			j.dropSuccessor("the request has ended")
 		}
-		if !j.mayRetry(v) {
+		switch {
+		case v == done:
+			return
+		case j.successor != nil: // it was allowed when it was sent
+		case !j.mayRetry(v):
 			j.giveUp(v)
 			return
 		}
@@ -223,34 +231,54 @@
 	case declined:
 		return j.hops < maxHops && time.Until(j.deadline) >= answerMargin
 	case rerun:
-		if !j.route.Idempotent() || j.runs >= max(1, j.route.Attempts) {
-			j.noRetryReason = "attempts"
-			return false
-		}
-		if !j.resumable() {
-			j.noRetryReason = "event without id"
-			return false
-		}
-		if j.relay.Poison.Suspect(j.keys) {
-			j.noRetryReason = "suspect"
+		if j.noRetryReason = j.rerunLimit(0); j.noRetryReason != "" {
 			return false
 		}
 	}
-	if j.sends >= maxSends || j.undelivered >= maxUndelivered || time.Until(j.deadline) < answerMargin {
-		j.noRetryReason = "sends or time"
+	if j.noRetryReason = j.sendLimit(); j.noRetryReason != "" {
 		return false
 	}
 	if v == undelivered {
 		return true
 	}
-	if !j.relay.Budget.Withdraw(j.service.Name, j.relay.sinceStart()) {
+	if !j.withdrawRetry() {
 		j.noRetryReason = "budget"
-		j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="fault"}`).Inc()
 		return false
 	}
 	return true
 }
 
+// rerunLimit returns which limit keeps a request that has run or may have run from running again, or an empty text. uncounted
+// is the number of attempts in flight that runs doesn't count yet.
+func (j *job) rerunLimit(uncounted int) string {
+	switch {
+	case !j.route.Idempotent() || j.runs+uncounted >= max(1, j.route.Attempts):
+		return "attempts"
+	case !j.resumable():
+		return "event without id"
+	case j.relay.Poison.Suspect(j.keys):
+		return "suspect"
+	}
+	return ""
+}
+
+// sendLimit returns which limit keeps the request from being sent again, or an empty text.
+func (j *job) sendLimit() string {
+	if j.sends >= maxSends || j.undelivered >= maxUndelivered || time.Until(j.deadline) < answerMargin {
+		return "sends or time"
+	}
+	return ""
+}
+
+// withdrawRetry takes a retry from the retry budget of the service. It reports false if there is none.
+func (j *job) withdrawRetry() bool {
+	if j.relay.Budget.Withdraw(j.service.Name, j.relay.sinceStart()) {
+		return true
+	}
+	j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="fault"}`).Inc()
+	return false
+}
+
 // giveUp ends a request that is not sent again: it aborts an answer that has begun, passes on the failure of an
 // endpoint, or refuses the request.
 func (j *job) giveUp(v nextStep) {
@@ -310,64 +338,83 @@
 	return h/2 + time.Duration(j.fraction*float64(h))
 }
 
-// attempt chooses an endpoint, sends the request to it and handles its answer. If no endpoint is left for a request
-// that has run or may have run, attempt waits for the next retry round first.
-func (j *job) attempt(ctx context.Context) nextStep {
+// attempt sends the request to an endpoint, or takes the successor of the attempt before, and handles its answer.
+func (j *job) attempt() nextStep {
+	u := j.successor
+	j.successor = nil
+	if u == nil {
+		var v nextStep
+		if u, v = j.nextAttempt(); u == nil {
+			return v
+		}
+		u.start()
+	}
+	defer u.close()
+	j.current = u
+	w := u.newSilence(j.startTimeout(u.choice.Wait, 0), j.busyWindow())
+	g := u.next(w)
+	w.stop()
+	return u.handleOutcome(g.outcome)
+}
+
+// nextAttempt chooses a way and an endpoint for the next attempt. If no endpoint is left for a request that has run or may have
+// run, it waits for the next retry round first. If there is no attempt, it returns why.
+func (j *job) nextAttempt() (*upstreamAttempt, nextStep) {
 	if j.isHeldBack() {
-		return quarantined
+		return nil, quarantined
 	}
 	n := j.endpointRequest()
-	if !j.findWay(ctx, &n) {
-		return cutOff
-	}
-	if n.Way == pick.Relayed {
-		defer j.relay.Helpers.End(j.helper.Host)
+	if !j.findWay(j.context, &n) {
+		return nil, cutOff
 	}
 	c, ok := j.relay.Endpoints.Choose(n, time.Now())
-	for ; !ok && j.runs > 0 && len(n.Tried) > 0 && j.awaitRetryRound(ctx); j.retryRounds++ {
+	for ; !ok && j.runs > 0 && len(n.Tried) > 0 && j.awaitRetryRound(j.context); j.retryRounds++ {
 		j.tried, j.unreached = map[string]bool{}, map[string]bool{}
 		n.Tried = j.tried
 		c, ok = j.relay.Endpoints.Choose(n, time.Now())
 	}
 	if !ok {
+		j.releaseWay(n)
 		var l bool
 		if j.asksWait, l = j.relay.Endpoints.AsksWait(n, time.Now()); l {
-			return overloaded
+			return nil, overloaded
 		}
-		return noEndpoint
+		return nil, noEndpoint
 	}
-	u := &upstreamAttempt{job: j, choice: c, way: n.Way, work: n.Work, sent: time.Now()}
-	defer u.end()
+	u := &upstreamAttempt{job: j, choice: c, way: n.Way, helper: j.helperOf(n), work: n.Work, sent: time.Now()}
 	j.choice = c
 	if time.Until(j.deadline) < c.Wait && !j.answerBegun {
-		return overloaded
+		u.end()
+		return nil, overloaded
 	}
+	j.prepare(u)
+	return u, done
+}
+
+// helperOf returns the host that a request goes through by its way.
+func (j *job) helperOf(q pick.Request) assist.Choice {
+	if q.Way == pick.Direct {
+		return assist.Choice{}
+	}
+	return j.helper
+}
+
+// prepare sets what an attempt sends, and counts it.
+func (j *job) prepare(u *upstreamAttempt) {
 	j.sends++
-	j.sent, j.answering = u.sent, false
-	a := Attempt{
-		Request: j.request, Endpoint: c.Report, Account: j.account, Remaining: time.Until(j.deadline),
-		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, MaxConnections: j.maxConnections(), Repeated: j.sentTo[c.ID],
+	u.order = Attempt{
+		Request: j.request, Endpoint: u.choice.Report, Account: j.account, Remaining: time.Until(j.deadline),
+		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, MaxConnections: j.maxConnections(), Repeated: j.sentTo[u.choice.ID],
 	}
-	j.sentTo[c.ID] = true
+	j.sentTo[u.choice.ID] = true
 	if len(j.route.Tiers) > 0 {
-		a.Model = j.route.Tiers[j.tier]
+		u.order.Model = j.route.Tiers[j.tier]
 	}
 	if j.lastEventID != "" {
-		a.ResumeAfter = j.lastEventID
-	}
-	x, f := context.WithCancel(ctx)
-	defer f()
-	u.context, u.cancel = x, f
-	w := u.startWatchdog(j.startTimeout(c.Wait), j.busyWindow())
-	r, h := u.send(a)
-	w.stop()
-	if r.Body != nil {
-		defer r.Body.Close() //nolint:errcheck // closing ends the attempt; the answer was handled before
-	}
-	if h.Result != Delivered {
-		return u.handleHop(r, h)
+		u.order.ResumeAfter = j.lastEventID
 	}
-	return u.handleReply(r)
+	u.context, u.cancel = context.WithCancel(j.context)
+	u.signals, u.closed, u.ended = make(chan signal), make(chan struct{}), make(chan struct{})
 }
 
 // awaitRetryRound waits before the endpoints that failed are tried again. It reports false if all rounds are used up,
--- a/relay/links.go
+++ b/relay/links.go
@@ -150,9 +150,9 @@
 // linkGrace returns how long the attempt may be without an answer before the link is doubted.
 func (u *upstreamAttempt) linkGrace() time.Duration { return u.choice.Wait + startLinkGrace }
 
-// checkLink looks after the link of an attempt that has been silent for a time. It returns true if the link is cut and the
-// request may go another way.
-func (u *upstreamAttempt) checkLink(silent time.Duration) bool {
+// checkLink looks after the link of an attempt that is silent. It returns true if the link is cut and the request may go
+// another way.
+func (u *upstreamAttempt) checkLink() bool {
 	j := u.job
 	if u.way != pick.Direct {
 		return false
@@ -162,17 +162,16 @@
 		wake(j.relay.linkWake)
 		return false
 	}
-	if !j.route.Idempotent() || j.runs+1 >= max(1, j.route.Attempts) && !j.answering || j.runs >= max(1, j.route.Attempts) {
+	if j.rerunLimit(u.uncounted()) != "" {
 		return false
 	}
-	u.linkLost.Store(true)
-	u.log().WithField("silent", silent.Milliseconds()).Info("attempt: given up, the link to the endpoint is cut")
+	u.linkLost = true
 	return true
 }
 
 // linkDoubted reports whether what happened to the attempt may be due to this host's own link.
 func (u *upstreamAttempt) linkDoubted() bool {
-	return u.way == pick.Direct && (u.linkLost.Load() || u.job.relay.Endpoints.Link(u.choice.ID) != reach.Sound)
+	return u.way == pick.Direct && (u.linkLost || u.job.relay.Endpoints.Link(u.choice.ID) != reach.Sound)
 }
 
 // hasEnded reports whether an endpoint whose host refuses connections has ended, which matters only if runs broke off there.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -38,8 +38,8 @@
 
 // readSideBody reads the body of an answer that isn't the one that the caller waits for, for sideBodyTimeout at most.
 func (u *upstreamAttempt) readSideBody(r Reply) (*bufferedReply, error) {
-	w := u.startWatchdog(sideBodyTimeout, 0)
-	defer w.stop()
+	t := time.AfterFunc(sideBodyTimeout, u.cancel)
+	defer t.Stop()
 	b, err := readReply(r)
 	if err == nil && len(b.body) > maxBufferedBytes {
 		return nil, errTooLong
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -195,7 +195,10 @@
 			second = ctx
 			r := ran("")
 			r.Body = body{Reader: io.MultiReader(&pausingBody{ctx: ctx, first: strings.NewReader(": wait\n\n"), last: strings.NewReader(events(3, 4))})}
-			time.Sleep(endpointPause - 1600*time.Millisecond)
+			select {
+			case <-time.After(endpointPause - 1600*time.Millisecond):
+			case <-ctx.Done():
+			}
 			return r
 		}
 		s := h.serve(context.Background(), "/write/1", "key")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -16,8 +15,8 @@
 	// maxEventBytes bounds an event. A longer event is passed on at its next line end; a longer line breaks the
 	// stream off.
 	maxEventBytes = 1 << 20
-	// A stream that sends nothing for silenceFactor times the route's EventGapObjective is resumed at another
-	// endpoint. defaultEventGapObjective is used for routes without this objective.
+	// If a stream sends nothing for silenceFactor times the route's EventGapObjective, another endpoint is asked to go on with
+	// it. defaultEventGapObjective is used for routes without this objective.
 	silenceFactor            = 1.5
 	defaultEventGapObjective = time.Second
 	// eventBufferBytes is the size of the read buffer; a longer line is collected in several reads.
@@ -41,8 +40,8 @@
 		j.answerBegun, j.confidence, j.contentType = true, r.Confidence, mediaType(r)
 		j.sink.Begin(r.Status, r.Header, -1)
 	}
-	w := u.startWatchdog(j.silenceTimeout())
-	err := u.relayEvents(r.Body, w)
+	w := u.newSilence(j.silenceTimeout())
+	err := u.relayEvents(w)
 	w.stop()
 	switch {
 	case err == nil:
@@ -55,13 +54,19 @@
 		return ended
 	}
 	u.tallyBreak()
-	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
-	u.log().WithError(err).WithField("last-event", j.lastEventID).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
-	u.exclude(u.linkLost.Load())
-	u.recordBreak(err)
+	u.handleBreak(err)
 	return rerun
 }
 
+// handleBreak records that a stream broke off, or was given up.
+func (u *upstreamAttempt) handleBreak(cause error) {
+	j := u.job
+	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
+	u.log().WithError(cause).WithField("last-event", j.lastEventID).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
+	u.exclude(u.linkLost)
+	u.recordBreak(cause)
+}
+
 // silenceTimeout returns how long the stream may send nothing, and how recently its endpoint must have answered
 // another request to get more time. If the request may not run again, the stream has all of the time left, because
 // the endpoint may still continue it.
@@ -108,32 +113,20 @@
 	j.escalatedFrom = &judgedAnswer{tier: j.tier, wrong: w}
 }
 
-// relayEvents passes on complete events until the end of the body, and resets the watchdog with each. It returns
-// io.ErrUnexpectedEOF if the body ends within an event, errTooLong if it exceeds maxAnswerBytes, errCallerLeft if the caller has
-// disconnected, errNotContinued if the body doesn't go on with the stream that has begun, and otherwise the error of reading it.
-func (u *upstreamAttempt) relayEvents(body io.Reader, w *watchdog) error {
-	b := bufio.NewReaderSize(body, eventBufferBytes)
+// relayEvents passes on events until the end of the stream. It returns errCallerLeft if the caller has disconnected,
+// errNotContinued if the events don't go on with the stream that has begun, errSuperseded if another attempt goes on with it, and
+// otherwise why the stream broke off; see readEvents.
+func (u *upstreamAttempt) relayEvents(w *silence) error {
 	c := u.job.passed
-	var e []byte
-	var n int
 	for {
-		l, err := b.ReadSlice('\n')
-		e = append(e, l...)
-		if n += len(l); n > maxAnswerBytes {
-			return errTooLong
-		}
+		g := u.next(w)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e) < maxEventBytes:
-		case err == nil && len(bytes.TrimRight(l, "\r\n")) > 0 && len(e) < maxEventBytes:
-		case err == nil:
-			if err := u.passEvent(e, w); err != nil {
+		case g.err == nil:
+			if err := u.passEvent(g.event, w); err != nil {
 				return err
 			}
-			e = e[:0]
-		case !errors.Is(err, io.EOF):
-			return err
-		case len(bytes.TrimSpace(e)) > 0:
-			return io.ErrUnexpectedEOF
+		case !errors.Is(g.err, io.EOF):
+			return g.err
 		case u.continues && u.job.passed == c:
 			return errNotContinued // an earlier attempt broke off, so that nothing tells the end from a failure
 		default:
@@ -143,7 +136,7 @@
 }
 
 // passEvent passes a complete event on to the caller.
-func (u *upstreamAttempt) passEvent(e []byte, w *watchdog) error {
+func (u *upstreamAttempt) passEvent(e []byte, w *silence) error {
 	j := u.job
 	if !hasData(e) && u.continues {
 		u.held = append(u.held, e...)
@@ -152,6 +145,9 @@
 	if hasData(e) && !u.mayFollow(e) {
 		return errNotContinued
 	}
+	if hasData(e) {
+		j.dropSuccessor("the endpoint goes on")
+	}
 	b := e
 	if len(u.held) > 0 {
 		b, u.held = append(u.held, e...), nil
@@ -174,7 +170,8 @@
 		j.longestGap = max(j.longestGap, time.Since(j.lastEventAt))
 	}
 	j.lastEventAt = time.Now()
-	w.reset()
+	u.linkLost = false
+	w.end()
 	return nil
 }
 
--- /dev/null
+++ b/relay/successor.go
@@ -0,0 +1,233 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/table"
+)
+
+const (
+	// successorInterval is the interval at which another endpoint is looked for while that of an attempt stays silent.
+	successorInterval = 300 * time.Millisecond
+	// overlapTime is how long two endpoints may run the same stream: if the second one has begun its answer, the first one is
+	// cancelled after that time even if no event has come of either.
+	overlapTime = 250 * time.Millisecond
+)
+
+// errSuperseded means that an attempt was given up because another one goes on with the answer.
+var errSuperseded = errors.New("the endpoint is silent, and another one goes on with the answer")
+
+// next waits for the next signal of the attempt. While the attempt is silent, it makes another attempt beside it, the
+// successor, and gives this one up only once the successor goes on with the answer: it then returns errSuperseded.
+func (u *upstreamAttempt) next(w *silence) signal {
+	if len(u.received) > 0 {
+		g := u.received[0]
+		u.received = u.received[1:]
+		return g
+	}
+	for {
+		s := u.job.successor
+		select {
+		case g := <-u.signals:
+			u.replied = true
+			return g
+		case <-w.timer.C:
+			if w.check() && s == nil {
+				u.job.seekSuccessor(u, w)
+			}
+		case g := <-s.incoming():
+			if s.goesOn(g, w) {
+				return u.superseded()
+			}
+		case <-s.late():
+			if s.overdue() {
+				return u.superseded()
+			}
+		}
+	}
+}
+
+// superseded cancels the attempt, which makes the successor the only one.
+func (u *upstreamAttempt) superseded() signal {
+	u.log().WithField("successor", u.job.successor.choice.ID).Info("attempt: given up, another endpoint goes on")
+	u.cancel()
+	r := Reply{Verdict: Unknown, Confidence: -1, Cause: errSuperseded}
+	return signal{outcome: &outcome{reply: r}, err: errSuperseded}
+}
+
+// incoming returns the channel of the attempt's signals. A nil attempt has none.
+func (u *upstreamAttempt) incoming() <-chan signal {
+	if u == nil {
+		return nil
+	}
+	return u.signals
+}
+
+// late returns the channel that signals that a successor is overdue.
+func (u *upstreamAttempt) late() <-chan time.Time {
+	if u == nil {
+		return nil
+	}
+	return u.patience.C
+}
+
+// seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
+func (j *job) seekSuccessor(u *upstreamAttempt, w *silence) {
+	s, why := j.newSuccessor(u)
+	if s != nil {
+		j.successor = s
+		s.start()
+	}
+	if w.logged && s == nil {
+		return
+	}
+	w.logged = true
+	e := u.log().WithFields(logrus.Fields{"silent": w.length().Milliseconds(), "link-lost": u.linkLost, "last-event": j.lastEventID})
+	if s == nil {
+		e.WithField("spent", why).Warn("attempt: the endpoint is silent, no other one can go on")
+		return
+	}
+	e.WithField("successor", s.choice.ID).Info("attempt: the endpoint is silent, another one is asked")
+}
+
+// newSuccessor returns an attempt that may be made beside u, or why there is none. The retry budget is asked last, so that
+// nothing is taken from it in vain.
+func (j *job) newSuccessor(u *upstreamAttempt) (s *upstreamAttempt, why string) {
+	if why = j.rerunLimit(u.uncounted()); why != "" {
+		return nil, why
+	}
+	if why = j.sendLimit(); why != "" {
+		return nil, why
+	}
+	if _, h := j.relay.Poison.Held(j.keys, j.account, j.relay.sinceStart()); h {
+		return nil, "held back"
+	}
+	n := j.endpointRequest()
+	if j.tryWay(&n, 0) != foundWay {
+		return nil, "no way"
+	}
+	if j.retryRounds == 0 && !u.linkLost {
+		n.Tried = withID(n.Tried, u.choice.ID)
+	}
+	if s, why = j.chooseSuccessor(n); s == nil {
+		j.releaseWay(n)
+		return nil, why
+	}
+	j.prepare(s)
+	s.patience = time.NewTimer(j.startTimeout(s.choice.Wait, u.uncounted()))
+	return s, ""
+}
+
+// chooseSuccessor chooses the endpoint of a successor, and takes a retry from the budget.
+func (j *job) chooseSuccessor(q pick.Request) (s *upstreamAttempt, why string) {
+	t := time.Now()
+	w, ok := j.relay.Endpoints.Wait(q, t)
+	switch {
+	case q.Way == pick.Relayed && j.hops >= maxHops:
+		return nil, "hops"
+	case !ok || time.Until(j.deadline) < w:
+		j.beginRetryRound()
+		return nil, "no endpoint"
+	case !j.withdrawRetry():
+		return nil, "budget"
+	}
+	c, ok := j.relay.Endpoints.Choose(q, t)
+	if !ok {
+		return nil, "no endpoint"
+	}
+	return &upstreamAttempt{job: j, choice: c, way: q.Way, helper: j.helperOf(q), work: q.Work, sent: t}, ""
+}
+
+// withID returns a set of endpoint IDs with another one.
+func withID(ids map[string]bool, id string) map[string]bool {
+	r := maps.Clone(ids)
+	r[id] = true
+	return r
+}
+
+// beginRetryRound makes all endpoints eligible for a successor again, up to maxRetryRounds times.
+func (j *job) beginRetryRound() {
+	if j.retryRounds < maxRetryRounds {
+		j.retryRounds++
+		j.tried, j.unreached = map[string]bool{}, map[string]bool{}
+	}
+}
+
+// goesOn takes a signal of the successor and reports whether the successor goes on with the answer. If it can't, the
+// successor is dropped, and another one is looked for when w is next checked.
+func (u *upstreamAttempt) goesOn(g signal, w *silence) bool {
+	j := u.job
+	u.replied = true
+	switch {
+	case g.outcome != nil && !u.usable(g.outcome):
+		u.failSuccessor(g, w)
+	case g.outcome != nil:
+		u.received = append(u.received, g)
+		if !j.answerBegun || j.route.Kind != table.Stream {
+			return true
+		}
+		u.patience.Reset(overlapTime)
+	case g.err != nil:
+		u.failSuccessor(g, w)
+	case !hasData(g.event):
+	default:
+		u.continues = true
+		if !u.mayFollow(g.event) {
+			u.failSuccessor(signal{err: errNotContinued}, w)
+			return false
+		}
+		u.received = append(u.received, signal{event: bytes.Clone(g.event)})
+		return true
+	}
+	return false
+}
+
+// usable reports whether the answer of a successor may be passed on.
+func (u *upstreamAttempt) usable(o *outcome) bool {
+	j := u.job
+	return o.hop.Result == Delivered && o.reply.Verdict == Ran && (!j.answerBegun || j.mayContinue(o.reply))
+}
+
+// failSuccessor records why the successor can't go on with the answer.
+func (u *upstreamAttempt) failSuccessor(g signal, w *silence) {
+	j := u.job
+	j.successor = nil
+	defer u.close()
+	w.timer.Reset(0)
+	if g.outcome != nil {
+		u.handleOutcome(g.outcome)
+		return
+	}
+	j.runs++
+	u.handleBreak(g.err)
+}
+
+// overdue reports whether the attempt beside the successor is to be cancelled though the successor has sent no event: it has
+// begun its answer. If it hasn't, the successor is dropped.
+func (u *upstreamAttempt) overdue() bool {
+	if len(u.received) > 0 {
+		return true
+	}
+	u.job.dropSuccessor("silent")
+	u.job.tried[u.choice.ID] = true
+	return false
+}
+
+// dropSuccessor cancels the successor, if there is one. It may have run.
+func (j *job) dropSuccessor(why string) {
+	s := j.successor
+	if s == nil {
+		return
+	}
+	j.successor = nil
+	j.runs++
+	j.mayHaveRun = true
+	s.log().WithField("why", why).Info("attempt: dropped beside another one")
+	s.close()
+}
