Count a silent successor as a fault, and ask other endpoints before the silent one itself

Cause: found on reading again. A successor that stayed silent wasn't recorded as a fault of its endpoint, as a silent attempt was before; after an earlier retry round the silent endpoint itself could be asked while others had room; on a lost link the same endpoint could be asked directly once more. Change: such a successor fails like an attempt without an answer; the silent endpoint is asked only if no other one is left, on a new connection; on a lost link it is only asked through another host.

--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -206,3 +206,43 @@
 		i.True(second.Err() != nil)
 	})
 }
+
+// Guards against a stream that is never resumed because the connection to its only endpoint hangs, while new ones work.
+func TestStreamOnHangingConnectionIsResumedAtTheSameEndpoint(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		h := newHarness(1, func(n int, ctx context.Context, a relay.Attempt) relay.Reply {
+			if n == 1 {
+				r := ran("")
+				r.Body = body{Reader: &hangingBody{ctx: ctx, text: strings.NewReader(events(1, 2))}}
+				return r
+			}
+			i.True(a.Repeated)
+			return ran(events(3, 4))
+		})
+		s := h.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 4))
+		i.Equal(h.sender.count(), 2)
+	})
+}
+
+// Guards against a stream that waits for a second silent endpoint while a third one would go on.
+func TestThirdEndpointGoesOnIfTwoAreSilent(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		h := newHarness(3, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
+			switch n {
+			case 1:
+				r := ran("")
+				r.Body = body{Reader: &hangingBody{ctx: ctx, text: strings.NewReader(events(1, 2))}}
+				return r
+			case 2:
+				return silent(ctx)
+			}
+			return ran(events(3, 4))
+		})
+		b := time.Now()
+		s := h.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 4))
+		i.Equal(h.sender.attempts[2].Endpoint.ID != h.sender.attempts[0].Endpoint.ID, true)
+		i.True(time.Since(b) < endpointPause)
+	})
+}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -23,6 +23,9 @@
 // errSuperseded means that an attempt was given up because another one goes on with the answer.
 var errSuperseded = errors.New("the endpoint is silent, and another one goes on with the answer")
 
+// errNotBegun means that the second endpoint of a request was given up because it is silent too.
+var errNotBegun = errors.New("the endpoint has not begun an answer in time; another one is looked for")
+
 // next waits for the next signal of the attempt. While the attempt is silent, it makes another attempt beside it, the
 // successor, and gives this one up only once the successor goes on with the answer: it then returns errSuperseded.
 func (u *upstreamAttempt) next(w *silence) signal {
@@ -46,7 +49,7 @@
 				return u.superseded()
 			}
 		case <-s.late():
-			if s.overdue() {
+			if s.overdue(w) {
 				return u.superseded()
 			}
 		}
@@ -79,6 +82,9 @@
 
 // seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
 func (j *job) seekSuccessor(u *upstreamAttempt, w *silence) {
+	if time.Until(j.deadline) <= 0 {
+		return // the attempt ends with its context
+	}
 	s, why := j.newSuccessor(u)
 	if s != nil {
 		j.successor = s
@@ -108,12 +114,15 @@
 	if _, h := j.relay.Poison.Held(j.keys, j.account, j.relay.sinceStart()); h {
 		return nil, "held back"
 	}
+	if u.linkLost {
+		j.unreached[u.choice.ID] = true
+	}
 	n := j.endpointRequest()
 	if j.tryWay(&n, 0) != foundWay {
 		return nil, "no way"
 	}
-	if j.retryRounds == 0 && !u.linkLost {
-		n.Tried = withID(n.Tried, u.choice.ID)
+	if !u.linkLost {
+		n = j.preferOthers(n, u)
 	}
 	if s, why = j.chooseSuccessor(n); s == nil {
 		j.releaseWay(n)
@@ -144,11 +153,16 @@
 	return &upstreamAttempt{job: j, choice: c, way: q.Way, helper: j.helperOf(q), work: q.Work, sent: t}, ""
 }
 
-// withID returns a set of endpoint IDs with another one.
-func withID(ids map[string]bool, id string) map[string]bool {
-	r := maps.Clone(ids)
-	r[id] = true
-	return r
+// preferOthers returns a request that doesn't go to the endpoint of u, unless it is the only one left in a later retry round: its
+// connection may hang while it accepts new ones.
+func (j *job) preferOthers(q pick.Request, u *upstreamAttempt) pick.Request {
+	o := q
+	o.Tried = maps.Clone(q.Tried)
+	o.Tried[u.choice.ID] = true
+	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && j.retryRounds > 0 {
+		return q
+	}
+	return o
 }
 
 // beginRetryRound makes all endpoints eligible for a successor again, up to maxRetryRounds times.
@@ -209,13 +223,13 @@
 }
 
 // overdue reports whether the attempt beside the successor is to be cancelled though the successor has sent no event: it has
-// begun its answer. If it hasn't, the successor is dropped.
-func (u *upstreamAttempt) overdue() bool {
+// begun its answer. If it hasn't, the successor fails.
+func (u *upstreamAttempt) overdue(w *silence) bool {
 	if len(u.received) > 0 {
 		return true
 	}
-	u.job.dropSuccessor("silent")
-	u.job.tried[u.choice.ID] = true
+	u.cancel()
+	u.failSuccessor(signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}, w)
 	return false
 }
 
