Don't take time in which a host was held up for silence of the endpoint

While the host waited for a caller that didn't read, or had no processor time, the timer of the silence ran on, and what the endpoint had sent meanwhile was still unread: the old code cancelled the attempt, asks another endpoint for nothing and takes from the retry budget. Want of processor time isn't played.

--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -190,11 +190,16 @@
 // serve sends a request and returns what the caller received.
 func (h *harness) serve(ctx context.Context, path, key string) *sink {
 	s := &sink{}
-	h.relay.Serve(ctx, &relay.Request{
+	h.relay.Serve(ctx, h.request(path, key), s)
+	return s
+}
+
+// request returns a request with an ID of its own.
+func (h *harness) request(path, key string) *relay.Request {
+	return &relay.Request{
 		ID: fmt.Sprint(path, h.sender.count()), Method: "POST", Host: "h", Path: path, Target: path, Key: key, Header: http.Header{}, Received: time.Now(),
 		Prompt: relay.Prompt{Tokens: 2000, MaxOutput: 200},
-	}, s)
-	return s
+	}
 }
 
 // inSynctest runs a test with the simulated clock of package synctest.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -274,9 +274,7 @@
 	inSynctest(t, func(_ *testing.T, i *is.I) {
 		w := newHarness(3, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
 			if n == 1 {
-				r := ran("")
-				r.Body = body{Reader: &hangingBody{ctx: ctx, text: strings.NewReader(events(1, 2))}}
-				return r
+				return hanging(ctx, events(1, 2))
 			}
 			return ran(events(3, 4))
 		})
@@ -287,6 +285,13 @@
 	})
 }
 
+// hanging returns a successful reply whose body is a hangingBody.
+func hanging(ctx context.Context, text string) relay.Reply {
+	r := ran("")
+	r.Body = body{Reader: &hangingBody{ctx: ctx, text: strings.NewReader(text)}}
+	return r
+}
+
 // hangingBody returns its text and then blocks until the attempt is cancelled.
 type hangingBody struct {
 	ctx  context.Context
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -212,9 +212,7 @@
 	inSynctest(t, func(_ *testing.T, i *is.I) {
 		h := newHarness(1, func(n int, ctx context.Context, a relay.Attempt) relay.Reply {
 			if n == 1 {
-				r := ran("")
-				r.Body = body{Reader: &hangingBody{ctx: ctx, text: strings.NewReader(events(1, 2))}}
-				return r
+				return hanging(ctx, events(1, 2))
 			}
 			i.True(a.Repeated)
 			return ran(events(3, 4))
@@ -231,9 +229,7 @@
 		h := newHarness(3, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
 			switch n {
 			case 1:
-				r := ran("")
-				r.Body = body{Reader: &hangingBody{ctx: ctx, text: strings.NewReader(events(1, 2))}}
-				return r
+				return hanging(ctx, events(1, 2))
 			case 2:
 				return silent(ctx)
 			}
@@ -246,3 +242,53 @@
 		i.True(time.Since(b) < endpointPause)
 	})
 }
+
+// blockingSink is the sink of a caller that doesn't read for endpointPause once it has got a piece of the answer.
+type blockingSink struct {
+	*sink
+	piece string
+}
+
+func (s blockingSink) Write(b []byte) error {
+	if string(b) == s.piece {
+		time.Sleep(endpointPause)
+	}
+	return s.sink.Write(b)
+}
+
+// pieces is a body that is read piece by piece until the attempt is cancelled.
+type pieces struct {
+	ctx  context.Context
+	left []string
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if p.ctx.Err() != nil {
+		return 0, p.ctx.Err()
+	}
+	if len(p.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, p.left[0])
+	p.left = p.left[1:]
+	return n, nil
+}
+
+// Guards against taking a time in which this host was held up for silence of the endpoint: the caller doesn't read for a while.
+func TestSlowCallerIsNoSilenceOfTheEndpoint(t *testing.T) {
+	for n, p := range map[string]string{"at an event": event(2), "at a comment": ": wait\n\n"} {
+		t.Run(n, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				h := newHarness(3, func(_ int, ctx context.Context, _ relay.Attempt) relay.Reply {
+					r := ran("")
+					r.Body = body{Reader: &pieces{ctx, []string{event(1), event(2), ": wait\n\n", event(3), event(4)}}}
+					return r
+				})
+				s := blockingSink{&sink{}, p}
+				h.relay.Serve(context.Background(), h.request("/write/1", "key"), s)
+				i.Equal(s.body.String(), events(1, 2)+": wait\n\n"+events(3, 4))
+				i.Equal(h.sender.count(), 1) // nothing else is asked
+			})
+		})
+	}
+}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -213,7 +213,7 @@
 	j := u.job
 	j.successor = nil
 	defer u.close()
-	w.timer.Reset(0)
+	w.checkIn(0)
 	if g.outcome != nil {
 		u.handleOutcome(g.outcome)
 		return
