Count the age of the control state from the host's start until the first reply

Cause: control_age_seconds was the time since a zero time until a control host had answered: 56 years, which raises the alarm above 3 s. Change: the time of the last reply begins as that of the start.

Red first: TestAgeOfControlStateBeginsAtStart on ("not true: a >= 0 && a < 60"). Result: go test ./entry green.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,7 +93,7 @@
 	// controlLost is true from a failed exchange until a reply of a control host that is current.
 	controlLost bool
 	stopping    atomic.Bool
-	// lastExchange is the time of the last reply in Unix nanoseconds.
+	// lastExchange is the time of the last reply in Unix nanoseconds, or of the start before the first reply.
 	lastExchange atomic.Int64
 	stop         chan struct{}
 }
@@ -111,6 +111,7 @@
 		Options: o, start: time.Now().UnixNano(), controls: o.Settings.SeedPeers(), stop: make(chan struct{}),
 		retryPause: pause{least: leastRetryPause, most: mostRetryPause}, staleTime: pause{least: leastStaleTime, most: mostStaleTime},
 	}
+	e.lastExchange.Store(e.start)
 	o.Metrics.NewGauge("control_age_seconds", func() float64 { return time.Since(time.Unix(0, e.lastExchange.Load())).Seconds() })
 	o.Metrics.NewGauge("table_version", func() float64 {
 		if t := o.Relay.Table(); t != nil {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -92,6 +92,34 @@
 	i.Equal(strings.Count(b.String(), "dependency regained"), 1)
 }
 
+// Guards against an age of decades in the metrics of a host that no control host has answered yet, which raises an alarm.
+func TestAgeOfControlStateBeginsAtStart(t *testing.T) {
+	i := is.New(t)
+	g := logrus.New()
+	g.SetOutput(io.Discard)
+	m := metrics.NewSet()
+	s := pick.NewSet("a")
+	r := relay.New(relay.Options{Endpoints: s, Budget: budget.NewHost(budget.Limits{Window: time.Second}), Log: g, Metrics: m})
+	l, err := net.Listen("tcp", "127.0.0.1:0") // it accepts connections and never answers
+	i.NoErr(err)
+	defer l.Close() //nolint:errcheck // the test ends
+	e := entry.New(entry.Options{
+		Settings: conf.Node{Name: "e", Seeds: []string{l.Addr().String()}}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
+		Decode: func([]byte) (table.Table, error) { return table.Table{}, nil }, Log: g, Metrics: m,
+	})
+	defer e.Stop()
+	var b strings.Builder
+	m.WritePrometheus(&b)
+	a := -1.0
+	for v := range strings.Lines(b.String()) {
+		if x, ok := strings.CutPrefix(strings.TrimSpace(v), "control_age_seconds "); ok {
+			a, err = strconv.ParseFloat(x, 64)
+			i.NoErr(err)
+		}
+	}
+	i.True(a >= 0 && a < 60)
+}
+
 // TestFirstControlHostThatAnswersIsUsed checks that a host that starts while most control hosts are still down doesn't
 // wait for the ones that are: after a restart of all hosts callers wait for the configuration.
 func TestFirstControlHostThatAnswersIsUsed(t *testing.T) {
