Log only what is known of a refused request

Cause: refusals before the route is found (no configuration, no route, unknown key) logged the time until a zero deadline (left: -), empty accounts and routes, table 0, and the estimate, load, backlog and candidates of an endpoint that wasn't chosen. Plain answers were logged with confidence 0, which says that the model is sure to be wrong. Change: a field of the request is left out until it is known; those of the choice come only if there was one; the table is known before the route; an answer without a confidence has -1. 'explain' says of a refusal for overload without a choice that no endpoint took another request, where it spoke of the best of 0 endpoints.

--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
@@ -139,14 +140,25 @@
 	relay  *relay.Relay
 	set    *pick.Set
 	sender *sender
+	log    *logtest.Hook
+}
+
+// linesOf returns the log lines of a request at the given level or above.
+func (h *harness) linesOf(id string, level logrus.Level) []*logrus.Entry {
+	var r []*logrus.Entry
+	for _, e := range h.log.AllEntries() {
+		if e.Data["id"] == id && e.Level <= level {
+			r = append(r, e)
+		}
+	}
+	return r
 }
 
 // newHarness returns a harness with a number of endpoints for each service and a routing table with routes of all
 // kinds.
 func newHarness(endpoints int, answer func(n int, ctx context.Context, a relay.Attempt) relay.Reply) *harness {
-	w := &harness{set: pick.NewSet("here"), sender: &sender{answer: answer}}
-	l := logrus.New()
-	l.SetOutput(io.Discard)
+	l, k := logtest.NewNullLogger()
+	w := &harness{set: pick.NewSet("here"), sender: &sender{answer: answer}, log: k}
 	w.relay = relay.New(relay.Options{
 		Sender: w.sender, Endpoints: w.set, Log: l, Metrics: metrics.NewSet(), Budget: budget.NewHost(budget.Limits{Ratio: 0.9, Slack: 58, Window: 10 * time.Second}),
 	})
--- a/relay/job.go
+++ b/relay/job.go
@@ -49,10 +49,11 @@
 	sink    Sink
 	route   table.Route
 	service table.Service
-	// version is the version of the routing table that the request was routed by.
+	// version is the version of the routing table that the request was routed by, or 0 if there was none.
 	version  int64
 	account  string
 	priority int
+	// deadline is the zero time until the route is known.
 	deadline time.Time
 	// callerContext is cancelled when the caller disconnects. Unlike the context of run, it has no deadline.
 	callerContext context.Context
@@ -120,12 +121,22 @@
 	lastFailure *bufferedReply
 }
 
-// log returns a log entry with the fields of the request. age and left are in ms.
+// log returns a log entry with the fields of the request that are known. age and left are in ms.
 func (j *job) log() *logrus.Entry {
-	return j.relay.Log.WithFields(logrus.Fields{
-		"id": j.request.ID, "route": j.route.Name, "account": j.account, "table": j.version,
-		"age": time.Since(j.request.Received).Milliseconds(), "left": time.Until(j.deadline).Milliseconds(),
-	})
+	f := logrus.Fields{"id": j.request.ID, "age": time.Since(j.request.Received).Milliseconds()}
+	if j.version > 0 {
+		f["table"] = j.version
+	}
+	if j.route.Name != "" {
+		f["route"] = j.route.Name
+	}
+	if j.account != "" {
+		f["account"] = j.account
+	}
+	if !j.deadline.IsZero() {
+		f["left"] = time.Until(j.deadline).Milliseconds()
+	}
+	return j.relay.Log.WithFields(f)
 }
 
 // count increments the counter of requests with the route and an outcome.
@@ -148,13 +159,23 @@
 // refuse logs and counts a refusal and ends the request with it.
 func (j *job) refuse(reason Reason, after time.Duration) {
 	j.count(reason.String())
-	j.log().WithFields(logrus.Fields{
+	j.log().WithFields(j.choiceFields()).WithFields(logrus.Fields{
 		"outcome": reason.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs, "spent": j.noRetryReason,
-		"estimate": j.choice.Wait.Milliseconds(), "load": j.choice.Load.Requests, "backlog": j.choice.Load.Backlog, "candidates": j.choice.Candidates,
 	}).Warn("request: refused")
 	j.sink.Refuse(Refusal{Reason: reason, RetryAfter: after})
 }
 
+// choiceFields returns what spoke for the endpoint that was chosen last, as fields of a log line, or nothing if none was chosen.
+// estimate and backlog are in ms.
+func (j *job) choiceFields() logrus.Fields {
+	if j.choice.ID == "" {
+		return nil
+	}
+	return logrus.Fields{
+		"estimate": j.choice.Wait.Milliseconds(), "load": j.choice.Load.Requests, "backlog": j.choice.Load.Backlog, "candidates": j.choice.Candidates,
+	}
+}
+
 // run sends the request until it has an answer or may not be sent again. ctx ends at the deadline of the request and
 // when the caller disconnects.
 func (j *job) run(ctx context.Context) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,11 +140,12 @@
 // to s. It returns when the request has ended. ctx has to be cancelled when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, q *Request, s Sink) {
 	t := r.awaitConfiguration(ctx)
-	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}, unreached: map[string]bool{}, sentTo: map[string]bool{}, callerContext: ctx}
+	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}, unreached: map[string]bool{}, sentTo: map[string]bool{}, callerContext: ctx, confidence: -1}
 	if t == nil {
 		j.refuse(NoConfiguration, configurationRetryAfter)
 		return
 	}
+	j.version = t.Version
 	o, ok := t.Route(q.Host, q.Path)
 	if !ok {
 		j.refuse(NoRoute, 0)
@@ -165,7 +166,6 @@
 	}
 	j.fraction = hashFraction(q.ID)
 	j.service, _ = t.Service(o.DrawService(j.fraction))
-	j.version = t.Version
 	l := o.Timeout
 	if q.MaxWait > 0 {
 		l = min(l, q.MaxWait)
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -167,6 +167,9 @@
 	case "served":
 		return fmt.Sprintf("served by %v%s after %.0f runs", l.Fields["endpoint"], describeHelper(l), l.numberField("runs"))
 	case "overloaded":
+		if _, ok := l.Fields["candidates"]; !ok {
+			return fmt.Sprintf("refused, not run: no endpoint took another request, and %.0f ms were left", l.numberField("left"))
+		}
 		return fmt.Sprintf("refused, not run: the best of %.0f endpoints would have begun to answer in %.0f ms, and %.0f ms were left",
 			l.numberField("candidates"), l.numberField("estimate"), l.numberField("left"))
 	case "broken-off":
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -17,6 +17,7 @@
 {"host":"e2","id":"a","msg":"request: refused","outcome":"answer-lost","left":700,"spent":"attempts","time":"10:00:02.001"}
 {"host":"e2","msg":"entry: configuration in force","time":"10:00:03.000","version":5}
 {"host":"e1","id":"b","msg":"request: refused","outcome":"overloaded","candidates":3,"estimate":900,"left":300,"time":"10:00:02.500"}
+{"host":"e1","id":"m","msg":"request: refused","outcome":"overloaded","left":400,"time":"10:00:02.500"}
 {"host":"e1","id":"c","msg":"attempt: the stream broke off","endpoint":"i-2","took":70,"error":"unexpected EOF","time":"10:00:02.600"}
 {"host":"e1","id":"c","msg":"request: the answer ends early","outcome":"broken-off","last-event":"7","left":9000,"spent":"budget","time":"10:00:02.601"}
 {"host":"e1","id":"e","msg":"attempt: the endpoint failed","endpoint":"i-1","took":9,"outcome":"failed","status":500,"time":"10:00:03.000"}
@@ -34,6 +35,7 @@
 	for id, want := range map[string]string{
 		"a": "may have run, its answer is lost: i-1 after 7 ms (connection reset); no further run: it may run no more often",
 		"b": "refused, not run: the best of 3 endpoints would have begun to answer in 900 ms, and 300 ms were left",
+		"m": "refused, not run: no endpoint took another request, and 400 ms were left",
 		"c": "broken off behind event 7: i-2 after 70 ms (unexpected EOF); no further run: the budget of repeats was spent",
 		"e": "the failure of the last endpoint was passed on: i-1 after 9 ms (the endpoint failed); no further run: it may run no more often",
 		"f": "the caller left while i-3 had not answered for 900 ms",
