Don't let a stream look complete if its caller has closed its half of the connection

Cause: when the context of a request ends because its caller has disconnected, an answer that has begun was left as it was, and the handler returned: net/http then ends the chunks as of a complete answer. A caller that has closed only its own half of the connection, or whose connection a middlebox half-closes, still reads, and gets a stream with status 200, without its last event, that looks complete; the host logged that the caller left, below the warning level. Class: a path on which an answer ends early without being aborted. Change: an answer that has begun is aborted there too. Read for the same: a failed write ends the request with this path or with an abort; a plain answer with a length can't look complete.

Red first: TestStreamOfHalfClosedConnectionDoesNotLookComplete (no error at the end of the body). Result: green 20 times of 20; go test ./relay green.

--- a/relay/job.go
+++ b/relay/job.go
@@ -305,6 +305,9 @@
 func (j *job) giveUp(v nextStep) {
 	if j.callerContext.Err() != nil {
 		j.logCallerLeft()
+		if j.answerBegun {
+			j.sink.Abort() // the caller may have closed only its half of the connection, and still read
+		}
 		return
 	}
 	if j.answerBegun {
