--- a/dial/pool_test.go
+++ b/dial/pool_test.go
@@ -107,3 +107,54 @@
 	p.Drop(c)
 	get(t, p, a)
 }
+
+// sweeper closes expired connections until stop is closed.
+type sweeper struct {
+	pool *dial.Pool
+	stop chan struct{}
+}
+
+func (s sweeper) run() {
+	for {
+		select {
+		case <-s.stop:
+			return
+		default:
+			s.pool.CloseExpired()
+		}
+	}
+}
+
+// Guards against connections that the sweep of idle ones, or making room for a new one, closes as they are handed out.
+func TestHandedOutConnectionStaysOpen(t *testing.T) {
+	i := is.New(t)
+	a, l := listen(t)
+	p := dial.NewPool()
+	w := sweeper{p, make(chan struct{})}
+	go w.run()
+	defer close(w.stop)
+	var s net.Conn
+	reused := 0
+	for n := range 300 {
+		c, err := p.Get(context.Background(), a, 2)
+		i.NoErr(err)
+		if !c.Reused {
+			s = <-l
+		} else {
+			reused++
+		}
+		if o, err := p.GetNew(context.Background(), a, 2); err == nil {
+			<-l
+			p.Drop(o)
+		}
+		time.Sleep(time.Millisecond) // past the time at which it would have expired
+		_, err = s.Write([]byte{byte(n)})
+		i.NoErr(err)
+		b, err := c.Reader.ReadByte()
+		i.NoErr(err)
+		i.Equal(b, byte(n))
+		p.Put(c, 700*time.Millisecond+time.Duration(n%10)*50*time.Microsecond) // the pool keeps it for up to 450 us
+	}
+	t.Logf("%d of 300 connections were used again", reused)
+	i.True(reused > 0)
+}
