Let the gate's connections to endpoints be given, for tests with the runtime's clock

Cause: silences of engines take 10 s to 5 minutes, and the gate always opened TCP connections, which synctest can't wait for.

Change: Options.Dial; nil opens TCP connections as before. No other change.

--- a/gate/engine.go
+++ b/gate/engine.go
@@ -31,11 +31,17 @@
 	singleUse *http.Client
 }
 
-// newEngineClient returns a client that follows no redirects and leaves compressed answers as they are.
-func newEngineClient() *engineClient {
-	d := &net.Dialer{Timeout: endpointDialTimeout}
-	k := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true}
-	f := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+// DialFunc opens a connection to an endpoint's address, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newEngineClient returns a client that follows no redirects and leaves compressed answers as they are. A nil dial opens TCP
+// connections.
+func newEngineClient(dial DialFunc) *engineClient {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: endpointDialTimeout}).DialContext
+	}
+	k := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true}
+	f := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	return &engineClient{keepAlive: &http.Client{Transport: k, CheckRedirect: noRedirect}, singleUse: &http.Client{Transport: f, CheckRedirect: noRedirect}}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -59,12 +59,14 @@
 	Incarnation() uint64
 }
 
-// Options holds the dependencies of a Gate; all of them are required.
+// Options holds the dependencies of a Gate; all but Dial are required.
 type Options struct {
 	Router  Router
 	Signer  token.Signer
 	Log     *logrus.Logger
 	Metrics *metrics.Set
+	// Dial opens the connections to endpoints. If it is nil, they are TCP connections.
+	Dial DialFunc
 }
 
 // Gate is the HTTP handler of an entry host.
@@ -83,7 +85,7 @@
 func New(o Options) *Gate {
 	g := &Gate{
 		router: o.Router, signer: o.Signer, log: o.Log, metrics: o.Metrics,
-		engines: newEngineClient(), mux: http.NewServeMux(),
+		engines: newEngineClient(o.Dial), mux: http.NewServeMux(),
 	}
 	g.ratings = newRatingQueue(g)
 	g.ready.Store(true)
