Charge the retry budget only for further attempts that are made

Cause: a retry was charged as soon as the budget allowed it, and nothing was given back where it was then refused: no endpoint but the excluded ones, a predicted wait that is too long, a full queue, a wait that ran out.

TestRetriesAreBounded was green before and is now.

Change: startAttempt and enqueue charge the budget; a queued retry whose wait runs out gets its unit back. A retry whose caller leaves while it is queued doesn't, as before.

Result: go test ./core green.

--- a/core/queue.go
+++ b/core/queue.go
@@ -22,7 +22,7 @@
 }
 
 // enqueue queues a request. It refuses the request if the predicted wait exceeds the maximum of the class or if the
-// customer's queue is full.
+// customer's queue is full. A retry is charged to the retry budget while it is queued.
 func (r *reducer) enqueue(a RouteRequest, p plan) {
 	c, t := p.contract, p.terms
 	if e := r.Admit.EstimateWait(c.Customer, c.Share, t.Priority, r.Now); e > t.QueueTimeout() {
@@ -40,6 +40,9 @@
 		return
 	}
 	r.Admit = n
+	if a.Retry {
+		r.retryBudget--
+	}
 	r.log("admit", "queued a request", Field{"request", a.RequestID}, Field{"customer", c.Customer}, Field{"waiting", n.QueueLength()})
 }
 
@@ -101,7 +104,7 @@
 
 // startDequeued starts a request w that was taken from the queue; n is the admission state in which w has left the
 // queue and is charged. The request is planned again, since the configuration may have changed while it was queued. A
-// retry gets its unit of the retry budget back first, because planning charges the budget again.
+// retry gets its unit of the retry budget back first, because starting it charges the budget again.
 func (r *reducer) startDequeued(n admit.State[RouteRequest], w admit.QueuedRequest[RouteRequest]) {
 	r.Admit = n
 	a := w.Request
@@ -125,6 +128,9 @@
 	n, g := r.Admit.WithoutExpired(r.Now)
 	r.Admit = n
 	for _, w := range g {
+		if w.Request.isRetry {
+			r.retryBudget++
+		}
 		m := "no capacity came free in time; come back later"
 		e := r.Admit.EstimateWait(w.Customer, w.Share, w.Priority, r.Now)
 		r.refuse(w.Request, &Refusal{Kind: RefusedCapacity, Message: m, RetryAfter: max(capacityRetryAfter, e)})
--- a/core/route.go
+++ b/core/route.go
@@ -108,7 +108,6 @@
 			m := "the budget of further attempts is used up; come back later"
 			return &Refusal{Kind: RefusedCapacity, Message: m, RetryAfter: capacityRetryAfter}
 		}
-		r.retryBudget--
 		return nil
 	}
 	if r.Members.Self.Stopping {
@@ -239,14 +238,17 @@
 	return model.Endpoint{}, "", false
 }
 
-// startAttempt answers a request with the endpoint and accounts for the attempt in flight. waited is the time that
-// the request spent in the queue.
+// startAttempt answers a request with the endpoint and accounts for the attempt in flight. A retry is charged to the retry
+// budget. waited is the time that the request spent in the queue.
 func (r *reducer) startAttempt(a RouteRequest, p plan, target string, e model.Endpoint, waited time.Duration) {
 	d := Dispatch{
 		Customer: p.contract.Customer, Endpoint: e.ID, Incarnation: e.Incarnation,
 		Version: target, Class: p.terms.Class, Estimate: a.Tokens, Service: a.Path != "",
 	}
 	r.running = r.running.Set(a.ID, d)
+	if a.Retry {
+		r.retryBudget--
+	}
 	r.Routes = r.Routes.WithOwnRequests(e.ID, e.Incarnation, 1, r.Now)
 	v := target
 	if d.Service {
