Ask another engine beside a silent one, and give up the first only once the other goes on

Cause: the project's own interface cancelled an attempt as soon as its endpoint was silent for a time (10 s on a stream, 5 minutes of an answer that isn't streamed, 30 s of a call of a plain service), and only then looked at the number of attempts, whether the request runs at most once, tool calls that were delivered, the reducer's decision (retry budget, endpoints) and the next engine's answer. Where one of these was missing, a sound answer was cut.

Change: an attempt is made and read by a goroutine of its own (attempt.go); the job's goroutine takes its signals. While it is silent and the request may be repeated, the reducer is asked for another attempt beside it (successor.go). The first one is given up once the other has sent a part of the answer (a whole answer where it isn't streamed); any sign of the first one ends the other. A successor that is refused, fails, sends another request's answer or is silent itself is dropped, and another one is asked as long as attempts are left; the last one stays. Where the first one breaks off, the successor takes over. Requests that run at most once, tool calls and used-up attempts have no successor and last until the endpoint ends them, the connection fails or the caller leaves. The numbers in attempts' ids may have gaps: a refused decision uses one.

--- a/gate/buffered.go
+++ b/gate/buffered.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -46,17 +45,24 @@
 // serveBuffered serves a chat completion that isn't streamed and returns its outcome. Each attempt's answer is
 // read completely before anything is sent to the caller, so that another attempt can replace it.
 func (j *job) serveBuffered(ctx context.Context, w http.ResponseWriter, atMostOnce bool) model.Outcome {
+	j.method = method{
+		call:       func() (call, error) { return j.chatCall(nil, atMostOnce) },
+		repeatable: func() bool { return !atMostOnce },
+		check:      j.checkAnswer,
+		silence:    answerTimeout,
+	}
 	for {
-		b, s, e := j.fetchAnswer(ctx, atMostOnce)
-		if e.ending == core.EndedWell && s == http.StatusOK && j.mayEscalate(atMostOnce) && j.judgeAnswer(ctx, j.answerText) == route.Escalate {
+		g := j.fetch(ctx)
+		e := *g.result
+		if e.succeeded() && g.response.StatusCode == http.StatusOK && j.mayEscalate(atMostOnce) && j.judgeAnswer(ctx, j.answerText) == route.Escalate {
 			if j.escalate(ctx) {
 				_ = j.setHeaders(w)
 				continue
 			}
 		}
-		if e.ending == core.EndedWell {
+		if e.succeeded() {
 			j.queueRating(j.answerText)
-			return j.deliver(ctx, w, b, s, e)
+			return j.deliver(ctx, w, g.data, g.response.StatusCode, e)
 		}
 		if f := j.retry(ctx, e, atMostOnce); f != nil {
 			return j.fail(ctx, w, f)
@@ -64,62 +70,44 @@
 	}
 }
 
-// fetchAnswer makes one attempt and returns the answer's body and status, which are valid only if the attempt
-// ended well.
-func (j *job) fetchAnswer(ctx context.Context, atMostOnce bool) ([]byte, int, attemptResult) {
-	b, err := j.request.engineBody(j.decision.Version, j.decision.Contract.MaxOutputTokens, nil)
-	if err != nil {
-		return nil, 0, attemptResult{ending: core.EndedFailed, err: err}
-	}
-	c, f := context.WithTimeoutCause(ctx, answerTimeout, errStalled)
-	defer f()
-	r, err := j.gate.engines.send(c, j.chatCall(b, atMostOnce))
-	if err != nil {
-		return nil, 0, classifyError(c, err)
-	}
-	defer func() { _ = r.Body.Close() }()
-	if e := classifyStatus(r); e.ending != core.EndedWell {
-		return nil, 0, e
+// fetch gets an answer that isn't streamed. Its response and data are valid only if its result is a success.
+func (j *job) fetch(ctx context.Context) signal {
+	if err := j.start(); err != nil {
+		return signal{result: &attemptResult{ending: core.EndedFailed, err: err}}
 	}
-	a, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
-	if err != nil {
-		return nil, 0, classifyError(c, err)
-	}
-	return a, r.StatusCode, j.checkAnswer(a, r.StatusCode)
+	defer j.silence.Stop()
+	return j.next(ctx)
 }
 
-// answerTimeout bounds one attempt at an answer that isn't streamed.
+// answerTimeout is how long an answer that isn't streamed may take before another endpoint is asked beside the first.
 const answerTimeout = 5 * time.Minute
 
-// errStalled is the cancellation cause of an attempt that timed out or stalled, as opposed to one whose caller
-// disconnected.
-var errStalled = errors.New("the endpoint sent nothing for too long")
-
-// chatCall returns the call of the current attempt.
-func (j *job) chatCall(body []byte, atMostOnce bool) call {
+// chatCall returns the call of the next attempt. prefix is the text that was delivered, as in engineBody.
+func (j *job) chatCall(prefix []byte, atMostOnce bool) (call, error) {
+	b, err := j.request.engineBody(j.decision.Version, j.decision.Contract.MaxOutputTokens, prefix)
 	return call{
-		endpoint: j.decision.Endpoint, method: http.MethodPost, path: "/v1/chat/completions", body: body,
-		header:    http.Header{"Content-Type": {"application/json"}},
-		attemptID: j.attemptID(), priority: j.decision.Terms.Priority, atMostOnce: atMostOnce,
-	}
+		method: http.MethodPost, path: "/v1/chat/completions", body: b,
+		header:   http.Header{"Content-Type": {"application/json"}},
+		priority: j.decision.Terms.Priority, atMostOnce: atMostOnce,
+	}, err
 }
 
-// checkAnswer checks that an answer with status 200 is complete and has the id of the current attempt, and keeps
+// checkAnswer checks that an answer with status 200 is complete and has the id of its attempt, and keeps
 // its usage and text. Answers with another status are accepted as they are.
-func (j *job) checkAnswer(answer []byte, status int) attemptResult {
-	if status != http.StatusOK {
-		return attemptResult{ending: core.EndedWell, mayHaveStarted: true}
+func (j *job) checkAnswer(id string, g signal) attemptResult {
+	if g.response.StatusCode != http.StatusOK {
+		return *g.result
 	}
 	var c completion
-	if err := json.Unmarshal(answer, &c); err != nil {
+	if err := json.Unmarshal(g.data, &c); err != nil {
 		return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: err}
 	}
-	if c.ID != j.attemptID() || len(c.Choices) == 0 || c.Usage == nil {
+	if c.ID != id || len(c.Choices) == 0 || c.Usage == nil {
 		return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errors.New("the endpoint's answer belongs to another request or is incomplete")}
 	}
 	j.usage = c.Usage.model()
 	j.answerText = c.Choices[0].Message.Content
-	return attemptResult{ending: core.EndedWell, mayHaveStarted: true}
+	return *g.result
 }
 
 // deliver settles the request and sends the answer to the caller, with the attempt's id replaced by the
--- a/gate/chunk.go
+++ b/gate/chunk.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// cutAttemptID returns what follows the id of chunk v, and whether the id is that of the current attempt.
-func (p *streamProxy) cutAttemptID(v []byte) ([]byte, bool) {
+// cutID returns what follows the id of chunk v, and whether the id is that of an attempt.
+func cutID(v []byte, attemptID string) ([]byte, bool) {
 	r, ok := bytes.CutPrefix(v, idField)
 	if !ok {
 		return nil, false
 	}
-	r, ok = bytes.CutPrefix(r, p.attemptID)
+	r, ok = bytes.CutPrefix(r, []byte(attemptID))
 	return r, ok && len(r) > 0 && r[0] == '"'
 }
 
--- a/gate/engine.go
+++ b/gate/engine.go
@@ -16,7 +16,7 @@
 const (
 	endpointDialTimeout     = 700 * time.Millisecond
 	maxIdleConnsPerEndpoint = 512
-	// stallTimeout is how long an endpoint may send nothing on a stream before the attempt fails.
+	// stallTimeout is how long an endpoint may send nothing on a stream before another one is asked beside it.
 	stallTimeout = 10 * time.Second
 	// headerPriority carries the request's priority to the endpoint.
 	headerPriority = "X-Priority"
@@ -87,12 +87,17 @@
 	mayHaveStarted bool
 	// err is the cause of a failed attempt, for the log.
 	err error
+	// refusal is set if the attempt was refused before it had an endpoint. The other fields are then unset.
+	refusal *failure
 }
 
+// succeeded reports whether the attempt gave a complete answer.
+func (e attemptResult) succeeded() bool { return e.refusal == nil && e.ending == core.EndedWell }
+
 // classifyError returns the result of a call that ended with err. Only a connection that could not be opened
 // proves that the request was not started; a refused connection also means that this incarnation of the
-// endpoint has departed. A request that timed out after it was written may have run. ctx is the request's
-// context or one derived from it; it is cancelled when the caller disconnects.
+// endpoint has departed. A request whose connection failed after it was written may have run. ctx is the attempt's
+// context; it is cancelled when the caller disconnects.
 func classifyError(ctx context.Context, err error) attemptResult {
 	var o *net.OpError
 	d := errors.As(err, &o) && o.Op == "dial"
--- a/gate/job.go
+++ b/gate/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/core"
@@ -26,8 +25,17 @@
 	request      *callerRequest
 	routeRequest core.RouteRequest
 	line         ledger.Line
-	// decision is the routing decision of the latest attempt.
-	decision core.Decision
+	method       method
+	// current is the attempt whose answer the caller gets, and decision its routing decision. successor is made beside it
+	// while it is silent; it was asked for, or got its decision, at successorSince.
+	current        *attempt
+	decision       core.Decision
+	successor      *attempt
+	successorSince time.Time
+	// silence fires when the current attempt has been silent for too long. It is set once the first attempt is made.
+	silence *time.Timer
+	// asked counts the decisions that were asked for, and attempts the attempts that have ended.
+	asked    int
 	attempts int
 	// mayHaveStarted is true once an endpoint may have started the request.
 	mayHaveStarted bool
@@ -109,42 +117,43 @@
 // decide asks the reducer where to run the next attempt. A retry keeps the version of the attempt before it;
 // an escalation doesn't.
 func (j *job) decide(ctx context.Context) *failure {
-	a := j.routeRequest
-	a.ID = j.request.id + "." + strconv.Itoa(j.attempts)
-	a.ExcludeEndpoints = j.exclude
-	if a.Retry = j.attempts > 0 && !j.escalating; a.Retry {
-		a.Version = j.decision.Version
-	}
-	d, err := j.gate.router.Decide(ctx, a)
-	switch {
-	case err != nil:
-		return unavailable("cancelled", "the caller left while the request waited", retryDelay)
-	case d.Refusal != nil:
-		return refusalFailure(d.Refusal)
+	a := j.newAttempt(ctx, j.attempts > 0 && !j.escalating)
+	if f := a.decide(); f != nil {
+		a.close()
+		return f
 	}
-	j.decision = d
-	j.attempts++
-	j.gate.metrics.GetOrCreateCounter("hickoryshelf_attempts_total").Inc()
+	a.placed = true
+	j.current, j.decision = a, a.decision
 	return nil
 }
 
 // attemptID returns the id of the current attempt, "REQUEST.N", with attempts numbered from 0.
-func (j *job) attemptID() string { return j.request.id + "." + strconv.Itoa(j.attempts-1) }
+func (j *job) attemptID() string { return j.current.request.ID }
 
-// finish reports the end of the current attempt and its number of tokens to the reducer.
+// finish ends the current attempt and reports its end and its number of tokens to the reducer.
 func (j *job) finish(e attemptResult) {
+	j.finishAttempt(j.current, e, j.usage.InputTokens+j.usage.OutputTokens)
+}
+
+// finishAttempt ends an attempt and reports its end and its number of tokens to the reducer.
+func (j *job) finishAttempt(a *attempt, e attemptResult, tokens int64) {
+	a.close()
+	j.attempts++
 	j.mayHaveStarted = j.mayHaveStarted || e.mayHaveStarted
 	if e.ending == core.EndedFaulty {
 		j.faultyEndpoints++
 	}
-	t := float64(j.usage.InputTokens + j.usage.OutputTokens)
-	j.gate.router.Finish(core.AttemptFinished{ID: j.attemptID(), Ending: e.ending, Tokens: t, FaultyEndpoints: j.faultyEndpoints})
+	j.gate.router.Finish(core.AttemptFinished{ID: a.request.ID, Ending: e.ending, Tokens: float64(tokens), FaultyEndpoints: j.faultyEndpoints})
 }
 
 // retry finishes a failed attempt and gets a decision for another one at another endpoint. It returns the
 // final failure if there is none: the caller has disconnected, the request must run at most once and may have
 // started, maxAttempts is reached, or the reducer refuses.
 func (j *job) retry(ctx context.Context, e attemptResult, atMostOnce bool) *failure {
+	if e.refusal != nil {
+		j.current.close()
+		return j.refused(e.refusal)
+	}
 	j.finish(e)
 	j.exclude = append(j.exclude, j.decision.Endpoint.ID)
 	switch {
@@ -157,14 +166,19 @@
 	}
 	j.gate.log.WithField("request", j.request.id).WithError(e.err).Warn("gate: an attempt failed, trying the next endpoint")
 	if f := j.decide(ctx); f != nil {
-		if j.mayHaveStarted {
-			f.outcome = model.OutcomeUnknown
-		}
-		return f
+		return j.refused(f)
 	}
 	return nil
 }
 
+// refused returns the failure of a request whose next attempt is refused.
+func (j *job) refused(f *failure) *failure {
+	if j.mayHaveStarted {
+		f.outcome = model.OutcomeUnknown
+	}
+	return f
+}
+
 // exhausted returns the failure of a request whose attempts are used up.
 func (j *job) exhausted() *failure {
 	if j.mayHaveStarted {
--- a/gate/service.go
+++ b/gate/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -11,7 +10,7 @@
 	"github.com/hickoryshelf/hickoryshelf/model"
 )
 
-// serviceTimeout bounds one attempt of a call to a plain service, including reading the answer.
+// serviceTimeout is how long a plain service may take for an answer before another endpoint is asked beside it.
 const serviceTimeout = 30 * time.Second
 
 // forwardedHeaders lists the request headers that are passed on to a plain service; all others are dropped.
@@ -68,25 +67,31 @@
 	if f := j.begin(ctx); f != nil {
 		return j.fail(ctx, w, f)
 	}
+	j.method = method{
+		call:       func() (call, error) { return d.call(), nil },
+		repeatable: d.repeatable,
+		check:      func(_ string, g signal) attemptResult { return *g.result },
+		silence:    serviceTimeout,
+	}
 	for {
-		r, b, e := d.fetch(ctx)
-		if e.ending == core.EndedWell {
-			return d.deliver(ctx, w, r, b, e)
+		g := j.fetch(ctx)
+		if e := *g.result; e.succeeded() {
+			return d.deliver(ctx, w, g.response, g.data, e)
 		}
-		if f := j.retry(ctx, e, d.atMostOnce || !d.safe()); f != nil {
+		if f := j.retry(ctx, *g.result, !d.repeatable()); f != nil {
 			return j.fail(ctx, w, f)
 		}
 	}
 }
 
-// safe reports whether the call may be repeated after it may have started: GET and HEAD calls may.
-func (d serviceCall) safe() bool {
-	return d.request.Method == http.MethodGet || d.request.Method == http.MethodHead
+// repeatable reports whether the call may be repeated after it may have started: GET and HEAD calls may, unless the contract
+// says otherwise.
+func (d serviceCall) repeatable() bool {
+	return !d.atMostOnce && (d.request.Method == http.MethodGet || d.request.Method == http.MethodHead)
 }
 
-// fetch makes one attempt and returns the response and its body, of which at most maxAnswerBytes are read.
-// Both are set only if the attempt ended well.
-func (d serviceCall) fetch(ctx context.Context) (*http.Response, []byte, attemptResult) {
+// call returns the call of the next attempt.
+func (d serviceCall) call() call {
 	j := d.job
 	h := http.Header{}
 	for _, k := range forwardedHeaders {
@@ -94,25 +99,10 @@
 			h[k] = v
 		}
 	}
-	p := "/" + strings.TrimPrefix(d.request.URL.RequestURI(), j.decision.Service.Prefix)
-	c, f := context.WithTimeoutCause(ctx, serviceTimeout, errStalled)
-	defer f()
-	r, err := j.gate.engines.send(c, call{
-		endpoint: j.decision.Endpoint, method: d.request.Method, path: p, body: d.body, header: h,
-		attemptID: j.attemptID(), priority: j.decision.Terms.Priority, atMostOnce: d.atMostOnce || !d.safe(),
-	})
-	if err != nil {
-		return nil, nil, classifyError(c, err)
-	}
-	defer func() { _ = r.Body.Close() }()
-	if e := classifyStatus(r); e.ending != core.EndedWell {
-		return nil, nil, e
-	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
-	if err != nil {
-		return nil, nil, classifyError(c, err)
+	return call{
+		method: d.request.Method, path: "/" + strings.TrimPrefix(d.request.URL.RequestURI(), j.decision.Service.Prefix),
+		body: d.body, header: h, priority: j.decision.Terms.Priority, atMostOnce: !d.repeatable(),
 	}
-	return r, b, attemptResult{ending: core.EndedWell, mayHaveStarted: true}
 }
 
 // deliver settles the request and sends the service's status, content type and body to the caller.
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -66,104 +66,89 @@
 	deadlineRenewal time.Time
 	// firstTokenAt is when the first token of the current engine arrived.
 	firstTokenAt time.Time
-	attemptID    []byte
-	buffer       []byte
+	// attempt is the attempt whose chunks are passed on.
+	attempt *attempt
+	buffer  []byte
 	// unflushed is true while written data hasn't been flushed.
 	unflushed bool
 }
 
+// newStreamProxy returns a proxy for one answer, and sets the job's method.
+func (j *job) newStreamProxy(w http.ResponseWriter, atMostOnce bool) *streamProxy {
+	p := &streamProxy{job: j, writer: w, controller: http.NewResponseController(w)}
+	j.method = method{
+		call:       func() (call, error) { return j.chatCall(p.delivered, atMostOnce) },
+		repeatable: func() bool { return !atMostOnce && !p.notResumable },
+		silence:    stallTimeout,
+	}
+	return p
+}
+
 // serveStream serves a streamed chat completion and returns its outcome. If an engine fails in the middle of an
 // answer, another engine of the same version continues it after the last chunk that was delivered.
 func (j *job) serveStream(ctx context.Context, w http.ResponseWriter, atMostOnce bool) model.Outcome {
-	p := &streamProxy{job: j, writer: w, controller: http.NewResponseController(w), holdBack: j.decision.Terms.Judge && j.mayEscalate(atMostOnce)}
+	p := j.newStreamProxy(w, atMostOnce)
+	p.holdBack = j.decision.Terms.Judge && j.mayEscalate(atMostOnce)
 	for {
-		e := p.runAttempt(ctx, atMostOnce)
-		if e.ending == core.EndedWell && p.holdBack && j.judgeAnswer(ctx, unescapeJSON(p.delivered)) == route.Escalate && j.escalate(ctx) {
+		e := p.runAttempt(ctx)
+		if e.succeeded() && p.holdBack && j.judgeAnswer(ctx, unescapeJSON(p.delivered)) == route.Escalate && j.escalate(ctx) {
 			_ = j.setHeaders(w)
-			p = &streamProxy{job: j, writer: w, controller: p.controller}
+			p = j.newStreamProxy(w, atMostOnce)
 			continue
 		}
-		if e.ending == core.EndedWell {
+		if e.succeeded() {
 			return p.complete(ctx, e)
 		}
 		if p.notResumable && e.ending != core.EndedCancelled {
 			j.finish(e)
 			return p.fail(ctx, outcomeUnknown("endpoint-failed", "the endpoint failed and the answer can't be continued; send the request again"))
 		}
-		j.usage = model.Usage{OutputTokens: p.sentChunks}
 		if f := j.retry(ctx, e, atMostOnce); f != nil {
 			return p.fail(ctx, f)
 		}
-		p.earlierTokens, p.usage, p.finalChunks = p.sentChunks, nil, nil
 	}
 }
 
-// runAttempt sends the request to one engine and passes on its stream. The attempt fails if the engine sends
-// nothing for stallTimeout.
-func (p *streamProxy) runAttempt(ctx context.Context, atMostOnce bool) attemptResult {
-	j := p.job
-	p.attemptID = []byte(j.attemptID())
-	b, err := j.request.engineBody(j.decision.Version, j.decision.Contract.MaxOutputTokens, p.delivered)
-	if err != nil {
+// runAttempt sends the request to an engine and passes on its stream, and that of a successor where one goes on with it.
+func (p *streamProxy) runAttempt(ctx context.Context) attemptResult {
+	if err := p.job.start(); err != nil {
 		return attemptResult{ending: core.EndedFailed, err: err}
 	}
-	c, f := context.WithCancelCause(ctx)
-	defer f(nil)
-	t := time.AfterFunc(stallTimeout, func() { f(errStalled) })
-	defer t.Stop()
-	r, err := j.gate.engines.send(c, j.chatCall(b, atMostOnce))
-	if err != nil {
-		return classifyError(ctx, err)
-	}
-	defer func() { _ = r.Body.Close() }()
-	if e := classifyStatus(r); e.ending != core.EndedWell {
-		return e
-	}
-	if r.StatusCode != http.StatusOK {
-		return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errors.New("the endpoint answered " + r.Status)}
-	}
-	d := readerPool.Get().(*bufio.Reader)
-	defer readerPool.Put(d)
-	d.Reset(r.Body)
-	defer d.Reset(nil)
-	return p.forwardStream(ctx, d, t)
+	defer p.job.silence.Stop()
+	return p.forwardStream(ctx)
 }
 
 // forwardStream passes chunks on until the engine's stream ends. Chunks that arrived together are flushed
-// together. t is the stall timer, which each line resets.
-func (p *streamProxy) forwardStream(ctx context.Context, d *bufio.Reader, t *time.Timer) attemptResult {
+// together.
+func (p *streamProxy) forwardStream(ctx context.Context) attemptResult {
 	for {
-		if d.Buffered() == 0 {
-			p.flushPending()
+		g := p.job.next(ctx)
+		if a := p.job.current; a != p.attempt {
+			p.follow(a)
 		}
-		l, err := d.ReadSlice('\n')
-		if err != nil {
+		switch {
+		case g.result != nil:
 			p.flushPending()
-			return p.classifyReadError(ctx, err)
-		}
-		t.Reset(stallTimeout)
-		v, ok := bytes.CutPrefix(l, dataPrefix)
-		if !ok {
-			continue
-		}
-		v = bytes.TrimRight(v, "\r\n")
-		if bytes.Equal(v, doneData) {
+			return *g.result
+		case bytes.Equal(g.data, doneData):
 			return p.checkComplete()
+		case g.data != nil:
+			if err := p.forwardChunk(g.data); errors.Is(err, errCallerGone) {
+				return attemptResult{ending: core.EndedCancelled, mayHaveStarted: true, err: err}
+			} else if err != nil {
+				return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: err}
+			}
 		}
-		if err := p.forwardChunk(v); errors.Is(err, errCallerGone) {
-			return attemptResult{ending: core.EndedCancelled, mayHaveStarted: true, err: err}
-		} else if err != nil {
-			return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: err}
+		if !g.more {
+			p.flushPending()
 		}
 	}
 }
 
-// classifyReadError returns the result of an attempt whose stream could not be read to its end.
-func (p *streamProxy) classifyReadError(ctx context.Context, err error) attemptResult {
-	if ctx.Err() != nil {
-		return attemptResult{ending: core.EndedCancelled, mayHaveStarted: true, err: ctx.Err()}
-	}
-	return attemptResult{ending: core.EndedFailed, mayHaveStarted: true, err: errors.Join(errTruncated, err)}
+// follow passes on the chunks of another attempt from now on, which continues the text that was delivered.
+func (p *streamProxy) follow(a *attempt) {
+	p.attempt = a
+	p.earlierTokens, p.usage, p.finalChunks = p.sentChunks, nil, nil
 }
 
 // checkComplete returns the result of an attempt whose stream ended regularly. A stream without usage or a
@@ -178,7 +163,7 @@
 // forwardChunk passes on one chunk after checking that it belongs to the current attempt. Chunks with a finish
 // reason or with usage are kept until the ledger line is settled.
 func (p *streamProxy) forwardChunk(v []byte) error {
-	o, ok := p.cutAttemptID(v)
+	o, ok := cutID(v, p.attempt.request.ID)
 	if !ok {
 		return errForeignChunk
 	}
@@ -191,6 +176,7 @@
 	if c := chunkContent(v); len(c) > 0 {
 		p.delivered = append(p.delivered, c...)
 		p.sentChunks++
+		p.job.usage = model.Usage{OutputTokens: p.sentChunks}
 		p.measureTokenTime()
 	}
 	if bytes.Contains(v, finishReasonField) {
