Keep an answer that was judged too low until another version has answered

Cause: an escalated request threw its complete answer away before another version was known to answer. Where that version refused, failed, broke off or sent nothing, the caller got a failure though an answer had been there.

Change: escalate keeps the answer with its decision, usage and rating; once the other version's attempts have failed and the caller has got nothing yet, it is delivered as that of the first version. As an answer is at hand, a silent attempt of the other version ends at its time, with no successor: nobody waits for it.

--- a/gate/buffered.go
+++ b/gate/buffered.go
@@ -48,6 +48,7 @@
 	j.method = method{
 		call:       func() (call, error) { return j.chatCall(nil, atMostOnce) },
 		repeatable: func() bool { return !atMostOnce },
+		begun:      func() bool { return false },
 		check:      j.checkAnswer,
 		silence:    answerTimeout,
 	}
@@ -55,7 +56,7 @@
 		g := j.fetch(ctx)
 		e := *g.result
 		if e.succeeded() && g.response.StatusCode == http.StatusOK && j.mayEscalate(atMostOnce) && j.judgeAnswer(ctx, j.answerText) == route.Escalate {
-			if j.escalate(ctx) {
+			if j.escalate(ctx, keptAnswer{answer: g}) {
 				_ = j.setHeaders(w)
 				continue
 			}
@@ -64,7 +65,13 @@
 			j.queueRating(j.answerText)
 			return j.deliver(ctx, w, g.data, g.response.StatusCode, e)
 		}
-		if f := j.retry(ctx, e, atMostOnce); f != nil {
+		f := j.retry(ctx, e, atMostOnce)
+		switch {
+		case f != nil && j.mayRestore(ctx):
+			k := j.restore(w, f).answer
+			j.queueRating(j.answerText)
+			return j.deliver(ctx, w, k.data, k.response.StatusCode, *k.result)
+		case f != nil:
 			return j.fail(ctx, w, f)
 		}
 	}
--- a/gate/escalation.go
+++ b/gate/escalation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/core"
@@ -37,10 +38,23 @@
 	return j.gate.router.State().Routes.Evidence.Judge(s, j.decision.Terms.Quality, v, err == nil)
 }
 
-// escalate gets a decision for another version after an answer was judged too low. It returns false if no
-// other version may run the request; the answer is delivered then.
-func (j *job) escalate(ctx context.Context) bool {
-	o, v := j.decision, j.decision.Version
+// keptAnswer is a complete answer that was judged too low. It is delivered if no other version gives one.
+type keptAnswer struct {
+	attempt *attempt
+	// usage and text are the job's, rated is whether the answer was rated.
+	usage model.Usage
+	text  string
+	rated bool
+	// answer is the answer unless it is a stream, and stream holds it otherwise.
+	answer signal
+	stream *streamProxy
+}
+
+// escalate gets a decision for another version after the answer k of the current attempt was judged too low, and keeps that
+// answer. It returns false if no other version may run the request; the answer is delivered then.
+func (j *job) escalate(ctx context.Context, k keptAnswer) bool {
+	v := j.decision.Version
+	k.attempt, k.usage, k.text, k.rated = j.current, j.usage, j.answerText, j.rated
 	j.finish(attemptResult{ending: core.EndedWell, mayHaveStarted: true})
 	j.routeRequest.ExcludeVersions = append(j.routeRequest.ExcludeVersions, v)
 	j.exclude = nil
@@ -48,9 +62,9 @@
 	f := j.decide(ctx)
 	j.escalating = false
 	if f != nil {
-		j.decision = o
 		return false
 	}
+	j.kept = &k
 	j.rated = false
 	j.usage = model.Usage{}
 	j.gate.metrics.GetOrCreateCounter(`hickoryshelf_escalations_total{version="` + v + `"}`).Inc()
@@ -58,3 +72,18 @@
 		Info("gate: an answer was judged too low, another version runs the request")
 	return true
 }
+
+// mayRestore reports whether a kept answer can be delivered to a caller who is still there.
+func (j *job) mayRestore(ctx context.Context) bool { return j.kept != nil && ctx.Err() == nil }
+
+// restore makes the kept answer that of the job again after the failure f of the other version, and returns it.
+func (j *job) restore(w http.ResponseWriter, f *failure) keptAnswer {
+	k := *j.kept
+	j.kept = nil
+	j.current, j.decision = k.attempt, k.attempt.decision
+	j.usage, j.answerText, j.rated = k.usage, k.text, k.rated
+	_ = j.setHeaders(w)
+	j.gate.log.WithField("request", j.request.id).WithField("version", j.decision.Version).WithError(f).
+		Warn("gate: no other version answers, the answer judged too low is delivered")
+	return k
+}
--- a/gate/fake_test.go
+++ b/gate/fake_test.go
@@ -25,6 +25,7 @@
 	"github.com/hickoryshelf/hickoryshelf/core"
 	"github.com/hickoryshelf/hickoryshelf/gate"
 	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/member"
 	"github.com/hickoryshelf/hickoryshelf/model"
 	"github.com/hickoryshelf/hickoryshelf/route"
 	"github.com/hickoryshelf/hickoryshelf/token"
@@ -36,6 +37,12 @@
 	// onceClass is the task class whose requests run at most once.
 	onceClass = "once"
 	version   = "fitting@1"
+	// judgedClass is the task class whose answers are rated before they are delivered, at raterID. Answers that are rated
+	// too low are escalated to largeVersion.
+	judgedClass  = "judged"
+	largeVersion = "fitting-large@1"
+	raterID      = "rater"
+	dataCentre   = "hall"
 )
 
 // listener accepts connections that are pipes.
@@ -164,18 +171,21 @@
 	// order lists the endpoints' IDs. further is the number of further attempts that the router allows.
 	order   []string
 	further int
-	lock    sync.Mutex
-	ids     int
+	// large lists the IDs of the endpoints that hold largeVersion, and routes has the rating service.
+	large  []string
+	routes route.State
+	lock   sync.Mutex
+	ids    int
 	// finished lists how attempts ended, by their IDs.
 	finished map[string]core.Ending
 }
 
 // newWorld returns a gate, and stops it at the end of the test.
 func newWorld(t *testing.T) *world {
-	w := &world{started: time.Now(), listeners: map[string]*listener{}, further: 100, finished: map[string]core.Ending{}}
+	w := &world{started: time.Now(), listeners: map[string]*listener{}, further: 100, finished: map[string]core.Ending{}, routes: route.NewState()}
 	w.contract = model.Contract{
-		Customer: "customer", KeyHashes: []string{model.HashKey(apiKey)}, Versions: []string{version}, Share: 1, MaxOutputTokens: 100,
-		Classes:  []model.ClassTerms{{Class: "chat"}, {Class: onceClass, RunsOnce: true}},
+		Customer: "customer", KeyHashes: []string{model.HashKey(apiKey)}, Versions: []string{version, largeVersion}, Share: 1, MaxOutputTokens: 100,
+		Classes:  []model.ClassTerms{{Class: "chat"}, {Class: onceClass, RunsOnce: true}, {Class: judgedClass, Judge: true, Quality: 0.9}},
 		Services: []model.Service{{Prefix: "/desk/", Name: "desk"}},
 	}
 	l := logrus.New()
@@ -197,8 +207,26 @@
 
 // add starts an endpoint.
 func (w *world) add(id string, serve func(x *exchange)) *endpoint {
-	e := &endpoint{id: id, serve: serve, world: w}
 	w.addClosed(id)
+	return w.listen(id, serve)
+}
+
+// addLarge starts an endpoint that holds largeVersion.
+func (w *world) addLarge(id string, serve func(x *exchange)) *endpoint {
+	w.large = append(w.large, id)
+	return w.listen(id, serve)
+}
+
+// addRater starts a rating service that gives all answers the same score.
+func (w *world) addRater(score float64) {
+	w.listen(raterID, func(x *exchange) { _, _ = fmt.Fprintf(x, `{"score":%g}`, score) })
+	e := model.Endpoint{ID: raterID, DataCentre: dataCentre, Address: raterID + ":1", Incarnation: 1, Sequence: 1, Holds: []string{gate.RaterService}, Capacity: 1}
+	w.routes = w.routes.WithAnnouncement(e, 0, 0)
+}
+
+// listen starts an endpoint to which the router sends nothing yet.
+func (w *world) listen(id string, serve func(x *exchange)) *endpoint {
+	e := &endpoint{id: id, serve: serve, world: w}
 	l := &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	w.listeners[id+":1"] = l
 	s := &http.Server{Handler: e, ReadHeaderTimeout: time.Hour}
@@ -230,7 +258,11 @@
 func (w *world) Decide(_ context.Context, a core.RouteRequest) (core.Decision, error) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	i := slices.IndexFunc(w.order, func(id string) bool { return !slices.Contains(a.ExcludeEndpoints, id) })
+	v, o := version, w.order
+	if len(a.ExcludeVersions) > 0 {
+		v, o = largeVersion, w.large
+	}
+	i := slices.IndexFunc(o, func(id string) bool { return !slices.Contains(a.ExcludeEndpoints, id) })
 	if i < 0 || (a.Retry && w.further == 0) {
 		return core.Decision{Refusal: &core.Refusal{Kind: core.RefusedCapacity, Message: "no capacity", RetryAfter: time.Second}}, nil
 	}
@@ -238,7 +270,7 @@
 		w.further--
 	}
 	t, _ := w.contract.Terms(a.Class)
-	d := core.Decision{Contract: w.contract, Terms: t, Version: version, Endpoint: model.Endpoint{ID: w.order[i], Address: w.order[i] + ":1"}}
+	d := core.Decision{Contract: w.contract, Terms: t, Version: v, Endpoint: model.Endpoint{ID: o[i], Address: o[i] + ":1"}}
 	if a.Path != "" {
 		d.Version, d.Service = "", w.contract.Services[0]
 	}
@@ -262,7 +294,8 @@
 func (w *world) Rate(route.Rating) {}
 
 func (w *world) State() core.State {
-	s := core.NewState(core.Options{})
+	s := core.NewState(core.Options{Self: member.Self{DataCentre: dataCentre}})
+	s.Routes = w.routes
 	s.Config.Contracts = []model.Contract{w.contract}
 	return s
 }
@@ -279,6 +312,7 @@
 // reply is what a caller has got, and when its answer ended.
 type reply struct {
 	status  int
+	version string
 	outcome string
 	text    string
 	done    bool
@@ -296,7 +330,7 @@
 	c := httptest.NewRecorder()
 	w.gate.ServeHTTP(c, q)
 	h := c.Result().Header
-	r := reply{status: c.Code, outcome: cmp.Or(h.Get("Hickoryshelf-Outcome"), c.Result().Trailer.Get("Hickoryshelf-Outcome")), at: w.now()}
+	r := reply{status: c.Code, version: h.Get("Hickoryshelf-Version"), outcome: cmp.Or(h.Get("Hickoryshelf-Outcome"), c.Result().Trailer.Get("Hickoryshelf-Outcome")), at: w.now()}
 	b := c.Body.String()
 	r.done, r.text = strings.Contains(b, "data: [DONE]"), b
 	if h.Get("Content-Type") == "text/event-stream" {
--- a/gate/job.go
+++ b/gate/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -45,6 +46,8 @@
 	// been rated.
 	escalating bool
 	rated      bool
+	// kept is set from an escalation on until another version has answered or the answer is delivered after all.
+	kept *keptAnswer
 	// answerText is the text of an answer that isn't streamed.
 	answerText string
 	// exclude lists the ids of the endpoints at which an attempt with the current version failed.
@@ -148,7 +151,7 @@
 
 // retry finishes a failed attempt and gets a decision for another one at another endpoint. It returns the
 // final failure if there is none: the caller has disconnected, the request must run at most once and may have
-// started, maxAttempts is reached, or the reducer refuses.
+// started, maxAttempts is reached, the attempt is too slow for an answer that is kept, or the reducer refuses.
 func (j *job) retry(ctx context.Context, e attemptResult, atMostOnce bool) *failure {
 	if e.refusal != nil {
 		j.current.close()
@@ -161,7 +164,7 @@
 		return outcomeUnknown("cancelled", "the caller left")
 	case atMostOnce && e.mayHaveStarted:
 		return outcomeUnknown("endpoint-failed", "the endpoint failed after the request was sent; ask with the same idempotency key what became of it")
-	case j.attempts >= maxAttempts:
+	case j.attempts >= maxAttempts, errors.Is(e.err, errSlow):
 		return j.exhausted()
 	}
 	j.gate.log.WithField("request", j.request.id).WithError(e.err).Warn("gate: an attempt failed, trying the next endpoint")
--- a/gate/service.go
+++ b/gate/service.go
@@ -70,6 +70,7 @@
 	j.method = method{
 		call:       func() (call, error) { return d.call(), nil },
 		repeatable: d.repeatable,
+		begun:      func() bool { return false },
 		check:      func(_ string, g signal) attemptResult { return *g.result },
 		silence:    serviceTimeout,
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -79,6 +79,7 @@
 	j.method = method{
 		call:       func() (call, error) { return j.chatCall(p.delivered, atMostOnce) },
 		repeatable: func() bool { return !atMostOnce && !p.notResumable },
+		begun:      func() bool { return p.headerSent },
 		silence:    stallTimeout,
 	}
 	return p
@@ -91,7 +92,7 @@
 	p.holdBack = j.decision.Terms.Judge && j.mayEscalate(atMostOnce)
 	for {
 		e := p.runAttempt(ctx)
-		if e.succeeded() && p.holdBack && j.judgeAnswer(ctx, unescapeJSON(p.delivered)) == route.Escalate && j.escalate(ctx) {
+		if e.succeeded() && p.holdBack && j.judgeAnswer(ctx, unescapeJSON(p.delivered)) == route.Escalate && j.escalate(ctx, keptAnswer{stream: p, answer: signal{result: &e}}) {
 			_ = j.setHeaders(w)
 			p = j.newStreamProxy(w, atMostOnce)
 			continue
@@ -103,7 +104,12 @@
 			j.finish(e)
 			return p.fail(ctx, outcomeUnknown("endpoint-failed", "the endpoint failed and the answer can't be continued; send the request again"))
 		}
-		if f := j.retry(ctx, e, atMostOnce); f != nil {
+		f := j.retry(ctx, e, atMostOnce)
+		switch {
+		case f != nil && j.mayRestore(ctx) && !p.headerSent:
+			k := j.restore(w, f)
+			return k.stream.complete(ctx, *k.answer.result)
+		case f != nil:
 			return p.fail(ctx, f)
 		}
 	}
--- a/gate/successor.go
+++ b/gate/successor.go
@@ -19,7 +19,7 @@
 
 var (
 	errSuperseded = errors.New("the endpoint is silent, and another one goes on with the answer")
-	errSlow       = errors.New("the endpoint sent nothing, as the one before it")
+	errSlow       = errors.New("the endpoint sent nothing for too long")
 )
 
 // method says how the attempts of a request are made and how long they may be silent.
@@ -28,6 +28,8 @@
 	call func() (call, error)
 	// repeatable reports whether the request may be sent again though it may have started.
 	repeatable func() bool
+	// begun reports whether the caller has received a part of the answer.
+	begun func() bool
 	// check returns the result of an answer that isn't streamed, received by the attempt with an id. It is nil for streams.
 	check func(id string, g signal) attemptResult
 	// silence is the time without a sign of the endpoint after which another attempt is made beside the first.
@@ -47,7 +49,8 @@
 
 // next waits for the next signal of the current attempt. While that attempt is silent, next makes another attempt beside it,
 // the successor, and closes the current one only once the successor goes on with the answer, which makes it the current one.
-// An attempt with which nothing else may go on is waited for until it ends, its connection fails or the caller leaves.
+// An attempt with which nothing else may go on is waited for until it ends, its connection fails or the caller leaves; it
+// fails with errSlow where the caller can get an answer that is kept instead.
 func (j *job) next(ctx context.Context) signal {
 	for {
 		if c := j.current; len(c.received) > 0 {
@@ -63,6 +66,10 @@
 		case g := <-j.successor.incoming():
 			j.handleSuccessor(j.checked(j.successor, g))
 		case <-j.silence.C:
+			if j.kept != nil && !j.method.begun() {
+				j.dropSuccessor(nil)
+				return signal{result: &attemptResult{ending: core.EndedFailed, mayHaveStarted: true, err: errSlow}}
+			}
 			j.seekSuccessor(ctx)
 			j.silence.Reset(successorInterval)
 		}
