Wait for another host that has begun a request, though the news of it is late

Cause: where another host hadn't said within 0.4 s that it begins, the connection to it was closed first, and only then it was asked whether it had begun. Closing ends the run at the endpoint: a request that had begun was cut, and one that may not be repeated failed, because the news came late (a slow link, a host short of processor time).

Shown red before: proxy/proxy_test.go, TestBegunCallIsNotCutIfTheNewsIsLate (news 0.9 s late): lost after 0.41 s.

Change: the host is asked on another connection while the first one stays open. If it confirms that it won't begin, or doesn't answer, all is as before; if it has begun, its reply is waited for, at most for the time that remains for the request.

Open: a host that answers on neither connection within 0.65 s is given up as before, also for a request that may not be repeated: the attempt doesn't say whether it may.

--- a/proxy/client.go
+++ b/proxy/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,7 @@
 
 const (
 	// beginTimeout is how long another host may take to say that it begins or declines, after the time that the request
-	// takes to write.
+	// takes to write, before it is asked on another connection.
 	beginTimeout = 400 * time.Millisecond
 	// revokeTimeout bounds the question whether a call has begun.
 	revokeTimeout = 250 * time.Millisecond
@@ -48,7 +49,7 @@
 		x.discard()
 		return x.revoke(ctx, err)
 	}
-	return x.begin(ctx)
+	return x.begin(ctx, a.Remaining)
 }
 
 // lost returns the result of a hop that broke off.
@@ -84,12 +85,12 @@
 }
 
 // begin reads whether the host begins, and the reply of the endpoint.
-func (x *exchange) begin(ctx context.Context) (relay.Reply, relay.Hop) {
-	t := time.AfterFunc(beginTimeout, x.interrupt)
-	k, b, err := readFrame(x.conn.Reader, maxHeadBytes)
-	if !t.Stop() && err == nil {
-		err = errFrame
+func (x *exchange) begin(ctx context.Context, remaining time.Duration) (relay.Reply, relay.Hop) {
+	if r, h, ok := x.awaitBegin(ctx, remaining); !ok {
+		x.discard()
+		return r, h
 	}
+	k, b, err := readFrame(x.conn.Reader, maxHeadBytes)
 	switch {
 	case err != nil:
 		x.discard()
@@ -103,6 +104,40 @@
 	return x.reply()
 }
 
+// awaitBegin waits until the host says whether it begins. One that doesn't say so in time is asked on another connection; one that
+// has begun is waited for, at most for the time that remains for the request. Otherwise ok is false, and r and h are the result.
+func (x *exchange) awaitBegin(ctx context.Context, remaining time.Duration) (r relay.Reply, h relay.Hop, ok bool) {
+	err := x.await(ctx, beginTimeout)
+	if err == nil {
+		return r, h, true
+	}
+	r, h = x.revoke(ctx, err)
+	if ctx.Err() != nil || !errors.Is(err, os.ErrDeadlineExceeded) || !errors.Is(r.Cause, errBegun) {
+		return r, h, false
+	}
+	return r, h, x.await(ctx, remaining) == nil
+}
+
+// await waits for the first byte of the host's next frame, at most for a time.
+func (x *exchange) await(ctx context.Context, d time.Duration) error {
+	if err := x.bound(ctx, time.Now().Add(d)); err != nil {
+		return err
+	}
+	if _, err := x.conn.Reader.Peek(1); err != nil {
+		return err
+	}
+	return x.bound(ctx, time.Time{})
+}
+
+// bound sets the time until which the connection may be read and written, unless the context is done.
+func (x *exchange) bound(ctx context.Context, t time.Time) error {
+	err := x.conn.SetDeadline(t)
+	if ctx.Err() != nil {
+		x.interrupt()
+	}
+	return err
+}
+
 // declined returns the result of a call that the host declined.
 func (x *exchange) declined(content []byte) (relay.Reply, relay.Hop) {
 	var f refusal
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -184,6 +184,8 @@
 	target     string
 	dropAnswer bool
 	release    chan struct{}
+	// releaseAnswer holds back the answers on the first connection until it is closed, unless it is nil.
+	releaseAnswer chan struct{}
 }
 
 // startWall returns a wall before a host. Without dropAnswer it holds back the call until release is closed.
@@ -194,11 +196,29 @@
 		t.Fatal(err)
 	}
 	w := &wall{listener: l, target: target, dropAnswer: dropAnswer, release: make(chan struct{})}
-	go w.run()
-	t.Cleanup(func() { _ = l.Close() }) // the test is over
+	w.start(t)
+	return w
+}
+
+// startSlowWall returns a wall before a host that holds back the host's answers on the first connection for a time.
+func startSlowWall(t *testing.T, target string, d time.Duration) *wall {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wall{listener: l, target: target, releaseAnswer: make(chan struct{})}
+	time.AfterFunc(d, func() { close(w.releaseAnswer) })
+	w.start(t)
 	return w
 }
 
+// start lets connections pass until the end of the test.
+func (w *wall) start(t *testing.T) {
+	go w.run()
+	t.Cleanup(func() { _ = w.listener.Close() }) // the test is over
+}
+
 func (w *wall) run() {
 	for n := 0; ; n++ {
 		c, err := w.listener.Accept()
@@ -213,7 +233,7 @@
 		if n == 0 && w.dropAnswer {
 			y.to = io.Discard
 		} else if n == 0 {
-			x.wait = w.release
+			x.wait, y.wait = w.release, w.releaseAnswer
 		}
 		go x.run()
 		go y.run()
@@ -258,6 +278,46 @@
 	i.Equal(h.sender.count(), 1)
 }
 
+// Guards against a run that is cut, and a request that fails, because the news that the request has begun comes late.
+func TestBegunCallIsNotCutIfTheNewsIsLate(t *testing.T) {
+	const late = 900 * time.Millisecond
+	i := is.New(t)
+	ended := make(chan error, 1)
+	h := startHelping(t, func(ctx context.Context) relay.Reply {
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * late):
+		}
+		ended <- ctx.Err()
+		return answering(bytes.NewBufferString("late"))(ctx)
+	})
+	w := startSlowWall(t, h.address, late)
+	r, p := client().Send(context.Background(), helper(w.listener.Addr().String()), attempt())
+	i.Equal(p.Result, relay.Delivered)
+	i.Equal(r.Verdict, relay.Ran)
+	i.NoErr(<-ended) // the run wasn't cut
+	b, err := io.ReadAll(r.Body)
+	i.NoErr(err)
+	i.Equal(string(b), "late")
+	i.NoErr(r.Body.Close())
+	i.Equal(h.sender.count(), 1)
+}
+
+// Guards against waiting for the news that a request has begun once its caller has left.
+func TestLateNewsAreNotAwaitedOnceTheCallerLeaves(t *testing.T) {
+	const late, leave = 3 * time.Second, time.Second
+	i := is.New(t)
+	h := startHelping(t, answering(bytes.NewBufferString("late")))
+	w := startSlowWall(t, h.address, late)
+	x, stop := context.WithTimeout(context.Background(), leave)
+	defer stop()
+	b := time.Now()
+	r, p := client().Send(x, helper(w.listener.Addr().String()), attempt())
+	i.Equal(p.Result, relay.Lost)
+	i.Equal(r.Verdict, relay.Unknown)
+	i.True(time.Since(b) < late)
+}
+
 func TestHostDownIsNotRun(t *testing.T) {
 	i := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
