--- a/gate/engine.go
+++ b/gate/engine.go
@@ -16,7 +16,7 @@
 const (
 	endpointDialTimeout     = 700 * time.Millisecond
 	maxIdleConnsPerEndpoint = 512
-	// stallTimeout is how long an endpoint may send nothing on a stream before the attempt fails.
+	// stallTimeout is how long an endpoint may send nothing on a stream before another one is asked beside it.
 	stallTimeout = 10 * time.Second
 	// headerPriority carries the request's priority to the endpoint.
 	headerPriority = "X-Priority"
@@ -31,11 +31,17 @@
 	singleUse *http.Client
 }
 
-// newEngineClient returns a client that follows no redirects and leaves compressed answers as they are.
-func newEngineClient() *engineClient {
-	d := &net.Dialer{Timeout: endpointDialTimeout}
-	k := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true}
-	f := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+// DialFunc opens a connection to an endpoint's address, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newEngineClient returns a client that follows no redirects and leaves compressed answers as they are. A nil dial opens TCP
+// connections.
+func newEngineClient(dial DialFunc) *engineClient {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: endpointDialTimeout}).DialContext
+	}
+	k := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true}
+	f := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	return &engineClient{keepAlive: &http.Client{Transport: k, CheckRedirect: noRedirect}, singleUse: &http.Client{Transport: f, CheckRedirect: noRedirect}}
 }
 
@@ -81,12 +87,17 @@
 	mayHaveStarted bool
 	// err is the cause of a failed attempt, for the log.
 	err error
+	// refusal is set if the attempt was refused before it had an endpoint. The other fields are then unset.
+	refusal *failure
 }
 
+// succeeded reports whether the attempt gave a complete answer.
+func (e attemptResult) succeeded() bool { return e.refusal == nil && e.ending == core.EndedWell }
+
 // classifyError returns the result of a call that ended with err. Only a connection that could not be opened
 // proves that the request was not started; a refused connection also means that this incarnation of the
-// endpoint has departed. A request that timed out after it was written may have run. ctx is the request's
-// context or one derived from it; it is cancelled when the caller disconnects.
+// endpoint has departed. A request whose connection failed after it was written may have run. ctx is the attempt's
+// context; it is cancelled when the caller disconnects.
 func classifyError(ctx context.Context, err error) attemptResult {
 	var o *net.OpError
 	d := errors.As(err, &o) && o.Op == "dial"
