Name in one warning who ended an answer that had begun, and how old the configuration was

Cause: an answer that ends early left lines that don't tell who ended it, or none that always passes: a write to the caller that failed was logged as 'the answer ends early' like a break by the endpoint; plain answers that broke off, were too long or came to their deadline had an attempt's line only, no outcome and no count; a short answer that the caller didn't take was logged as served besides an information; answers that the planned stop broke off were said to be left by their callers. None told the configuration in force.

Change: each end of a begun answer before its end leaves one warning, the last line of the request, with 'ended-by' (endpoint, host, caller), 'why' (broke off; deadline, stop, too long, no further run, connection closed; disconnected, write failed), the error, 'events' and 'event-age', 'table-age' (ms since this host put in force the table by which the request was routed), and 'current-table' with 'current-table-age', since a request keeps its table while a newer one comes. 'spent' also says that no endpoint, no way or no time was left. Requests without an answer whose connection this host closes in its stop are logged as that, at the warning level. A plain answer that the caller didn't take no longer counts as served; one that broke off counts as broken off. 'explain' names who ended the answer, and a configuration that was less than 5 s old.

Not covered: a stream that an endpoint ends without its last event, whole by the protocol, is 'served', which is below a warning.

--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -57,11 +57,17 @@
 	refusal   *relay.Refusal
 	aborted   bool
 	refusedAt time.Time
+	// writeError is what Write returns once failAfter bytes were written, if it isn't nil.
+	writeError error
+	failAfter  int
 }
 
 func (s *sink) Begin(status int, _ http.Header, _ int64) { s.status = status }
 
 func (s *sink) Write(b []byte) error {
+	if s.writeError != nil && s.body.Len() >= s.failAfter {
+		return s.writeError
+	}
 	s.body.Write(b)
 	return nil
 }
@@ -202,11 +208,16 @@
 // serve sends a request and returns what the caller received.
 func (h *harness) serve(ctx context.Context, path, key string) *sink {
 	s := &sink{}
+	h.serveTo(ctx, s, fmt.Sprint(path, h.sender.count()), path, key)
+	return s
+}
+
+// serveTo sends a request whose answer goes to s.
+func (h *harness) serveTo(ctx context.Context, s *sink, id, path, key string) {
 	h.relay.Serve(ctx, &relay.Request{
-		ID: fmt.Sprint(path, h.sender.count()), Method: "POST", Host: "h", Path: path, Target: path, Key: key, Header: http.Header{}, Received: time.Now(),
+		ID: id, Method: "POST", Host: "h", Path: path, Target: path, Key: key, Header: http.Header{}, Received: time.Now(),
 		Prompt: relay.Prompt{Tokens: 2000, MaxOutput: 200},
 	}, s)
-	return s
 }
 
 // inSynctest runs a test with the simulated clock of package synctest.
--- a/relay/job.go
+++ b/relay/job.go
@@ -50,9 +50,11 @@
 	route   table.Route
 	service table.Service
 	// version is the version of the routing table that the request was routed by, or 0 if there was none.
-	version  int64
-	account  string
-	priority int
+	version int64
+	// tableSince is when this host put that table in force.
+	tableSince time.Time
+	account    string
+	priority   int
 	// deadline is the zero time until the route is known.
 	deadline time.Time
 	// callerContext is cancelled when the caller disconnects. Unlike the context of run, it has no deadline.
@@ -112,6 +114,8 @@
 	// lastEventAt is when the last event was passed on, and longestGap the longest time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
+	// writeError is why the answer could not be written to the caller, and breakError why that of the endpoint broke off, or nil.
+	writeError, breakError error
 	// ttft is the time from reading the head of the request to passing on the first event of a stream, and 0 for other
 	// answers.
 	// confidence is what the model reported for its stream: 0 to 100, or -1 for none.
@@ -140,8 +144,11 @@
 }
 
 // count increments the counter of requests with the route and an outcome.
-func (j *job) count(outcome string) {
-	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=%q}", j.route.Name, outcome)).Inc()
+func (j *job) count(outcome string) { j.relay.countRequest(j.route.Name, outcome) }
+
+// countRequest increments the counter of requests with a route, empty if it isn't known, and an outcome.
+func (r *Relay) countRequest(route, outcome string) {
+	r.Metrics.GetOrCreateCounter(fmt.Sprintf("requests_total{route=%q,outcome=%q}", route, outcome)).Inc()
 }
 
 // countUnserved counts a request that ends without a complete answer, and returns a log entry that names the latest
@@ -153,7 +160,9 @@
 	if u == nil {
 		return e
 	}
-	return e.WithFields(logrus.Fields{"endpoint": u.choice.ID, "waited": time.Since(u.sent).Milliseconds(), "answering": u.answering})
+	return e.WithFields(logrus.Fields{
+		"endpoint": u.choice.ID, "relayed-by": u.helper.Host, "waited": time.Since(u.sent).Milliseconds(), "answering": u.answering,
+	})
 }
 
 // refuse logs and counts a refusal and ends the request with it.
@@ -217,35 +226,38 @@
 
 const (
 	// done means that the request has its final answer.
-	done nextStep = iota
+	done nextStep = iota // done
 	// undelivered means that no byte of the request reached the endpoint, so that another attempt takes nothing from
 	// the retry budget.
-	undelivered
+	undelivered // undelivered
 	// resend means that the request reached the endpoint and did not run.
-	resend
+	resend // resend
 	// rerun means that the request ran or may have run, and has no complete answer.
-	rerun
+	rerun // rerun
 	// escalate means that a larger model has to answer.
-	escalate
+	escalate // escalate
 	// noEndpoint means that no endpoint can take the request.
-	noEndpoint
+	noEndpoint // no endpoint
 	// ended means that the deadline has passed or the caller has disconnected.
-	ended
+	ended // ended
 	// overloaded means that no endpoint is expected to begin its answer before the deadline.
-	overloaded
+	overloaded // no endpoint in time
 	// declined means that another host, through which the request was to go, didn't begin to send it.
-	declined
+	declined // declined by another host
 	// cutOff means that this host reaches no endpoint and no host that does.
-	cutOff
+	cutOff // cut off
 	// quarantined means that the request is held back because requests like it end the endpoints that run them.
-	quarantined
+	quarantined // held back
 )
 
 // mayRetry reports whether the request may be sent again after v. A retry of a delivered request is taken from the
 // retry budget; an escalation was taken from it before. If a limit prevents the retry, mayRetry sets noRetryReason.
 func (j *job) mayRetry(v nextStep) bool {
 	switch v {
-	case noEndpoint, ended, overloaded, quarantined, cutOff:
+	case noEndpoint, overloaded, quarantined, cutOff:
+		j.noRetryReason = v.String()
+		return false
+	case ended:
 		return false
 	case escalate:
 		return true
@@ -303,23 +315,14 @@
 // giveUp ends a request that is not sent again: it aborts an answer that has begun, passes on the failure of an
 // endpoint, or refuses the request.
 func (j *job) giveUp(v nextStep) {
-	if j.callerContext.Err() != nil {
-		j.logCallerLeft()
-		if j.answerBegun {
-			j.sink.Abort() // the caller may have closed only its half of the connection, and still read
-		}
-		return
-	}
-	if j.answerBegun {
-		j.countUnserved("broken-off").WithFields(logrus.Fields{"last-event": j.lastEventID, "late": time.Until(j.deadline) <= 0}).Warn("request: the answer ends early")
-		j.sink.Abort()
-		return
-	}
 	late := time.Until(j.deadline) <= 0
 	switch {
+	case j.answerBegun:
+		j.endEarly()
+	case j.callerContext.Err() != nil:
+		j.endUnanswered()
 	case j.lastFailure != nil:
-		j.countUnserved("failure-passed-on").WithField("status", j.lastFailure.status).Warn("request: the endpoint's failure is passed on")
-		j.deliver(j.lastFailure)
+		j.passOnFailure()
 	case late && j.mayHaveRun:
 		j.refuse(TimedOut, 0)
 	case j.mayHaveRun:
@@ -337,18 +340,13 @@
 	}
 }
 
-// logCallerLeft logs and counts a request whose caller disconnected. If the answer had begun, the line is a warning: it tells an
-// answer that the caller gave up from one that this host cut.
-func (j *job) logCallerLeft() {
-	l := logrus.InfoLevel
-	if j.answerBegun {
-		l = logrus.WarnLevel
-	}
-	e := j.countUnserved("caller-left").WithField("last-event", j.lastEventID)
-	if !j.lastEventAt.IsZero() {
-		e = e.WithField("event-age", time.Since(j.lastEventAt).Milliseconds())
-	}
-	e.Log(l, "request: the caller left")
+// passOnFailure passes on the latest failure that an endpoint answered with.
+func (j *job) passOnFailure() {
+	if j.deliver(j.lastFailure) != nil {
+		j.endEarly()
+		return
+	}
+	j.countUnserved("failure-passed-on").WithField("status", j.lastFailure.status).Warn("request: the endpoint's failure is passed on")
 }
 
 // retryAfter estimates when an endpoint of an overloaded service has room again: 0.5 to 1.5 times the hold time, or the
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -51,11 +51,10 @@
 var errTooLong = errors.New("the endpoint's answer is too long; it is given up")
 
 // deliver passes a buffered answer on to the caller.
-func (j *job) deliver(w *bufferedReply) {
+func (j *job) deliver(w *bufferedReply) error {
+	j.answerBegun = true
 	j.sink.Begin(w.status, w.reply.Header, int64(len(w.body)))
-	if err := j.sink.Write(w.body); err != nil {
-		j.log().WithError(err).Info("request: the caller left before the end of its answer")
-	}
+	return j.write(w.body)
 }
 
 // relayPlain passes on an answer that is not a stream. A body of up to maxBufferedBytes is read to its end first, and
@@ -72,24 +71,32 @@
 	}
 	u.learnDuration(holdKey(j.route.Name, j.model()), time.Since(u.sent))
 	if len(w.body) <= maxBufferedBytes {
-		j.deliver(w)
+		if j.deliver(w) != nil {
+			u.recordComplete(w.status)
+			return ended
+		}
 		u.recordServed(w.status)
 		return done
 	}
 	j.answerBegun = true
 	j.sink.Begin(w.status, w.reply.Header, r.Length)
-	if err := j.sink.Write(w.body); err != nil {
+	if j.write(w.body) != nil || !u.copyRest(r) {
 		return ended
 	}
-	if err := copyBounded(sinkWriter{j.sink}, r); err != nil {
-		u.log().WithError(err).Warn("attempt: the answer broke off")
-		j.sink.Abort()
-		return done
-	}
 	u.recordServed(w.status)
 	return done
 }
 
+// copyRest passes on the rest of a long answer. It reports false if the answer ends early.
+func (u *upstreamAttempt) copyRest(r Reply) bool {
+	err := copyBounded(callerWriter{u.job}, r)
+	if err != nil && u.job.writeError == nil {
+		u.job.noteBreak(err)
+		u.log().WithError(err).Warn("attempt: the answer broke off")
+	}
+	return err == nil
+}
+
 // copyBounded copies the rest of an answer, up to maxAnswerBytes if the answer names no length.
 func copyBounded(w io.Writer, r Reply) error {
 	b := r.Body.(io.Reader)
@@ -103,7 +110,7 @@
 	return err
 }
 
-// sinkWriter is an io.Writer that writes to a Sink.
-type sinkWriter struct{ sink Sink }
+// callerWriter is an io.Writer that writes to the caller of a job.
+type callerWriter struct{ job *job }
 
-func (w sinkWriter) Write(b []byte) (int, error) { return len(b), w.sink.Write(b) }
+func (w callerWriter) Write(b []byte) (int, error) { return len(b), w.job.write(b) }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,7 +40,7 @@
 type Relay struct {
 	Options
 	// table is the routing table in force, or nil before the first configuration has arrived.
-	table atomic.Pointer[table.Table]
+	table atomic.Pointer[tableInForce]
 	// entryHosts is the number of entry hosts that share the endpoints, at least 1.
 	entryHosts atomic.Int64
 	// start is when the Relay was created.
@@ -48,6 +48,8 @@
 	// stopTime is when this host aborts the requests in flight because it stops, in Unix nanoseconds; 0 while no
 	// stop is planned.
 	stopTime atomic.Int64
+	// closing is set once this host closes the connections of requests in flight.
+	closing atomic.Bool
 	// Prefill estimates the prefill times of models. Hosts exchange the values that they have measured.
 	Prefill *ttft.Estimator
 	// durations holds averages under the keys that holdKey and firstEventKey return.
@@ -83,21 +85,32 @@
 	return r
 }
 
+// tableInForce is a routing table and when this host put it in force.
+type tableInForce struct {
+	table table.Table
+	since time.Time
+}
+
 // SetTable puts t in force and reports true, or reports false if the table in force has the same or a higher version.
 func (r *Relay) SetTable(t table.Table) bool {
 	for {
 		o := r.table.Load()
-		if o != nil && o.Version >= t.Version {
+		if o != nil && o.table.Version >= t.Version {
 			return false
 		}
-		if r.table.CompareAndSwap(o, &t) {
+		if r.table.CompareAndSwap(o, &tableInForce{t, time.Now()}) {
 			return true
 		}
 	}
 }
 
 // Table returns the routing table in force, or nil if there is none yet.
-func (r *Relay) Table() *table.Table { return r.table.Load() }
+func (r *Relay) Table() *table.Table {
+	if t := r.table.Load(); t != nil {
+		return &t.table
+	}
+	return nil
+}
 
 // SetEntryHosts sets the number of entry hosts that share the connections of the endpoints and the retry budget.
 // Values below 1 count as 1.
@@ -110,6 +123,10 @@
 // Serve refuses requests that may not have ended by then.
 func (r *Relay) SetStopTime(end time.Time) { r.stopTime.Store(end.UnixNano()) }
 
+// SetClosing tells that this host now closes the connections of requests in flight, because it stops. Requests that end early from
+// then on are logged as ended by this host.
+func (r *Relay) SetClosing() { r.closing.Store(true) }
+
 // outlivesStop reports whether a new request of the route may still be in flight when this host stops. A stream
 // always may, whatever its timeout.
 func (r *Relay) outlivesStop(o table.Route) bool {
@@ -119,7 +136,7 @@
 
 // awaitConfiguration returns the table in force. If there is none yet, because the host has just started, it waits up
 // to configurationWait and then returns nil.
-func (r *Relay) awaitConfiguration(ctx context.Context) *table.Table {
+func (r *Relay) awaitConfiguration(ctx context.Context) *tableInForce {
 	for t := time.Now(); time.Since(t) < configurationWait && ctx.Err() == nil; time.Sleep(configurationPoll) {
 		if v := r.table.Load(); v != nil {
 			return v
@@ -139,13 +156,14 @@
 // Serve finds the route and the client account of a request, sends it to endpoints and writes the answer or a refusal
 // to s. It returns when the request has ended. ctx has to be cancelled when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, q *Request, s Sink) {
-	t := r.awaitConfiguration(ctx)
+	v := r.awaitConfiguration(ctx)
 	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}, unreached: map[string]bool{}, sentTo: map[string]bool{}, callerContext: ctx, confidence: -1}
-	if t == nil {
+	if v == nil {
 		j.refuse(NoConfiguration, configurationRetryAfter)
 		return
 	}
-	j.version = t.Version
+	t := &v.table
+	j.version, j.tableSince = t.Version, v.since
 	o, ok := t.Route(q.Host, q.Path)
 	if !ok {
 		j.refuse(NoRoute, 0)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -61,6 +61,7 @@
 // handleBreak records that a stream broke off, or was given up.
 func (u *upstreamAttempt) handleBreak(cause error) {
 	j := u.job
+	j.noteBreak(cause)
 	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
 	u.log().WithError(cause).WithField("last-event", j.lastEventID).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
 	u.exclude(u.linkLost)
@@ -152,7 +153,7 @@
 	if len(u.held) > 0 {
 		b, u.held = append(u.held, e...), nil
 	}
-	if err := j.sink.Write(b); err != nil {
+	if j.write(b) != nil {
 		return errCallerLeft
 	}
 	if !hasData(e) {
--- a/trace/summary.go
+++ b/trace/summary.go
@@ -99,7 +99,7 @@
 		g.addServed(l)
 	case "caller-left":
 		g.row.CallerLeft++
-	case "broken-off", "answer-lost", "timed-out", "failure-passed-on":
+	case "broken-off", "answer-lost", "timed-out", "failure-passed-on", "stopped":
 		g.row.Failed++
 	default:
 		g.row.Refused++
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -173,7 +173,7 @@
 		return fmt.Sprintf("refused, not run: the best of %.0f endpoints would have begun to answer in %.0f ms, and %.0f ms were left",
 			l.numberField("candidates"), l.numberField("estimate"), l.numberField("left"))
 	case "broken-off":
-		return fmt.Sprintf("broken off behind event %v: %s; no further run: %s", l.Fields["last-event"], describeAttempts(lines), explainNoRetry(l))
+		return explainBroken(lines)
 	case "answer-lost":
 		return fmt.Sprintf("may have run, its answer is lost: %s; no further run: %s", describeAttempts(lines), explainNoRetry(l))
 	case "timed-out":
@@ -181,17 +181,78 @@
 	case "failure-passed-on":
 		return fmt.Sprintf("the failure of the last endpoint was passed on: %s; no further run: %s", describeAttempts(lines), explainNoRetry(l))
 	case "caller-left":
-		w := "the caller left while " + describeLastWait(l)
-		if r := failedAttempts(lines); len(r) > 0 {
-			w += "; before: " + strings.Join(r, ", then ")
-		}
-		return w
+		return explainLeft(lines)
+	case "stopped":
+		return "not answered, its host stopped: " + describeAttempts(lines)
+	case "connection-closing":
+		return "not run: it came on an idle connection that its host was closing"
+	case "body-unread":
+		return fmt.Sprintf("not run: its body could not be read (%s)", stringField(l.Fields, "error"))
 	case "":
 		return l.Message
 	}
 	return fmt.Sprintf("refused, %s: %s", o, describeAttempts(lines))
 }
 
+// recentChange is the age in ms below which the configuration in force at the end of an answer is named.
+const recentChange = 5000
+
+// explainBroken returns the cause of an answer that an endpoint or its host broke off. Hosts of earlier builds don't say which.
+func explainBroken(lines []Line) string {
+	l := lines[len(lines)-1]
+	w := "broken off" + describeLastEvent(l)
+	switch stringField(l.Fields, "ended-by") {
+	case "endpoint":
+		w += " by the endpoint"
+	case "host":
+		w += fmt.Sprintf(" by this host (%s)", stringField(l.Fields, "why"))
+	}
+	w += ": " + describeAttempts(lines)
+	if stringField(l.Fields, "why") != "stop" {
+		w += "; no further run: " + explainNoRetry(l)
+	}
+	return w + describeChange(l)
+}
+
+// explainLeft returns the cause of a request whose caller left.
+func explainLeft(lines []Line) string {
+	l := lines[len(lines)-1]
+	w := "the caller left" + describeLastEvent(l) + describeWhy(l) + " while " + describeLastWait(l)
+	if r := failedAttempts(lines); len(r) > 0 {
+		w += "; before: " + strings.Join(r, ", then ")
+	}
+	return w + describeChange(l)
+}
+
+// describeLastEvent names the last event that the caller has, or returns an empty text if there is none.
+func describeLastEvent(l Line) string {
+	if e := stringField(l.Fields, "last-event"); e != "" {
+		return " behind event " + e
+	}
+	return ""
+}
+
+// describeWhy returns why a caller left, and the error that came with it, in brackets, or an empty text.
+func describeWhy(l Line) string {
+	w := stringField(l.Fields, "why")
+	if w == "" {
+		return ""
+	}
+	if e := stringField(l.Fields, "error"); e != "" {
+		w += ": " + e
+	}
+	return " (" + w + ")"
+}
+
+// describeChange names the configuration that had just come into force, or returns an empty text.
+func describeChange(l Line) string {
+	a, ok := l.Fields["current-table-age"].(float64)
+	if !ok || a > recentChange {
+		return ""
+	}
+	return fmt.Sprintf("; configuration %.0f had been in force for %.0f ms", l.numberField("current-table"), a)
+}
+
 // explainNoRetry returns why no further attempt followed the end that line l reports.
 func explainNoRetry(l Line) string {
 	if l.numberField("left") <= 0 {
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -26,6 +26,13 @@
 {"host":"e1","id":"l","msg":"attempt: dropped for a larger model","endpoint":"i-4","took":80,"time":"10:00:03.100"}
 {"host":"e1","id":"l","msg":"request: the caller left","outcome":"caller-left","endpoint":"i-3","waited":900,"answering":true,"left":100,"time":"10:00:03.100"}
 {"host":"e1","id":"g","msg":"request: the answer ends early","outcome":"broken-off","endpoint":"i-3","waited":800,"answering":true,"last-event":"75","left":0,"time":"10:00:03.200"}
+{"host":"e1","id":"n","msg":"attempt: the stream broke off","endpoint":"i-2","took":70,"error":"unexpected EOF","time":"10:00:03.300"}
+{"host":"e1","id":"n","msg":"request: the answer ends early","outcome":"broken-off","ended-by":"endpoint","why":"broke off","last-event":"7","left":9000,"spent":"budget","table":4,"table-age":61000,"current-table":5,"current-table-age":200,"time":"10:00:03.301"}
+{"host":"e1","id":"o","msg":"request: the answer ends early","outcome":"broken-off","ended-by":"host","why":"stop","endpoint":"i-3","waited":800,"answering":true,"last-event":"","left":500,"table":4,"table-age":61000,"current-table":4,"current-table-age":61000,"time":"10:00:03.400"}
+{"host":"e1","id":"p","msg":"request: the caller left","outcome":"caller-left","ended-by":"caller","why":"write failed","error":"broken pipe","endpoint":"i-3","waited":900,"answering":true,"last-event":"3","left":100,"table":4,"table-age":300,"current-table":4,"current-table-age":300,"time":"10:00:03.500"}
+{"host":"e1","id":"q","msg":"request: not answered, this host stops","outcome":"stopped","endpoint":"i-3","waited":900,"left":100,"time":"10:00:03.600"}
+{"host":"e1","id":"r","msg":"request: not served","outcome":"connection-closing","time":"10:00:03.700"}
+{"host":"e1","id":"s","msg":"request: not served","outcome":"body-unread","error":"unexpected EOF","time":"10:00:03.700"}
 {"host":"e1","id":"h","msg":"attempt: dropped for a larger model","endpoint":"i-4","took":80,"time":"10:00:04.000"}
 {"host":"e2","id":"k","msg":"attempt: dropped for a larger model","endpoint":"i-4","took":80,"time":"10:00:04.000"}
 {"host":"e1","msg":"host: starts","time":"10:00:06.000"}
@@ -41,6 +48,12 @@
 		"f": "the caller left while i-3 had not answered for 900 ms",
 		"l": "the caller left while i-3 was still answering after 900 ms; before: i-4 after 80 ms (dropped for a larger model)",
 		"g": "broken off behind event 75: i-3 was still answering after 800 ms; no further run: its time was over",
+		"n": "broken off behind event 7 by the endpoint: i-2 after 70 ms (unexpected EOF); no further run: the budget of repeats was spent; configuration 5 had been in force for 200 ms",
+		"o": "broken off by this host (stop): i-3 was still answering after 800 ms",
+		"p": "the caller left behind event 3 (write failed: broken pipe) while i-3 was still answering after 900 ms; configuration 4 had been in force for 300 ms",
+		"q": "not answered, its host stopped: i-3 had not answered for 900 ms",
+		"r": "not run: it came on an idle connection that its host was closing",
+		"s": "not run: its body could not be read (unexpected EOF)",
 		"h": "lost with its host, which started again at 10:00:06.000: i-4 after 80 ms (dropped for a larger model)",
 		"k": "its end isn't logged, it was under way when the log ends: i-4 after 80 ms (dropped for a larger model)",
 		"d": "no line names the request: it reached no host whose log was given, or its lines were left out under load",
