Log requests that are read and not served

Cause: a request that came as its idle connection was being closed (caller.Guard), one whose body ended early, and those with too many headers or too long a body got no line, or none at any level: an id from a caller's record led nowhere.

--- a/caller/tracker.go
+++ b/caller/tracker.go
@@ -83,11 +83,19 @@
 	return true
 }
 
+// Handler serves requests.
+type Handler interface {
+	http.Handler
+	// LogUnserved logs a request that isn't served because its connection is being closed.
+	LogUnserved(r *http.Request)
+}
+
 // Guard returns a handler that serves requests with another one, but for those that came as their connection was about to
 // be closed: the caller gets no answer to them, so that they must not run.
-func (t *Tracker) Guard(h http.Handler) http.Handler {
+func (t *Tracker) Guard(h Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n, ok := r.Context().Value(connKey{}).(net.Conn); ok && t.isClosing(n) {
+			h.LogUnserved(r)
 			panic(http.ErrAbortHandler)
 		}
 		h.ServeHTTP(w, r)
--- a/caller/tracker_test.go
+++ b/caller/tracker_test.go
@@ -27,13 +27,27 @@
 	return nil
 }
 
-// serve reports whether a request on a connection reaches the handler behind a tracker's guard.
-func serve(t *caller.Tracker, n net.Conn) (served bool) {
+// countingHandler counts the requests that reach it and those that are logged as not served.
+type countingHandler struct{ served, unserved int }
+
+func (h *countingHandler) ServeHTTP(http.ResponseWriter, *http.Request) { h.served++ }
+
+func (h *countingHandler) LogUnserved(*http.Request) { h.unserved++ }
+
+// serve reports whether a request on a connection reaches the handler behind a tracker's guard. One that doesn't has to be logged.
+func serve(i *is.I, t *caller.Tracker, n net.Conn) bool {
+	h := &countingHandler{}
+	callGuarded(t, n, h)
+	i.Equal(h.served+h.unserved, 1)
+	return h.served == 1
+}
+
+// callGuarded calls a handler behind a tracker's guard with a request on a connection.
+func callGuarded(t *caller.Tracker, n net.Conn, h *countingHandler) {
 	defer func() { _ = recover() }() // a request that isn't served panics with http.ErrAbortHandler
 	q := httptest.NewRequest(http.MethodPost, "/", nil)
 	q = q.WithContext(t.ConnContext(context.Background(), n))
-	t.Guard(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served = true })).ServeHTTP(httptest.NewRecorder(), q)
-	return served
+	t.Guard(h).ServeHTTP(httptest.NewRecorder(), q)
 }
 
 // Guards against a request that is passed on though its idle connection is being closed, so that it runs without an answer.
@@ -47,7 +61,7 @@
 		synctest.Wait() // the timer has expired and Close is under way
 		k.Track(n, http.StateActive)
 		i.Equal(n.closes, 1)
-		i.True(!serve(k, n))
+		i.True(!serve(i, k, n))
 		close(n.gate)
 		k.Track(n, http.StateClosed)
 		i.Equal(k.Busy(), 0)
@@ -65,7 +79,7 @@
 			time.Sleep(999 * time.Millisecond)
 			k.Track(n, http.StateActive)
 			time.Sleep(5 * time.Second)
-			i.True(serve(k, n))
+			i.True(serve(i, k, n))
 			i.Equal(k.Busy(), 1)
 		}
 		i.Equal(n.closes, 0)
