Let the requests that a planned stop breaks off log it before the process ends

Cause: at the end of its stop the host closed the callers' connections and went on to its end at once. The handlers of the requests in flight saw a cancelled request, logged that the caller had left, if they still came to it, and their lines raced with the end of the process. Change: the relay is told that the host closes the connections, so that the lines say 'ended-by: host, why: stop', and the stop waits until no request is in flight, 60 ms at most.

Red first: TestStreamsCutByPlannedStopAreNamed (24 streams, real processes): 'caller != host'. A lost line was not seen in that run.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -48,8 +48,12 @@
 	// closeDelay is how long a stopping host without requests in flight goes on refusing new requests before it closes
 	// the connections. A request that arrived just before is then answered and not lost with its connection.
 	closeDelay = 120 * time.Millisecond
+	// handlerTimeout bounds the wait for the requests that a stopping host has broken off to end and log why.
+	handlerTimeout = 60 * time.Millisecond
 	// stopPollInterval is how often a stopping host checks whether requests are in flight.
 	stopPollInterval = 20 * time.Millisecond
+	// handlerPollInterval is the same for requests that were broken off.
+	handlerPollInterval = 2 * time.Millisecond
 )
 
 // node is a process of a routed deployment: an entry host or a control host.
@@ -196,8 +200,10 @@
 	go v.run()
 	go w.run()
 	n.stop = func() {
-		n.stopEntry(e, r, busyCounter{i, a.Bound}, s)
+		c := busyCounter{i, a.Bound}
+		n.stopEntry(e, r, c, s)
 		y.Close()
+		c.awaitNone(handlerTimeout)
 	}
 	return nil
 }
@@ -219,6 +225,13 @@
 
 func (c busyCounter) busyCount() int { return c.callers.Busy() + c.others.Taken() }
 
+// awaitNone waits until no request is in flight, for a time at most.
+func (c busyCounter) awaitNone(limit time.Duration) {
+	for t := time.Now(); time.Since(t) < limit && c.busyCount() > 0; {
+		time.Sleep(handlerPollInterval)
+	}
+}
+
 // readinessHandler answers the readiness checks of the load balancer.
 type readinessHandler struct{ entry *entry.Entry }
 
@@ -251,6 +264,7 @@
 	if k := i.busyCount(); k > 0 {
 		n.log.WithField("requests", k).Warn("host: requests are broken off at the end of the grace period")
 	}
+	r.SetClosing()
 	if err := s.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.log.WithError(err).Warn("host: closing the callers' connections failed")
 	}
