Log who ends an answer that is sent for another host

Cause: a host that sends a request for another one logged its head only; an answer that broke off at the endpoint, at the deadline or in the host's own planned stop left no line there, and the caller's host takes them all for the endpoint's end. Change: a warning with the id, 'ended-by' (endpoint, host) and 'why'; an information if the other host has left (origin), as it does whenever its caller leaves.

Red first: TestEndOfAnswerForAnotherHostIsLogged, three cases without a line.

--- /dev/null
+++ b/proxy/ending_test.go
@@ -0,0 +1,59 @@
+package proxy_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/itest"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+)
+
+// errReset is why the endpoint's answer breaks off.
+var errReset = errors.New("reset")
+
+// Guards against answers for other hosts that end early without a line that tells who ended them.
+func TestEndOfAnswerForAnotherHostIsLogged(t *testing.T) {
+	for by, end := range map[string]func(h *helping, w *io.PipeWriter, leave context.CancelFunc){
+		"endpoint": func(_ *helping, w *io.PipeWriter, _ context.CancelFunc) { _ = w.CloseWithError(errReset) },
+		"host":     func(h *helping, _ *io.PipeWriter, _ context.CancelFunc) { h.server.Close() },
+		"origin":   func(_ *helping, _ *io.PipeWriter, leave context.CancelFunc) { leave() },
+	} {
+		t.Run(by, func(t *testing.T) {
+			i := is.New(t)
+			r, w := io.Pipe()
+			h := startHelping(t, func(ctx context.Context) relay.Reply {
+				context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) }) // as the connection to the endpoint does
+				return answering(r)(ctx)
+			})
+			c, leave := context.WithCancel(t.Context())
+			defer leave()
+			p, _ := client().Send(c, helper(h.address), attempt())
+			_, err := io.WriteString(w, "event")
+			i.NoErr(err)
+			_, err = io.ReadFull(p.Body, make([]byte, len("event")))
+			i.NoErr(err)
+			end(h, w, leave)
+			go drain{p.Body}.run()
+			itest.Eventually(t, 5*time.Second, func() error {
+				if h.log.LastEntry().Data["ended-by"] != by {
+					return errors.New("no line says that the answer was ended by the " + by)
+				}
+				return nil
+			})
+			i.Equal(h.log.LastEntry().Data["id"], "r1")
+		})
+	}
+}
+
+// drain reads a body to its end and closes it.
+type drain struct{ body io.ReadCloser }
+
+func (d drain) run() {
+	_, _ = io.Copy(io.Discard, d.body) // how it ends doesn't matter
+	_ = d.body.Close()
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/budget"
@@ -63,16 +63,17 @@
 	bound    *assist.Bound
 	stopping bool
 	address  string
+	server   *proxy.Server
+	log      *logtest.Hook
 }
 
 // startHelping starts a host that sends requests for others.
 func startHelping(t testing.TB, answer func(context.Context) relay.Reply) *helping {
 	t.Helper()
-	h := &helping{sender: &sender{answer: answer}, bound: assist.NewBound(0, 0)}
+	g, k := logtest.NewNullLogger()
+	h := &helping{sender: &sender{answer: answer}, bound: assist.NewBound(0, 0), log: k}
 	p := pick.NewSet("c")
 	p.Replace([]fleet.Report{endpoint})
-	g := logrus.New()
-	g.SetOutput(io.Discard)
 	r := relay.New(relay.Options{Sender: h.sender, Endpoints: p, Log: g, Metrics: metrics.NewSet(), Budget: budget.NewHost(budget.Limits{Ratio: 1, Slack: 1, Window: time.Second})})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -80,6 +81,7 @@
 	}
 	h.address = l.Addr().String()
 	s := proxy.NewServer(proxy.Options{Token: "secret", Relay: r, Bound: h.bound, Stopping: func() bool { return h.stopping }, Log: g, Metrics: metrics.NewSet()})
+	h.server = s
 	v := serving{s, l}
 	go v.run()
 	t.Cleanup(func() {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// isClosed reports whether Close was called.
+func (s *Server) isClosed() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.closed
+}
+
 // connection is a connection of another host. It carries one call at a time.
 type connection struct {
 	server *Server
@@ -279,24 +286,46 @@
 	if err := writeJSON(c.conn, headFrame, newHead(r)); err != nil || r.Body == nil {
 		return err
 	}
-	return c.copyBody(r.Body)
+	broken, err := c.copyBody(r.Body)
+	c.logEnd(ctx, broken, err, l)
+	return err
+}
+
+// logEnd logs who ended an answer before its end: the endpoint, this host, or the one that asked for it (origin). broken is why the
+// answer broke off, and err why it couldn't be passed on; both are nil for a complete answer.
+func (c *connection) logEnd(ctx context.Context, broken, err error, l *logrus.Entry) {
+	if broken == nil && err == nil {
+		return
+	}
+	l = l.WithError(errors.Join(broken, err))
+	by, why := "endpoint", "broke off"
+	switch {
+	case c.server.isClosed():
+		by, why = "host", "stop"
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		by, why = "host", "deadline"
+	case ctx.Err() != nil || broken == nil:
+		l.WithField("ended-by", "origin").Info("relay: the other host has left before the end of the answer")
+		return
+	}
+	l.WithFields(logrus.Fields{"ended-by": by, "why": why}).Warn("relay: the answer to a request of another host ends early")
 }
 
-// copyBody passes the body on as it arrives, and how it ended.
-func (c *connection) copyBody(r io.Reader) error {
+// copyBody passes the body on as it arrives, and how it ended. It returns why the body broke off, or why the connection failed.
+func (c *connection) copyBody(r io.Reader) (broken, err error) {
 	b := make([]byte, dataBytes)
 	for {
 		n, err := r.Read(b)
 		if n > 0 {
 			if err := writeFrame(c.conn, dataFrame, b[:n]); err != nil {
-				return err
+				return nil, err
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return writeFrame(c.conn, endFrame, nil)
+			return nil, writeFrame(c.conn, endFrame, nil)
 		case err != nil:
-			return writeFrame(c.conn, endFrame, []byte(err.Error()))
+			return err, writeFrame(c.conn, endFrame, []byte(err.Error()))
 		}
 	}
 }
