--- a/caller/idle_test.go
+++ b/caller/idle_test.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// LogUnserved does nothing: callers count what isn't served.
+func (h *idleHost) LogUnserved(*http.Request) {}
+
 // idleCaller is a caller with one connection at a time, which turns busy as its idle timeout ends.
 type idleCaller struct {
 	host    *idleHost
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -285,7 +285,7 @@
 					return r
 				})
 				s := blockingSink{&sink{}, p}
-				h.relay.Serve(context.Background(), h.request("/write/1", "key"), s)
+				h.serveTo(context.Background(), s, "r1", "/write/1", "key")
 				i.Equal(s.body.String(), events(1, 2)+": wait\n\n"+events(3, 4))
 				i.Equal(h.sender.count(), 1) // nothing else is asked
 			})
