Ask another control host beside a silent one, and leave the first only once another one replies

Cause: an entry host closed the connection to a control host that hadn't replied for 0.7 s, before any other one was known to reply. Where all of them take longer (short of processor time, a long document over a narrow link) each reply was thrown away, and the host never got the configuration that the operator had been told is in force.

The first reply is gone on with, the others are given up and what was reported in them is reported again. A broken connection ends its exchange at once, as before.

Ruled out: to ask the other control hosts only whether they have a leader; one that doesn't answer that in time may still reply.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,7 +26,7 @@
 const (
 	// longPollWait is how long a control host may delay its reply while nothing has changed.
 	longPollWait = 150 * time.Millisecond
-	// exchangeTimeout is the time without a reply after which the entry host changes to another control host.
+	// exchangeTimeout is the time without a reply after which the entry host asks another control host as well.
 	exchangeTimeout = 700 * time.Millisecond
 	// leastRetryPause and mostRetryPause bound the pause between a failed exchange and the next one, which grows with each
 	// failure in a row: a control host that is short of processor time needs fewer connections, not more.
@@ -99,7 +99,7 @@
 }
 
 // ErrTimeout is the error of an exchange without a reply within exchangeTimeout.
-var ErrTimeout = errors.New("the control host didn't reply in time; trying another one")
+var ErrTimeout = errors.New("the control host didn't reply in time; asking another one")
 
 // ErrStale is the error of an exchange with a control host that has no leader. Another control host may have newer
 // state.
@@ -176,13 +176,33 @@
 	}
 }
 
-// exchange sends this host's report to a control host and applies the reply. If the call fails, the tallies are kept
-// for the next exchange.
+// exchange sends this host's report to a control host and applies the reply. While it gets none, it asks others as well, and goes
+// on with the first that replies. If all calls fail, the tallies are kept for the next exchange.
 func (e *Entry) exchange() error {
 	c, err := e.connect()
 	if err != nil {
 		return err
 	}
+	t := &talks{entry: e, ended: make(chan *rpc.Call), over: make(chan struct{})}
+	t.begin(e.address, c, e.request(e.state.Control == ""))
+	x, err := t.first()
+	if err != nil {
+		e.leaderless = false
+		return err
+	}
+	if x.client != e.client {
+		e.closeConnection(ErrTimeout)
+		e.useConnection(x.address, x.client)
+	}
+	e.apply(x.reply)
+	e.retryPause.reset()
+	e.leaderless = !x.reply.Current
+	e.checkLeader()
+	return nil
+}
+
+// request returns the request of the next exchange. first is set for the first one with a control host.
+func (e *Entry) request(first bool) ctlrpc.ExchangeRequest {
 	e.sequence++
 	if e.sequence%tallyResendEvery == 0 {
 		e.Relay.ResendTallies()
@@ -197,21 +217,17 @@
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
-	if e.state.Control == "" {
+	if first {
+		q.Known.Control = ""
 		q.Leaving, q.Known.FleetSum = e.Set.Leaving(), e.Set.FingerprintSum()
 	}
-	var r ctlrpc.ExchangeReply
-	if err := e.call(c, q, &r); err != nil {
-		e.leaderless = false
-		e.Relay.RestoreTallies(q.Report.Tallies)
-		e.Relay.Poison.Restore(q.Report.Poison)
-		return err
-	}
-	e.apply(r)
-	e.retryPause.reset()
-	e.leaderless = !r.Current
-	e.checkLeader()
-	return nil
+	return q
+}
+
+// resend makes the next report hold all that a control host may lack.
+func (e *Entry) resend() {
+	e.Relay.ResendTallies()
+	e.Relay.Poison.Resend()
 }
 
 // checkLeader searches for a control host with a leader from time to time while the current one has none, and goes on with it.
@@ -236,19 +252,6 @@
 	time.Sleep(stalePause)
 }
 
-// call sends the request and waits for the reply, at most for exchangeTimeout.
-func (e *Entry) call(c *rpc.Client, q ctlrpc.ExchangeRequest, r *ctlrpc.ExchangeReply) error {
-	t := time.NewTimer(exchangeTimeout)
-	defer t.Stop()
-	d := c.Go(ctlrpc.ServiceName+".Exchange", q, r, make(chan *rpc.Call, 1))
-	select {
-	case <-d.Done:
-		return d.Error
-	case <-t.C:
-		return ErrTimeout
-	}
-}
-
 // connect returns the current connection. If there is none, it opens one to the first of several control hosts that
 // answers.
 func (e *Entry) connect() (*rpc.Client, error) {
@@ -270,8 +273,7 @@
 	e.current.Store(c)
 	e.leaderless, e.searchAt = false, time.Time{}
 	e.state.Control = ""
-	e.Relay.ResendTallies()
-	e.Relay.Poison.Resend()
+	e.resend()
 	e.Relay.Poison.AdoptWatch(poison.WatchUpdate{New: true}) // a control host of an older build names no keys
 	e.Relay.Budget.Begin()
 }
--- /dev/null
+++ b/entry/slow_test.go
@@ -0,0 +1,100 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/budget"
+	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/dial"
+	"github.com/hickoryshelf/hickoryshelf/entry"
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/table"
+)
+
+// slowReply is how long a control host that is short of processor time takes for a reply. never is longer than the tests.
+const (
+	slowReply = 1500 * time.Millisecond
+	never     = time.Hour
+)
+
+// slowControl is a control host that replies after a time with a configuration. It says at once that it has a leader, unless
+// it is mute.
+type slowControl struct {
+	reply time.Duration
+	mute  bool
+}
+
+func (c slowControl) Exchange(_ ctlrpc.ExchangeRequest, n *ctlrpc.ExchangeReply) error {
+	time.Sleep(c.reply)
+	n.Current, n.TableVersion, n.Document = true, 1, []byte("{}")
+	return nil
+}
+
+func (c slowControl) Leader(_ ctlrpc.Ack, r *ctlrpc.LeaderReply) error {
+	if c.mute {
+		time.Sleep(never)
+	}
+	r.Current = true
+	return nil
+}
+
+// startSlow starts an entry host and its control hosts, which listen on consecutive addresses.
+func startSlow(t *testing.T, l []slowControl) *entry.Entry {
+	t.Helper()
+	i := is.New(t)
+	var p uint16
+	var a []string
+	for k, c := range l {
+		h := fmt.Sprint("127.0.0.", k+1)
+		n, err := net.Listen("tcp", (&net.TCPAddr{IP: net.ParseIP(h), Port: int(p)}).String())
+		i.NoErr(err)
+		t.Cleanup(func() { _ = n.Close() })
+		p = uint16(n.Addr().(*net.TCPAddr).Port)
+		s := controlServer{rpc.NewServer(), n}
+		i.NoErr(s.server.RegisterName(ctlrpc.ServiceName, c))
+		go s.run()
+		a = append(a, h+":1")
+	}
+	g := logrus.New()
+	g.SetOutput(io.Discard)
+	m := metrics.NewSet()
+	s := pick.NewSet("a")
+	r := relay.New(relay.Options{Endpoints: s, Budget: budget.NewHost(budget.Limits{Ratio: 0.9, Slack: 58, Window: time.Second}), Log: g, Metrics: m})
+	e := entry.New(entry.Options{
+		Settings: conf.Node{Name: "e", PeerPort: p, Seeds: append(a, "127.0.0.200:1")}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
+		Decode: func([]byte) (table.Table, error) { return table.Table{Version: 1}, nil }, Log: g, Metrics: m,
+	})
+	t.Cleanup(e.Stop)
+	return e
+}
+
+// TestSlowControlHostIsKeptUntilAnotherAnswers guards against entry hosts that never get a configuration: they gave up each
+// control host that took longer for a reply than they waited, though no other one answered sooner.
+func TestSlowControlHostIsKeptUntilAnotherAnswers(t *testing.T) {
+	for n, l := range map[string][]slowControl{
+		"the only one":                {{reply: slowReply}},
+		"beside one that is mute":     {{reply: slowReply, mute: true}, {reply: never, mute: true}},
+		"beside one that is as slow":  {{reply: slowReply, mute: true}, {reply: slowReply, mute: true}},
+		"beside one that answers now": {{reply: never, mute: true}, {}},
+	} {
+		t.Run(n, func(t *testing.T) {
+			i := is.New(t)
+			e := startSlow(t, l)
+			for b := time.Now(); !e.Ready() && time.Since(b) < 10*time.Second; {
+				time.Sleep(10 * time.Millisecond)
+			}
+			i.True(e.Ready()) // it has the configuration
+		})
+	}
+}
