End connections to engines and services whose machine is gone after 75 s

Cause: since silence alone no longer ends an attempt, a lost machine has to show on its connection. Go's keep-alive takes 150 s for one without bytes under way, and bytes that are never acknowledged fail only after the kernel's quarter of an hour.

Change: keep-alive probes every 15 s, four of them, and a user timeout of 75 s; dial.NewDialer sets both. A request that may be repeated doesn't wait for that: another engine is asked beside it.

That packets are really lost was not played.

--- a/dial/dial.go
+++ b/dial/dial.go
@@ -29,17 +29,23 @@
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 
-var dialer = net.Dialer{
-	KeepAliveConfig: keepAlive,
-	Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
+var dialer = NewDialer(keepAlive, userTimeout)
+
+// NewDialer returns a dialer of connections that send keep-alive probes while they are idle, and that fail once sent bytes have
+// been unacknowledged for a time.
+func NewDialer(k net.KeepAliveConfig, unacknowledged time.Duration) *net.Dialer {
+	return &net.Dialer{
+		KeepAliveConfig: k,
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, unacknowledged) },
+	}
 }
 
 // setUserTimeout sets the time after which a connection with unacknowledged bytes fails. Linux applies it to keep-alive
 // probes as well, in place of their number.
-func setUserTimeout(c syscall.RawConn) error {
+func setUserTimeout(c syscall.RawConn, t time.Duration) error {
 	var e error
 	err := c.Control(func(fd uintptr) {
-		e = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+		e = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(t.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -61,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	return setUserTimeout(r)
+	return setUserTimeout(r, userTimeout)
 }
 
 // Connect opens a connection to an address of the form host:port. It fails when the connection isn't open within the
--- a/gate/engine.go
+++ b/gate/engine.go
@@ -10,12 +10,19 @@
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/model"
 )
 
 const (
 	endpointDialTimeout     = 700 * time.Millisecond
 	maxIdleConnsPerEndpoint = 512
+	// probeInterval is the time between the keep-alive probes on a connection to an endpoint, and before the first one. After
+	// probeCount probes without an answer the connection fails.
+	probeInterval = 15 * time.Second
+	probeCount    = 4
+	// endpointUserTimeout is how long bytes sent to an endpoint may remain unacknowledged before the connection fails.
+	endpointUserTimeout = (1 + probeCount) * probeInterval
 	// stallTimeout is how long an endpoint may send nothing on a stream before another one is asked beside it.
 	stallTimeout = 10 * time.Second
 	// headerPriority carries the request's priority to the endpoint.
@@ -34,14 +41,24 @@
 // DialFunc opens a connection to an endpoint's address, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// newEngineClient returns a client that follows no redirects and leaves compressed answers as they are. A nil dial opens TCP
-// connections.
-func newEngineClient(dial DialFunc) *engineClient {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: endpointDialTimeout}).DialContext
+// DialEndpoint opens a TCP connection to an endpoint. The connection fails once its other side has acknowledged nothing for
+// endpointUserTimeout.
+func DialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
+	c, f := context.WithTimeout(ctx, endpointDialTimeout)
+	defer f()
+	return endpointDialer.DialContext(c, network, address)
+}
+
+var endpointDialer = dial.NewDialer(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}, endpointUserTimeout)
+
+// newEngineClient returns a client that follows no redirects and leaves compressed answers as they are. A nil open stands for
+// DialEndpoint.
+func newEngineClient(open DialFunc) *engineClient {
+	if open == nil {
+		open = DialEndpoint
 	}
-	k := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true}
-	f := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	k := &http.Transport{DialContext: open, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true}
+	f := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true}
 	return &engineClient{keepAlive: &http.Client{Transport: k, CheckRedirect: noRedirect}, singleUse: &http.Client{Transport: f, CheckRedirect: noRedirect}}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -65,7 +65,7 @@
 	Signer  token.Signer
 	Log     *logrus.Logger
 	Metrics *metrics.Set
-	// Dial opens the connections to endpoints. If it is nil, they are TCP connections.
+	// Dial opens the connections to endpoints. nil stands for DialEndpoint.
 	Dial DialFunc
 }
 
