Bound what a host keeps of all answers together: an eighth of its memory, a quarter of that for each endpoint

Heads of failures that wait for the end of a request weren't counted anywhere. Class: bounds per reader, none per process.

Change: package memory: an Account of a process, sized from memory-mb; each buffer takes its storage from it beyond 16 KiB, in steps of 16 KiB, so that events and answers of normal size take no lock. One endpoint gets a quarter, so that a faulty one leaves room for others. Where it is used up, events are given up like a stream that breaks off (fault of the endpoint, resumption elsewhere), a failure isn't kept, and a plain answer is passed on as it arrives, which only takes the chance to repeat it: giving it up would fail a sound answer that may not run twice. Storage above 16 KiB is let go after each event; refusals are read without being kept. A plain answer without end now counts as a fault. Logged with id, endpoint, kind, bytes, kept and own-limit; counted in answers_over_memory_total; answer_memory_bytes.

Ruled out: smaller bounds for each answer (they'd refuse sound answers, and the number of requests still multiplies them); the Go memory limit alone (it can't free what is referenced).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -125,9 +125,7 @@
 		u.recordFault(r, wait)
 		j.runs++
 		j.mayHaveRun = true
-		if w, err := u.readSideBody(r); err == nil {
-			j.lastFailure = w
-		}
+		u.readFailure(r)
 		return rerun
 	}
 	if j.answerBegun && !j.mayContinue(r) {
@@ -171,9 +169,7 @@
 func (u *upstreamAttempt) handleNotRun(r Reply, ejected time.Duration) nextStep {
 	j := u.job
 	u.exclude(r.Unreachable)
-	if _, err := u.readSideBody(r); err != nil && r.Body != nil {
-		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
-	}
+	u.skipRefusal(r)
 	if r.WrongEndpoint {
 		j.relay.Endpoints.MarkReplaced(u.choice.ID)
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -169,6 +169,7 @@
 		j.tier, j.queue = j.relay.chooser.First(q), q.Queue
 	}
 	j.setKeys()
+	defer func() { j.lastFailure.release() }()
 	for {
 		v := j.attempt()
 		if v == done || v == ended {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/memory"
 )
 
 const (
@@ -20,31 +22,60 @@
 type bufferedReply struct {
 	status int
 	reply  Reply
-	body   []byte
+	body   *memory.Buffer
+}
+
+// release gives back the memory of a buffered answer. A nil one has none.
+func (w *bufferedReply) release() {
+	if w != nil {
+		w.body.Release()
+	}
 }
 
 // readReply reads up to maxBufferedBytes+1 bytes of an answer, so that a longer body is recognised by its length. It
-// returns io.ErrUnexpectedEOF if there is no body.
-func readReply(r Reply) (*bufferedReply, error) {
+// returns io.ErrUnexpectedEOF if there is no body. With a *memory.FullError it returns what was read: the rest can still be
+// passed on. The result has to be released.
+func (u *upstreamAttempt) readReply(r Reply) (*bufferedReply, error) {
 	if r.Body == nil {
 		return nil, io.ErrUnexpectedEOF
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
-	if err != nil {
+	w := &bufferedReply{status: r.Status, reply: r, body: u.newBuffer()}
+	err := w.body.Count(memory.HeaderBytes(r.Header))
+	if err == nil {
+		err = w.body.Fill(r.Body, maxBufferedBytes+1)
+	}
+	if err != nil && !isFull(err) {
+		w.release()
 		return nil, err
 	}
-	return &bufferedReply{status: r.Status, reply: r, body: b}, nil
+	return w, err
+}
+
+// readFailure reads the body of a failure, for sideBodyTimeout at most, and keeps it as the answer for the case that no other
+// attempt succeeds.
+func (u *upstreamAttempt) readFailure(r Reply) {
+	t := time.AfterFunc(sideBodyTimeout, u.cancel)
+	defer t.Stop()
+	w, err := u.readReply(r)
+	u.recordFull(err, "failure")
+	if err != nil || w.body.Len() > maxBufferedBytes {
+		w.release()
+		return
+	}
+	u.job.lastFailure.release()
+	u.job.lastFailure = w
 }
 
-// readSideBody reads the body of an answer that isn't the one that the caller waits for, for sideBodyTimeout at most.
-func (u *upstreamAttempt) readSideBody(r Reply) (*bufferedReply, error) {
+// skipRefusal reads the body of a refusal, for sideBodyTimeout at most, and keeps nothing of it.
+func (u *upstreamAttempt) skipRefusal(r Reply) {
+	if r.Body == nil {
+		return
+	}
 	t := time.AfterFunc(sideBodyTimeout, u.cancel)
 	defer t.Stop()
-	b, err := readReply(r)
-	if err == nil && len(b.body) > maxBufferedBytes {
-		return nil, errTooLong
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBufferedBytes+1)); err != nil {
+		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
 	}
-	return b, err
 }
 
 // errTooLong means that an endpoint's answer exceeds a bound on its size.
@@ -52,18 +83,20 @@
 
 // deliver passes a buffered answer on to the caller.
 func (j *job) deliver(w *bufferedReply) {
-	j.sink.Begin(w.status, w.reply.Header, int64(len(w.body)))
-	if err := j.sink.Write(w.body); err != nil {
+	j.sink.Begin(w.status, w.reply.Header, int64(w.body.Len()))
+	if err := j.sink.Write(w.body.Bytes()); err != nil {
 		j.log().WithError(err).Info("request: the caller left before the end of its answer")
 	}
 }
 
 // relayPlain passes on an answer that is not a stream. A body of up to maxBufferedBytes is read to its end first, and
-// the attempt may be repeated if it breaks off; a longer body is passed on as it arrives.
+// the attempt may be repeated if it breaks off; a longer body, or one that takes too much memory, is passed on as it arrives.
 func (u *upstreamAttempt) relayPlain(r Reply) nextStep {
 	j := u.job
-	w, err := readReply(r)
-	if err != nil {
+	w, err := u.readReply(r)
+	defer w.release()
+	u.recordFull(err, "plain")
+	if err != nil && w == nil {
 		u.tallyBreak()
 		u.log().WithError(err).Warn("attempt: the answer broke off")
 		j.tried[u.choice.ID] = true
@@ -71,18 +104,26 @@
 		return rerun
 	}
 	u.learnDuration(holdKey(j.route.Name, j.model()), time.Since(u.sent))
-	if len(w.body) <= maxBufferedBytes {
+	if err == nil && w.body.Len() <= maxBufferedBytes {
 		j.deliver(w)
 		u.recordServed(w.status)
 		return done
 	}
+	return u.passOn(w)
+}
+
+// passOn passes on what was read of an answer, and then the rest as it arrives.
+func (u *upstreamAttempt) passOn(w *bufferedReply) nextStep {
+	j := u.job
 	j.answerBegun = true
-	j.sink.Begin(w.status, w.reply.Header, r.Length)
-	if err := j.sink.Write(w.body); err != nil {
+	j.sink.Begin(w.status, w.reply.Header, w.reply.Length)
+	if err := j.sink.Write(w.body.Bytes()); err != nil {
 		return ended
 	}
-	if err := copyBounded(sinkWriter{j.sink}, r); err != nil {
+	w.release()
+	if err := copyBounded(sinkWriter{j.sink}, w.reply); err != nil {
 		u.log().WithError(err).Warn("attempt: the answer broke off")
+		u.blame(err)
 		j.sink.Abort()
 		return done
 	}
@@ -90,6 +131,13 @@
 	return done
 }
 
+// blame counts a fault of an endpoint whose answer exceeds maxAnswerBytes.
+func (u *upstreamAttempt) blame(err error) {
+	if errors.Is(err, errTooLong) {
+		u.job.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
+	}
+}
+
 // copyBounded copies the rest of an answer, up to maxAnswerBytes if the answer names no length.
 func copyBounded(w io.Writer, r Reply) error {
 	b := r.Body.(io.Reader)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/canary"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/table"
@@ -32,6 +33,8 @@
 	Budget    *budget.Host
 	Log       *logrus.Logger
 	Metrics   *metrics.Set
+	// Memory bounds what is kept of answers. New makes one for a process whose memory isn't known if it is nil.
+	Memory *memory.Account
 	// Weights are the assumptions behind the choice of model tiers. The zero value means tiers.DefaultWeights.
 	Weights tiers.Weights
 }
@@ -71,6 +74,9 @@
 	if o.Weights == (tiers.Weights{}) {
 		o.Weights = tiers.DefaultWeights()
 	}
+	if o.Memory == nil {
+		o.Memory = memory.NewAccount(0)
+	}
 	if o.Helpers == nil {
 		o.Helpers = assist.NewBoard("")
 	}
@@ -80,6 +86,7 @@
 		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
 	}
 	r.entryHosts.Store(1)
+	o.Metrics.GetOrCreateGauge("answer_memory_bytes", func() float64 { return float64(o.Memory.Taken()) })
 	return r
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -63,6 +63,7 @@
 // handleBreak records that a stream broke off, or was given up.
 func (u *upstreamAttempt) handleBreak(cause error) {
 	j := u.job
+	u.recordFull(cause, "events")
 	b := j.relay.Endpoints.RecordFault(u.choice.ID, u.way, time.Now())
 	u.log().WithError(cause).WithField("last-event", j.lastEventID).WithField("banned", b.Milliseconds()).Warn("attempt: the stream broke off")
 	u.exclude(u.linkLost)
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -74,26 +74,32 @@
 }
 
 // readEvents delivers the complete events of a stream and then why no more follow: io.EOF at its end, io.ErrUnexpectedEOF if
-// the body ends within an event, errTooLong if it exceeds maxAnswerBytes, and otherwise the error of reading it.
+// the body ends within an event, errTooLong if it exceeds maxAnswerBytes, a *memory.FullError if an event takes too much memory,
+// and otherwise the error of reading it.
 func (u *upstreamAttempt) readEvents(body io.Reader) {
 	b := bufio.NewReaderSize(body, eventBufferBytes)
-	var e, spare []byte // the job's goroutine uses one while the other is filled
+	e, spare := u.newBuffer(), u.newBuffer() // the job's goroutine uses one while the other is filled
+	defer e.Release()
+	defer spare.Release()
 	var n int
 	for {
 		l, err := b.ReadSlice('\n')
-		e = append(e, l...)
+		if f := e.Append(l); f != nil {
+			err = f
+		}
 		if n += len(l); n > maxAnswerBytes {
 			err = errTooLong
 		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(e) < maxEventBytes:
-		case err == nil && len(bytes.TrimRight(l, "\r\n")) > 0 && len(e) < maxEventBytes:
+		case errors.Is(err, bufio.ErrBufferFull) && e.Len() < maxEventBytes:
+		case err == nil && len(bytes.TrimRight(l, "\r\n")) > 0 && e.Len() < maxEventBytes:
 		case err == nil:
-			if !u.deliver(signal{event: e}) {
+			if !u.deliver(signal{event: e.Bytes()}) {
 				return
 			}
-			e, spare = spare[:0], e
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e)) > 0:
+			e, spare = spare, e
+			e.Clear()
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Bytes())) > 0:
 			u.deliver(signal{err: io.ErrUnexpectedEOF})
 			return
 		default:
