Take the memory of an answer's head from the account: header fields of a few bytes take about twenty times as much

Cause: a head may have 256 KiB, which is a bound on what is read and not on what it takes. Class: a bound on the size on the wire where the size in memory counts.

An answer whose head finds no room is given up like one that is too long (fault of the endpoint, logged and counted with kind head). Ruled out: a smaller bound on heads alone (64 KiB would still be 200 MB).

--- a/dial/pool.go
+++ b/dial/pool.go
@@ -105,8 +105,10 @@
 // boundedReader reads from a connection and fails once it has read a number of bytes.
 type boundedReader struct {
 	conn net.Conn
-	// left is the number of bytes that may still be read.
-	left int64
+	// left is the number of bytes that may still be read, and read the number that was read since the last call of Allow.
+	left, read int64
+	// meter is told of read, and fails if that is too much. It may be nil.
+	meter func(read int64) error
 }
 
 func (r *boundedReader) Read(b []byte) (int, error) {
@@ -115,14 +117,21 @@
 	}
 	n, err := r.conn.Read(b[:min(int64(len(b)), r.left)])
 	r.left -= int64(n)
+	r.read += int64(n)
+	if err == nil && r.meter != nil {
+		err = r.meter(r.read)
+	}
 	return n, err
 }
 
-// Allow bounds the bytes that are read from the connection from now on. What is buffered doesn't count.
-func (c *Conn) Allow(bytes int64) { c.source.left = bytes }
+// Allow bounds the bytes that are read from the connection from now on. What is buffered doesn't count. meter is called with the
+// number of bytes that were read since, and makes reading fail with its error; it may be nil.
+func (c *Conn) Allow(bytes int64, meter func(read int64) error) {
+	c.source.left, c.source.read, c.source.meter = bytes, 0, meter
+}
 
 // AllowAll removes the bound.
-func (c *Conn) AllowAll() { c.Allow(math.MaxInt64) }
+func (c *Conn) AllowAll() { c.Allow(math.MaxInt64, nil) }
 
 // Put returns a connection to the pool. keepAlive is how long the endpoint keeps the connection open while it is idle,
 // or 0 if unknown. Put closes the connection instead when it would expire at once, has unread data or would exceed
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -118,6 +118,7 @@
 	case NotRun:
 		return u.handleNotRun(r, b)
 	case Unknown:
+		u.recordFull(r.Cause, "head")
 		u.recordFault(r, wait)
 		u.recordBreak(r.Cause)
 		return rerun
