Take the memory of heads that come through another host from the account

Class and change as for heads that are read directly; an answer without room counts against the endpoint, not the hop.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -179,7 +179,7 @@
 	o, h := dial.NewPool(), dial.NewPool()
 	k, m := rand.Text(), memory.NewAccount(n.settings.MemoryMB)
 	r := relay.New(relay.Options{
-		Detour: &proxy.Client{Host: n.settings.Name, Start: rand.Text(), Pool: h}, Helpers: assist.NewBoard(n.settings.DataCentre),
+		Detour: &proxy.Client{Host: n.settings.Name, Start: rand.Text(), Pool: h, Memory: m}, Helpers: assist.NewBoard(n.settings.DataCentre),
 		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel, Memory: m}, Memory: m, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
 		Budget: budget.NewHost(budget.Limits{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow.Std()}),
 	})
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/dial"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
 
@@ -20,6 +21,10 @@
 	beginTimeout = 400 * time.Millisecond
 	// revokeTimeout bounds the question whether a call has begun.
 	revokeTimeout = 250 * time.Millisecond
+	// freeHeadBytes is the largest head of a reply that isn't counted, and headWeight the memory, in bytes, that a byte of a
+	// longer one takes at most while it is read.
+	freeHeadBytes = 4 << 10
+	headWeight    = 20
 	// idleTime is how long an idle connection to another host is kept.
 	idleTime = 4 * time.Second
 )
@@ -29,7 +34,9 @@
 	// Host is the name of this host, and Start a random text that tells its starts apart.
 	Host, Start string
 	Pool        *dial.Pool
-	calls       atomic.Uint64
+	// Memory bounds what is kept of heads. Nil means no bound.
+	Memory *memory.Account
+	calls  atomic.Uint64
 }
 
 // errNotBegun means that a host confirmed that it will not begin.
@@ -42,7 +49,7 @@
 	if err != nil {
 		return lost(relay.NotRun, fmt.Errorf("connect to another host: %w", err))
 	}
-	x := &exchange{client: c, conn: n, helper: h, id: c.Host + "/" + c.Start + "/" + strconv.FormatUint(c.calls.Add(1), 10)}
+	x := &exchange{client: c, conn: n, helper: h, memory: c.Memory.NewShare(a.Endpoint.ID), id: c.Host + "/" + c.Start + "/" + strconv.FormatUint(c.calls.Add(1), 10)}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	if err := x.write(a); err != nil {
 		x.discard()
@@ -62,6 +69,8 @@
 	conn   *dial.Conn
 	helper assist.Helper
 	id     string
+	// memory is what the head of the reply takes, until the exchange is finished.
+	memory *memory.Share
 	// stop cancels the interrupt that follows when the context is done.
 	stop     func() bool
 	finished bool
@@ -116,19 +125,18 @@
 
 // reply reads the reply of the endpoint.
 func (x *exchange) reply() (relay.Reply, relay.Hop) {
-	k, b, err := readFrame(x.conn.Reader, maxHeadBytes)
-	var h head
-	if err == nil && k != headFrame {
-		err = errFrame
-	}
-	if err == nil {
-		err = decode(b, &h)
+	h, err := x.readReplyHead()
+	var f *memory.FullError
+	if errors.As(err, &f) {
+		x.discard()
+		return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: err}, relay.Hop{} // the endpoint sent too much, not the host
 	}
 	if err != nil {
 		x.discard()
 		return lost(relay.Unknown, fmt.Errorf("read the reply from another host: %w", err))
 	}
 	r := h.reply()
+	_ = x.memory.Resize(memory.HeaderBytes(r.Header)) // if that is more than was taken, less of it is counted
 	if !h.HasBody {
 		x.release()
 		return r, relay.Hop{}
@@ -137,6 +145,31 @@
 	return r, relay.Hop{}
 }
 
+// readReplyHead reads the head of the reply. It returns a *memory.FullError if there is no room for it.
+func (x *exchange) readReplyHead() (h head, err error) {
+	k, n, err := readHead(x.conn.Reader, maxHeadBytes)
+	if err == nil && k != headFrame {
+		err = errFrame
+	}
+	if err == nil && n > freeHeadBytes {
+		err = x.memory.Resize(int64(n) * headWeight)
+	}
+	if err != nil {
+		return h, err
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(x.conn.Reader, b); err != nil {
+		return h, err
+	}
+	return h, decode(b, &h)
+}
+
+// finish marks the exchange as finished and gives its memory back.
+func (x *exchange) finish() {
+	x.finished = true
+	x.memory.Release()
+}
+
 // revoke asks the host on another connection whether the call has begun, and keeps it from beginning otherwise. There is no
 // time for that once ctx has ended.
 func (x *exchange) revoke(ctx context.Context, cause error) (relay.Reply, relay.Hop) {
@@ -179,7 +212,7 @@
 // discard closes the connection, which stops the run at the endpoint.
 func (x *exchange) discard() {
 	if !x.finished {
-		x.finished = true
+		x.finish()
 		x.stop()
 		x.client.Pool.Drop(x.conn)
 	}
@@ -194,7 +227,7 @@
 		x.discard()
 		return
 	}
-	x.finished = true
+	x.finish()
 	x.client.Pool.Put(x.conn, idleTime)
 }
 
