--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -36,8 +36,10 @@
 	wait time.Duration
 	// continues is set if the caller had begun to receive the answer before this attempt.
 	continues bool
-	// held holds the comments of such an attempt that wait for the next event.
-	held []byte
+	// follows is set once such an attempt has sent an event that goes on with the answer. held holds the comments before that
+	// event, up to maxHeldBytes.
+	follows bool
+	held    []byte
 	// openEnded is set if the answer has neither a length nor chunks.
 	openEnded bool
 	// tally is the tally in which the answer was counted; its Serial is 0 if the answer wasn't counted. slow is set if it
@@ -116,6 +118,7 @@
 	case NotRun:
 		return u.handleNotRun(r, b)
 	case Unknown:
+		u.recordFull(r.Cause, "head")
 		u.recordFault(r, wait)
 		u.recordBreak(r.Cause)
 		return rerun
@@ -123,9 +126,7 @@
 		u.recordFault(r, wait)
 		j.runs++
 		j.mayHaveRun = true
-		if w, err := u.readSideBody(r); err == nil {
-			j.lastFailure = w
-		}
+		u.readFailure(r)
 		return rerun
 	}
 	if j.answerBegun && !j.mayContinue(r) {
@@ -169,9 +170,7 @@
 func (u *upstreamAttempt) handleNotRun(r Reply, ejected time.Duration) nextStep {
 	j := u.job
 	u.exclude(r.Unreachable)
-	if _, err := u.readSideBody(r); err != nil && r.Body != nil {
-		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
-	}
+	u.skipRefusal(r)
 	if r.WrongEndpoint {
 		j.relay.Endpoints.MarkReplaced(u.choice.ID)
 	}
--- a/relay/ending.go
+++ b/relay/ending.go
@@ -39,7 +39,7 @@
 		return ending{callerSide, "disconnected", nil}
 	case time.Until(j.deadline) <= 0:
 		return ending{hostSide, "deadline", j.breakError}
-	case errors.Is(j.breakError, errTooLong), errors.Is(j.breakError, bufio.ErrBufferFull):
+	case errors.Is(j.breakError, errTooLong), errors.Is(j.breakError, bufio.ErrBufferFull), isFull(j.breakError):
 		return ending{hostSide, "too long", j.breakError}
 	case errors.Is(j.breakError, errSuperseded):
 		return ending{hostSide, "no further run", j.breakError}
