Keep a small model's answer until a larger model has begun its own

An answer that was judged too low was closed before an endpoint had begun the larger model's answer. Change: the larger model is asked beside the answer, which is given up once the other stream has begun; endpoints that refuse are passed over, and at the first failure or silence the small model's answer is passed on.

--- /dev/null
+++ b/relay/escalation.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/tiers"
+)
+
+// errNoStream means that a larger model answered with something else than a stream.
+var errNoStream = errors.New("the larger model's answer is no stream; the answer of the smaller one is kept")
+
+// escalate asks for the answer of a larger model and reports whether it has begun: it is the job's successor then. If endpoints
+// refuse, others are asked; if one fails or doesn't begin in time, this attempt's answer is kept.
+func (u *upstreamAttempt) escalate(tier, confidence int) bool {
+	j := u.job
+	o := j.tier
+	j.tier = tier
+	for v := escalate; v != rerun && j.mayRetry(v); {
+		s := j.largerAttempt(u)
+		if s == nil {
+			break
+		}
+		s.start()
+		if v = s.awaitStream(); v == done {
+			j.successor = s
+			u.log().WithFields(logrus.Fields{"confidence": confidence, "next": j.model()}).Info("attempt: dropped for a larger model")
+			return true
+		}
+		s.close()
+	}
+	u.log().WithFields(logrus.Fields{"confidence": confidence, "next": j.model()}).Info("attempt: kept, no endpoint answers by a larger model")
+	j.tier = o
+	return false
+}
+
+// largerAttempt returns an attempt for the answer of a larger model, or nil if no endpoint takes it. It goes to the endpoint of u only if
+// there is no other one.
+func (j *job) largerAttempt(u *upstreamAttempt) *upstreamAttempt {
+	n := j.endpointRequest()
+	if j.tryWay(&n, 0) != foundWay {
+		return nil
+	}
+	if o := withTried(n, u.choice.ID); j.hasEndpoint(o) {
+		n = o
+	}
+	if !j.hasEndpoint(n) {
+		j.releaseWay(n)
+		return nil
+	}
+	c, ok := j.relay.Endpoints.Choose(n, time.Now())
+	if !ok {
+		j.releaseWay(n)
+		return nil
+	}
+	return j.newSuccessorAt(n, c, firstEventTimeout(c.Wait))
+}
+
+// hasEndpoint reports whether an endpoint takes a request and is expected to begin before the deadline.
+func (j *job) hasEndpoint(q pick.Request) bool {
+	w, ok := j.relay.Endpoints.Wait(q, time.Now())
+	return ok && time.Until(j.deadline) >= w
+}
+
+// awaitStream waits until the attempt has begun a stream and returns done. If it doesn't, awaitStream records why and returns what
+// would follow.
+func (u *upstreamAttempt) awaitStream() nextStep {
+	g := signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}
+	select {
+	case g = <-u.signals:
+		u.replied = true
+	case <-u.patience.C:
+		u.cancel()
+	}
+	o := g.outcome
+	switch {
+	case o.hop.Result != Delivered || o.reply.Verdict != Ran:
+		return u.handleOutcome(o)
+	case !u.isEvents(o.reply):
+		u.job.runs++
+		o.reply.Cause = errNoStream
+		u.recordFault(o.reply, time.Since(u.sent))
+		return rerun
+	}
+	u.received = append(u.received, g)
+	return done
+}
+
+// escalationTier returns the index of the model tier that has to answer in place of the current one. It reports false
+// if the answer is kept, or if the retry budget has no optional retry left.
+func (j *job) escalationTier(r Reply) (int, bool) {
+	if j.answerBegun || len(j.route.Tiers) == 0 || r.Confidence < 0 || !j.route.Idempotent() {
+		return 0, false
+	}
+	n, ok := j.relay.chooser.Next(j.tierRequest(), j.tier, r.Confidence)
+	if ok && !j.relay.Budget.WithdrawOptional(j.service.Name, j.relay.sinceStart()) {
+		j.noRetryReason = "spare budget"
+		j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="optional"}`).Inc()
+		return 0, false
+	}
+	return n, ok
+}
+
+// recordConfidence records the confidence of an answer for the error rates of the route's tiers. A negative confidence
+// means that the model reports none.
+func (j *job) recordConfidence(confidence int) {
+	if len(j.route.Tiers) == 0 || confidence < 0 || j.answerBegun {
+		return
+	}
+	w := j.relay.chooser.WrongProbability(confidence)
+	j.relay.errors.Update(j.route.Name, len(j.route.Tiers), func(e tiers.ErrorRates) tiers.ErrorRates {
+		if j.escalatedFrom == nil {
+			return e.WithFirst(j.tier, w)
+		}
+		return e.WithEscalation(j.escalatedFrom.tier, j.tier, j.escalatedFrom.wrong, w)
+	})
+	j.escalatedFrom = &judgedAnswer{tier: j.tier, wrong: w}
+}
--- a/relay/estimate.go
+++ b/relay/estimate.go
@@ -27,6 +27,11 @@
 	defaultHoldTime = 40 * time.Millisecond
 )
 
+// firstEventTimeout returns how long the first event of a stream may take.
+func firstEventTimeout(estimate time.Duration) time.Duration {
+	return max(minFirstEventTimeout, estimateFactor*estimate)
+}
+
 // startTimeout returns how long an attempt may take to begin its answer before another endpoint is asked. uncounted is the
 // number of attempts beside it that runs doesn't count yet. If the request may not run again, this is all of the time left.
 func (j *job) startTimeout(estimate time.Duration, uncounted int) time.Duration {
@@ -35,7 +40,7 @@
 		return l
 	}
 	if j.route.Kind == table.Stream {
-		return min(l, max(minFirstEventTimeout, estimateFactor*estimate))
+		return min(l, firstEventTimeout(estimate))
 	}
 	return min(l, max(time.Duration(float64(j.route.Objective)*objectiveShare), estimateFactor*estimate))
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,10 +5,6 @@
 	"errors"
 	"io"
 	"time"
-
-	"github.com/sirupsen/logrus"
-
-	"github.com/hickoryshelf/hickoryshelf/tiers"
 )
 
 const (
@@ -33,9 +29,7 @@
 func (u *upstreamAttempt) relayStream(r Reply) nextStep {
 	j := u.job
 	j.recordConfidence(r.Confidence)
-	if n, ok := j.escalationTier(r); ok {
-		u.log().WithFields(logrus.Fields{"confidence": r.Confidence, "next": j.route.Tiers[n]}).Info("attempt: dropped for a larger model")
-		j.tier = n
+	if n, ok := j.escalationTier(r); ok && u.escalate(n, r.Confidence) {
 		return escalate
 	}
 	if u.continues = j.answerBegun; !u.continues {
@@ -86,37 +80,6 @@
 	return timeout, timeout / 2
 }
 
-// escalationTier returns the index of the model tier that has to answer in place of the current one. It reports false
-// if the answer is kept, or if the retry budget has no optional retry left.
-func (j *job) escalationTier(r Reply) (int, bool) {
-	if j.answerBegun || len(j.route.Tiers) == 0 || r.Confidence < 0 || !j.route.Idempotent() {
-		return 0, false
-	}
-	n, ok := j.relay.chooser.Next(j.tierRequest(), j.tier, r.Confidence)
-	if ok && !j.relay.Budget.WithdrawOptional(j.service.Name, j.relay.sinceStart()) {
-		j.noRetryReason = "spare budget"
-		j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="optional"}`).Inc()
-		return 0, false
-	}
-	return n, ok
-}
-
-// recordConfidence records the confidence of an answer for the error rates of the route's tiers. A negative confidence
-// means that the model reports none.
-func (j *job) recordConfidence(confidence int) {
-	if len(j.route.Tiers) == 0 || confidence < 0 || j.answerBegun {
-		return
-	}
-	w := j.relay.chooser.WrongProbability(confidence)
-	j.relay.errors.Update(j.route.Name, len(j.route.Tiers), func(e tiers.ErrorRates) tiers.ErrorRates {
-		if j.escalatedFrom == nil {
-			return e.WithFirst(j.tier, w)
-		}
-		return e.WithEscalation(j.escalatedFrom.tier, j.tier, j.escalatedFrom.wrong, w)
-	})
-	j.escalatedFrom = &judgedAnswer{tier: j.tier, wrong: w}
-}
-
 // relayEvents passes on events until the end of the stream. It returns errCallerLeft if the caller has disconnected,
 // errNotContinued if the events don't go on with the stream that has begun, errSuperseded if another attempt goes on with it, and
 // otherwise why the stream broke off; see readEvents.
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -124,41 +124,51 @@
 	if !u.linkLost {
 		n = j.preferOthers(n, u)
 	}
-	if s, why = j.chooseSuccessor(n); s == nil {
+	if s, why = j.chooseSuccessor(n, u.uncounted()); s == nil {
 		j.releaseWay(n)
 		return nil, why
 	}
-	j.prepare(s)
-	s.patience = time.NewTimer(j.startTimeout(s.choice.Wait, u.uncounted()))
 	return s, ""
 }
 
-// chooseSuccessor chooses the endpoint of a successor, and takes a retry from the budget.
-func (j *job) chooseSuccessor(q pick.Request) (s *upstreamAttempt, why string) {
-	t := time.Now()
-	w, ok := j.relay.Endpoints.Wait(q, t)
+// chooseSuccessor chooses the endpoint of a successor, and takes a retry from the budget. uncounted is the number of attempts beside
+// it that the job's runs don't count yet.
+func (j *job) chooseSuccessor(q pick.Request, uncounted int) (s *upstreamAttempt, why string) {
 	switch {
 	case q.Way == pick.Relayed && j.hops >= maxHops:
 		return nil, "hops"
-	case !ok || time.Until(j.deadline) < w:
+	case !j.hasEndpoint(q):
 		j.beginRetryRound()
 		return nil, "no endpoint"
 	case !j.withdrawRetry():
 		return nil, "budget"
 	}
-	c, ok := j.relay.Endpoints.Choose(q, t)
+	c, ok := j.relay.Endpoints.Choose(q, time.Now())
 	if !ok {
 		return nil, "no endpoint"
 	}
-	return &upstreamAttempt{job: j, choice: c, way: q.Way, helper: j.helperOf(q), work: q.Work, sent: t}, ""
+	return j.newSuccessorAt(q, c, j.startTimeout(c.Wait, uncounted)), ""
+}
+
+// newSuccessorAt returns a successor that goes to a chosen endpoint and has a time to begin.
+func (j *job) newSuccessorAt(q pick.Request, c pick.Choice, patience time.Duration) *upstreamAttempt {
+	s := &upstreamAttempt{job: j, choice: c, way: q.Way, helper: j.helperOf(q), work: q.Work, sent: time.Now()}
+	j.prepare(s)
+	s.patience = time.NewTimer(patience)
+	return s
+}
+
+// withTried returns a request that doesn't go to an endpoint.
+func withTried(q pick.Request, id string) pick.Request {
+	q.Tried = maps.Clone(q.Tried)
+	q.Tried[id] = true
+	return q
 }
 
 // preferOthers returns a request that doesn't go to the endpoint of u, unless it is the only one left in a later retry round: its
 // connection may hang while it accepts new ones.
 func (j *job) preferOthers(q pick.Request, u *upstreamAttempt) pick.Request {
-	o := q
-	o.Tried = maps.Clone(q.Tried)
-	o.Tried[u.choice.ID] = true
+	o := withTried(q, u.choice.ID)
 	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && j.retryRounds > 0 {
 		return q
 	}
