--- /dev/null
+++ b/gate/memory_test.go
@@ -0,0 +1,138 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/config"
+	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/gate"
+	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/model"
+	"github.com/hickoryshelf/hickoryshelf/route"
+	"github.com/hickoryshelf/hickoryshelf/token"
+)
+
+const (
+	// manyRequests is the number of requests that get faulty answers at once, and endlessBytes what each answer has until
+	// the endpoint sends nothing more.
+	manyRequests = 40
+	endlessBytes = 6 << 20
+	// maxKeptBytes is what a host of 256 MB may keep of them: an eighth of its memory, and for each request 256 KiB, for the
+	// buffers of two connections and of a line.
+	maxKeptBytes = 256<<20/8 + manyRequests*256<<10
+)
+
+// router is a fake gate.Router that sends each request to one endpoint, and refuses a second attempt.
+type router struct {
+	address string
+	count   atomic.Int64
+}
+
+func (r *router) Decide(_ context.Context, q core.RouteRequest) (core.Decision, error) {
+	if q.Retry {
+		return core.Decision{}, context.Canceled
+	}
+	return core.Decision{Endpoint: model.Endpoint{ID: "e", Address: r.address}, Version: "v"}, nil
+}
+func (r *router) Finish(core.AttemptFinished)               { /* nothing is counted */ }
+func (r *router) Record(context.Context, ledger.Line) error { return nil }
+func (r *router) Announce(model.Endpoint)                   { /* there is one endpoint */ }
+func (r *router) Rate(route.Rating)                         { /* nothing is rated */ }
+func (r *router) State() core.State                         { return core.State{} }
+func (r *router) NewID() string                             { return "r" + strconv.FormatInt(r.count.Add(1), 10) }
+func (r *router) Incarnation() uint64                       { return 1 }
+func (r *router) Propose(context.Context, config.Command) (config.Result, error) {
+	return config.Result{}, nil
+}
+
+// heapBytes returns the bytes of the heap that are in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Guards against a host that keeps what a faulty engine sends without end in streams, for many requests at once.
+func TestManyEndlessStreamsOfEnginesLeaveMemory(t *testing.T) {
+	const text = `"choices":[{"delta":{"content":"`
+	a := strings.Repeat("a", 1000)
+	for n, piece := range map[string]func(id string) string{
+		"text": func(id string) string { return `data: {"id":"` + id + `",` + text + a + "\"}}]}\n\n" },
+		"final chunks": func(id string) string {
+			return `data: {"id":"` + id + `",` + text + a + "\"},\"finish_reason\":\"stop\"}]}\n\n"
+		},
+	} {
+		t.Run(n, func(t *testing.T) { testKept(t, true, piece) })
+	}
+}
+
+// Guards against comments without end that are kept.
+func TestManyEndlessCommentsOfEnginesLeaveMemory(t *testing.T) {
+	testKept(t, true, func(string) string { return ": " + strings.Repeat("a", 1000) + "\n" })
+}
+
+// Guards against whole answers of engines that are kept without a bound for all requests together.
+func TestManyLongAnswersOfEnginesLeaveMemory(t *testing.T) {
+	testKept(t, false, func(string) string { return strings.Repeat("a", 1000) })
+}
+
+// testKept sends manyRequests to an engine that repeats a piece, and checks what is kept of its answers.
+func testKept(t *testing.T, stream bool, piece func(id string) string) {
+	t.Helper()
+	i := is.New(t)
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		p := []byte(piece(q.Header.Get("X-Request-Id")))
+		for b := 0; b < endlessBytes; b += len(p) {
+			if _, err := w.Write(p); err != nil {
+				return
+			}
+		}
+		_ = http.NewResponseController(w).Flush() // the connection is open or the test ends
+		<-q.Context().Done()
+	}))
+	defer e.Close()
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	g := gate.New(gate.Options{Router: &router{address: e.Listener.Addr().String()}, Signer: token.NewSigner([]string{"k"}), Log: l, Metrics: metrics.NewSet()})
+	defer g.Close()
+	x, f := context.WithCancel(t.Context())
+	defer f()
+	b := heapBytes()
+	var w sync.WaitGroup
+	for range manyRequests {
+		w.Go(func() {
+			q := httptest.NewRequestWithContext(x, http.MethodPost, "/v1/chat/completions", strings.NewReader(fmt.Sprintf(`{"messages":[{"role":"user","content":"x"}],"stream":%t}`, stream)))
+			g.ServeHTTP(discardWriter{http.Header{}}, q)
+		})
+	}
+	time.Sleep(2 * time.Second) // until all that comes was read
+	k := heapBytes() - b
+	t.Logf("%d bytes kept", k)
+	i.True(k <= maxKeptBytes)
+	f()
+	w.Wait()
+}
+
+// discardWriter is a http.ResponseWriter that keeps nothing of the body.
+type discardWriter struct{ header http.Header }
+
+func (w discardWriter) Header() http.Header         { return w.header }
+func (w discardWriter) Write(b []byte) (int, error) { return len(b), nil }
+func (w discardWriter) WriteHeader(int)             { /* not looked at */ }
+func (w discardWriter) Flush()                      { /* nothing is kept */ }
