--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -96,7 +96,7 @@
 		"stream: this host closed the connection":   {path: "/write/1", answer: silentAfter(events(1, 2)), sink: closed, outcome: "broken-off", by: "host", why: "connection closed"},
 		"stream: this host stops":                   {path: "/write/1", answer: silentAfter(events(1, 2)), meanwhile: stops, outcome: "broken-off", by: "host", why: "stop"},
 		"stream: no end of a line":                  {path: "/write/1", answer: withoutEnd("a"), prepare: withoutBudget, outcome: "broken-off", by: "host", why: "too long"},
-		"stream: no end of events":                  {path: "/write/1", answer: withoutEnd("id: 1\ndata: x\n\n"), prepare: withoutBudget, outcome: "broken-off", by: "host", why: "too long"},
+		"stream: no end of events":                  {path: "/write/1", answer: withoutEnd("id: 1\ndata: " + text[:4000] + "\n\n"), prepare: withoutBudget, outcome: "broken-off", by: "host", why: "too long"},
 		"plain answer: endpoint breaks off":         {path: "/look/1", answer: resetAfter(text), outcome: "broken-off", by: "endpoint", why: "broke off"},
 		"plain answer: endpoint is silent":          {path: "/look/1", answer: silentAfter(text), outcome: "broken-off", by: "host", why: "deadline"},
 		"plain answer: no end":                      {path: "/look/1", answer: withoutEnd("a"), outcome: "broken-off", by: "host", why: "too long"},
