Keep the retry rounds of a request for its breaks: the search for a successor used them up

Callers would see a stream that ends early though another endpoint could go on with it a moment later. Cause: while an endpoint is silent, a successor is looked for every 0.3 s, and each search that found no endpoint counted as a retry round of the request. After 1.2 s none of the four was left, so that a later break of the connection, which otherwise waits up to 60 ms for an endpoint, ended the answer at once. A change of the configuration that replaces endpoints brings such a moment: the old ones leave, the new ones have not reported yet.

Shown red before: TestSilenceLeavesRetryRoundsForABreak, a stream that breaks off 30 ms before its replacement reports: whole without a silence, cut with 4 s of silence before.

Change: the search counts its rounds in a field of its own, with the same bound. The bounds on sends, undelivered attempts and runs hold for both, as before.

--- a/relay/job.go
+++ b/relay/job.go
@@ -71,8 +71,9 @@
 	// sends counts the attempts that reached an endpoint, and runs the attempts that ran or may have run.
 	sends int
 	runs  int
-	// retryRounds counts how often the request started over with all endpoints.
-	retryRounds int
+	// retryRounds counts how often the request started over with all endpoints after an attempt, and searchRounds how often the
+	// search for a successor did.
+	retryRounds, searchRounds int
 	// undelivered counts the attempts that did not reach an endpoint.
 	undelivered int
 	// context ends at the deadline of the request and when the caller disconnects.
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -141,7 +141,7 @@
 	case q.Way == pick.Relayed && j.hops >= maxHops:
 		return nil, "hops"
 	case !ok || time.Until(j.deadline) < w:
-		j.beginRetryRound()
+		j.beginSearchRound()
 		return nil, "no endpoint"
 	case !j.withdrawRetry():
 		return nil, "budget"
@@ -159,16 +159,16 @@
 	o := q
 	o.Tried = maps.Clone(q.Tried)
 	o.Tried[u.choice.ID] = true
-	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && j.retryRounds > 0 {
+	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && j.retryRounds+j.searchRounds > 0 {
 		return q
 	}
 	return o
 }
 
-// beginRetryRound makes all endpoints eligible for a successor again, up to maxRetryRounds times.
-func (j *job) beginRetryRound() {
-	if j.retryRounds < maxRetryRounds {
-		j.retryRounds++
+// beginSearchRound makes all endpoints eligible for a successor again, up to maxRetryRounds times.
+func (j *job) beginSearchRound() {
+	if j.searchRounds < maxRetryRounds {
+		j.searchRounds++
 		j.tried, j.unreached = map[string]bool{}, map[string]bool{}
 	}
 }
--- /dev/null
+++ b/relay/successor_test.go
@@ -0,0 +1,61 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+)
+
+// breakingBody sends its events, nothing for a time, and then breaks off.
+func breakingBody(ctx context.Context, text string, pause time.Duration) relay.Reply {
+	r := ran("")
+	r.Body = body{Reader: io.MultiReader(strings.NewReader(text), &waitingReader{ctx, pause}, resetReader{})}
+	return r
+}
+
+// waitingReader is a reader that ends after a time, or when its attempt is cancelled.
+type waitingReader struct {
+	ctx   context.Context
+	pause time.Duration
+}
+
+func (r *waitingReader) Read([]byte) (int, error) {
+	select {
+	case <-time.After(r.pause):
+		return 0, io.EOF
+	case <-r.ctx.Done():
+		return 0, r.ctx.Err()
+	}
+}
+
+// Guards against streams that break off without another run because the search for a successor has used up their retry rounds.
+func TestSilenceLeavesRetryRoundsForABreak(t *testing.T) {
+	const replacement = 30 * time.Millisecond // shorter than the pause before the first retry round
+	for n, p := range map[string]time.Duration{"no silence": 500 * time.Millisecond, "silence": endpointPause} {
+		t.Run(n, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				h := newHarness(1, nil)
+				h.sender.answer = func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
+					if n > 1 {
+						return ran(events(3, 4))
+					}
+					time.AfterFunc(10*time.Millisecond, func() { h.set.Merge([]fleet.Report{leaver("draft0")}, nil) })
+					time.AfterFunc(p+replacement, func() {
+						h.set.Merge([]fleet.Report{{ID: "draft9", Service: "draft", Address: "10.0.0.9:1", DataCentre: "here", Version: "v1", Sequence: 1, Slots: 6}}, nil)
+					})
+					return breakingBody(ctx, events(1, 2), p)
+				}
+				s := h.serve(context.Background(), "/write/1", "key")
+				i.Equal(s.body.String(), events(1, 4))
+				i.True(!s.aborted)
+			})
+		})
+	}
+}
