Don't blame a successor, or ask another one, because the caller left

A caller that leaves while a second endpoint is asked beside a silent one ends both attempts. Where the end of the second one was taken first, it counted as a fault of that sound endpoint (the faults in a row that eject it, and its rate of faults), and yet another endpoint was sent the request, on the retry budget, for a caller who was gone. The same at the deadline. Callers would see it as fewer endpoints with room after others have left. Cause: relayStream looks at the caller and the deadline before it records a break, failSuccessor didn't, and seekSuccessor looked at the deadline only.

Shown red before: TestCallerThatLeavesIsNoFaultOfTheSuccessor: 3 sends in place of 2, and without that check "attempt: the stream broke off" of the second endpoint.

Change: once the context of the request has ended, the break of a successor is counted as a run and not recorded, and no successor is made.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -82,7 +82,7 @@
 
 // seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
 func (j *job) seekSuccessor(u *upstreamAttempt, w *silence) {
-	if time.Until(j.deadline) <= 0 {
+	if j.context.Err() != nil || time.Until(j.deadline) <= 0 {
 		return // the attempt ends with its context
 	}
 	s, why := j.newSuccessor(u)
@@ -208,7 +208,7 @@
 	return o.hop.Result == Delivered && o.reply.Verdict == Ran && (!j.answerBegun || j.mayContinue(o.reply))
 }
 
-// failSuccessor records why the successor can't go on with the answer.
+// failSuccessor records why the successor can't go on with the answer. That the request has ended tells nothing of its endpoint.
 func (u *upstreamAttempt) failSuccessor(g signal, w *silence) {
 	j := u.job
 	j.successor = nil
@@ -219,7 +219,9 @@
 		return
 	}
 	j.runs++
-	u.handleBreak(g.err)
+	if j.context.Err() == nil {
+		u.handleBreak(g.err)
+	}
 }
 
 // overdue reports whether the attempt beside the successor is to be cancelled though the successor has sent no event: it has
--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/relay"
@@ -59,3 +60,34 @@
 		})
 	}
 }
+
+// lingeringReader waits until its attempt is cancelled, and a moment longer.
+type lingeringReader struct{ ctx context.Context }
+
+func (r lingeringReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	time.Sleep(10 * time.Millisecond)
+	return 0, r.ctx.Err()
+}
+
+// Guards against faults that are recorded of a sound endpoint because the caller left while it was asked beside a silent one.
+func TestCallerThatLeavesIsNoFaultOfTheSuccessor(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		c, leave := context.WithCancel(context.Background())
+		defer leave()
+		h := newHarness(3, func(n int, ctx context.Context, a relay.Attempt) relay.Reply {
+			if n > 1 {
+				time.AfterFunc(100*time.Millisecond, leave)
+				return silentAfter("")(ctx, a)
+			}
+			r := ran("")
+			r.Body = body{Reader: io.MultiReader(strings.NewReader(events(1, 2)), lingeringReader{ctx})}
+			return r
+		})
+		h.serveTo(c, &sink{}, "r1", "/write/1", "key")
+		i.Equal(h.sender.count(), 2)
+		for _, l := range h.linesOf("r1", logrus.WarnLevel) {
+			i.True(l.Message != "attempt: the stream broke off") // that line comes with a fault of the endpoint
+		}
+	})
+}
