Test events that come while the host reads the body of a successor's refusal: red

The goroutine that decides for a request reads the body of a refusal or failure itself, for 0.5 s at most. Since there is a second attempt, the first one may go on meanwhile: its events wait. Probes of the second endpoint (60 ms) and the wait for its neighbours (220 ms) are in the same place; they aren't tested here.

Callers would see events up to half a second late where an endpoint refuses or fails and doesn't end its body.

Not fixed: 'run' of the attempt could read these bodies before it delivers the outcome, but then what the head says (a rest, a limit, a fault) is recorded later too.

--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -138,3 +138,38 @@
 		})
 	}
 }
+
+// timedSink records when the caller receives a piece of the answer.
+type timedSink struct {
+	*sink
+	at map[string]time.Time
+}
+
+func (s timedSink) Write(b []byte) error {
+	s.at[string(b)] = time.Now()
+	return s.sink.Write(b)
+}
+
+// Guards against events that wait in the host while it reads what an endpoint sends with its refusal or failure.
+func TestBodyOfARefusingSuccessorDelaysNoEvent(t *testing.T) {
+	const pause, maxDelay = 1600 * time.Millisecond, 100 * time.Millisecond
+	for n, v := range map[string]relay.Verdict{"refusal": relay.NotRun, "failure": relay.Failed} {
+		t.Run(n, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				h := newHarness(3, func(n int, ctx context.Context, a relay.Attempt) relay.Reply {
+					r := silentAfter("")(ctx, a)
+					if n == 1 {
+						r.Body = body{Reader: io.MultiReader(strings.NewReader(event(1)), &waitingReader{ctx, pause}, strings.NewReader(event(2)))}
+						return r
+					}
+					r.Verdict, r.Status = v, 503
+					return r
+				})
+				s := timedSink{&sink{}, map[string]time.Time{}}
+				h.serveTo(context.Background(), s, "r1", "/write/1", "key")
+				i.Equal(s.body.String(), events(1, 2))
+				i.True(s.at[event(2)].Sub(s.at[event(1)]) <= pause+maxDelay)
+			})
+		})
+	}
+}
