Test streams whose silent endpoint sends its head and no event: red

Within a stream, only an event with data of the first endpoint ends the attempt beside it (passEvent); before its beginning the head alone does (handleOutcome, "the endpoint answers"). If no event follows, the second attempt, which would have gone on, was given up for nothing, and it counts as a run.

Callers would see a status and then nothing until the deadline, on routes with two attempts; with three the stream goes on later.

Shown red: first head at 1.5 s and nothing else, second attempt answers in whole at 1.8 s: no event until the deadline of 25 s.

--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -173,3 +173,27 @@
 		})
 	}
 }
+
+// Guards against streams that are lost because the attempt beside a silent endpoint was dropped at that endpoint's head, after which it
+// sends nothing.
+func TestSuccessorIsKeptUntilTheSilentEndpointSendsAnEvent(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		h := newHarness(3, func(n int, ctx context.Context, a relay.Attempt) relay.Reply {
+			if n == 1 {
+				time.Sleep(1500 * time.Millisecond)
+				return silentAfter("")(ctx, a)
+			}
+			select {
+			case <-time.After(500 * time.Millisecond):
+				return ran(events(1, 4))
+			case <-ctx.Done():
+				return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: ctx.Err()}
+			}
+		})
+		twoRuns(h)
+		s := h.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 4))
+		i.True(!s.aborted)
+		i.Equal(h.sender.count(), 2)
+	})
+}
