--- a/relay/successor.go
+++ b/relay/successor.go
@@ -82,7 +82,7 @@
 
 // seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
 func (j *job) seekSuccessor(u *upstreamAttempt, w *silence) {
-	if time.Until(j.deadline) <= 0 {
+	if j.context.Err() != nil || time.Until(j.deadline) <= 0 {
 		return // the attempt ends with its context
 	}
 	s, why := j.newSuccessor(u)
@@ -138,7 +138,7 @@
 	case q.Way == pick.Relayed && j.hops >= maxHops:
 		return nil, "hops"
 	case !j.hasEndpoint(q):
-		j.beginRetryRound()
+		j.beginSearchRound()
 		return nil, "no endpoint"
 	case !j.withdrawRetry():
 		return nil, "budget"
@@ -169,16 +169,16 @@
 // connection may hang while it accepts new ones.
 func (j *job) preferOthers(q pick.Request, u *upstreamAttempt) pick.Request {
 	o := withTried(q, u.choice.ID)
-	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && j.retryRounds > 0 {
+	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && j.retryRounds+j.searchRounds > 0 {
 		return q
 	}
 	return o
 }
 
-// beginRetryRound makes all endpoints eligible for a successor again, up to maxRetryRounds times.
-func (j *job) beginRetryRound() {
-	if j.retryRounds < maxRetryRounds {
-		j.retryRounds++
+// beginSearchRound makes all endpoints eligible for a successor again, up to maxRetryRounds times.
+func (j *job) beginSearchRound() {
+	if j.searchRounds < maxRetryRounds {
+		j.searchRounds++
 		j.tried, j.unreached = map[string]bool{}, map[string]bool{}
 	}
 }
@@ -218,7 +218,7 @@
 	return o.hop.Result == Delivered && o.reply.Verdict == Ran && (!j.answerBegun || j.mayContinue(o.reply))
 }
 
-// failSuccessor records why the successor can't go on with the answer.
+// failSuccessor records why the successor can't go on with the answer. That the request has ended tells nothing of its endpoint.
 func (u *upstreamAttempt) failSuccessor(g signal, w *silence) {
 	j := u.job
 	j.successor = nil
@@ -229,7 +229,9 @@
 		return
 	}
 	j.runs++
-	u.handleBreak(g.err)
+	if j.context.Err() == nil {
+		u.handleBreak(g.err)
+	}
 }
 
 // overdue reports whether the attempt beside the successor is to be cancelled though the successor has sent no event: it has
