Keep a successor until the silent endpoint sends an event

The head of the silent endpoint ended the attempt beside it, which counted as a run; if no event followed, a route with two attempts had none left, and the caller got a status and nothing else until the deadline. Change: the head of a stream ends no successor; its first event does, and the request for a larger model.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -135,7 +135,9 @@
 		u.recordFault(r, wait)
 		return rerun
 	}
-	j.dropSuccessor("the endpoint answers")
+	if !u.isEvents(r) {
+		j.dropSuccessor("the endpoint answers") // that of a stream stays until the first event
+	}
 	j.runs++
 	j.mayHaveRun, u.answering = true, true
 	u.recordStart(wait)
--- a/relay/escalation.go
+++ b/relay/escalation.go
@@ -17,6 +17,7 @@
 // refuse, others are asked; if one fails or doesn't begin in time, this attempt's answer is kept.
 func (u *upstreamAttempt) escalate(tier, confidence int) bool {
 	j := u.job
+	j.dropSuccessor("a larger model is asked")
 	o := j.tier
 	j.tier = tier
 	for v := escalate; v != rerun && j.mayRetry(v); {
