Read the refusal or failure of a successor beside the answer

The goroutine of the request read the body of a successor's refusal or failure itself, up to 0.5 s, while events of the first endpoint waited. Change: the successor's own goroutine reads it and hands over what is kept.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -114,9 +114,12 @@
 		u.recordTimeout()
 		return ended
 	}
+	if o.side == nil && hasSideBody(r) {
+		o.side = u.readSideBody(r)
+	}
 	switch r.Verdict {
 	case NotRun:
-		return u.handleNotRun(r, b)
+		return u.handleNotRun(r, o.side, b)
 	case Unknown:
 		u.recordFull(r.Cause, "head")
 		u.recordFault(r, wait)
@@ -126,7 +129,7 @@
 		u.recordFault(r, wait)
 		j.runs++
 		j.mayHaveRun = true
-		u.readFailure(r)
+		u.handleSideBody(o.side)
 		return rerun
 	}
 	if j.answerBegun && !j.mayContinue(r) {
@@ -169,10 +172,10 @@
 
 // handleNotRun records that the endpoint did not run the request. A reply without a status was never delivered and
 // does not count as a send.
-func (u *upstreamAttempt) handleNotRun(r Reply, ejected time.Duration) nextStep {
+func (u *upstreamAttempt) handleNotRun(r Reply, side *sideBody, ejected time.Duration) nextStep {
 	j := u.job
 	u.exclude(r.Unreachable)
-	u.skipRefusal(r)
+	u.handleSideBody(side)
 	if r.WrongEndpoint {
 		j.relay.Endpoints.MarkReplaced(u.choice.ID)
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -11,8 +11,6 @@
 const (
 	// maxAnswerBytes bounds an answer whose head names no length.
 	maxAnswerBytes = 64 << 20
-	// sideBodyTimeout bounds the time in which the body of a refusal or a failure is read. The request waits for it.
-	sideBodyTimeout = 500 * time.Millisecond
 	// maxBufferedBytes is the largest body of a plain answer that is read to its end before it is passed on. The
 	// request can still be repeated while the body is read.
 	maxBufferedBytes = 512 << 10
@@ -51,33 +49,6 @@
 	return w, err
 }
 
-// readFailure reads the body of a failure, for sideBodyTimeout at most, and keeps it as the answer for the case that no other
-// attempt succeeds.
-func (u *upstreamAttempt) readFailure(r Reply) {
-	t := time.AfterFunc(sideBodyTimeout, u.cancel)
-	defer t.Stop()
-	w, err := u.readReply(r)
-	u.recordFull(err, "failure")
-	if err != nil || w.body.Len() > maxBufferedBytes {
-		w.release()
-		return
-	}
-	u.job.lastFailure.release()
-	u.job.lastFailure = w
-}
-
-// skipRefusal reads the body of a refusal, for sideBodyTimeout at most, and keeps nothing of it.
-func (u *upstreamAttempt) skipRefusal(r Reply) {
-	if r.Body == nil {
-		return
-	}
-	t := time.AfterFunc(sideBodyTimeout, u.cancel)
-	defer t.Stop()
-	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBufferedBytes+1)); err != nil {
-		u.log().WithError(err).Debug("attempt: the refusal's body broke off")
-	}
-}
-
 // errTooLong means that an endpoint's answer exceeds a bound on its size.
 var errTooLong = errors.New("the endpoint's answer is too long; it is given up")
 
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -23,23 +23,33 @@
 type outcome struct {
 	reply Reply
 	hop   Hop
+	// side is the body of a refusal or a failure, or nil if it wasn't read.
+	side *sideBody
 }
 
 // start sends the attempt.
 func (u *upstreamAttempt) start() { go u.run() }
 
 // run sends the attempt and delivers what is received of it, until the end or until close was called. The goroutine of the job
-// reads the body of an answer that isn't a stream.
+// reads the body of an answer that isn't a stream, and that of a refusal or a failure unless another attempt is open beside it.
 func (u *upstreamAttempt) run() {
 	defer close(u.ended)
 	r, h := u.send()
 	if r.Body != nil {
 		defer r.Body.Close() //nolint:errcheck // the answer was handled, or isn't wanted
 	}
-	if u.deliver(signal{outcome: &outcome{reply: r, hop: h}}) && r.Body != nil {
-		if u.isEvents(r) {
-			u.readEvents(r.Body)
-		}
+	o := &outcome{reply: r, hop: h}
+	if u.patience != nil && hasSideBody(r) {
+		o.side = u.readSideBody(r)
+	}
+	if !u.deliver(signal{outcome: o}) {
+		o.side.release()
+		return
+	}
+	if r.Body != nil && u.isEvents(r) {
+		u.readEvents(r.Body)
+	}
+	if r.Body != nil {
 		<-u.closed
 	}
 }
