Move what decides on another attempt out of job.go

Change: limits, retries and the end of a request that isn't sent again are in retry.go; nothing else changed.

--- /dev/null
+++ b/relay/retry.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// answerMargin is the least time that has to be left before the deadline for another attempt.
+	answerMargin = 15 * time.Millisecond
+	// maxSends bounds the attempts of a request that reached an endpoint, and maxUndelivered the attempts that did
+	// not.
+	maxSends       = 5
+	maxUndelivered = 10
+	// maxRetryRounds is how often a request that has run or may have run starts over with all endpoints once none is
+	// left to try. Before each round it waits; the wait starts at retryRoundPause and doubles from round to round.
+	maxRetryRounds  = 4
+	retryRoundPause = 60 * time.Millisecond
+)
+
+// mayRetry reports whether the request may be sent again after v. A retry of a delivered request is taken from the
+// retry budget; an escalation was taken from it before. If a limit prevents the retry, mayRetry sets noRetryReason.
+func (j *job) mayRetry(v nextStep) bool {
+	switch v {
+	case noEndpoint, overloaded, quarantined, cutOff:
+		j.noRetryReason = v.String()
+		return false
+	case ended:
+		return false
+	case escalate:
+		return true
+	case declined:
+		return j.hops < maxHops && time.Until(j.deadline) >= answerMargin
+	case rerun:
+		if j.noRetryReason = j.rerunLimit(0); j.noRetryReason != "" {
+			return false
+		}
+	}
+	if j.noRetryReason = j.sendLimit(); j.noRetryReason != "" {
+		return false
+	}
+	if v == undelivered {
+		return true
+	}
+	if !j.withdrawRetry() {
+		j.noRetryReason = "budget"
+		return false
+	}
+	return true
+}
+
+// rerunLimit returns which limit keeps a request that has run or may have run from running again, or an empty text. uncounted
+// is the number of attempts in flight that runs doesn't count yet.
+func (j *job) rerunLimit(uncounted int) string {
+	switch {
+	case !j.route.Idempotent() || j.runs+uncounted >= max(1, j.route.Attempts):
+		return "attempts"
+	case !j.resumable():
+		return "event without id"
+	case j.relay.Poison.Suspect(j.keys):
+		return "suspect"
+	}
+	return ""
+}
+
+// sendLimit returns which limit keeps the request from being sent again, or an empty text.
+func (j *job) sendLimit() string {
+	if j.sends >= maxSends || j.undelivered >= maxUndelivered || time.Until(j.deadline) < answerMargin {
+		return "sends or time"
+	}
+	return ""
+}
+
+// withdrawRetry takes a retry from the retry budget of the service. It reports false if there is none.
+func (j *job) withdrawRetry() bool {
+	if j.relay.Budget.Withdraw(j.service.Name, j.relay.sinceStart()) {
+		return true
+	}
+	j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="fault"}`).Inc()
+	return false
+}
+
+// giveUp ends a request that is not sent again: it aborts an answer that has begun, passes on the failure of an
+// endpoint, or refuses the request.
+func (j *job) giveUp(v nextStep) {
+	late := time.Until(j.deadline) <= 0
+	switch {
+	case j.answerBegun:
+		j.endEarly()
+	case j.callerContext.Err() != nil:
+		j.endUnanswered()
+	case j.lastFailure != nil:
+		j.passOnFailure()
+	case late && j.mayHaveRun:
+		j.refuse(TimedOut, 0)
+	case j.mayHaveRun:
+		j.refuse(AnswerLost, 0)
+	case v == quarantined:
+		j.refuse(HeldBack, heldBackRetryAfter)
+	case late:
+		j.refuse(Expired, noEndpointRetryAfter)
+	case v == overloaded:
+		j.refuse(Overloaded, j.retryAfter())
+	case v == cutOff, v == declined:
+		j.refuse(CutOff, j.cutOffRetryAfter())
+	default:
+		j.refuse(NoEndpoint, noEndpointRetryAfter)
+	}
+}
+
+// passOnFailure passes on the latest failure that an endpoint answered with.
+func (j *job) passOnFailure() {
+	if j.deliver(j.lastFailure) != nil {
+		j.endEarly()
+		return
+	}
+	j.countUnserved("failure-passed-on").WithField("status", j.lastFailure.status).Warn("request: the endpoint's failure is passed on")
+}
+
+// retryAfter estimates when an endpoint of an overloaded service has room again: 0.5 to 1.5 times the hold time, or the
+// time until its limits let another request through, spread by the hash of the request ID. If endpoints rest, it isn't
+// before the end of the first rest.
+func (j *job) retryAfter() time.Duration {
+	if j.asksWait.Resting {
+		return j.asksWait.Time + time.Duration(j.fraction*float64(j.holdTime()))
+	}
+	h := max(j.holdTime(), j.asksWait.Time)
+	return h/2 + time.Duration(j.fraction*float64(h))
+}
+
+// awaitRetryRound waits before the endpoints that failed are tried again. It reports false if all rounds are used up,
+// if the request is not idempotent or if ctx ends.
+func (j *job) awaitRetryRound(ctx context.Context) bool {
+	if j.retryRounds >= maxRetryRounds || !j.route.Idempotent() {
+		return false
+	}
+	t := time.NewTimer(retryRoundPause << j.retryRounds)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
