--- a/caller/idle_test.go
+++ b/caller/idle_test.go
@@ -114,7 +114,7 @@
 				return
 			}
 			b = bufio.NewReader(n)
-			if _, whole := c.ask(n, b, fmt.Sprintf("/%d/%d/first", c.name, k)); !whole {
+			if _, w := c.ask(n, b, fmt.Sprintf("/%d/%d/first", c.name, k)); !w {
 				c.cut.Add(1)
 				return
 			}
@@ -122,13 +122,13 @@
 		l := []time.Duration{shortLimit, longLimit}[rand.IntN(2)]
 		time.Sleep(l - spread + rand.N(2*spread))
 		p := fmt.Sprintf("/%d/%d", c.name, k)
-		begun, whole := c.ask(n, b, p)
-		_, ran := c.host.ran.Load(p)
+		a, w := c.ask(n, b, p)
+		_, r := c.host.ran.Load(p)
 		switch {
-		case whole && ran:
+		case w && r:
 			c.served.Add(1)
 			continue
-		case !begun && !ran:
+		case !a && !r:
 			c.refused.Add(1)
 		default:
 			c.cut.Add(1)
@@ -157,14 +157,14 @@
 	i := is.New(t)
 	h, a := startIdleHost(t)
 	var g sync.WaitGroup
-	var served, refused, cut atomic.Int64
+	var s, r, u atomic.Int64
 	for k := range idleConns {
 		g.Add(1)
-		c := idleCaller{host: h, address: a, name: k, group: &g, served: &served, refused: &refused, cut: &cut}
+		c := idleCaller{host: h, address: a, name: k, group: &g, served: &s, refused: &r, cut: &u}
 		go c.run()
 	}
 	g.Wait()
-	t.Logf("%d served, %d closed before they ran, %d cut", served.Load(), refused.Load(), cut.Load())
-	i.Equal(cut.Load(), int64(0))
-	i.True(served.Load() > 0 && refused.Load() > 0) // requests came on both sides of the end of the timeout
+	t.Logf("%d served, %d closed before they ran, %d cut", s.Load(), r.Load(), u.Load())
+	i.Equal(u.Load(), int64(0))
+	i.True(s.Load() > 0 && r.Load() > 0) // requests came on both sides of the end of the timeout
 }
--- a/dial/pool_test.go
+++ b/dial/pool_test.go
@@ -145,14 +145,14 @@
 	go w.run()
 	defer close(w.stop)
 	var s net.Conn
-	reused := 0
+	u := 0
 	for n := range 300 {
 		c, err := p.Get(context.Background(), a, 2)
 		i.NoErr(err)
 		if !c.Reused {
 			s = accepted(l, c)
 		} else {
-			reused++
+			u++
 		}
 		if o, err := p.GetNew(context.Background(), a, 2); err == nil {
 			_ = accepted(l, o).Close() // nothing uses it
@@ -166,6 +166,6 @@
 		i.Equal(b, byte(n))
 		p.Put(c, 700*time.Millisecond+time.Duration(n%10)*50*time.Microsecond) // the pool keeps it for up to 450 us
 	}
-	t.Logf("%d of 300 connections were used again", reused)
-	i.True(reused > 0)
+	t.Logf("%d of 300 connections were used again", u)
+	i.True(u > 0)
 }
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -162,6 +162,15 @@
 	}
 }
 
+// call is a request whose answer goes to a sink.
+type call struct {
+	harness *harness
+	context context.Context
+	sink    *sink
+}
+
+func (c call) run() { c.harness.serveTo(c.context, c.sink, "r", "/write/x", "key") }
+
 // Guards against comments that are held for a stream's next event, which may never come.
 func TestCommentsOfResumedStreamAreNotHeld(t *testing.T) {
 	inSynctest(t, func(t *testing.T, i *is.I) {
@@ -176,7 +185,8 @@
 		s := &sink{}
 		x, f := context.WithCancel(t.Context())
 		defer f()
-		go h.relay.Serve(x, &relay.Request{ID: "r", Method: "POST", Host: "h", Path: "/write/x", Target: "/write/x", Key: "key", Header: map[string][]string{}, Received: time.Now()}, s)
+		c := call{h, x, s}
+		go c.run()
 		write := func(text string) {
 			_, err := io.WriteString(w, text)
 			i.NoErr(err)
