Test that silence leads to no more runs than a route allows

Change: a test with ten endpoints, all silent: streams before their head and behind an event, repeatable requests, requests that run at most once.

--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -197,3 +197,30 @@
 		i.Equal(h.sender.count(), 2)
 	})
 }
+
+// Guards against runs beyond what the route allows: all endpoints of a request are silent, before the first event or behind the second.
+func TestSilenceLeadsToNoMoreRunsThanTheRouteAllows(t *testing.T) {
+	for _, c := range []struct {
+		name, path, text string
+		runs             int
+	}{
+		{"stream before its head", "/write/1", "", 3},
+		{"stream behind an event", "/write/1", events(1, 2), 3},
+		{"repeatable", "/look/1", "", 3},
+		{"at most once", "/book/1", "", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				h := newHarness(10, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
+					if n == 1 && c.text != "" {
+						return hanging(ctx, c.text)
+					}
+					return silent(ctx)
+				})
+				h.serve(context.Background(), c.path, "key")
+				i.True(h.sender.count() <= c.runs)
+				i.True(c.runs == 1 || h.sender.count() > 1) // others were asked
+			})
+		})
+	}
+}
