--- a/gate/dial_test.go
+++ b/gate/dial_test.go
@@ -15,7 +15,7 @@
 const tcpUserTimeout = 0x12
 
 // TestConnectionToLostMachineEnds guards against requests that wait for ever, or for the quarter of an hour after which Linux
-// gives up, for an endpoint whose machine is gone: silence of the endpoint alone doesn't end them.
+// gives up, for an endpoint whose host is gone: silence of the endpoint alone doesn't end them.
 func TestConnectionToLostMachineEnds(t *testing.T) {
 	const bound = 2 * time.Minute
 	i := is.New(t)
--- a/proxy/memory_test.go
+++ b/proxy/memory_test.go
@@ -24,7 +24,7 @@
 const (
 	// manyRequests is the number of requests that get faulty answers at once.
 	manyRequests = 200
-	// mostAsked is how many of them ask the other host at a time, so that it answers each in time also on a busy machine. What was
+	// mostAsked is how many of them ask the other host at a time, so that it answers each in time also beside other load. What was
 	// answered stays open.
 	mostAsked = 20
 	// maxKeptBytes is what a host of 256 MB may keep of them: an eighth of its memory, and 64 KiB for each request.
--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -154,8 +154,7 @@
 	return &s
 }
 
-// Guards against answers that end early without a line that always passes and tells who ended them: two streams of a record of
-// issue 49 were named by none.
+// Guards against answers that end early without a line that always passes and tells who ended them.
 func TestEndOfBegunAnswerIsLoggedOnce(t *testing.T) {
 	for n, c := range endingCases() {
 		t.Run(n, func(t *testing.T) {
