Compare exchanges a second, not counts of unlike windows, while many endpoints leave

It compared the exchanges of one second without changes with those of 240 changes, each behind a sleep of 1/240 s.

Change: both sides are exchanges a second of real time, and the changes are sent at set times of one second, so that late ones come at once, which is harder. The bound, twice the calm rate, stays.

--- a/ctrl/wakeup_test.go
+++ b/ctrl/wakeup_test.go
@@ -109,22 +109,29 @@
 	return time.Since(b)
 }
 
+// exchangeRate returns how many exchanges a second were made while f ran.
+func exchangeRate(exchanges *atomic.Int64, f func()) float64 {
+	b, n := time.Now(), exchanges.Load()
+	f()
+	return float64(exchanges.Load()-n) / time.Since(b).Seconds()
+}
+
 // Guards against control hosts that answer each entry host once for each of hundreds of endpoints that leave at once: that
 // took the processor time which the leader needs to keep its lease.
 func TestManyLeavingEndpointsAreToldToEntryHostsTogether(t *testing.T) {
 	i := is.New(t)
 	h, l, n := startPolling(t, startOptions{})
-	b := n.Load()
-	time.Sleep(leavingTime)
-	calm := n.Load() - b
-	b = n.Load()
-	for k := range leavingEndpoints {
-		h.Report(leavingReport(k, fleet.Leaving))
-		time.Sleep(leavingTime / leavingEndpoints)
-	}
-	busy := n.Load() - b
+	calm := exchangeRate(n, func() { time.Sleep(leavingTime) })
+	busy := exchangeRate(n, func() {
+		b := time.Now()
+		for k := range leavingEndpoints {
+			time.Sleep(time.Until(b.Add(time.Duration(k) * leavingTime / leavingEndpoints)))
+			h.Report(leavingReport(k, fleet.Leaving))
+		}
+		time.Sleep(time.Until(b.Add(leavingTime)))
+	})
 	d := timeUntilAllHold(l, 2*leavingEndpoints, 1)
-	t.Logf("%d exchanges in %v without changes, %d while %d endpoints leave, all known after %v", calm, leavingTime, busy, leavingEndpoints, d)
+	t.Logf("%.0f exchanges a second without changes, %.0f while %d endpoints leave, all known after %v", calm, busy, leavingEndpoints, d)
 	i.True(busy <= 2*calm)
 	i.True(d <= maxNewsTime)
 }
