Ask other larger models, and wait for busy ones, before a small model's answer is kept

What callers saw: answers of a small model that had been judged too low, 1.3 s late.

Cause: asks the larger model beside the open answer, but took the first failure or 1.3 s of silence for its end.

Change: the silence of the larger model is measured as everywhere else (relay/silence.go: more time while the endpoint answers others, the link, time in which this host was held up). After a failure or silence another larger model is asked within the limits of runs, sends and the retry budget, until the objective of the first event has passed. The small model's answer stays open all the while, and is passed on if none begins.

Red before: TestAnotherLargerModelIsAskedAfterAFailure in 4 of 5 forms, TestBusyEndpointOfLargerModelIsWaitedFor. The third test, TestKeptAnswerIsPassedOnOnceLargerModelsAreLate, guards the bound of this change.

--- a/relay/escalation.go
+++ b/relay/escalation.go
@@ -14,13 +14,13 @@
 var errNoStream = errors.New("the larger model's answer is no stream; the answer of the smaller one is kept")
 
 // escalate asks for the answer of a larger model and reports whether it has begun: it is the job's successor then. If endpoints
-// refuse, others are asked; if one fails or doesn't begin in time, this attempt's answer is kept.
+// refuse, fail or are silent, others are asked while limits allow it. If none begins, this attempt's answer is kept.
 func (u *upstreamAttempt) escalate(tier, confidence int) bool {
 	j := u.job
 	j.dropSuccessor("a larger model is asked")
 	o := j.tier
 	j.tier = tier
-	for v := escalate; v != rerun && j.mayRetry(v); {
+	for v := escalate; j.mayEscalate(v); {
 		s := j.largerAttempt(u)
 		if s == nil {
 			break
@@ -38,6 +38,15 @@
 	return false
 }
 
+// mayEscalate reports whether a larger model may be asked after v. Once a first event would be late, the answer that is there is
+// passed on rather than asking again after a failure.
+func (j *job) mayEscalate(v nextStep) bool {
+	if v == rerun && time.Since(j.request.Received) >= j.route.Objective {
+		return false
+	}
+	return j.mayRetry(v)
+}
+
 // largerAttempt returns an attempt for the answer of a larger model, or nil if no endpoint takes it. It goes to the endpoint of u only if
 // there is no other one.
 func (j *job) largerAttempt(u *upstreamAttempt) *upstreamAttempt {
@@ -69,13 +78,7 @@
 // awaitStream waits until the attempt has begun a stream and returns done. If it doesn't, awaitStream records why and returns what
 // would follow.
 func (u *upstreamAttempt) awaitStream() nextStep {
-	g := signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}
-	select {
-	case g = <-u.signals:
-		u.replied = true
-	case <-u.patience.C:
-		u.cancel()
-	}
+	g := u.awaitOutcome()
 	o := g.outcome
 	switch {
 	case o.hop.Result != Delivered || o.reply.Verdict != Ran:
@@ -90,6 +93,25 @@
 	return done
 }
 
+// awaitOutcome waits for the outcome of the attempt. A silent endpoint gets more time while it answers other requests; then the
+// attempt is cancelled, and its outcome is unknown.
+func (u *upstreamAttempt) awaitOutcome() signal {
+	w := u.newSilence(firstEventTimeout(u.choice.Wait), u.job.busyWindow())
+	defer w.stop()
+	for {
+		select {
+		case g := <-u.signals:
+			u.replied = true
+			return g
+		case <-w.timer.C:
+			if w.check() {
+				u.cancel()
+				return signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}
+			}
+		}
+	}
+}
+
 // escalationTier returns the index of the model tier that has to answer in place of the current one. It reports false
 // if the answer is kept, or if the retry budget has no optional retry left.
 func (j *job) escalationTier(r Reply) (int, bool) {
