Give up a silent endpoint only at the first event of another one, not at its head

Callers saw a stream that ends early, or no answer, though their endpoint was sound and only paused: another endpoint had sent the head of a stream beside it, and sent nothing after it, broke off or went on with something else. Cause: 0.25 s after that head (before the first event: at the head) the first attempt was cancelled, so that two endpoints wouldn't run a stream for 400 ms (TWICE). But a request starts to run with its first token (PROTOCOL): a head isn't a run that goes on. The class is that of docs/incidents/cut-streams.md: something that works is given up before its replacement is known to work.

Change: the head of a second endpoint's stream is held; the first event of either endpoint cancels the other one at once. A second endpoint that has sent only its head is dropped after the time for which a stream may be silent, and not before the time that a first event may take; it counts as a run and a fault, against its version too, and another one is looked for within all limits, the budget last. On the last run that the route allows both stay open. The head of an answer that is no stream still decides at once, and so does a stream that ends without an event while nothing was passed on. What a head tells of its endpoint (wait, limits, rest, link) is recorded when it comes. The type of the stream is compared at the first event, as the silent endpoint may have begun since.

Test that was wrong: TestEndOfBegunAnswerIsLoggedOnce, "the successor has nothing", expected that the host gives up the first endpoint for one that ends without an event. It now lasts to its deadline, and the line says so; "no further run" is expected of a second endpoint that goes on and then goes back, a new case. The bound on the overlap had no test of its own: TestTwoEndpointsNeverBothSendEvents holds it, 14 ways, within 10 ms.

Green before too: TestThirdEndpointGoesOnIfTheSecondSendsOnlyItsHead, TestHeldHeadDelaysNoEnd, TestEmptyStreamOfSuccessorIsAnAnswer. go test -race ./relay green (184 s).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -57,7 +57,7 @@
 	replied bool
 	// received holds the signals that were taken while the attempt was a successor.
 	received []signal
-	// patience fires when a successor has to be dropped, or the attempt beside it. It is nil for other attempts.
+	// patience fires when a successor has to be dropped. It is nil for other attempts.
 	patience *time.Timer
 }
 
@@ -101,14 +101,8 @@
 		return u.handleHop(o.reply, o.hop)
 	}
 	j, r := u.job, o.reply
-	u.begin()
-	b := u.recordOpening(r)
-	if r.Body != nil {
-		j.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
-	}
-	u.recordAsks(r)
-	wait := time.Since(u.sent)
-	u.wait, u.openEnded = wait, r.EndsWithConnection
+	b := u.recordHead(o)
+	wait := u.wait
 	if r.Body == nil && (j.callerContext.Err() != nil || time.Until(j.deadline) <= 0) {
 		j.mayHaveRun = j.mayHaveRun || r.Verdict != NotRun
 		u.recordTimeout()
@@ -150,6 +144,24 @@
 	return u.relayPlain(r)
 }
 
+// recordHead records once what the head of an answer, or that there is none, tells of the endpoint and of the way to it. It returns
+// how long the endpoint is ejected if it wasn't reached, or 0.
+func (u *upstreamAttempt) recordHead(o *outcome) (ejected time.Duration) {
+	if o.recorded {
+		return 0
+	}
+	o.recorded = true
+	r := o.reply
+	u.begin()
+	ejected = u.recordOpening(r)
+	if r.Body != nil {
+		u.job.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
+	}
+	u.recordAsks(r)
+	u.wait, u.openEnded = time.Since(u.sent), r.EndsWithConnection
+	return ejected
+}
+
 // recordAsks records what the endpoint asks for, and logs what that changes.
 func (u *upstreamAttempt) recordAsks(r Reply) {
 	if r.Status == 0 && r.Asks.Rest == 0 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -36,7 +36,7 @@
 		j.answerBegun, j.confidence, j.contentType = true, r.Confidence, mediaType(r)
 		j.sink.Begin(r.Status, r.Header, -1)
 	}
-	w := u.newSilence(j.silenceTimeout())
+	w := u.newSilence(j.silenceTimeout(0))
 	err := u.relayEvents(w)
 	w.stop()
 	switch {
@@ -66,10 +66,10 @@
 }
 
 // silenceTimeout returns how long the stream may send nothing, and how recently its endpoint must have answered
-// another request to get more time. If the request may not run again, the stream has all of the time left, because
-// the endpoint may still continue it.
-func (j *job) silenceTimeout() (timeout, busyWindow time.Duration) {
-	if !j.route.Idempotent() || j.runs >= max(1, j.route.Attempts) {
+// another request to get more time. uncounted is the number of attempts in flight that runs doesn't count yet. If the request may
+// not run again, the stream has all of the time left, because the endpoint may still continue it.
+func (j *job) silenceTimeout(uncounted int) (timeout, busyWindow time.Duration) {
+	if !j.route.Idempotent() || j.runs+uncounted >= max(1, j.route.Attempts) {
 		return time.Until(j.deadline), 0
 	}
 	p := j.route.EventGapObjective
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -3,22 +3,17 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/pick"
-	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
-const (
-	// successorInterval is the interval at which another endpoint is looked for while that of an attempt stays silent.
-	successorInterval = 300 * time.Millisecond
-	// overlapTime is how long two endpoints may run the same stream: if the second one has begun its answer, the first one is
-	// cancelled after that time even if no event has come of either.
-	overlapTime = 250 * time.Millisecond
-)
+// successorInterval is the interval at which another endpoint is looked for while that of an attempt stays silent.
+const successorInterval = 300 * time.Millisecond
 
 // errSuperseded means that an attempt was given up because another one goes on with the answer.
 var errSuperseded = errors.New("the endpoint is silent, and another one goes on with the answer")
@@ -26,6 +21,9 @@
 // errNotBegun means that the second endpoint of a request was given up because it is silent too.
 var errNotBegun = errors.New("the endpoint has not begun an answer in time; another one is looked for")
 
+// errNoEvent means that the second endpoint of a request was given up because it has begun a stream and is silent then.
+var errNoEvent = errors.New("the endpoint has begun a stream and sent no event in time; another one is looked for")
+
 // next waits for the next signal of the attempt. While the attempt is silent, it makes another attempt beside it, the
 // successor, and gives this one up only once the successor goes on with the answer: it then returns errSuperseded.
 func (u *upstreamAttempt) next(w *silence) signal {
@@ -49,9 +47,7 @@
 				return u.superseded()
 			}
 		case <-s.late():
-			if s.overdue(w) {
-				return u.superseded()
-			}
+			s.overdue(w)
 		}
 	}
 }
@@ -183,33 +179,53 @@
 	}
 }
 
-// goesOn takes a signal of the successor and reports whether the successor goes on with the answer. If it can't, the
-// successor is dropped, and another one is looked for when w is next checked.
+// goesOn takes a signal of the successor and reports whether the successor goes on with the answer: it has sent an event of a
+// stream, or has begun another answer. If it can't go on, it is dropped, and another one is looked for when w is next checked.
 func (u *upstreamAttempt) goesOn(g signal, w *silence) bool {
-	j := u.job
 	u.replied = true
 	switch {
-	case g.outcome != nil && !u.usable(g.outcome):
+	case g.outcome != nil && u.usable(g.outcome):
+		u.keepHead(g)
+		return !u.isEvents(g.outcome.reply)
+	case g.outcome != nil, g.err != nil && !u.isWhole(g.err):
 		u.failSuccessor(g, w)
-	case g.outcome != nil:
-		u.received = append(u.received, g)
-		if !j.answerBegun || j.route.Kind != table.Stream {
-			return true
-		}
-		u.patience.Reset(overlapTime)
-	case g.err != nil:
-		u.failSuccessor(g, w)
-	case !hasData(g.event):
-	default:
-		u.continues = true
-		if !u.mayFollow(g.event) {
-			u.failSuccessor(signal{err: errNotContinued}, w)
-			return false
-		}
-		u.received = append(u.received, signal{event: bytes.Clone(g.event)})
-		return true
+		return false
+	case g.err == nil && !hasData(g.event):
+		return false
+	case g.err == nil && !u.mayGoOnWith(g.event):
+		u.failSuccessor(signal{err: errNotContinued}, w)
+		return false
 	}
-	return false
+	u.received = append(u.received, signal{event: bytes.Clone(g.event), err: g.err})
+	return true
+}
+
+// keepHead keeps the head of a successor's answer until the successor goes on. It has a time for the first event of a stream.
+func (u *upstreamAttempt) keepHead(g signal) {
+	u.recordHead(g.outcome)
+	u.received = append(u.received, g)
+	u.patience.Reset(u.eventTimeout())
+}
+
+// eventTimeout returns how long a successor that has begun a stream may take from now on to send its first event.
+func (u *upstreamAttempt) eventTimeout() time.Duration {
+	j := u.job
+	t, _ := j.silenceTimeout(u.uncounted() + j.current.uncounted())
+	return max(t, firstEventTimeout(u.choice.Wait)-time.Since(u.sent))
+}
+
+// isWhole reports whether a successor's stream that ends without an event is a whole answer: the caller has received nothing that
+// would have to go on.
+func (u *upstreamAttempt) isWhole(end error) bool {
+	return errors.Is(end, io.EOF) && !u.job.answerBegun
+}
+
+// mayGoOnWith reports whether the first event of a successor that has begun a stream may be passed on. The silent endpoint may
+// have begun its answer since.
+func (u *upstreamAttempt) mayGoOnWith(e []byte) bool {
+	j := u.job
+	u.continues = j.answerBegun
+	return (!j.answerBegun || j.mayContinue(u.received[0].outcome.reply)) && u.mayFollow(e)
 }
 
 // usable reports whether the answer of a successor may be passed on.
@@ -230,19 +246,19 @@
 	}
 	j.runs++
 	if j.context.Err() == nil {
+		u.tallyFault(false, u.wait)
 		u.handleBreak(g.err)
 	}
 }
 
-// overdue reports whether the attempt beside the successor is to be cancelled though the successor has sent no event: it has
-// begun its answer. If it hasn't, the successor fails.
-func (u *upstreamAttempt) overdue(w *silence) bool {
+// overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time.
+func (u *upstreamAttempt) overdue(w *silence) {
+	u.cancel()
 	if len(u.received) > 0 {
-		return true
+		u.failSuccessor(signal{err: errNoEvent}, w)
+		return
 	}
-	u.cancel()
 	u.failSuccessor(signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}, w)
-	return false
 }
 
 // dropSuccessor cancels the successor, if there is one. It may have run.
--- a/relay/transfer.go
+++ b/relay/transfer.go
@@ -25,6 +25,8 @@
 	hop   Hop
 	// side is the body of a refusal or a failure, or nil if it wasn't read.
 	side *sideBody
+	// recorded is set once recordHead has recorded it.
+	recorded bool
 }
 
 // start sends the attempt.
