Don't drop a second endpoint as silent for the time in which the host was held up

Callers would see a stream that ends early, or waits for a third endpoint, though the second one had sent its event: while the host waited for a caller that didn't read, the time that the second endpoint has ran out, and its event lay unread; which of the two was taken first was random. Cause: a late check of the first endpoint adds the lag to its time, that of the second one didn't.

Want of processor time isn't played. The wait for a larger model's stream (escalation) has no such check; no caller holds it up.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -57,8 +57,9 @@
 	replied bool
 	// received holds the signals that were taken while the attempt was a successor.
 	received []signal
-	// patience fires when a successor has to be dropped. It is nil for other attempts.
+	// patience fires at due, when a successor has to be dropped. It is nil for other attempts.
 	patience *time.Timer
+	due      time.Time
 }
 
 // begin removes the attempt's work from the queued work of the endpoint. Further calls do nothing.
--- a/relay/overlap_test.go
+++ b/relay/overlap_test.go
@@ -269,3 +269,29 @@
 		i.Equal(failures, broken)
 	})
 }
+
+// Guards against a second endpoint that is dropped as silent because this host was held up by its caller: its event lies unread.
+func TestSlowCallerIsNoSilenceOfTheSuccessor(t *testing.T) {
+	const plays = 20 // which of two signals is taken first is random
+	comment := ": wait\n\n"
+	for k := range plays {
+		t.Run(fmt.Sprint(k), func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				h := newHarness(3, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
+					if n > 1 {
+						return lateEvents(ctx, 500*time.Millisecond, events(3, 4))
+					}
+					r := ran("")
+					r.Body = body{Reader: io.MultiReader(
+						strings.NewReader(events(1, 2)), &waitingReader{ctx, 1600 * time.Millisecond}, strings.NewReader(comment), stalledReader{ctx},
+					)}
+					return r
+				})
+				s := blockingSink{&sink{}, comment}
+				h.serveTo(context.Background(), s, "r1", "/write/1", "key")
+				i.Equal(s.body.String(), events(1, 2)+comment+events(3, 4))
+				i.Equal(h.sender.count(), 2) // no third one is asked
+			})
+		})
+	}
+}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -150,7 +150,7 @@
 func (j *job) newSuccessorAt(q pick.Request, c pick.Choice, patience time.Duration) *upstreamAttempt {
 	s := &upstreamAttempt{job: j, choice: c, way: q.Way, helper: j.helperOf(q), work: q.Work, sent: time.Now()}
 	j.prepare(s)
-	s.patience = time.NewTimer(patience)
+	s.patience, s.due = time.NewTimer(patience), s.sent.Add(patience)
 	return s
 }
 
@@ -204,7 +204,13 @@
 func (u *upstreamAttempt) keepHead(g signal) {
 	u.recordHead(g.outcome)
 	u.received = append(u.received, g)
-	u.patience.Reset(u.eventTimeout())
+	u.waitFor(u.eventTimeout())
+}
+
+// waitFor makes the successor overdue after d.
+func (u *upstreamAttempt) waitFor(d time.Duration) {
+	u.due = time.Now().Add(d)
+	u.patience.Reset(d)
 }
 
 // eventTimeout returns how long a successor that has begun a stream may take from now on to send its first event.
@@ -251,8 +257,13 @@
 	}
 }
 
-// overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time.
+// overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time. If this host was held
+// up, what the successor has sent is read first.
 func (u *upstreamAttempt) overdue(w *silence) {
+	if time.Since(u.due) > maxCheckLag {
+		u.waitFor(linkCheckInterval)
+		return
+	}
 	u.cancel()
 	if len(u.received) > 0 {
 		u.failSuccessor(signal{err: errNoEvent}, w)
