gate: let an engine that sends chunks without a part of the answer replace no silent one

Callers of the OpenAI face saw a stream that ends early though its engine was sound and only paused: another engine had sent 17 empty chunks beside it, and then nothing. Cause: the chunks before the first part of an answer are held, 16 at most, and one more counted as going on with the answer. The bound took its place so that an engine which sends something else than text isn't waited for without end.

Change: chunks without a part never give the first attempt up; beyond 16 they are left out. What is a part is read from the chunk instead: text, tool calls, the end, and any other field of a delta with a value but its role; a chunk that can't be read counts as one.

--- a/gate/chunk.go
+++ b/gate/chunk.go
@@ -34,6 +34,42 @@
 	return nil
 }
 
+// chunkDeltas are the deltas of a chunk, by their fields.
+type chunkDeltas struct {
+	Choices []struct {
+		Delta map[string]json.RawMessage `json:"delta"` // OpenAI's format
+	} `json:"choices"`
+}
+
+// hasPart reports whether a chunk has a part of the answer: text, tool calls, its end, or any other field of a delta but its role. A
+// chunk that can't be read counts as one.
+func hasPart(chunk []byte) bool {
+	if len(chunkContent(chunk)) > 0 || bytes.Contains(chunk, toolCallsField) || bytes.Contains(chunk, finishReasonField) {
+		return true
+	}
+	var c chunkDeltas
+	if json.Unmarshal(chunk, &c) != nil {
+		return true
+	}
+	for _, o := range c.Choices {
+		for k, v := range o.Delta {
+			if k != "role" && !isEmpty(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isEmpty reports whether a JSON value is null, an empty text, an empty list or an empty object.
+func isEmpty(v json.RawMessage) bool {
+	switch string(v) {
+	case "null", `""`, "[]", "{}":
+		return true
+	}
+	return false
+}
+
 // appendChunk appends a chunk to b as an event under the request's id. rest is the chunk after its id.
 func appendChunk(b []byte, requestID string, rest []byte) []byte {
 	b = append(b, dataPrefix...)
--- a/gate/successor.go
+++ b/gate/successor.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -13,7 +12,7 @@
 const (
 	// successorInterval is the interval at which another endpoint is looked for while that of an attempt stays silent.
 	successorInterval = 2 * time.Second
-	// maxHeldSignals bounds the chunks without text that are kept of a successor. One that sends more goes on with the answer.
+	// maxHeldSignals bounds the chunks without a part of the answer that are kept of a successor. Further ones are left out.
 	maxHeldSignals = 16
 )
 
@@ -169,16 +168,13 @@
 		j.failSuccessor(attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errForeignChunk})
 		return
 	}
-	if hasPart(g.data) || len(s.received) == maxHeldSignals {
+	if hasPart(g.data) {
 		j.supersede(g)
 		return
 	}
-	s.received = append(s.received, g)
-}
-
-// hasPart reports whether a chunk has a part of the answer: text, tool calls or its end.
-func hasPart(chunk []byte) bool {
-	return len(chunkContent(chunk)) > 0 || bytes.Contains(chunk, toolCallsField) || bytes.Contains(chunk, finishReasonField)
+	if len(s.received) < maxHeldSignals {
+		s.received = append(s.received, g)
+	}
 }
 
 // supersede closes the current attempt, which makes the successor the current one. g is the successor's last signal.
--- /dev/null
+++ b/gate/successor_test.go
@@ -0,0 +1,60 @@
+package gate_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/core"
+)
+
+// TestSuccessorThatSendsNoPartDoesNotReplaceEngine guards against streams that are cut because another engine sends many chunks
+// without a part of the answer, and is silent then.
+func TestSuccessorThatSendsNoPartDoesNotReplaceEngine(t *testing.T) {
+	const chunks = 40
+	for _, d := range []string{`{"role":"assistant","content":""}`, `{}`} {
+		t.Run(d, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				w := newWorld(t)
+				w.add("first", pausing)
+				w.add("other", func(x *exchange) {
+					for range chunks {
+						x.delta(d)
+					}
+					x.pause(forever)
+				})
+				r := w.stream(t.Context(), "")
+				i.Equal(r.text, wholeText)
+				i.Equal(r.outcome, "ran")
+				i.Equal(w.finished["r1.0"], core.EndedWell)
+			})
+		})
+	}
+}
+
+// TestSuccessorWithOtherPartsReplacesMuteEngine guards against streams that wait for an engine that sends nothing more, though another one
+// goes on with parts of the answer that aren't text.
+func TestSuccessorWithOtherPartsReplacesMuteEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := newWorld(t)
+		w.add("first", hang)
+		w.add("other", func(x *exchange) {
+			x.delta(`{"role":"assistant","content":""}`)
+			x.delta(`{"reasoning":"x"}`)
+			if x.pause(forever) {
+				x.end(0)
+			}
+		})
+		c, leave := context.WithTimeout(t.Context(), time.Minute)
+		defer leave()
+		w.stream(c, "")
+		synctest.Wait()
+		i.Equal(w.finished["r1.0"], core.EndedFailed)
+		i.Equal(w.finished["r1.1"], core.EndedCancelled)
+	})
+}
