gate: let only a part of the answer end the silence of an engine and the attempt beside it

Callers of the OpenAI face waited for an engine that sent comments or empty chunks and nothing of the answer, until they left: each of these ended the attempt at another engine that was about to go on, or kept one from being asked.

Change: only a part of the answer, or its end, drops the attempt beside a silent engine and begins the time of silence anew. The first engine stays open as before, and comments and empty chunks are passed on as before.

Price, by reading: an engine that sends only comments for 10 s while it reads a prompt is asked beside now.

--- a/gate/engine.go
+++ b/gate/engine.go
@@ -23,7 +23,7 @@
 	probeCount    = 4
 	// endpointUserTimeout is how long bytes sent to an endpoint may remain unacknowledged before the connection fails.
 	endpointUserTimeout = (1 + probeCount) * probeInterval
-	// stallTimeout is how long an endpoint may send nothing on a stream before another one is asked beside it.
+	// stallTimeout is how long an endpoint may send no part of a stream before another one is asked beside it.
 	stallTimeout = 10 * time.Second
 	// headerPriority carries the request's priority to the endpoint.
 	headerPriority = "X-Priority"
--- a/gate/fake_test.go
+++ b/gate/fake_test.go
@@ -142,6 +142,12 @@
 	_ = http.NewResponseController(x.ResponseWriter).Flush()
 }
 
+// comment sends a comment of a stream.
+func (x *exchange) comment() {
+	_, _ = io.WriteString(x, ": wait\n\n")
+	_ = http.NewResponseController(x.ResponseWriter).Flush()
+}
+
 // tokens sends the tokens from one index up to another one.
 func (x *exchange) tokens(from, to int) {
 	for n := from; n < to; n++ {
--- a/gate/successor.go
+++ b/gate/successor.go
@@ -31,7 +31,7 @@
 	begun func() bool
 	// check returns the result of an answer that isn't streamed, received by the attempt with an id. It is nil for streams.
 	check func(id string, g signal) attemptResult
-	// silence is the time without a sign of the endpoint after which another attempt is made beside the first.
+	// silence is the time without a part of the answer after which another attempt is made beside the first.
 	silence time.Duration
 }
 
@@ -93,7 +93,7 @@
 }
 
 // handOver reports whether the signal of the current attempt concerns only the attempts: its decision, or a failure after
-// which the successor, if there is one, goes on. Any other sign of the current attempt ends the successor.
+// which the successor, if there is one, goes on. A part of the answer, or its end, ends the successor and the silence.
 func (j *job) handOver(g signal) bool {
 	s := j.successor
 	switch {
@@ -105,6 +105,8 @@
 		j.exclude = append(j.exclude, j.current.decision.Endpoint.ID)
 		j.promote()
 		return true
+	case g.result == nil && (g.data == nil || !hasPart(g.data)):
+		return false // that is no progress
 	}
 	j.dropSuccessor(nil)
 	j.silence.Reset(j.method.silence)
--- a/gate/successor_test.go
+++ b/gate/successor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +59,38 @@
 		i.Equal(w.finished["r1.1"], core.EndedCancelled)
 	})
 }
+
+// TestSignOfSilentEngineLeavesSuccessorOpen guards against streams that wait for an engine that sends nothing of the answer, because
+// its comments or empty chunks keep others from being asked, or end the attempt beside it.
+func TestSignOfSilentEngineLeavesSuccessorOpen(t *testing.T) {
+	const prefill = 5 * time.Second
+	for n, f := range map[string]func(x *exchange){
+		"comment":     func(x *exchange) { x.comment() },
+		"empty chunk": func(x *exchange) { x.delta(`{"content":""}`) },
+	} {
+		for _, interval := range []time.Duration{4 * time.Second, 12 * time.Second} {
+			t.Run(fmt.Sprint(n, " each ", interval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					i := is.New(t)
+					w := newWorld(t)
+					w.add("first", func(x *exchange) {
+						x.tokens(0, pauseAfter)
+						for x.pause(interval) {
+							f(x)
+						}
+					})
+					w.add("other", func(x *exchange) {
+						if x.pause(prefill) {
+							sound(x)
+						}
+					})
+					c, leave := context.WithTimeout(t.Context(), time.Minute)
+					defer leave()
+					r := w.stream(c, "")
+					i.Equal(r.text, wholeText)
+					i.True(r.at < streamPause)
+				})
+			})
+		}
+	}
+}
