--- a/gate/successor.go
+++ b/gate/successor.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -13,7 +12,7 @@
 const (
 	// successorInterval is the interval at which another endpoint is looked for while that of an attempt stays silent.
 	successorInterval = 2 * time.Second
-	// maxHeldSignals bounds the chunks without text that are kept of a successor. One that sends more goes on with the answer.
+	// maxHeldSignals bounds the chunks without a part of the answer that are kept of a successor. Further ones are left out.
 	maxHeldSignals = 16
 )
 
@@ -32,7 +31,7 @@
 	begun func() bool
 	// check returns the result of an answer that isn't streamed, received by the attempt with an id. It is nil for streams.
 	check func(id string, g signal) attemptResult
-	// silence is the time without a sign of the endpoint after which another attempt is made beside the first.
+	// silence is the time without a part of the answer after which another attempt is made beside the first.
 	silence time.Duration
 }
 
@@ -94,7 +93,7 @@
 }
 
 // handOver reports whether the signal of the current attempt concerns only the attempts: its decision, or a failure after
-// which the successor, if there is one, goes on. Any other sign of the current attempt ends the successor.
+// which the successor, if there is one, goes on. A part of the answer, or its end, ends the successor and the silence.
 func (j *job) handOver(g signal) bool {
 	s := j.successor
 	switch {
@@ -106,6 +105,8 @@
 		j.exclude = append(j.exclude, j.current.decision.Endpoint.ID)
 		j.promote()
 		return true
+	case g.result == nil && (g.data == nil || !hasPart(g.data)):
+		return false // that is no progress
 	}
 	j.dropSuccessor(nil)
 	j.silence.Reset(j.method.silence)
@@ -169,16 +170,13 @@
 		j.failSuccessor(attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errForeignChunk})
 		return
 	}
-	if hasPart(g.data) || len(s.received) == maxHeldSignals {
+	if hasPart(g.data) {
 		j.supersede(g)
 		return
 	}
-	s.received = append(s.received, g)
-}
-
-// hasPart reports whether a chunk has a part of the answer: text, tool calls or its end.
-func hasPart(chunk []byte) bool {
-	return len(chunkContent(chunk)) > 0 || bytes.Contains(chunk, toolCallsField) || bytes.Contains(chunk, finishReasonField)
+	if len(s.received) < maxHeldSignals {
+		s.received = append(s.received, g)
+	}
 }
 
 // supersede closes the current attempt, which makes the successor the current one. g is the successor's last signal.
