Take an answer without a length for complete once its endpoint answers a later request

A part that ends the endpoints that run it goes on ending them; each answer to it looks complete to the host.

Cause: a fault of the product, which load makes more frequent. Such an answer ends with its connection; it counted as complete once anything came from its endpoint afterwards. Another stream of the endpoint is read by a goroutine of its own: an event that was sent before the end, or while the endpoint ended, may be read after it. Two such answers clear the part at that host, and the control hosts then leave out its earlier ends at all hosts.

Change: only an answer to a request that was sent after the end shows that the endpoint has gone on (pick.Set.LastAnswered). No time is involved that load could stretch.

--- a/pick/health.go
+++ b/pick/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/reach"
 )
 
 // Way is the way by which a request goes to an endpoint.
@@ -34,12 +35,30 @@
 	if !ok {
 		return
 	}
+	s.recordActivity(n, way, now)
+}
+
+// recordActivity is RecordActivity for a caller that holds the lock.
+func (s *Set) recordActivity(n *endpoint, way Way, now time.Time) {
 	n.lastActive, n.silentSince = now, now
 	if way == Direct {
 		s.recordSign(n, now)
 	}
 }
 
+// RecordAnswer records that an endpoint began at now to answer a request that was sent at a time. It does nothing if the
+// endpoint is unknown.
+func (s *Set) RecordAnswer(id string, way Way, sent, now time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	if !ok {
+		return
+	}
+	s.recordActivity(n, way, now)
+	n.answeredSentAt = reach.Latest(n.answeredSentAt, sent)
+}
+
 // ActiveSince reports whether an endpoint was active after since.
 func (s *Set) ActiveSince(id string, since time.Time) bool {
 	s.lock.Lock()
@@ -144,13 +163,14 @@
 	return !ok || n.replaced || n.report.Born != born || n.report.Phase == fleet.Departed
 }
 
-// LastActive returns when an endpoint last sent something, or the zero time if it hasn't or is unknown.
-func (s *Set) LastActive(id string) time.Time {
+// LastAnswered returns when the newest request was sent that an endpoint has begun to answer, or the zero time if there is none or
+// the endpoint is unknown. The endpoint ran at that time, however late its answers are read.
+func (s *Set) LastAnswered(id string) time.Time {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
 	if !ok {
 		return time.Time{}
 	}
-	return n.lastActive
+	return n.answeredSentAt
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -120,6 +120,8 @@
 	lastActive  time.Time
 	unanswered  int
 	silentSince time.Time
+	// answeredSentAt is when the newest request was sent that the endpoint has begun to answer.
+	answeredSentAt time.Time
 	// limit is what the endpoint's answers say about its limit, and bucket counts what this host may send within it.
 	limit  limit.Named
 	bucket limit.Bucket
--- a/poison/observer.go
+++ b/poison/observer.go
@@ -232,8 +232,9 @@
 	return slices.SortedFunc(maps.Keys(o.pending), Boot.compare)
 }
 
-// Alive records that a start of an endpoint has sent something at a time. Runs there that ended with their connections
-// before are then known to be complete. It returns keys as Served does.
+// Alive records that a start of an endpoint has answered a request that was sent at a time. Runs there that ended with their
+// connections before are then known to be complete. What else the endpoint sent tells nothing: it may have been sent before these
+// ends and read after them. Alive returns keys as Served does.
 func (o *Observer) Alive(b Boot, at, now time.Duration) (lifted []Key) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,7 +104,7 @@
 	u.begin()
 	b := u.recordOpening(r)
 	if r.Body != nil {
-		j.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
+		j.relay.Endpoints.RecordAnswer(u.choice.ID, u.way, u.sent, time.Now())
 	}
 	u.recordAsks(r)
 	wait := time.Since(u.sent)
--- a/relay/break.go
+++ b/relay/break.go
@@ -82,7 +82,8 @@
 }
 
 // recordComplete records that the endpoint has written a whole answer. An answer that ends with its connection may be
-// incomplete; it counts as broken off if the endpoint turns out to have ended, and as complete once the endpoint goes on.
+// incomplete; it counts as broken off if the endpoint turns out to have ended, and as complete once the endpoint answers a later
+// request.
 func (u *upstreamAttempt) recordComplete(status int) {
 	j := u.job
 	switch {
@@ -113,7 +114,7 @@
 func (r *Relay) ConfirmEnds() {
 	for _, b := range r.Poison.Pending() {
 		if !r.Endpoints.HasEnded(b.Endpoint, b.Born) {
-			if t := r.Endpoints.LastActive(b.Endpoint); !t.IsZero() {
+			if t := r.Endpoints.LastAnswered(b.Endpoint); !t.IsZero() {
 				r.logLifted(r.Poison.Alive(b, t.Sub(r.start), r.sinceStart()))
 			}
 			continue
