--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -156,7 +156,7 @@
 	u.begin()
 	ejected = u.recordOpening(r)
 	if r.Body != nil {
-		u.job.relay.Endpoints.RecordActivity(u.choice.ID, u.way, time.Now())
+		u.job.relay.Endpoints.RecordAnswer(u.choice.ID, u.way, u.sent, time.Now())
 	}
 	u.recordAsks(r)
 	u.wait, u.openEnded = time.Since(u.sent), r.EndsWithConnection
