Keep the call to a silent host between open until another one answers

Cause: proxy gave the call up after 0.4 s and one question of 0.25 s on another connection, before anything else was known to answer.

Change: the host is asked again at the same interval until it answers; the call stays open until it answers, says that it will not begin, its connection fails or the request has no time left. The attempt tells relay at once that the host doesn't answer (Attempt.Unheard): other requests avoid the host, and a request that may be sent again is sent through another one beside the open call, with all the limits of a successor, at the same moment as it was sent again before. The host counts as silent, not the endpoint, which isn't recorded as faulty and may be asked again through the other host if it is the only one.

Price: a caller whose request may not be repeated waits for a host between that never answers until the connection fails (about 1.2 s on a silent link) or its time ends, in place of 0.65 s; one opening every 0.65 s meanwhile.

--- a/proxy/client.go
+++ b/proxy/client.go
@@ -18,7 +18,7 @@
 
 const (
 	// beginTimeout is how long another host may take to say that it begins or declines, after the time that the request
-	// takes to write, before it is asked on another connection.
+	// takes to write, before it is asked on another connection. It is asked again at this interval until it answers.
 	beginTimeout = 400 * time.Millisecond
 	// revokeTimeout bounds the question whether a call has begun.
 	revokeTimeout = 250 * time.Millisecond
@@ -56,7 +56,7 @@
 		x.discard()
 		return x.revoke(ctx, err)
 	}
-	return x.begin(ctx, a.Remaining)
+	return x.begin(ctx, a)
 }
 
 // lost returns the result of a hop that broke off.
@@ -94,8 +94,8 @@
 }
 
 // begin reads whether the host begins, and the reply of the endpoint.
-func (x *exchange) begin(ctx context.Context, remaining time.Duration) (relay.Reply, relay.Hop) {
-	if r, h, ok := x.awaitBegin(ctx, remaining); !ok {
+func (x *exchange) begin(ctx context.Context, a relay.Attempt) (relay.Reply, relay.Hop) {
+	if r, h, ok := x.awaitBegin(ctx, a); !ok {
 		x.discard()
 		return r, h
 	}
@@ -113,18 +113,28 @@
 	return x.reply()
 }
 
-// awaitBegin waits until the host says whether it begins. One that doesn't say so in time is asked on another connection; one that
-// has begun is waited for, at most for the time that remains for the request. Otherwise ok is false, and r and h are the result.
-func (x *exchange) awaitBegin(ctx context.Context, remaining time.Duration) (r relay.Reply, h relay.Hop, ok bool) {
-	err := x.await(ctx, beginTimeout)
-	if err == nil {
-		return r, h, true
-	}
-	r, h = x.revoke(ctx, err)
-	if ctx.Err() != nil || !errors.Is(err, os.ErrDeadlineExceeded) || !errors.Is(r.Cause, errBegun) {
-		return r, h, false
-	}
-	return r, h, x.await(ctx, remaining) == nil
+// awaitBegin waits until the host says whether it begins, at most for the time that remains for the request. One that doesn't say so
+// in time is asked on other connections, and the attempt is told that it doesn't answer; the call stays open meanwhile, as the host
+// may have begun. Otherwise ok is false, and r and h are the result.
+func (x *exchange) awaitBegin(ctx context.Context, a relay.Attempt) (r relay.Reply, h relay.Hop, ok bool) {
+	end := time.Now().Add(a.Remaining)
+	for d := beginTimeout; ; {
+		err := x.await(ctx, min(d, time.Until(end)))
+		if err == nil {
+			return r, h, true
+		}
+		r, h = x.revoke(ctx, err)
+		if ctx.Err() != nil || r.Verdict == relay.NotRun || !errors.Is(err, os.ErrDeadlineExceeded) || time.Until(end) <= 0 {
+			return r, h, false
+		}
+		if errors.Is(r.Cause, errBegun) {
+			d = a.Remaining
+			continue
+		}
+		if a.Unheard != nil {
+			a.Unheard()
+		}
+	}
 }
 
 // await waits for the first byte of the host's next frame, at most for a time.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -180,14 +180,16 @@
 	}
 }
 
-// wall forwards connections to a host, and holds back or drops what passes on the first one.
+// wall forwards connections to a host, and holds back what passes on the first one or on all of them, or drops its answers on the first.
 type wall struct {
 	listener   net.Listener
 	target     string
 	dropAnswer bool
 	release    chan struct{}
-	// releaseAnswer holds back the answers on the first connection until it is closed, unless it is nil.
+	// releaseAnswer holds back the answers until it is closed, unless it is nil.
 	releaseAnswer chan struct{}
+	// all is set if it holds back what passes on all connections.
+	all bool
 }
 
 // startWall returns a wall before a host. Without dropAnswer it holds back the call until release is closed.
@@ -234,7 +236,7 @@
 		x, y := copying{from: c, to: s}, copying{from: s, to: c}
 		if n == 0 && w.dropAnswer {
 			y.to = io.Discard
-		} else if n == 0 {
+		} else if n == 0 || w.all {
 			x.wait, y.wait = w.release, w.releaseAnswer
 		}
 		go x.run()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,6 +53,9 @@
 	// signals carries what run receives to the goroutine of the job, until closed is closed. ended is closed at the end of run.
 	signals       chan signal
 	closed, ended chan struct{}
+	// unheard is signalled when the host between doesn't say whether it has begun. hostSilent is set from then on.
+	unheard    chan struct{}
+	hostSilent bool
 	// replied is set once the outcome was taken from signals.
 	replied bool
 	// received holds the signals that were taken while the attempt was a successor.
--- /dev/null
+++ b/relay/between_test.go
@@ -0,0 +1,142 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/budget"
+	"github.com/hickoryshelf/hickoryshelf/reach"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+)
+
+const (
+	// betweenDoubt is when a host between is in doubt, and betweenPause how long it answers nothing.
+	betweenDoubt = 100 * time.Millisecond
+	betweenPause = 700 * time.Millisecond
+)
+
+// pausedHost answers a call of a host between after a time without a sign of it, or says that the call was given up.
+func pausedHost(ctx context.Context, a relay.Attempt, pause time.Duration, r relay.Reply) (relay.Reply, relay.Hop) {
+	time.Sleep(betweenDoubt)
+	if a.Unheard != nil {
+		a.Unheard()
+	}
+	select {
+	case <-time.After(pause - betweenDoubt):
+		return r, relay.Hop{}
+	case <-ctx.Done():
+		return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: ctx.Err()}, relay.Hop{Result: relay.Lost}
+	}
+}
+
+// emptyBudget returns a budget without any retry for some services.
+func emptyBudget(services ...string) *budget.Host {
+	h := budget.NewHost(budget.Limits{Window: 10 * time.Second})
+	for _, s := range services {
+		for h.Withdraw(s, 0) {
+			continue // a new budget begins with some
+		}
+	}
+	return h
+}
+
+// cutOffHarness returns a harness that reaches no endpoint itself, with hosts to send requests through.
+func cutOffHarness(d *detour, hosts int) (w *harness, stop func()) {
+	w = newHarness(3, func(int, context.Context, relay.Attempt) relay.Reply { return unreachable() })
+	stop = w.withDetour(d, 0, unanswered)
+	w.loseLinks("desk", 3, reach.Silent)
+	w.loseLinks("draft", 3, reach.Silent)
+	w.nameHelpers(hosts)
+	return w, stop
+}
+
+// Guards against requests that fail because the host between is silent for a while and nothing else may answer them: they run at most
+// once, or the retry budget is used up.
+func TestRequestOutlastsSilentHostBetween(t *testing.T) {
+	for n, c := range map[string]struct {
+		path  string
+		hosts int
+		empty bool
+	}{
+		"at most once":      {"/book/1", 2, false},
+		"no budget":         {"/look/1", 2, true},
+		"stream, no budget": {"/write/1", 2, true},
+		"no other host":     {"/write/1", 1, false},
+	} {
+		t.Run(n, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				d := &detour{answer: func(_ int, ctx context.Context, a relay.Attempt) (relay.Reply, relay.Hop) {
+					return pausedHost(ctx, a, betweenPause, ranWithConfidence(100, events(1, 3)))
+				}}
+				w, stop := cutOffHarness(d, c.hosts)
+				defer stop()
+				if c.empty {
+					w.relay.Budget = emptyBudget("desk", "draft")
+				}
+				s := w.serve(context.Background(), c.path, "key")
+				i.Equal(s.status, 200)
+				i.Equal(s.body.String(), events(1, 3))
+				i.Equal(len(d.attempts), 1)
+			})
+		})
+	}
+}
+
+// Guards against waiting for a silent host between while another one can send the request, and against more requests that are sent
+// through the silent one.
+func TestOtherHostIsAskedBesideSilentHostBetween(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		var first context.Context
+		d := byOthers()
+		a := d.answer
+		d.answer = func(n int, ctx context.Context, v relay.Attempt) (relay.Reply, relay.Hop) {
+			if n == 1 {
+				first = ctx
+				return pausedHost(ctx, v, time.Minute, relay.Reply{})
+			}
+			i.True(n > 2 || first.Err() == nil) // the first attempt was still open
+			return a(n, ctx, v)
+		}
+		w, stop := cutOffHarness(d, 2)
+		defer stop()
+		b := time.Now()
+		for range 3 {
+			s := w.serve(context.Background(), "/write/1", "key")
+			i.Equal(s.body.String(), events(1, 5))
+		}
+		i.True(time.Since(b) < betweenDoubt+100*time.Millisecond)
+		i.True(first.Err() != nil)
+		i.Equal(len(d.attempts), 4)
+		for _, h := range d.hosts[1:] {
+			i.True(h != d.hosts[0])
+		}
+	})
+}
+
+// Guards against a sound endpoint that counts as faulty, and against a request that isn't sent again, because the host between is
+// silent: the only endpoint is asked through another host.
+func TestOnlyEndpointIsAskedThroughAnotherHost(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		d := byOthers()
+		a := d.answer
+		d.answer = func(n int, ctx context.Context, v relay.Attempt) (relay.Reply, relay.Hop) {
+			if n == 1 {
+				return pausedHost(ctx, v, time.Minute, relay.Reply{})
+			}
+			return a(n, ctx, v)
+		}
+		w, stop := cutOffHarness(d, 2)
+		defer stop()
+		w.set.Replace(reports(1))
+		b := time.Now()
+		s := w.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 5))
+		i.True(time.Since(b) < betweenDoubt+100*time.Millisecond)
+		for _, l := range w.log.AllEntries() {
+			i.True(l.Message != "attempt: the endpoint failed")
+		}
+	})
+}
--- a/relay/detour.go
+++ b/relay/detour.go
@@ -152,14 +152,19 @@
 	return r.Detour.Send(u.context, u.helper.Helper, u.order)
 }
 
+// refuseBy keeps further attempts of the request from a host between.
+func (j *job) refuseBy(host string) {
+	if j.refusedBy == nil {
+		j.refusedBy = map[string]bool{}
+	}
+	j.refusedBy[host] = true
+}
+
 // handleHop records that another host didn't send the attempt, or that it is unknown whether it did.
 func (u *upstreamAttempt) handleHop(r Reply, h Hop) nextStep {
 	j := u.job
 	n := time.Now()
-	if j.refusedBy == nil {
-		j.refusedBy = map[string]bool{}
-	}
-	j.refusedBy[u.helper.Host] = true
+	j.refuseBy(u.helper.Host)
 	j.hops++
 	j.hopWait = max(j.hopWait, h.RetryAfter)
 	if h.Result == Declined {
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -44,6 +44,10 @@
 			if w.check() && s == nil {
 				u.job.seekSuccessor(u, w)
 			}
+		case <-u.unheard:
+			u.handleUnheard(w)
+		case <-s.hostUnheard():
+			s.failUnheard(w)
 		case g := <-s.incoming():
 			if s.goesOn(g, w) {
 				return u.superseded()
@@ -60,8 +64,11 @@
 func (u *upstreamAttempt) superseded() signal {
 	u.log().WithField("successor", u.job.successor.choice.ID).Info("attempt: given up, another endpoint goes on")
 	u.cancel()
-	r := Reply{Verdict: Unknown, Confidence: -1, Cause: errSuperseded}
-	return signal{outcome: &outcome{reply: r}, err: errSuperseded}
+	o := &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errSuperseded}}
+	if u.hostSilent && !u.replied {
+		o.hop.Result = Lost
+	}
+	return signal{outcome: o, err: errSuperseded}
 }
 
 // incoming returns the channel of the attempt's signals. A nil attempt has none.
@@ -80,6 +87,44 @@
 	return u.patience.C
 }
 
+// hostUnheard returns the channel that signals that the host between of a successor doesn't say whether it has begun.
+func (u *upstreamAttempt) hostUnheard() <-chan struct{} {
+	if u == nil {
+		return nil
+	}
+	return u.unheard
+}
+
+// recordHostSilent records that the host between doesn't say whether it has begun, so that other requests avoid it.
+func (u *upstreamAttempt) recordHostSilent() {
+	j := u.job
+	u.hostSilent = true
+	j.relay.Helpers.Fail(u.helper.Host, time.Now())
+	j.refuseBy(u.helper.Host)
+}
+
+// handleUnheard makes another attempt beside one whose host between is silent.
+func (u *upstreamAttempt) handleUnheard(w *silence) {
+	if u.replied {
+		return // the host has answered since
+	}
+	u.recordHostSilent()
+	if u.job.successor == nil {
+		u.job.seekSuccessor(u, w)
+	}
+}
+
+// failUnheard drops a successor whose host between is silent: the attempt beside it is still open.
+func (u *upstreamAttempt) failUnheard(w *silence) {
+	if u.replied {
+		return // the host has answered since
+	}
+	u.recordHostSilent()
+	u.cancel()
+	r := Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}
+	u.failSuccessor(signal{outcome: &outcome{reply: r, hop: Hop{Result: Lost}}}, w)
+}
+
 // seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
 func (j *job) seekSuccessor(u *upstreamAttempt, w *silence) {
 	if j.context.Err() != nil || time.Until(j.deadline) <= 0 {
@@ -94,7 +139,7 @@
 		return
 	}
 	w.logged = true
-	e := u.log().WithFields(logrus.Fields{"silent": w.length().Milliseconds(), "link-lost": u.linkLost, "last-event": j.lastEventID})
+	e := u.log().WithFields(logrus.Fields{"silent": w.length().Milliseconds(), "link-lost": u.linkLost, "host-silent": u.hostSilent, "last-event": j.lastEventID})
 	if s == nil {
 		e.WithField("spent", why).Warn("attempt: the endpoint is silent, no other one can go on")
 		return
@@ -165,11 +210,11 @@
 	return q
 }
 
-// preferOthers returns a request that doesn't go to the endpoint of u, unless it is the only one left in a later retry round: its
-// connection may hang while it accepts new ones.
+// preferOthers returns a request that doesn't go to the endpoint of u, unless it is the only one left and either the host between is
+// what is silent, or this is a later retry round: its connection may hang while it accepts new ones.
 func (j *job) preferOthers(q pick.Request, u *upstreamAttempt) pick.Request {
 	o := withTried(q, u.choice.ID)
-	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && j.retryRounds+j.searchRounds > 0 {
+	if _, ok := j.relay.Endpoints.Wait(o, time.Now()); !ok && (u.hostSilent || j.retryRounds+j.searchRounds > 0) {
 		return q
 	}
 	return o
