Keep connections with a request under way through a silence of their link

What callers saw: if the link to an endpoint, or between two hosts, carried nothing for 1.2 s (bytes under way) or about 2 s (an answer awaited) and then went on, the connection had failed with the answers on it: streams broke off, requests that may not be repeated were lost, and the host between cut their runs, though nothing else was known to go on.

Cause: TCP_USER_TIMEOUT of 1.2 s on all connections, in use or idle; on Linux it also decides when unanswered probes end a connection. It dates from when the end of the connection was what made the relay look for another endpoint; since then it asks one beside the open attempt (relay/successor.go, relay/links.go).

Change: 5 s while a request is under way: from Pool.Get to Put, and at the host between while it relays, until the peer has acknowledged the last byte. Idle connections keep 1.2 s, so that requests aren't sent on those of a link that is lost. Isolated endpoints are left as before where another one may go on: by links and silence, not by the connection. Not unlimited, since runs for a host that is gone would go on to their deadlines.

--- a/dial/conn.go
+++ b/dial/conn.go
@@ -18,8 +18,8 @@
 	maxAckAge     = 30 * time.Second
 )
 
-// conn is a connection that fails within seconds when its peer stops responding, but not while the peer responds and merely reads
-// nothing: Linux applies the user timeout to that as well. It is safe for concurrent use.
+// conn is a connection that fails within seconds when its peer stops responding, later while a request is under way, but not while the
+// peer responds and merely reads nothing: Linux applies the user timeout to that as well. It is safe for concurrent use.
 type conn struct {
 	net.Conn
 	raw  syscall.RawConn
@@ -31,6 +31,9 @@
 	writing int
 	// patient is set while the user timeout is off.
 	patient bool
+	// busy is set while the user timeout is that of a request under way. It becomes wanted, at once if that is true, and otherwise once
+	// the peer has acknowledged all that was written.
+	busy, wanted bool
 }
 
 // newConn returns a conn for an open connection whose user timeout is on. It returns an error if the connection was closed.
@@ -94,20 +97,52 @@
 	c.checking = c.writing > 0 || !q.empty()
 	if c.checking {
 		c.scheduleCheck()
+		return
 	}
+	_ = c.applyBusy() // fails only on a closed connection
 }
 
 // setPatient turns the user timeout off or on. If the socket refuses that, the next check tries again.
 func (c *conn) setPatient(patient bool) {
-	t := userTimeout
-	if patient {
-		t = 0
-	}
-	if setUserTimeout(c.raw, t) == nil {
+	if setUserTimeout(c.raw, timeoutOf(patient, c.busy)) == nil {
 		c.patient = patient
 	}
 }
 
+// setBusy sets whether a request is under way. It returns an error if the connection was closed.
+func (c *conn) setBusy(busy bool) error {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.wanted = busy
+	if c.checking && !busy {
+		return nil // check applies it
+	}
+	return c.applyBusy()
+}
+
+// applyBusy sets the user timeout that is wanted. The caller holds the lock.
+func (c *conn) applyBusy() error {
+	if c.busy == c.wanted {
+		return nil
+	}
+	err := setUserTimeout(c.raw, timeoutOf(c.patient, c.wanted))
+	if err == nil {
+		c.busy = c.wanted
+	}
+	return err
+}
+
+// timeoutOf returns the user timeout of a connection; 0 turns it off.
+func timeoutOf(patient, busy bool) time.Duration {
+	switch {
+	case patient:
+		return 0
+	case busy:
+		return busyTimeout
+	}
+	return userTimeout
+}
+
 // queue returns what was written and isn't acknowledged, or an error if the connection is closed.
 func (c *conn) queue() (q sendQueue, err error) {
 	var e error
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -19,6 +19,8 @@
 const (
 	// userTimeout is how long sent bytes may remain unacknowledged before the connection fails.
 	userTimeout = 1200 * time.Millisecond
+	// busyTimeout replaces userTimeout while a request is under way: its answer may come once the link carries packets again.
+	busyTimeout = 5 * time.Second
 	// probeIdle, probeInterval and probeCount configure the TCP keep-alive probes on an idle connection: the time
 	// before the first probe, the time between probes, and the number of unanswered probes after which the
 	// connection fails.
@@ -73,6 +75,15 @@
 	return n, nil
 }
 
+// SetBusy says whether a request is under way on an accepted connection that KeepAlive returned: it then outlasts a longer silence
+// of its link. It does nothing for other connections, and returns an error if the connection was closed.
+func SetBusy(c net.Conn, busy bool) error {
+	if n, ok := c.(*conn); ok {
+		return n.setBusy(busy)
+	}
+	return nil
+}
+
 // Connect opens a connection to an address of the form host:port. It fails when the connection isn't open within the
 // sum of openTimeouts. The connection fails within seconds when the peer stops responding, or reads nothing while it is sent more
 // than its buffers hold.
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -27,7 +27,7 @@
 // ErrPoolFull is returned by Get when the limit of open connections to an address is reached.
 var ErrPoolFull = errors.New("all connections to the endpoint are in use; another endpoint has to take the request")
 
-// Conn is a connection to an endpoint. It serves one request at a time.
+// Conn is a connection to an endpoint. It serves one request at a time, and outlasts a longer silence of its link until Put is called.
 type Conn struct {
 	net.Conn
 	Reader *bufio.Reader
@@ -61,7 +61,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && idleAndOpen(c) {
+		if time.Now().Before(c.expires) && idleAndOpen(c) && SetBusy(c.Conn, true) == nil {
 			c.Reused = true
 			return c, nil
 		}
@@ -96,7 +96,10 @@
 		return nil, err
 	}
 	if t, ok := n.(*net.TCPConn); ok {
-		if n, err = newConn(t); err != nil {
+		if n, err = newConn(t); err == nil {
+			err = SetBusy(n, true)
+		}
+		if err != nil {
 			p.release(address)
 			_ = t.Close() // it can't be used
 			return nil, err
@@ -148,7 +151,7 @@
 		keepAlive = maxIdleTime
 	}
 	keepAlive = min(keepAlive-idleMargin, maxIdleTime)
-	if keepAlive <= 0 || c.Reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if keepAlive <= 0 || c.Reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil || SetBusy(c.Conn, false) != nil {
 		p.Drop(c)
 		return
 	}
--- a/proxy/pause_test.go
+++ b/proxy/pause_test.go
@@ -59,6 +59,37 @@
 	i.Equal(h.sender.count(), 1)
 }
 
+// Guards against runs that are cut, and answers without their end, because the link between two hosts carries nothing for a while.
+func TestRunOutlastsSilentLinkBetweenHosts(t *testing.T) {
+	const silence = 3 * time.Second
+	for n, d := range map[string]time.Duration{"before the answer": silence + 500*time.Millisecond, "with its end": silence / 10} {
+		t.Run(n, func(t *testing.T) {
+			t.Parallel()
+			i := is.New(t)
+			ended := make(chan error, 1)
+			h := startHelping(t, func(ctx context.Context) relay.Reply {
+				select {
+				case <-ctx.Done():
+				case <-time.After(d):
+				}
+				ended <- ctx.Err()
+				return answering(bytes.NewBufferString("late"))(ctx)
+			})
+			w := startPausedWall(t, h.address, false, false, 0)
+			w.silence = silence
+			x, stop := context.WithTimeout(t.Context(), 3*silence)
+			defer stop()
+			r, p := client().Send(x, helper(w.listener.Addr().String()), attempt())
+			i.NoErr(<-ended) // the run wasn't cut
+			i.Equal(p.Result, relay.Delivered)
+			i.Equal(r.Verdict, relay.Ran)
+			b, err := io.ReadAll(r.Body)
+			i.NoErr(err)
+			i.Equal(string(b), "late")
+		})
+	}
+}
+
 // Guards against requests that fail as unknown because nothing reaches the host between for a while: it either runs them or says that
 // it never will.
 func TestOutcomeOfCallIsKnownAfterPauseOfAllConnections(t *testing.T) {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -19,6 +19,7 @@
 	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/itest"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/proxy"
 	"github.com/hickoryshelf/hickoryshelf/relay"
@@ -190,6 +191,8 @@
 	releaseAnswer chan struct{}
 	// all is set if it holds back what passes on all connections.
 	all bool
+	// silence is how long the link to the host carries nothing back, from a moment after the first connection on.
+	silence time.Duration
 }
 
 // startWall returns a wall before a host. Without dropAnswer it holds back the call until release is closed.
@@ -239,11 +242,32 @@
 		} else if n == 0 || w.all {
 			x.wait, y.wait = w.release, w.releaseAnswer
 		}
+		if n == 0 && w.silence > 0 {
+			k := silentLink{s, w.silence}
+			go k.run()
+		}
 		go x.run()
 		go y.run()
 	}
 }
 
+// silentLink makes packets to a connection disappear for a time, from callTime on.
+type silentLink struct {
+	conn net.Conn
+	time time.Duration
+}
+
+// callTime is the time in which a call has begun.
+const callTime = 100 * time.Millisecond
+
+func (l silentLink) run() {
+	time.Sleep(callTime)
+	if itest.DropPackets(l.conn, true) == nil {
+		time.Sleep(l.time)
+		_ = itest.DropPackets(l.conn, false) // fails only on a closed connection
+	}
+}
+
 // copying copies one direction of a connection, after wait is closed if it isn't nil.
 type copying struct {
 	from io.Reader
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -270,6 +270,10 @@
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
+	if err := dial.SetBusy(c.conn, true); err != nil {
+		return err
+	}
+	defer dial.SetBusy(c.conn, false) //nolint:errcheck // fails only on a closed connection
 	c.watched = make(chan struct{})
 	w := leaveWatch{c, f, c.watched}
 	go w.run()
