Set up the test of a silent link between hosts before its goroutine starts

Cause: set the wall's silence after its goroutine had been started: go test -race ./proxy reported a data race in the test, 2 of 2 cases. The product isn't concerned.

--- a/proxy/pause_test.go
+++ b/proxy/pause_test.go
@@ -36,6 +36,18 @@
 	return w
 }
 
+// startSilentWall returns a wall before a host whose link to the host carries nothing back for a time.
+func startSilentWall(t *testing.T, target string, d time.Duration) *wall {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wall{listener: l, target: target, silence: d}
+	w.start(t)
+	return w
+}
+
 // Guards against runs that are cut because the host between answers on no connection for a while, though its answer comes.
 func TestBegunCallOutlastsPauseOfAllConnections(t *testing.T) {
 	i := is.New(t)
@@ -75,8 +87,7 @@
 				ended <- ctx.Err()
 				return answering(bytes.NewBufferString("late"))(ctx)
 			})
-			w := startPausedWall(t, h.address, false, false, 0)
-			w.silence = silence
+			w := startSilentWall(t, h.address, silence)
 			x, stop := context.WithTimeout(t.Context(), 3*silence)
 			defer stop()
 			r, p := client().Send(x, helper(w.listener.Addr().String()), attempt())
