Drop no exchange with a control host before another one replies

Callers saw: an entry host without a configuration, or with an old one, where one of four or more control hosts replies late and the others never do. Cause: three exchanges were kept under way. The fourth ended the oldest, though none of them was known to get a reply; the control host connected to before was then left out of all further exchanges while one of the others waited. Change: none is given up before one gets a reply. The bound is one exchange with each control host, so that fewer are begun over time: the one that was dropped is no more begun again. Control hosts with one under way are left out before three are drawn, not after it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -259,7 +259,7 @@
 	if e.client != nil {
 		return e.client, nil
 	}
-	a, c, err := connectFirst(e.candidates())
+	a, c, err := connectFirst(e.candidates(e.isLast))
 	if err != nil {
 		e.address = ""
 		return nil, err
@@ -279,10 +279,12 @@
 	e.Relay.Budget.Begin()
 }
 
-// candidates returns the control hosts to connect to: up to maxCandidates random ones, if possible without the one
-// connected to before.
-func (e *Entry) candidates() []string {
-	l := slices.DeleteFunc(slices.Clone(e.controls), func(a string) bool { return a == e.address && len(e.controls) > 1 })
+// isLast reports whether a control host is the one connected to before, unless that is the only one.
+func (e *Entry) isLast(address string) bool { return address == e.address && len(e.controls) > 1 }
+
+// candidates returns the control hosts to connect to: up to maxCandidates random ones of those that aren't to be left out.
+func (e *Entry) candidates(leaveOut func(address string) bool) []string {
+	l := slices.DeleteFunc(slices.Clone(e.controls), leaveOut)
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	return l[:min(len(l), maxCandidates)]
 }
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -33,9 +33,15 @@
 type slowControl struct {
 	reply time.Duration
 	mute  bool
+	// asked gets a value with the first exchange, if it isn't nil.
+	asked chan struct{}
 }
 
 func (c slowControl) Exchange(_ ctlrpc.ExchangeRequest, n *ctlrpc.ExchangeReply) error {
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
 	time.Sleep(c.reply)
 	n.Current, n.TableVersion, n.Document = true, 1, []byte("{}")
 	return nil
@@ -49,22 +55,38 @@
 	return nil
 }
 
+// listenSlow starts a control host on the k-th address, on a free port if port is 0, and returns the port.
+func listenSlow(t *testing.T, c slowControl, k int, port uint16) uint16 {
+	t.Helper()
+	i := is.New(t)
+	n, err := net.Listen("tcp", (&net.TCPAddr{IP: net.ParseIP(slowAddress(k)), Port: int(port)}).String())
+	i.NoErr(err)
+	t.Cleanup(func() { _ = n.Close() })
+	s := controlServer{rpc.NewServer(), n}
+	i.NoErr(s.server.RegisterName(ctlrpc.ServiceName, c))
+	go s.run()
+	return uint16(n.Addr().(*net.TCPAddr).Port)
+}
+
+// slowAddress returns the k-th of consecutive addresses.
+func slowAddress(k int) string { return fmt.Sprint("127.0.0.", k+1) }
+
 // startSlow starts an entry host and its control hosts, which listen on consecutive addresses.
 func startSlow(t *testing.T, l []slowControl) *entry.Entry {
 	t.Helper()
-	i := is.New(t)
 	var p uint16
-	var a []string
 	for k, c := range l {
-		h := fmt.Sprint("127.0.0.", k+1)
-		n, err := net.Listen("tcp", (&net.TCPAddr{IP: net.ParseIP(h), Port: int(p)}).String())
-		i.NoErr(err)
-		t.Cleanup(func() { _ = n.Close() })
-		p = uint16(n.Addr().(*net.TCPAddr).Port)
-		s := controlServer{rpc.NewServer(), n}
-		i.NoErr(s.server.RegisterName(ctlrpc.ServiceName, c))
-		go s.run()
-		a = append(a, h+":1")
+		p = listenSlow(t, c, k, p)
+	}
+	return startEntry(t, p, len(l))
+}
+
+// startEntry starts an entry host that knows control hosts on consecutive addresses, and one that doesn't run.
+func startEntry(t *testing.T, port uint16, controls int) *entry.Entry {
+	t.Helper()
+	var a []string
+	for k := range controls {
+		a = append(a, slowAddress(k)+":1")
 	}
 	g := logrus.New()
 	g.SetOutput(io.Discard)
@@ -72,7 +94,7 @@
 	s := pick.NewSet("a")
 	r := relay.New(relay.Options{Endpoints: s, Budget: budget.NewHost(budget.Limits{Ratio: 0.9, Slack: 58, Window: time.Second}), Log: g, Metrics: m})
 	e := entry.New(entry.Options{
-		Settings: conf.Node{Name: "e", PeerPort: p, Seeds: append(a, "127.0.0.200:1")}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
+		Settings: conf.Node{Name: "e", PeerPort: port, Seeds: append(a, "127.0.0.200:1")}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
 		Decode: func([]byte) (table.Table, error) { return table.Table{Version: 1}, nil }, Log: g, Metrics: m,
 	})
 	t.Cleanup(e.Stop)
@@ -87,14 +109,36 @@
 		"beside one that is mute":     {{reply: slowReply, mute: true}, {reply: never, mute: true}},
 		"beside one that is as slow":  {{reply: slowReply, mute: true}, {reply: slowReply, mute: true}},
 		"beside one that answers now": {{reply: never, mute: true}, {}},
+		"the last of several":         {{reply: never, mute: true}, {reply: never, mute: true}, {reply: never, mute: true}, {reply: never, mute: true}, {}},
 	} {
 		t.Run(n, func(t *testing.T) {
 			i := is.New(t)
-			e := startSlow(t, l)
-			for b := time.Now(); !e.Ready() && time.Since(b) < 10*time.Second; {
-				time.Sleep(10 * time.Millisecond)
-			}
-			i.True(e.Ready()) // it has the configuration
+			i.True(getsReady(startSlow(t, l))) // it has the configuration
 		})
 	}
 }
+
+// getsReady waits until an entry host has a configuration.
+func getsReady(e *entry.Entry) bool {
+	for b := time.Now(); !e.Ready() && time.Since(b) < 10*time.Second; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return e.Ready()
+}
+
+// verySlowReply is longer than an entry host takes to ask all of four control hosts.
+const verySlowReply = 4 * time.Second
+
+// TestExchangeIsNotDroppedForOthersWithoutReply guards against entry hosts without a configuration where one of four control hosts
+// replies late and the others never: its exchange was dropped for one with the last of the others.
+func TestExchangeIsNotDroppedForOthersWithoutReply(t *testing.T) {
+	i := is.New(t)
+	a := make(chan struct{}, 1)
+	p := listenSlow(t, slowControl{reply: verySlowReply, mute: true, asked: a}, 0, 0)
+	e := startEntry(t, p, 4)
+	<-a
+	for k := range 3 {
+		listenSlow(t, slowControl{reply: never, mute: true}, k+1, p)
+	}
+	i.True(getsReady(e)) // it has the configuration
+}
--- a/entry/talk.go
+++ b/entry/talk.go
@@ -8,9 +8,6 @@
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 )
 
-// maxTalks bounds the exchanges under way at the same time, each with another control host.
-const maxTalks = 3
-
 // talk is an exchange with a control host.
 type talk struct {
 	address string
@@ -20,11 +17,12 @@
 	call    *rpc.Call
 }
 
-// talks are the exchanges under way, the oldest first. While none of them gets a reply, exchanges with further control hosts are
-// begun beside them. The first that gets one is gone on with, and the others are given up.
+// talks are the exchanges under way. While none of them gets a reply, exchanges with further control hosts are begun beside them.
+// The first that gets one is gone on with, and only then the others are given up.
 type talks struct {
 	entry *Entry
-	list  []*talk
+	// list holds at most one exchange with each control host, the oldest first.
+	list []*talk
 	// ended gets the calls that have ended, until over is closed.
 	ended chan *rpc.Call
 	over  chan struct{}
@@ -34,9 +32,6 @@
 func (t *talks) begin(address string, c *rpc.Client, q ctlrpc.ExchangeRequest) {
 	x := &talk{address: address, client: c, request: q}
 	t.list = append(t.list, x)
-	if len(t.list) > maxTalks {
-		t.giveUp(t.list[0])
-	}
 	x.call = c.Go(ctlrpc.ServiceName+".Exchange", q, &x.reply, make(chan *rpc.Call, 1))
 	w := talkWatch{x.call, t.ended, t.over}
 	go w.run()
@@ -102,10 +97,7 @@
 	default:
 	}
 	e.recordLoss(ErrTimeout)
-	l := slices.DeleteFunc(e.candidates(), func(a string) bool {
-		return slices.ContainsFunc(t.list, func(x *talk) bool { return x.address == a })
-	})
-	a, c, err := connectFirst(l)
+	a, c, err := connectFirst(e.candidates(t.asks))
 	if err == nil {
 		e.resend()
 		t.begin(a, rpc.NewClient(c), e.request(true))
@@ -113,6 +105,11 @@
 	return true
 }
 
+// asks reports whether an exchange with a control host is under way.
+func (t *talks) asks(address string) bool {
+	return slices.ContainsFunc(t.list, func(x *talk) bool { return x.address == address })
+}
+
 // giveUpAll gives up all exchanges but one.
 func (t *talks) giveUpAll(but *talk) {
 	for _, x := range slices.Clone(t.list) {
