Promote no version that has answered nothing while the others answer

Callers saw: the old endpoints were stopped for a version whose endpoints were ready and refused or couldn't take a single request. Cause: after two time budgets 'nothing speaks against it' promoted a version on its prior odds. Requests that an endpoint didn't run or that weren't delivered leave no tally, so that nothing could speak against it. Change: this decision needs an answer of the version. A version without any is rolled back then if the others have given 100 answers, and goes on otherwise. Red before: TestVersionThatAnswersNothingIsRolledBack 120 of 120 plays promoted, TestVersionWithoutAnswersGoesOnWhileOthersHaveFew. Green after: both; TestGoodVersionIsNotTakenForMute 500 of 500 plays. Unchanged: TestGoodVersionOfSmallServiceIsPromotedInTime (known red) 36, 39 and 71 of 100 late; the other tests of the package are green. Nothing before the time budget changes.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -120,6 +120,9 @@
 	// minTraffic is the number of answers of all versions within the budget below which a promotion at its end can't do
 	// much harm, and more evidence isn't to be expected.
 	minTraffic = 30
+	// muteAnswers is the number of answers of the other versions from which a target that has given none isn't taken for one
+	// that got no request by chance.
+	muteAnswers = 100
 )
 
 // Assessment sums up the evidence about a running rollout.
@@ -184,7 +187,7 @@
 }
 
 // ramp returns the part of the plan that follows from the share of the time budget that has passed. A target that
-// is still in doubt gets undecidedShare at the end.
+// is still in doubt gets undecidedShare at the end, and one without answers only after the budget.
 func ramp(r Rollout, f float64, x Exposure, a Assessment) Plan {
 	if f < sessionsFrom {
 		return Plan{Fresh: sessionlessShare * x.Share}
@@ -192,7 +195,7 @@
 	t := trialShare * x.Share
 	b, c := 1-rampFrom*x.Share, 1-rampTo*x.Share
 	switch {
-	case f < b || a.Answers == 0:
+	case f < b || f < 1 && a.Answers == 0:
 		return Plan{Fresh: t, Bound: t}
 	case a.odds() > rampOdds:
 		t = min(undecidedShare, max(t, affordable(r, f, x, a)))
@@ -266,8 +269,10 @@
 		return Done, "answers as well as the others", true
 	case k && a.isQuiet(p):
 		return Done, "too few requests to tell the versions apart", true
-	case p >= lastDecision && k:
+	case p >= lastDecision && k && a.Answers > 0:
 		return Done, "nothing speaks against it", true
+	case p >= lastDecision && k && a.OtherAnswers >= muteAnswers:
+		return RolledBack, "no endpoint of the version has answered a request", true
 	case p >= 1 && n.Target == 0:
 		return RolledBack, "no endpoint of the version came", true
 	}
--- a/canary/days_test.go
+++ b/canary/days_test.go
@@ -64,6 +64,8 @@
 	countDelay time.Duration
 	// leaving is the share of the requests whose callers leave before an answer can be told from a slow one.
 	leaving float64
+	// mute says that the endpoints of the new version take no request, so that the others answer them all.
+	mute bool
 }
 
 // portal is a service with few endpoints and requests, one kind of which fails often anyway.
@@ -155,6 +157,7 @@
 func (p *player) request(at time.Duration, plan canary.Plan) {
 	k := p.drawKind()
 	g := p.draw() < plan.Share(fmt.Sprint(k), p.sessions > 0)
+	g = g && !p.mute
 	e := p.random.IntN(p.endpoints)
 	if g {
 		e += p.endpoints
