Bound whole answers of engines by the request's output tokens and by an account

Callers saw a host of the OpenAI face that ran out of memory when many engines' answers were long: each might have 8 MiB, and nothing bounded all of them together. A longer answer was read as if it ended there.

Cause: readWhole took a bound for each answer for one of the host. The text was kept a second time for the rating, and a third time in the queue of answers to be rated, which had a bound by number only.

Change: an answer may have what the request's output tokens take (1 KiB each; as often as n and the listed log probabilities say), beside 64 KiB and a copy of the request. More is the engine's fault, and another one is asked. What is kept comes out of an account of package memory, an eighth of the host's memory; as each answer has a bound of its own, one engine may take half of it, not a quarter. Where there is no room the attempt fails. The text is decoded when it is rated, the id is replaced without a copy, and queued answers are counted.

The tests' contract now allows 100,000 output tokens, so that the answers of the known tests stay below their own bounds and only the account can hold them: stricter than without a contract, where the bound of an answer would have been 64 KiB.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -5,11 +5,11 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 )
 
 // attempt is one attempt of a request at an endpoint. A goroutine of its own makes it and delivers what it receives; only the
@@ -27,6 +27,8 @@
 	call call
 	// streamed is true if the answer is read event by event.
 	streamed bool
+	// answer holds an answer that isn't streamed, until release is called.
+	answer *memory.Buffer
 	// ctx is cancelled when the caller leaves or close is called.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -130,14 +132,41 @@
 // end delivers the last signal.
 func (a *attempt) end(e attemptResult) { a.deliver(signal{result: &e}) }
 
-// readWhole reads an answer that isn't streamed. At most maxAnswerBytes are read.
+// readWhole reads an answer that isn't streamed. An answer that is longer than the call allows fails the attempt.
 func (a *attempt) readWhole(r *http.Response) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+	a.answer = a.gate.memory.NewBuffer(a.decision.Endpoint.ID)
+	err := a.fill(r)
+	if isSize(err) {
+		a.gate.recordSize(a.request.RequestID, a.decision.Endpoint.ID, "whole", err)
+		a.end(sizeResult(err))
+		return
+	}
 	if err != nil {
 		a.end(classifyError(a.ctx, err))
 		return
 	}
-	a.deliver(signal{data: b, response: r, result: &attemptResult{ending: core.EndedWell, mayHaveStarted: true}})
+	a.deliver(signal{data: a.answer.Bytes(), response: r, result: &attemptResult{ending: core.EndedWell, mayHaveStarted: true}})
+}
+
+// fill reads the body of a response into answer. It returns a *tooLongError or a *memory.FullError if that is too much.
+func (a *attempt) fill(r *http.Response) error {
+	if r.Body != http.NoBody && r.ContentLength > a.call.limit {
+		return &tooLongError{a.call.limit}
+	}
+	if err := a.answer.Fill(r.Body, int(a.call.limit)+1); err != nil {
+		return err
+	}
+	if int64(a.answer.Len()) > a.call.limit {
+		return &tooLongError{a.call.limit}
+	}
+	return nil
+}
+
+// release gives the memory of the answer back, after close. A nil attempt has none.
+func (a *attempt) release() {
+	if a != nil && a.answer != nil {
+		a.answer.Release()
+	}
 }
 
 // readStream delivers the lines of an engine's event stream, up to its end mark.
--- a/gate/buffered.go
+++ b/gate/buffered.go
@@ -13,7 +13,7 @@
 	"github.com/hickoryshelf/hickoryshelf/route"
 )
 
-// maxAnswerBytes bounds an answer that is read into memory; the rest of a longer answer isn't read.
+// maxAnswerBytes bounds an answer of a plain service.
 const maxAnswerBytes = 8 << 20
 
 // completion holds the fields of an engine's answer that the router reads.
@@ -55,21 +55,21 @@
 	for {
 		g := j.fetch(ctx)
 		e := *g.result
-		if e.succeeded() && g.response.StatusCode == http.StatusOK && j.mayEscalate(atMostOnce) && j.judgeAnswer(ctx, j.answerText) == route.Escalate {
+		if e.succeeded() && g.response.StatusCode == http.StatusOK && j.mayEscalate(atMostOnce) && j.judgeAnswer(ctx, answerText(g.data)) == route.Escalate {
 			if j.escalate(ctx, keptAnswer{answer: g}) {
 				_ = j.setHeaders(w)
 				continue
 			}
 		}
 		if e.succeeded() {
-			j.queueRating(j.answerText)
+			j.queueRating(answerText(g.data))
 			return j.deliver(ctx, w, g.data, g.response.StatusCode, e)
 		}
 		f := j.retry(ctx, e, atMostOnce)
 		switch {
 		case f != nil && j.mayRestore(ctx):
 			k := j.restore(w, f).answer
-			j.queueRating(j.answerText)
+			j.queueRating(answerText(k.data))
 			return j.deliver(ctx, w, k.data, k.response.StatusCode, *k.result)
 		case f != nil:
 			return j.fail(ctx, w, f)
@@ -96,11 +96,12 @@
 		method: http.MethodPost, path: "/v1/chat/completions", body: b,
 		header:   http.Header{"Content-Type": {"application/json"}},
 		priority: j.decision.Terms.Priority, atMostOnce: atMostOnce,
+		limit: j.request.answerLimit(j.decision.Contract.MaxOutputTokens),
 	}, err
 }
 
 // checkAnswer checks that an answer with status 200 is complete and has the id of its attempt, and keeps
-// its usage and text. Answers with another status are accepted as they are.
+// its usage. Answers with another status are accepted as they are.
 func (j *job) checkAnswer(id string, g signal) attemptResult {
 	if g.response.StatusCode != http.StatusOK {
 		return *g.result
@@ -113,21 +114,33 @@
 		return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errors.New("the endpoint's answer belongs to another request or is incomplete")}
 	}
 	j.usage = c.Usage.model()
-	j.answerText = c.Choices[0].Message.Content
 	return *g.result
 }
 
+// answerText returns the text of an answer that isn't streamed. It is empty if the answer is an error.
+func answerText(answer []byte) string {
+	var c completion
+	if err := json.Unmarshal(answer, &c); err != nil || len(c.Choices) == 0 {
+		return ""
+	}
+	return c.Choices[0].Message.Content
+}
+
 // deliver settles the request and sends the answer to the caller, with the attempt's id replaced by the
 // request's id.
 func (j *job) deliver(ctx context.Context, w http.ResponseWriter, body []byte, status int, e attemptResult) model.Outcome {
 	j.finish(e)
 	j.settle(ctx, model.OutcomeRan)
 	a, q := j.attemptID(), j.request.id
-	body = bytes.Replace(body, []byte(`"`+a+`"`), []byte(`"`+q+`"`), 1)
+	b, c, found := bytes.Cut(body, []byte(`"`+a+`"`))
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, model.OutcomeRan.String())
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	_, _ = w.Write(b)
+	if found {
+		_, _ = w.Write([]byte(`"` + q + `"`))
+		_, _ = w.Write(c)
+	}
 	return model.OutcomeRan
 }
--- a/gate/engine.go
+++ b/gate/engine.go
@@ -76,6 +76,8 @@
 	attemptID  string
 	priority   model.Priority
 	atMostOnce bool
+	// limit is how many bytes the answer may have at most.
+	limit int64
 }
 
 // send makes a call and returns when the endpoint's response headers have arrived. The caller of send closes
--- a/gate/escalation.go
+++ b/gate/escalation.go
@@ -41,9 +41,8 @@
 // keptAnswer is a complete answer that was judged too low. It is delivered if no other version gives one.
 type keptAnswer struct {
 	attempt *attempt
-	// usage and text are the job's, rated is whether the answer was rated.
+	// usage is the job's, rated is whether the answer was rated.
 	usage model.Usage
-	text  string
 	rated bool
 	// answer is the answer unless it is a stream, and stream holds it otherwise.
 	answer signal
@@ -54,7 +53,7 @@
 // answer. It returns false if no other version may run the request; the answer is delivered then.
 func (j *job) escalate(ctx context.Context, k keptAnswer) bool {
 	v := j.decision.Version
-	k.attempt, k.usage, k.text, k.rated = j.current, j.usage, j.answerText, j.rated
+	k.attempt, k.usage, k.rated = j.current, j.usage, j.rated
 	j.finish(attemptResult{ending: core.EndedWell, mayHaveStarted: true})
 	j.routeRequest.ExcludeVersions = append(j.routeRequest.ExcludeVersions, v)
 	j.exclude = nil
@@ -81,7 +80,7 @@
 	k := *j.kept
 	j.kept = nil
 	j.current, j.decision = k.attempt, k.attempt.decision
-	j.usage, j.answerText, j.rated = k.usage, k.text, k.rated
+	j.usage, j.rated = k.usage, k.rated
 	_ = j.setHeaders(w)
 	j.gate.log.WithField("request", j.request.id).WithField("version", j.decision.Version).WithError(f).
 		Warn("gate: no other version answers, the answer judged too low is delivered")
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryshelf/hickoryshelf/core"
 	"github.com/hickoryshelf/hickoryshelf/ledger"
 	"github.com/hickoryshelf/hickoryshelf/member"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/model"
 	"github.com/hickoryshelf/hickoryshelf/route"
 	"github.com/hickoryshelf/hickoryshelf/token"
@@ -59,7 +60,7 @@
 	Incarnation() uint64
 }
 
-// Options holds the dependencies of a Gate; all but Dial are required.
+// Options holds the dependencies of a Gate; all but Dial and Memory are required.
 type Options struct {
 	Router  Router
 	Signer  token.Signer
@@ -67,6 +68,8 @@
 	Metrics *metrics.Set
 	// Dial opens the connections to endpoints. nil stands for DialEndpoint.
 	Dial DialFunc
+	// Memory bounds what is kept of answers. nil stands for the account of a process whose memory isn't known.
+	Memory *memory.Account
 }
 
 // Gate is the HTTP handler of an entry host.
@@ -76,6 +79,7 @@
 	log     *logrus.Logger
 	metrics *metrics.Set
 	engines *engineClient
+	memory  *memory.Account
 	ratings *ratingQueue
 	ready   atomic.Bool
 	mux     *http.ServeMux
@@ -83,10 +87,14 @@
 
 // New returns a gate that reports itself as ready, and starts its rating workers. Close stops them.
 func New(o Options) *Gate {
+	if o.Memory == nil {
+		o.Memory = memory.NewAccountOf(0, memoryOwnerPart)
+	}
 	g := &Gate{
 		router: o.Router, signer: o.Signer, log: o.Log, metrics: o.Metrics,
-		engines: newEngineClient(o.Dial), mux: http.NewServeMux(),
+		engines: newEngineClient(o.Dial), memory: o.Memory, mux: http.NewServeMux(),
 	}
+	o.Metrics.GetOrCreateGauge("hickoryshelf_answer_memory_bytes", func() float64 { return float64(g.memory.Taken()) })
 	g.ratings = newRatingQueue(g)
 	g.ready.Store(true)
 	g.mux.HandleFunc("POST /v1/chat/completions", g.chat)
--- a/gate/job.go
+++ b/gate/job.go
@@ -48,8 +48,6 @@
 	rated      bool
 	// kept is set from an escalation on until another version has answered or the answer is delivered after all.
 	kept *keptAnswer
-	// answerText is the text of an answer that isn't streamed.
-	answerText string
 	// exclude lists the ids of the endpoints at which an attempt with the current version failed.
 	exclude []string
 	usage   model.Usage
@@ -88,6 +86,7 @@
 
 // runChat routes the request, sends it to an engine and answers the caller. It returns the request's outcome.
 func (j *job) runChat(ctx context.Context, w http.ResponseWriter, atMostOnce bool) model.Outcome {
+	defer j.release()
 	if f := j.begin(ctx); f != nil {
 		return j.fail(ctx, w, f)
 	}
@@ -141,6 +140,9 @@
 // finishAttempt ends an attempt and reports its end and its number of tokens to the reducer.
 func (j *job) finishAttempt(a *attempt, e attemptResult, tokens int64) {
 	a.close()
+	if !e.succeeded() {
+		a.release()
+	}
 	j.attempts++
 	j.mayHaveStarted = j.mayHaveStarted || e.mayHaveStarted
 	if e.ending == core.EndedFaulty {
@@ -149,6 +151,14 @@
 	j.gate.router.Finish(core.AttemptFinished{ID: a.request.ID, Ending: e.ending, Tokens: float64(tokens), FaultyEndpoints: j.faultyEndpoints})
 }
 
+// release gives the memory of the answers back. The request is over.
+func (j *job) release() {
+	j.current.release()
+	if j.kept != nil {
+		j.kept.attempt.release()
+	}
+}
+
 // retry finishes a failed attempt and gets a decision for another one at another endpoint. It returns the
 // final failure if there is none: the caller has disconnected, the request must run at most once and may have
 // started, maxAttempts is reached, the attempt is too slow for an answer that is kept, or the reducer refuses.
--- a/gate/memory_test.go
+++ b/gate/memory_test.go
@@ -35,6 +35,12 @@
 	// maxKeptBytes is what a host of 256 MB may keep of them: an eighth of its memory, and for each request 256 KiB, for the
 	// buffers of two connections and of a line.
 	maxKeptBytes = 256<<20/8 + manyRequests*256<<10
+	// outputTokens is a contract's output limit that allows endlessBytes in an answer.
+	outputTokens = 100_000
+	// soundAnswers is how many sound answers of soundBytes are held at once, and maxSoundBytes what a host may keep of them.
+	soundAnswers  = 512
+	soundBytes    = 20_000
+	maxSoundBytes = 256<<20/8 + soundAnswers*256<<10
 )
 
 // router is a fake gate.Router that sends each request to one endpoint, and refuses a second attempt.
@@ -47,13 +53,13 @@
 	if q.Retry {
 		return core.Decision{}, context.Canceled
 	}
-	return core.Decision{Endpoint: model.Endpoint{ID: "e", Address: r.address}, Version: "v"}, nil
+	return core.Decision{Contract: model.Contract{MaxOutputTokens: outputTokens}, Endpoint: model.Endpoint{ID: "e", Address: r.address}, Version: "v"}, nil
 }
 func (r *router) Finish(core.AttemptFinished)               { /* nothing is counted */ }
 func (r *router) Record(context.Context, ledger.Line) error { return nil }
 func (r *router) Announce(model.Endpoint)                   { /* there is one endpoint */ }
 func (r *router) Rate(route.Rating)                         { /* nothing is rated */ }
-func (r *router) State() core.State                         { return core.State{} }
+func (r *router) State() core.State                         { return core.NewState(core.Options{}) }
 func (r *router) NewID() string                             { return "r" + strconv.FormatInt(r.count.Add(1), 10) }
 func (r *router) Incarnation() uint64                       { return 1 }
 func (r *router) Propose(context.Context, config.Command) (config.Result, error) {
@@ -92,6 +98,69 @@
 	testKept(t, false, func(string) string { return strings.Repeat("a", 1000) })
 }
 
+// Guards against long sound answers that are refused because many are in flight at one engine.
+func TestManySoundAnswersOfOneEngineAreServed(t *testing.T) {
+	a := strings.Repeat("a ", soundBytes/2)
+	testSound(t, false, func(w io.Writer, id string, wait func()) {
+		_, _ = fmt.Fprintf(w, `{"id":%q,"choices":[{"message":{"content":%q}}],`, id, a)
+		wait()
+		_, _ = io.WriteString(w, `"usage":{"prompt_tokens":1,"completion_tokens":1}}`)
+	})
+}
+
+// testSound sends soundAnswers requests to one engine, which ends its answers once all have been begun, and checks that all are
+// served whole and what is kept of them. answer calls wait before the end.
+func testSound(t *testing.T, stream bool, answer func(w io.Writer, id string, wait func())) {
+	t.Helper()
+	i := is.New(t)
+	var begun atomic.Int64
+	end := make(chan struct{})
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		answer(w, q.Header.Get("X-Request-Id"), func() {
+			_ = http.NewResponseController(w).Flush()
+			begun.Add(1)
+			<-end
+		})
+	}))
+	defer e.Close()
+	g := newMemoryGate(e)
+	defer g.Close()
+	b := heapBytes()
+	var whole atomic.Int64
+	var w sync.WaitGroup
+	for range soundAnswers {
+		w.Go(func() {
+			c := httptest.NewRecorder()
+			g.ServeHTTP(c, chatRequest(t.Context(), stream))
+			if c.Code == http.StatusOK && c.Body.Len() > soundBytes && (!stream || strings.HasSuffix(c.Body.String(), "data: [DONE]\n\n")) {
+				whole.Add(1)
+			}
+		})
+	}
+	for n := 0; begun.Load() < soundAnswers && n < 200; n++ {
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(time.Second) // until all that comes was read
+	k := heapBytes() - b
+	close(end)
+	w.Wait()
+	t.Logf("%d bytes kept, %d answers whole", k, whole.Load())
+	i.True(k <= maxSoundBytes)
+	i.Equal(whole.Load(), int64(soundAnswers))
+}
+
+// newMemoryGate returns a gate that sends all requests to one engine.
+func newMemoryGate(e *httptest.Server) *gate.Gate {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return gate.New(gate.Options{Router: &router{address: e.Listener.Addr().String()}, Signer: token.NewSigner([]string{"k"}), Log: l, Metrics: metrics.NewSet()})
+}
+
+// chatRequest returns a request for a completion.
+func chatRequest(ctx context.Context, stream bool) *http.Request {
+	return httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/chat/completions", strings.NewReader(fmt.Sprintf(`{"messages":[{"role":"user","content":"x"}],"stream":%t}`, stream)))
+}
+
 // testKept sends manyRequests to an engine that repeats a piece, and checks what is kept of its answers.
 func testKept(t *testing.T, stream bool, piece func(id string) string) {
 	t.Helper()
@@ -107,9 +176,7 @@
 		<-q.Context().Done()
 	}))
 	defer e.Close()
-	l := logrus.New()
-	l.SetOutput(io.Discard)
-	g := gate.New(gate.Options{Router: &router{address: e.Listener.Addr().String()}, Signer: token.NewSigner([]string{"k"}), Log: l, Metrics: metrics.NewSet()})
+	g := newMemoryGate(e)
 	defer g.Close()
 	x, f := context.WithCancel(t.Context())
 	defer f()
@@ -117,8 +184,7 @@
 	var w sync.WaitGroup
 	for range manyRequests {
 		w.Go(func() {
-			q := httptest.NewRequestWithContext(x, http.MethodPost, "/v1/chat/completions", strings.NewReader(fmt.Sprintf(`{"messages":[{"role":"user","content":"x"}],"stream":%t}`, stream)))
-			g.ServeHTTP(discardWriter{http.Header{}}, q)
+			g.ServeHTTP(discardWriter{http.Header{}}, chatRequest(x, stream))
 		})
 	}
 	time.Sleep(2 * time.Second) // until all that comes was read
--- a/gate/rating.go
+++ b/gate/rating.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/route"
 )
 
@@ -35,6 +36,12 @@
 	Answer  string            `json:"answer"`
 }
 
+// ratingEntry is a queued request, and the memory that its answer takes.
+type ratingEntry struct {
+	ratingRequest
+	share *memory.Share
+}
+
 // ratingResponse is the body of the rating service's response.
 type ratingResponse struct {
 	Score float64 `json:"score"`
@@ -44,15 +51,15 @@
 // aren't healthy or for which the decision asked for a rating, are rated before the answers in normal.
 type ratingQueue struct {
 	gate   *Gate
-	urgent chan ratingRequest
-	normal chan ratingRequest
+	urgent chan ratingEntry
+	normal chan ratingEntry
 	stop   context.CancelFunc
 	ctx    context.Context
 }
 
 // newRatingQueue returns a queue and starts its workers.
 func newRatingQueue(g *Gate) *ratingQueue {
-	q := &ratingQueue{gate: g, urgent: make(chan ratingRequest, ratingQueueLength), normal: make(chan ratingRequest, ratingQueueLength)}
+	q := &ratingQueue{gate: g, urgent: make(chan ratingEntry, ratingQueueLength), normal: make(chan ratingEntry, ratingQueueLength)}
 	q.ctx, q.stop = context.WithCancel(context.Background())
 	for range ratingWorkers {
 		go q.loop()
@@ -63,12 +70,16 @@
 func (q *ratingQueue) close() { q.stop() }
 
 // queueRating queues the answer to be rated in the background, unless it has been rated already. It never
-// blocks: the answer is dropped if the queue is full.
+// blocks: the answer is dropped if the queue is full or the account has no room for it.
 func (j *job) queueRating(answer string) {
 	if j.rated {
 		return
 	}
-	t := j.ratingRequest(answer)
+	t := ratingEntry{j.ratingRequest(answer), j.gate.memory.NewShare(j.decision.Endpoint.ID)}
+	if t.share.Resize(int64(len(answer))) != nil {
+		j.gate.ratings.countDropped()
+		return
+	}
 	c := j.gate.ratings.normal
 	s := j.gate.router.State().Routes.Evidence.Stat(route.Subject{Version: t.Version, Class: t.Class})
 	if j.decision.ShouldRate || s.Health != route.Healthy {
@@ -77,10 +88,16 @@
 	select {
 	case c <- t:
 	default:
-		j.gate.metrics.GetOrCreateCounter("hickoryshelf_ratings_dropped_total").Inc()
+		t.share.Release()
+		j.gate.ratings.countDropped()
 	}
 }
 
+// countDropped counts an answer that isn't rated.
+func (q *ratingQueue) countDropped() {
+	q.gate.metrics.GetOrCreateCounter("hickoryshelf_ratings_dropped_total").Inc()
+}
+
 // reportTokenTime reports d, the time per output token of the current attempt, as a rating in milliseconds.
 func (j *job) reportTokenTime(d time.Duration) {
 	j.gate.router.Rate(route.Rating{
@@ -101,7 +118,8 @@
 		if !ok {
 			return
 		}
-		v, err := q.rate(q.ctx, t)
+		v, err := q.rate(q.ctx, t.ratingRequest)
+		t.share.Release()
 		if err != nil {
 			q.gate.metrics.GetOrCreateCounter("hickoryshelf_ratings_failed_total").Inc()
 			q.backOff()
@@ -112,7 +130,7 @@
 }
 
 // next waits for the next answer, taking urgent ones first. It returns false once the queue is closed.
-func (q *ratingQueue) next() (ratingRequest, bool) {
+func (q *ratingQueue) next() (ratingEntry, bool) {
 	select {
 	case t := <-q.urgent:
 		return t, true
@@ -124,7 +142,7 @@
 	case t := <-q.normal:
 		return t, true
 	case <-q.ctx.Done():
-		return ratingRequest{}, false
+		return ratingEntry{}, false
 	}
 }
 
--- a/gate/service.go
+++ b/gate/service.go
@@ -64,6 +64,7 @@
 // serve makes attempts until one succeeds or no further one is allowed, and returns the request's outcome.
 func (d serviceCall) serve(ctx context.Context, w http.ResponseWriter) model.Outcome {
 	j := d.job
+	defer j.release()
 	if f := j.begin(ctx); f != nil {
 		return j.fail(ctx, w, f)
 	}
@@ -102,7 +103,7 @@
 	}
 	return call{
 		method: d.request.Method, path: "/" + strings.TrimPrefix(d.request.URL.RequestURI(), j.decision.Service.Prefix),
-		body: d.body, header: h, priority: j.decision.Terms.Priority, atMostOnce: !d.repeatable(),
+		body: d.body, header: h, priority: j.decision.Terms.Priority, atMostOnce: !d.repeatable(), limit: maxAnswerBytes,
 	}
 }
 
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -35,12 +35,16 @@
 }
 
 // NewAccount returns the account of a process with an amount of memory; 0 means that it isn't known.
-func NewAccount(memoryMB int64) *Account {
+func NewAccount(memoryMB int64) *Account { return NewAccountOf(memoryMB, ownerPart) }
+
+// NewAccountOf returns the account of a process with an amount of memory, of which the answers of one endpoint may take a part: 2
+// means a half. It suits answers that have bounds of their own, so that sound ones may need more than a quarter.
+func NewAccountOf(memoryMB, part int64) *Account {
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
 	l := memoryMB << 20 / accountPart
-	return &Account{limit: l, ownerLimit: l / ownerPart, owners: map[string]int64{}}
+	return &Account{limit: l, ownerLimit: l / part, owners: map[string]int64{}}
 }
 
 // HeaderBytes returns about how much memory the header fields of an answer take.
