Bound what the OpenAI face keeps of engines' streams

Callers saw a host that ran out of memory when many engines sent streams without end: text, held chunks and chunks with a finish reason were kept without a bound until the end of the stream.

Cause: another engine needs the text to continue a stream, the judge of an answer the held chunks, and the final ones wait for the ledger; none of the three had an end of its own.

Change: the chunks of an attempt may have what the request's output tokens take. More is the engine's fault: another one begins anew if nothing was sent on, and otherwise the stream ends as a failure and isn't continued. Text, held and final chunks come out of the account. Where it has no room, a begun stream goes on, its text is dropped, and it can no longer be continued or rated; a held one is sent as it arrives, as where no rating comes in time, unless its version's ratings are too low; one with nothing sent on is given up, and another engine is asked. Chunks without text of a successor are bounded by bytes as well as by number.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -36,6 +36,8 @@
 	signals chan signal
 	// received holds the signals that were taken of a successor before it replaced another attempt.
 	received []signal
+	// heldBytes is how many bytes these signals had, and the one after them.
+	heldBytes int
 	// started is true once run was started. closed tells run that no more signals are taken, and ended is closed at its end.
 	started       bool
 	closed, ended chan struct{}
--- a/gate/chunk.go
+++ b/gate/chunk.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/memory"
 )
 
 // cutID returns what follows the id of chunk v, and whether the id is that of an attempt.
@@ -43,6 +45,11 @@
 	return append(b, "\n\n"...)
 }
 
+// keepChunk appends a chunk to a buffer as appendChunk does. It returns a *memory.FullError if there is no room.
+func keepChunk(b *memory.Buffer, requestID string, rest []byte) error {
+	return b.Append(appendChunk(make([]byte, 0, len(dataPrefix)+len(idField)+len(requestID)+len(rest)+len("\n\n")), requestID, rest))
+}
+
 // usageChunk is the last chunk of a stream in OpenAI's format, with the usage and no choices.
 type usageChunk struct {
 	ID      string             `json:"id"`
--- a/gate/escalation.go
+++ b/gate/escalation.go
@@ -38,6 +38,12 @@
 	return j.gate.router.State().Routes.Evidence.Judge(s, j.decision.Terms.Quality, v, err == nil)
 }
 
+// judgeUnrated decides whether an answer is delivered that can't be held back until it is rated.
+func (j *job) judgeUnrated() route.Verdict {
+	s := route.Subject{Version: j.decision.Version, Class: j.decision.Terms.Class}
+	return j.gate.router.State().Routes.Evidence.Judge(s, j.decision.Terms.Quality, 0, false)
+}
+
 // keptAnswer is a complete answer that was judged too low. It is delivered if no other version gives one.
 type keptAnswer struct {
 	attempt *attempt
--- a/gate/job.go
+++ b/gate/job.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/core"
 	"github.com/hickoryshelf/hickoryshelf/ledger"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/model"
 )
 
@@ -51,6 +52,8 @@
 	// exclude lists the ids of the endpoints at which an attempt with the current version failed.
 	exclude []string
 	usage   model.Usage
+	// buffers hold what is kept of streams until the request is over.
+	buffers []*memory.Buffer
 }
 
 // chat handles a chat completion request. Requests of a class that runs at most once need an idempotency key;
@@ -157,6 +160,16 @@
 	if j.kept != nil {
 		j.kept.attempt.release()
 	}
+	for _, b := range j.buffers {
+		b.Release()
+	}
+}
+
+// newBuffer returns a buffer for a stream of the current attempt's endpoint, and of those that continue it.
+func (j *job) newBuffer() *memory.Buffer {
+	b := j.gate.memory.NewBuffer(j.decision.Endpoint.ID)
+	j.buffers = append(j.buffers, b)
+	return b
 }
 
 // retry finishes a failed attempt and gets a decision for another one at another endpoint. It returns the
--- a/gate/memory_test.go
+++ b/gate/memory_test.go
@@ -35,6 +35,8 @@
 	// maxKeptBytes is what a host of 256 MB may keep of them: an eighth of its memory, and for each request 256 KiB, for the
 	// buffers of two connections and of a line.
 	maxKeptBytes = 256<<20/8 + manyRequests*256<<10
+	// maxSendSeconds bounds the time in which the endpoint sends them.
+	maxSendSeconds = 30
 	// outputTokens is a contract's output limit that allows endlessBytes in an answer.
 	outputTokens = 100_000
 	// soundAnswers is how many sound answers of soundBytes are held at once, and maxSoundBytes what a host may keep of them.
@@ -46,6 +48,7 @@
 // router is a fake gate.Router that sends each request to one endpoint, and refuses a second attempt.
 type router struct {
 	address string
+	terms   model.ClassTerms
 	count   atomic.Int64
 }
 
@@ -53,7 +56,7 @@
 	if q.Retry {
 		return core.Decision{}, context.Canceled
 	}
-	return core.Decision{Contract: model.Contract{MaxOutputTokens: outputTokens}, Endpoint: model.Endpoint{ID: "e", Address: r.address}, Version: "v"}, nil
+	return core.Decision{Contract: model.Contract{MaxOutputTokens: outputTokens}, Terms: r.terms, Endpoint: model.Endpoint{ID: "e", Address: r.address}, Version: "v"}, nil
 }
 func (r *router) Finish(core.AttemptFinished)               { /* nothing is counted */ }
 func (r *router) Record(context.Context, ledger.Line) error { return nil }
@@ -101,45 +104,65 @@
 // Guards against long sound answers that are refused because many are in flight at one engine.
 func TestManySoundAnswersOfOneEngineAreServed(t *testing.T) {
 	a := strings.Repeat("a ", soundBytes/2)
-	testSound(t, false, func(w io.Writer, id string, wait func()) {
+	testSound(t, false, "}", model.ClassTerms{}, func(w io.Writer, id string, wait func()) {
 		_, _ = fmt.Fprintf(w, `{"id":%q,"choices":[{"message":{"content":%q}}],`, id, a)
 		wait()
 		_, _ = io.WriteString(w, `"usage":{"prompt_tokens":1,"completion_tokens":1}}`)
 	})
 }
 
+// Guards against long sound streams that are refused, cut or kept without a bound because many are in flight at one engine.
+func TestManySoundStreamsOfOneEngineAreServed(t *testing.T) {
+	text := strings.Repeat("aaaa ", 4)
+	for n, c := range map[string]model.ClassTerms{"passed on": {}, "held back": {Judge: true}} {
+		t.Run(n, func(t *testing.T) {
+			testSound(t, true, "data: [DONE]\n\n", c, func(w io.Writer, id string, wait func()) {
+				d := fmt.Sprintf("data: {\"id\":%q,\"model\":\"v\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", id, text)
+				for range soundBytes / len(text) {
+					_, _ = io.WriteString(w, d)
+				}
+				wait()
+				_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n", id)
+				_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":1}}\n\ndata: [DONE]\n\n", id)
+			})
+		})
+	}
+}
+
 // testSound sends soundAnswers requests to one engine, which ends its answers once all have been begun, and checks that all are
-// served whole and what is kept of them. answer calls wait before the end.
-func testSound(t *testing.T, stream bool, answer func(w io.Writer, id string, wait func())) {
+// served whole, up to an ending, and what is kept of them. answer calls wait before the end.
+func testSound(t *testing.T, stream bool, ending string, terms model.ClassTerms, answer func(w io.Writer, id string, wait func())) {
 	t.Helper()
 	i := is.New(t)
-	var begun atomic.Int64
+	var asked, begun sync.WaitGroup
+	asked.Add(soundAnswers)
+	begun.Add(soundAnswers)
 	end := make(chan struct{})
 	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		asked.Done()
+		asked.Wait() // connections are opened first
 		answer(w, q.Header.Get("X-Request-Id"), func() {
 			_ = http.NewResponseController(w).Flush()
-			begun.Add(1)
+			begun.Done()
 			<-end
 		})
 	}))
 	defer e.Close()
-	g := newMemoryGate(e)
+	g := newMemoryGate(e, terms)
 	defer g.Close()
 	b := heapBytes()
 	var whole atomic.Int64
 	var w sync.WaitGroup
 	for range soundAnswers {
 		w.Go(func() {
-			c := httptest.NewRecorder()
+			c := &tailWriter{discardWriter: discardWriter{http.Header{}}}
 			g.ServeHTTP(c, chatRequest(t.Context(), stream))
-			if c.Code == http.StatusOK && c.Body.Len() > soundBytes && (!stream || strings.HasSuffix(c.Body.String(), "data: [DONE]\n\n")) {
+			if c.bytes > soundBytes && strings.HasSuffix(c.tail, ending) {
 				whole.Add(1)
 			}
 		})
 	}
-	for n := 0; begun.Load() < soundAnswers && n < 200; n++ {
-		time.Sleep(50 * time.Millisecond)
-	}
+	begun.Wait()
 	time.Sleep(time.Second) // until all that comes was read
 	k := heapBytes() - b
 	close(end)
@@ -150,10 +173,10 @@
 }
 
 // newMemoryGate returns a gate that sends all requests to one engine.
-func newMemoryGate(e *httptest.Server) *gate.Gate {
+func newMemoryGate(e *httptest.Server, terms model.ClassTerms) *gate.Gate {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
-	return gate.New(gate.Options{Router: &router{address: e.Listener.Addr().String()}, Signer: token.NewSigner([]string{"k"}), Log: l, Metrics: metrics.NewSet()})
+	return gate.New(gate.Options{Router: &router{address: e.Listener.Addr().String(), terms: terms}, Signer: token.NewSigner([]string{"k"}), Log: l, Metrics: metrics.NewSet()})
 }
 
 // chatRequest returns a request for a completion.
@@ -165,18 +188,21 @@
 func testKept(t *testing.T, stream bool, piece func(id string) string) {
 	t.Helper()
 	i := is.New(t)
+	var sent atomic.Int64
 	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		p := []byte(piece(q.Header.Get("X-Request-Id")))
 		for b := 0; b < endlessBytes; b += len(p) {
 			if _, err := w.Write(p); err != nil {
+				sent.Add(1)
 				return
 			}
 		}
 		_ = http.NewResponseController(w).Flush() // the connection is open or the test ends
+		sent.Add(1)
 		<-q.Context().Done()
 	}))
 	defer e.Close()
-	g := newMemoryGate(e)
+	g := newMemoryGate(e, model.ClassTerms{})
 	defer g.Close()
 	x, f := context.WithCancel(t.Context())
 	defer f()
@@ -187,6 +213,9 @@
 			g.ServeHTTP(discardWriter{http.Header{}}, chatRequest(x, stream))
 		})
 	}
+	for n := 0; sent.Load() < manyRequests && n < maxSendSeconds; n++ {
+		time.Sleep(time.Second)
+	}
 	time.Sleep(2 * time.Second) // until all that comes was read
 	k := heapBytes() - b
 	t.Logf("%d bytes kept", k)
@@ -202,3 +231,16 @@
 func (w discardWriter) Write(b []byte) (int, error) { return len(b), nil }
 func (w discardWriter) WriteHeader(int)             { /* not looked at */ }
 func (w discardWriter) Flush()                      { /* nothing is kept */ }
+
+// tailWriter counts the bytes of the body and keeps what was written last.
+type tailWriter struct {
+	discardWriter
+	bytes int
+	tail  string
+}
+
+func (w *tailWriter) Write(b []byte) (int, error) {
+	w.bytes += len(b)
+	w.tail = string(b[max(0, len(b)-100):])
+	return len(b), nil
+}
--- a/gate/size_test.go
+++ b/gate/size_test.go
@@ -18,6 +18,73 @@
 
 const longTokens = 8000
 
+// longStream sends a number of chunks of 32 KiB text as a stream, or goes on with one.
+func longStream(x *exchange, chunks int) {
+	for range chunks {
+		x.delta(`{"content":"` + longText[:32<<10] + `"}`)
+	}
+}
+
+// Guards against a judged stream that is held back though it is longer than the request's output tokens allow, and against another
+// engine that continues it instead of beginning anew.
+func TestTooLongHeldStreamIsFaultOfEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := newWorld(t)
+		w.addRater(1)
+		w.add("a", func(x *exchange) { longStream(x, 100); x.end(100) })
+		w.add("b", sound)
+		r := w.stream(t.Context(), judgedClass)
+		i.Equal(r.text, wholeText)
+		i.True(r.done)
+		i.Equal(w.finished["r1.0"], core.EndedFaulty)
+	})
+}
+
+// Guards against a stream longer than the request's output tokens allow that is passed on without end, or continued.
+func TestTooLongStreamEndsAsFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := newWorld(t)
+		w.add("a", func(x *exchange) { longStream(x, 100); x.end(100) })
+		b := w.add("b", sound)
+		r := w.stream(t.Context(), "chat")
+		i.True(!r.done)
+		i.Equal(r.outcome, "unknown")
+		i.Equal(w.finished["r1.0"], core.EndedFaulty)
+		i.Equal(len(b.served()), 0)
+	})
+}
+
+// Guards against a sound stream that is cut because its text takes more than the account has, and against one that is continued
+// without the text before.
+func TestStreamLongerThanAccountIsPassedOn(t *testing.T) {
+	for _, end := range []bool{true, false} {
+		t.Run(fmt.Sprintf("complete %t", end), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				w := newWorld(t)
+				w.contract.MaxOutputTokens = outputTokens
+				const chunks = 40 << 20 / (32 << 10) // 40 MiB
+				w.add("a", func(x *exchange) {
+					longStream(x, chunks)
+					if end {
+						x.end(chunks)
+					}
+				})
+				b := w.add("b", sound)
+				r := w.stream(t.Context(), "chat")
+				i.Equal(r.done, end)
+				i.Equal(len(r.text), 40<<20)
+				i.Equal(len(b.served()), 0)
+				if !end {
+					i.Equal(r.outcome, "unknown")
+				}
+			})
+		})
+	}
+}
+
 // Guards against sound answers of some MiB that are refused or cut though the account has room.
 func TestLongSoundAnswerIsWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/model"
 	"github.com/hickoryshelf/hickoryshelf/route"
 )
@@ -47,19 +48,23 @@
 	controller *http.ResponseController
 	// headerSent is true once the status and headers were sent.
 	headerSent bool
-	// delivered is the JSON-escaped text of all chunks that were sent or held back. sentChunks counts the chunks
-	// with text; a chunk counts as one output token.
-	delivered  []byte
-	sentChunks int64
-	// notResumable is true once a chunk with tool calls was delivered: another engine can't continue the answer.
+	// delivered is the JSON-escaped text of all chunks that were sent or held back, unless the account has no room for it:
+	// textDropped is true then. sentChunks counts the chunks with text; a chunk counts as one output token.
+	delivered   *memory.Buffer
+	textDropped bool
+	sentChunks  int64
+	// notResumable is true once a chunk with tool calls was delivered, or the text was dropped, or chunks of a longer answer than
+	// the request allows were delivered: another engine can't continue the answer.
 	notResumable bool
+	// attemptBytes is how many bytes of chunks the current engine has sent.
+	attemptBytes int64
 	// usage is the token count that the current engine reported. finalChunks holds the chunks with a finish
 	// reason, which are sent once the ledger line is settled.
 	usage       *engineUsage
-	finalChunks []byte
+	finalChunks *memory.Buffer
 	// holdBack makes the proxy collect chunks in heldChunks until the answer has been judged.
 	holdBack   bool
-	heldChunks []byte
+	heldChunks *memory.Buffer
 	// earlierTokens is the number of output tokens delivered by engines before the current one.
 	earlierTokens int64
 	// deadlineRenewal is when the write deadline is next extended; it is extended at most once a second.
@@ -75,9 +80,12 @@
 
 // newStreamProxy returns a proxy for one answer, and sets the job's method.
 func (j *job) newStreamProxy(w http.ResponseWriter, atMostOnce bool) *streamProxy {
-	p := &streamProxy{job: j, writer: w, controller: http.NewResponseController(w)}
+	p := &streamProxy{
+		job: j, writer: w, controller: http.NewResponseController(w),
+		delivered: j.newBuffer(), finalChunks: j.newBuffer(), heldChunks: j.newBuffer(),
+	}
 	j.method = method{
-		call:       func() (call, error) { return j.chatCall(p.delivered, atMostOnce) },
+		call:       func() (call, error) { return j.chatCall(p.delivered.Bytes(), atMostOnce) },
 		repeatable: func() bool { return !atMostOnce && !p.notResumable },
 		begun:      func() bool { return p.headerSent },
 		silence:    stallTimeout,
@@ -92,7 +100,7 @@
 	p.holdBack = j.decision.Terms.Judge && j.mayEscalate(atMostOnce)
 	for {
 		e := p.runAttempt(ctx)
-		if e.succeeded() && p.holdBack && j.judgeAnswer(ctx, unescapeJSON(p.delivered)) == route.Escalate && j.escalate(ctx, keptAnswer{stream: p, answer: signal{result: &e}}) {
+		if e.succeeded() && p.holdBack && j.judgeAnswer(ctx, unescapeJSON(p.delivered.Bytes())) == route.Escalate && j.escalate(ctx, keptAnswer{stream: p, answer: signal{result: &e}}) {
 			_ = j.setHeaders(w)
 			p = j.newStreamProxy(w, atMostOnce)
 			continue
@@ -139,10 +147,8 @@
 		case bytes.Equal(g.data, doneData):
 			return p.checkComplete()
 		case g.data != nil:
-			if err := p.forwardChunk(g.data); errors.Is(err, errCallerGone) {
-				return attemptResult{ending: core.EndedCancelled, mayHaveStarted: true, err: err}
-			} else if err != nil {
-				return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: err}
+			if err := p.forwardChunk(g.data); err != nil {
+				return p.failedChunk(err)
 			}
 		}
 		if !g.more {
@@ -151,16 +157,45 @@
 	}
 }
 
+// failedChunk returns the result of an attempt of which a chunk couldn't be passed on.
+func (p *streamProxy) failedChunk(err error) attemptResult {
+	switch {
+	case errors.Is(err, errCallerGone):
+		return attemptResult{ending: core.EndedCancelled, mayHaveStarted: true, err: err}
+	case isSize(err):
+		p.recordSize(err)
+		p.discard()
+		return sizeResult(err)
+	}
+	return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: err}
+}
+
+// discard gives up an answer that takes too much. Unless some of it was sent, another engine can begin anew.
+func (p *streamProxy) discard() {
+	p.heldChunks.Release()
+	p.finalChunks.Release()
+	p.delivered.Release()
+	if p.notResumable = p.headerSent; !p.headerSent {
+		p.sentChunks, p.job.usage = 0, model.Usage{}
+	}
+}
+
+// recordSize logs and counts that the current attempt's answer takes too much.
+func (p *streamProxy) recordSize(err error) {
+	p.job.gate.recordSize(p.job.request.id, p.job.decision.Endpoint.ID, "stream", err)
+}
+
 // follow passes on the chunks of another attempt from now on, which continues the text that was delivered.
 func (p *streamProxy) follow(a *attempt) {
 	p.attempt = a
-	p.earlierTokens, p.usage, p.finalChunks = p.sentChunks, nil, nil
+	p.earlierTokens, p.usage, p.attemptBytes = p.sentChunks, nil, 0
+	p.finalChunks.Release()
 }
 
 // checkComplete returns the result of an attempt whose stream ended regularly. A stream without usage or a
 // finish reason counts as truncated.
 func (p *streamProxy) checkComplete() attemptResult {
-	if p.usage == nil || p.finalChunks == nil {
+	if p.usage == nil || p.finalChunks.Len() == 0 {
 		return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errTruncated}
 	}
 	return attemptResult{ending: core.EndedWell, mayHaveStarted: true}
@@ -169,6 +204,9 @@
 // forwardChunk passes on one chunk after checking that it belongs to the current attempt. Chunks with a finish
 // reason or with usage are kept until the ledger line is settled.
 func (p *streamProxy) forwardChunk(v []byte) error {
+	if p.attemptBytes += int64(len(v)); p.attemptBytes > p.attempt.call.limit {
+		return &tooLongError{p.attempt.call.limit}
+	}
 	o, ok := cutID(v, p.attempt.request.ID)
 	if !ok {
 		return errForeignChunk
@@ -180,14 +218,15 @@
 		p.notResumable = true
 	}
 	if c := chunkContent(v); len(c) > 0 {
-		p.delivered = append(p.delivered, c...)
+		if err := p.keepText(c); err != nil {
+			return err
+		}
 		p.sentChunks++
 		p.job.usage = model.Usage{OutputTokens: p.sentChunks}
 		p.measureTokenTime()
 	}
 	if bytes.Contains(v, finishReasonField) {
-		p.finalChunks = appendChunk(p.finalChunks, p.job.request.id, o)
-		return nil
+		return keepChunk(p.finalChunks, p.job.request.id, o)
 	}
 	if !p.holdBack {
 		p.sendHeader()
@@ -195,6 +234,28 @@
 	return p.writeChunk(o)
 }
 
+// keepText keeps text that another engine needs to continue the answer. If there is no room for it, a stream that was begun goes on
+// without.
+func (p *streamProxy) keepText(text []byte) error {
+	if p.textDropped {
+		return nil
+	}
+	err := p.delivered.Append(text)
+	if err != nil && p.holdBack {
+		if e := p.passUnrated(err); e != nil {
+			return e
+		}
+		err = p.delivered.Append(text)
+	}
+	if err == nil || !p.headerSent {
+		return err
+	}
+	p.recordSize(err)
+	p.textDropped, p.notResumable = true, true
+	p.delivered.Release()
+	return nil
+}
+
 // timedTokens is the number of tokens after the first one whose mean time is reported.
 const timedTokens = 8
 
@@ -236,15 +297,21 @@
 }
 
 // writeChunk sends a chunk under the request's id, or keeps it in heldChunks while answers are held back. rest
-// is the chunk after its id. It returns errCallerGone if the caller can't be written to.
+// is the chunk after its id. It returns errCallerGone if the caller can't be written to, and a *memory.FullError
+// if there is no room.
 func (p *streamProxy) writeChunk(rest []byte) error {
 	if n := time.Now(); n.After(p.deadlineRenewal) {
 		p.deadlineRenewal = n.Add(time.Second)
 		_ = p.controller.SetWriteDeadline(n.Add(callerWriteTimeout))
 	}
 	if p.holdBack {
-		p.heldChunks = appendChunk(p.heldChunks, p.job.request.id, rest)
-		return nil
+		err := keepChunk(p.heldChunks, p.job.request.id, rest)
+		if err == nil {
+			return nil
+		}
+		if err := p.passUnrated(err); err != nil {
+			return err
+		}
 	}
 	p.buffer = appendChunk(p.buffer[:0], p.job.request.id, rest)
 	p.unflushed = true
@@ -254,6 +321,24 @@
 	return nil
 }
 
+// passUnrated sends the chunks that were held back for which there is no more room, and those after them as they arrive. It returns
+// the cause instead if the version's earlier ratings are too low for that, and errCallerGone if the caller can't be written to.
+func (p *streamProxy) passUnrated(cause error) error {
+	if p.job.judgeUnrated() == route.Escalate {
+		return cause
+	}
+	p.recordSize(cause)
+	p.holdBack = false
+	p.sendHeader()
+	p.unflushed = true
+	_, err := p.writer.Write(p.heldChunks.Bytes())
+	p.heldChunks.Release()
+	if err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
 // flushPending flushes written chunks to the caller.
 func (p *streamProxy) flushPending() {
 	if p.headerSent && !p.holdBack && p.unflushed {
@@ -271,7 +356,9 @@
 	j.settle(ctx, model.OutcomeRan)
 	p.holdBack = false
 	p.sendHeader()
-	b := append(p.heldChunks, p.finalChunks...)
+	_, _ = p.writer.Write(p.heldChunks.Bytes())
+	_, _ = p.writer.Write(p.finalChunks.Bytes())
+	var b []byte
 	if j.request.chat.StreamOptions.IncludeUsage {
 		b = append(b, p.usageEvent()...)
 	}
@@ -282,10 +369,19 @@
 	_, _ = p.writer.Write(b)
 	p.writer.Header().Set(HeaderOutcome, model.OutcomeRan.String())
 	p.flushPending()
-	j.queueRating(unescapeJSON(p.delivered))
+	p.queueRating()
 	return model.OutcomeRan
 }
 
+// queueRating queues the text to be rated, if it was kept.
+func (p *streamProxy) queueRating() {
+	if p.textDropped {
+		p.job.gate.ratings.countDropped()
+		return
+	}
+	p.job.queueRating(unescapeJSON(p.delivered.Bytes()))
+}
+
 // fail ends a stream that can't be completed. A caller that has received chunks gets the error as an event in
 // the stream, without an end mark. If chunks were sent, the outcome is unknown.
 func (p *streamProxy) fail(ctx context.Context, f *failure) model.Outcome {
--- a/gate/successor.go
+++ b/gate/successor.go
@@ -15,6 +15,8 @@
 	successorInterval = 2 * time.Second
 	// maxHeldSignals bounds the chunks without text that are kept of a successor. One that sends more goes on with the answer.
 	maxHeldSignals = 16
+	// maxHeldBytes bounds these chunks together.
+	maxHeldBytes = 16 << 10
 )
 
 var (
@@ -169,7 +171,7 @@
 		j.failSuccessor(attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errForeignChunk})
 		return
 	}
-	if hasPart(g.data) || len(s.received) == maxHeldSignals {
+	if s.heldBytes += len(g.data); hasPart(g.data) || len(s.received) == maxHeldSignals || s.heldBytes > maxHeldBytes {
 		j.supersede(g)
 		return
 	}
