Answer with a failure where a plain service's answer is longer than 8 MiB

Callers got the first 8 MiB of a longer answer of a plain service with status 200, the outcome "ran" and a matching length, as if it were whole; with an idempotency key too.

Cause: readWhole stopped reading at the bound and didn't look whether the answer had ended. Since the bound for engines' answers the attempt failed instead, which held a sound endpoint at fault and asked up to three others for the same answer.

Change: the error says whether the request's output tokens or the host set the limit. For the host's own limit the call ends at once as "answer-too-long" with the outcome "unknown", no other endpoint is asked, and the attempt counts as cancelled, which isn't held against the endpoint.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -153,13 +153,13 @@
 // fill reads the body of a response into answer. It returns a *tooLongError or a *memory.FullError if that is too much.
 func (a *attempt) fill(r *http.Response) error {
 	if r.Body != http.NoBody && r.ContentLength > a.call.limit {
-		return &tooLongError{a.call.limit}
+		return a.call.tooLong()
 	}
 	if err := a.answer.Fill(r.Body, int(a.call.limit)+1); err != nil {
 		return err
 	}
 	if int64(a.answer.Len()) > a.call.limit {
-		return &tooLongError{a.call.limit}
+		return a.call.tooLong()
 	}
 	return nil
 }
--- a/gate/buffered.go
+++ b/gate/buffered.go
@@ -13,7 +13,7 @@
 	"github.com/hickoryshelf/hickoryshelf/route"
 )
 
-// maxAnswerBytes bounds an answer of a plain service.
+// maxAnswerBytes bounds an answer of a plain service; a longer one is a failure.
 const maxAnswerBytes = 8 << 20
 
 // completion holds the fields of an engine's answer that the router reads.
@@ -96,7 +96,7 @@
 		method: http.MethodPost, path: "/v1/chat/completions", body: b,
 		header:   http.Header{"Content-Type": {"application/json"}},
 		priority: j.decision.Terms.Priority, atMostOnce: atMostOnce,
-		limit: j.request.answerLimit(j.decision.Contract.MaxOutputTokens),
+		limit: j.request.answerLimit(j.decision.Contract.MaxOutputTokens), output: true,
 	}, err
 }
 
--- a/gate/engine.go
+++ b/gate/engine.go
@@ -76,10 +76,14 @@
 	attemptID  string
 	priority   model.Priority
 	atMostOnce bool
-	// limit is how many bytes the answer may have at most.
-	limit int64
+	// limit is how many bytes the answer may have at most, and output true if the request's output tokens set it.
+	limit  int64
+	output bool
 }
 
+// tooLong returns the error for an answer that is longer than limit.
+func (c call) tooLong() error { return &tooLongError{limit: c.limit, fault: c.output} }
+
 // send makes a call and returns when the endpoint's response headers have arrived. The caller of send closes
 // the response's body.
 func (e *engineClient) send(ctx context.Context, c call) (*http.Response, error) {
--- a/gate/service.go
+++ b/gate/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -80,6 +81,10 @@
 		if e := *g.result; e.succeeded() {
 			return d.deliver(ctx, w, g.response, g.data, e)
 		}
+		if l := (*tooLongError)(nil); errors.As(g.result.err, &l) {
+			j.finish(*g.result)
+			return j.fail(ctx, w, outcomeUnknown("answer-too-long", l.Error()))
+		}
 		if f := j.retry(ctx, *g.result, !d.repeatable()); f != nil {
 			return j.fail(ctx, w, f)
 		}
--- a/gate/size.go
+++ b/gate/size.go
@@ -24,12 +24,19 @@
 	memoryOwnerPart = 2
 )
 
-// tooLongError means that an endpoint has sent a longer answer than the request allows. The endpoint is at fault.
-type tooLongError struct{ limit int64 }
+// tooLongError means that an endpoint has sent a longer answer than its call allows.
+type tooLongError struct {
+	limit int64
+	// fault is true if the request's output tokens set the limit, so that the endpoint is at fault.
+	fault bool
+}
 
 // Error says what the answer may have.
 func (e *tooLongError) Error() string {
-	return fmt.Sprintf("the endpoint sent more than %d bytes, which is more than the request's output tokens take; look at what it sends", e.limit)
+	if e.fault {
+		return fmt.Sprintf("the endpoint sent more than %d bytes, which is more than the request's output tokens take; look at what it sends", e.limit)
+	}
+	return fmt.Sprintf("the endpoint's answer has more than %d bytes; ask for less at a time", e.limit)
 }
 
 // answerLimit returns how many bytes the answer of an attempt may have at most. limit is the contract's number of output tokens.
@@ -57,13 +64,15 @@
 	return int(min(float64(limit), max(0, v)))
 }
 
-// sizeResult returns the result of an attempt whose answer is longer than it may be, for which the endpoint is at fault, or for
-// which the account has no room.
+// sizeResult returns the result of an attempt whose answer is longer than it may be, or for which the account has no room.
 func sizeResult(err error) attemptResult {
 	e := attemptResult{ending: core.EndedFailed, mayHaveStarted: true, err: err}
 	var l *tooLongError
-	if errors.As(err, &l) {
+	switch {
+	case errors.As(err, &l) && l.fault:
 		e.ending = core.EndedFaulty
+	case l != nil:
+		e.ending = core.EndedCancelled
 	}
 	return e
 }
@@ -83,7 +92,7 @@
 	switch {
 	case errors.As(err, &l):
 		g.metrics.GetOrCreateCounter(fmt.Sprintf("hickoryshelf_answers_too_long_total{kind=%q}", kind)).Inc()
-		d.WithError(err).Warn("gate: the answer is longer than the request allows")
+		d.WithError(err).Warn("gate: the answer is longer than it may be")
 	case errors.As(err, &f):
 		g.metrics.GetOrCreateCounter(fmt.Sprintf("hickoryshelf_answers_over_memory_total{kind=%q}", kind)).Inc()
 		d.WithFields(logrus.Fields{"bytes": f.Bytes, "kept": f.Taken, "own-limit": f.Own}).Warn("gate: the answer takes too much memory")
--- a/gate/size_test.go
+++ b/gate/size_test.go
@@ -129,3 +129,54 @@
 		})
 	}
 }
+
+// Guards against an answer of a plain service that is passed on cut as if it were whole, and against one that is asked for again.
+func TestTooLongAnswerOfServiceIsNotCut(t *testing.T) {
+	for n, c := range map[string]struct{ method, class string }{
+		"repeatable": {http.MethodGet, "chat"}, "not repeatable": {http.MethodPost, "chat"}, "with a claim": {http.MethodPost, onceClass},
+	} {
+		t.Run(n, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				w := newWorld(t)
+				long := func(x *exchange) {
+					for range 3 {
+						_, _ = io.WriteString(x, longText)
+					}
+				}
+				w.add("a", long)
+				b := w.add("b", long)
+				r := w.ask(t.Context(), c.method, "/desk/x", c.class, "")
+				i.Equal(r.status, http.StatusBadGateway)
+				i.Equal(r.outcome, "unknown")
+				i.True(strings.Contains(r.text, "answer-too-long"))
+				i.Equal(w.finished["r1.0"], core.EndedCancelled) // the endpoint isn't at fault
+				i.Equal(len(b.served()), 0)
+			})
+		})
+	}
+}
+
+// Guards against sound answers of a plain service that are refused by the bound of longer ones.
+func TestLongAnswersOfServiceAreWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := newWorld(t)
+		w.add("a", func(x *exchange) { _, _ = io.WriteString(x, longText+longText) })
+		for range 3 { // the memory is given back
+			r := w.ask(t.Context(), http.MethodGet, "/desk/x", "chat", "")
+			i.Equal(r.status, http.StatusOK)
+			i.Equal(len(r.text), 2*len(longText))
+		}
+	})
+}
+
+// Guards against the answer to a HEAD request that is refused by the length that it names.
+func TestLengthInHeadIsNotLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := newWorld(t)
+		w.add("a", func(x *exchange) { x.Header().Set("Content-Length", fmt.Sprint(1<<30)) })
+		i.Equal(w.ask(t.Context(), http.MethodHead, "/desk/x", "chat", "").status, http.StatusOK)
+	})
+}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -205,7 +205,7 @@
 // reason or with usage are kept until the ledger line is settled.
 func (p *streamProxy) forwardChunk(v []byte) error {
 	if p.attemptBytes += int64(len(v)); p.attemptBytes > p.attempt.call.limit {
-		return &tooLongError{p.attempt.call.limit}
+		return p.attempt.call.tooLong()
 	}
 	o, ok := cutID(v, p.attempt.request.ID)
 	if !ok {
