Bound the heads of engines' answers on the OpenAI face

Callers saw a host that ran out of memory when an engine sent heads without end: each might have 10 MiB, net/http's default, and a field of a few bytes takes many times as many when it is read.

Change: a head may have 16 KiB together with the interim answers before it. A longer one fails the attempt, and another engine is asked. Of a whole head only the content type, which is passed on, is kept while the body is read.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -12,6 +12,9 @@
 	"github.com/hickoryshelf/hickoryshelf/memory"
 )
 
+// contentType is the header field of an endpoint's answer that is passed on to the caller.
+const contentType = "Content-Type"
+
 // attempt is one attempt of a request at an endpoint. A goroutine of its own makes it and delivers what it receives; only the
 // job's goroutine changes the job.
 type attempt struct {
@@ -114,6 +117,7 @@
 		a.end(e)
 		return
 	}
+	r.Header = http.Header{contentType: r.Header[contentType]} // the others aren't needed any more
 	if a.streamed {
 		a.readStream(r)
 		return
--- a/gate/engine.go
+++ b/gate/engine.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// maxHeadBytes bounds the head of an endpoint's answer with the interim answers before it. A field of a few bytes takes many
+	// times as many when it is read.
+	maxHeadBytes            = 16 << 10
 	endpointDialTimeout     = 700 * time.Millisecond
 	maxIdleConnsPerEndpoint = 512
 	// probeInterval is the time between the keep-alive probes on a connection to an endpoint, and before the first one. After
@@ -57,8 +60,8 @@
 	if open == nil {
 		open = DialEndpoint
 	}
-	k := &http.Transport{DialContext: open, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true}
-	f := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true}
+	k := &http.Transport{DialContext: open, MaxIdleConnsPerHost: maxIdleConnsPerEndpoint, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	f := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &engineClient{keepAlive: &http.Client{Transport: k, CheckRedirect: noRedirect}, singleUse: &http.Client{Transport: f, CheckRedirect: noRedirect}}
 }
 
