Count answers that wait to be rated apart from those in flight

Callers of an engine with long answers could be refused while no rating service answered: the answers that waited to be rated filled the account of the answers in flight, up to the engine's half.

Change: the queues have an account of their own, 8 MiB; an answer for which it has no room is dropped and counted, as where a queue is full.

Measured: TestAnswersThatWaitForRatingLeaveRoom (an answer of 9 MiB after 20 of 3 MiB without a rating service) red before (429), green after.

--- a/gate/fake_test.go
+++ b/gate/fake_test.go
@@ -26,6 +26,7 @@
 	"github.com/hickoryshelf/hickoryshelf/gate"
 	"github.com/hickoryshelf/hickoryshelf/ledger"
 	"github.com/hickoryshelf/hickoryshelf/member"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/model"
 	"github.com/hickoryshelf/hickoryshelf/route"
 	"github.com/hickoryshelf/hickoryshelf/token"
@@ -164,6 +165,7 @@
 // world is a gate with its endpoints. It is the gate's router: it sends each request to the first endpoint that isn't excluded.
 type world struct {
 	gate      *gate.Gate
+	memory    *memory.Account
 	started   time.Time
 	contract  model.Contract
 	listeners map[string]*listener
@@ -188,9 +190,10 @@
 		Classes:  []model.ClassTerms{{Class: "chat"}, {Class: onceClass, RunsOnce: true}, {Class: judgedClass, Judge: true, Quality: 0.9}},
 		Services: []model.Service{{Prefix: "/desk/", Name: "desk"}},
 	}
+	w.memory = memory.NewAccountOf(256, 2)
 	l := logrus.New()
 	l.SetOutput(io.Discard)
-	w.gate = gate.New(gate.Options{Router: w, Signer: token.NewSigner([]string{"k"}), Log: l, Metrics: metrics.NewSet(), Dial: w.dial})
+	w.gate = gate.New(gate.Options{Router: w, Signer: token.NewSigner([]string{"k"}), Log: l, Metrics: metrics.NewSet(), Dial: w.dial, Memory: w.memory})
 	t.Cleanup(w.close)
 	return w
 }
@@ -235,6 +238,13 @@
 	return e
 }
 
+// setOrder replaces the endpoints to which the router sends requests from now on.
+func (w *world) setOrder(ids ...string) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.order = ids
+}
+
 // addClosed adds an endpoint that refuses connections.
 func (w *world) addClosed(id string) { w.order = append(w.order, id) }
 
--- a/gate/rating.go
+++ b/gate/rating.go
@@ -23,6 +23,10 @@
 	// ratingWorkers is the number of queued answers that are rated concurrently.
 	ratingWorkers = 4
 	ratingTimeout = 5 * time.Second
+	// ratingMemoryMB and ratingOwnerPart make the account of the queued answers: 8 MiB, which one endpoint may use up. It is
+	// another one than that of the answers in flight, so that those don't wait for ratings.
+	ratingMemoryMB  = 64
+	ratingOwnerPart = 1
 	// ratingBackoff is the pause of a worker after a failed call of the rating service.
 	ratingBackoff = 500 * time.Millisecond
 )
@@ -53,13 +57,18 @@
 	gate   *Gate
 	urgent chan ratingEntry
 	normal chan ratingEntry
+	// memory bounds the answers in both.
+	memory *memory.Account
 	stop   context.CancelFunc
 	ctx    context.Context
 }
 
 // newRatingQueue returns a queue and starts its workers.
 func newRatingQueue(g *Gate) *ratingQueue {
-	q := &ratingQueue{gate: g, urgent: make(chan ratingEntry, ratingQueueLength), normal: make(chan ratingEntry, ratingQueueLength)}
+	q := &ratingQueue{
+		gate: g, memory: memory.NewAccountOf(ratingMemoryMB, ratingOwnerPart),
+		urgent: make(chan ratingEntry, ratingQueueLength), normal: make(chan ratingEntry, ratingQueueLength),
+	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
 	for range ratingWorkers {
 		go q.loop()
@@ -75,7 +84,7 @@
 	if j.rated {
 		return
 	}
-	t := ratingEntry{j.ratingRequest(answer), j.gate.memory.NewShare(j.decision.Endpoint.ID)}
+	t := ratingEntry{j.ratingRequest(answer), j.gate.ratings.memory.NewShare(j.decision.Endpoint.ID)}
 	if t.share.Resize(int64(len(answer))) != nil {
 		j.gate.ratings.countDropped()
 		return
--- a/gate/size_test.go
+++ b/gate/size_test.go
@@ -1,12 +1,15 @@
 package gate_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -180,3 +183,75 @@
 		i.Equal(w.ask(t.Context(), http.MethodHead, "/desk/x", "chat", "").status, http.StatusOK)
 	})
 }
+
+// Guards against sound answers that are refused because earlier ones, which no rating service takes, fill the account.
+func TestAnswersThatWaitForRatingLeaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := newWorld(t)
+		w.contract.MaxOutputTokens = outputTokens
+		w.further = 0
+		text := longText
+		w.add("a", func(x *exchange) { x.answer(text) })
+		for range 20 {
+			i.Equal(w.whole(t.Context(), "chat").status, http.StatusOK)
+		}
+		text = strings.Repeat(longText, 3)
+		i.Equal(w.whole(t.Context(), "chat").status, http.StatusOK)
+	})
+}
+
+// Guards against a faulty endpoint whose answers use up what sound ones of another endpoint need, and against memory that isn't given
+// back.
+func TestRequestsBesideEndlessAnswersOfEngineAreServed(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				w := newWorld(t)
+				w.contract.MaxOutputTokens = outputTokens
+				w.further = 0
+				w.add("a", func(x *exchange) {
+					for range 4 {
+						if stream {
+							longStream(x, len(longText)/(32<<10))
+							continue
+						}
+						_, _ = io.WriteString(x, longText)
+						_ = http.NewResponseController(x.ResponseWriter).Flush()
+					}
+					x.pause(forever)
+				})
+				c, f := context.WithCancel(t.Context())
+				var faulty sync.WaitGroup
+				for range manyRequests {
+					faulty.Go(func() {
+						if stream {
+							w.stream(c, "chat")
+							return
+						}
+						w.whole(c, "chat")
+					})
+				}
+				time.Sleep(time.Second)
+				w.listen("b", func(x *exchange) {
+					if stream {
+						sound(x)
+						return
+					}
+					x.answer(longText)
+				})
+				w.setOrder("b")
+				i.True(w.memory.Taken() > 0)
+				if stream {
+					i.True(w.stream(t.Context(), "chat").done)
+				} else {
+					i.Equal(w.whole(t.Context(), "chat").status, http.StatusOK)
+				}
+				f()
+				faulty.Wait()
+				i.Equal(w.memory.Taken(), int64(0))
+			})
+		})
+	}
+}
