--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -5,13 +5,16 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/memory"
 )
 
+// contentType is the header field of an endpoint's answer that is passed on to the caller.
+const contentType = "Content-Type"
+
 // attempt is one attempt of a request at an endpoint. A goroutine of its own makes it and delivers what it receives; only the
 // job's goroutine changes the job.
 type attempt struct {
@@ -27,6 +30,8 @@
 	call call
 	// streamed is true if the answer is read event by event.
 	streamed bool
+	// answer holds an answer that isn't streamed, until release is called.
+	answer *memory.Buffer
 	// ctx is cancelled when the caller leaves or close is called.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -34,6 +39,8 @@
 	signals chan signal
 	// received holds the signals that were taken of a successor before it replaced another attempt.
 	received []signal
+	// heldBytes is how many bytes those of them have that hold no part of the answer.
+	heldBytes int
 	// started is true once run was started. closed tells run that no more signals are taken, and ended is closed at its end.
 	started       bool
 	closed, ended chan struct{}
@@ -110,6 +117,7 @@
 		a.end(e)
 		return
 	}
+	r.Header = http.Header{contentType: r.Header[contentType]} // the others aren't needed any more
 	if a.streamed {
 		a.readStream(r)
 		return
@@ -130,14 +138,41 @@
 // end delivers the last signal.
 func (a *attempt) end(e attemptResult) { a.deliver(signal{result: &e}) }
 
-// readWhole reads an answer that isn't streamed. At most maxAnswerBytes are read.
+// readWhole reads an answer that isn't streamed. An answer that is longer than the call allows fails the attempt.
 func (a *attempt) readWhole(r *http.Response) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+	a.answer = a.gate.memory.NewBuffer(a.decision.Endpoint.ID)
+	err := a.fill(r)
+	if isSize(err) {
+		a.gate.recordSize(a.request.RequestID, a.decision.Endpoint.ID, "whole", err)
+		a.end(sizeResult(err))
+		return
+	}
 	if err != nil {
 		a.end(classifyError(a.ctx, err))
 		return
 	}
-	a.deliver(signal{data: b, response: r, result: &attemptResult{ending: core.EndedWell, mayHaveStarted: true}})
+	a.deliver(signal{data: a.answer.Bytes(), response: r, result: &attemptResult{ending: core.EndedWell, mayHaveStarted: true}})
+}
+
+// fill reads the body of a response into answer. It returns a *tooLongError or a *memory.FullError if that is too much.
+func (a *attempt) fill(r *http.Response) error {
+	if r.Body != http.NoBody && r.ContentLength > a.call.limit {
+		return a.call.tooLong()
+	}
+	if err := a.answer.Fill(r.Body, int(a.call.limit)+1); err != nil {
+		return err
+	}
+	if int64(a.answer.Len()) > a.call.limit {
+		return a.call.tooLong()
+	}
+	return nil
+}
+
+// release gives the memory of the answer back, after close. A nil attempt has none.
+func (a *attempt) release() {
+	if a != nil && a.answer != nil {
+		a.answer.Release()
+	}
 }
 
 // readStream delivers the lines of an engine's event stream, up to its end mark.
--- a/gate/service.go
+++ b/gate/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -64,6 +65,7 @@
 // serve makes attempts until one succeeds or no further one is allowed, and returns the request's outcome.
 func (d serviceCall) serve(ctx context.Context, w http.ResponseWriter) model.Outcome {
 	j := d.job
+	defer j.release()
 	if f := j.begin(ctx); f != nil {
 		return j.fail(ctx, w, f)
 	}
@@ -79,6 +81,10 @@
 		if e := *g.result; e.succeeded() {
 			return d.deliver(ctx, w, g.response, g.data, e)
 		}
+		if l := (*tooLongError)(nil); errors.As(g.result.err, &l) {
+			j.finish(*g.result)
+			return j.fail(ctx, w, outcomeUnknown("answer-too-long", l.Error()))
+		}
 		if f := j.retry(ctx, *g.result, !d.repeatable()); f != nil {
 			return j.fail(ctx, w, f)
 		}
@@ -102,7 +108,7 @@
 	}
 	return call{
 		method: d.request.Method, path: "/" + strings.TrimPrefix(d.request.URL.RequestURI(), j.decision.Service.Prefix),
-		body: d.body, header: h, priority: j.decision.Terms.Priority, atMostOnce: !d.repeatable(),
+		body: d.body, header: h, priority: j.decision.Terms.Priority, atMostOnce: !d.repeatable(), limit: maxAnswerBytes,
 	}
 }
 
--- a/gate/successor.go
+++ b/gate/successor.go
@@ -14,6 +14,8 @@
 	successorInterval = 2 * time.Second
 	// maxHeldSignals bounds the chunks without a part of the answer that are kept of a successor. Further ones are left out.
 	maxHeldSignals = 16
+	// maxHeldBytes bounds these chunks together.
+	maxHeldBytes = 16 << 10
 )
 
 var (
@@ -174,8 +176,8 @@
 		j.supersede(g)
 		return
 	}
-	if len(s.received) < maxHeldSignals {
-		s.received = append(s.received, g)
+	if n := s.heldBytes + len(g.data); len(s.received) < maxHeldSignals && n <= maxHeldBytes {
+		s.received, s.heldBytes = append(s.received, g), n
 	}
 }
 
