--- a/relay/escalation_test.go
+++ b/relay/escalation_test.go
@@ -87,3 +87,18 @@
 		i.Equal(h.sender.count(), 2)
 	})
 }
+
+// Guards against a sound answer that is lost because a larger model, which was to answer in its place, has sent only its head.
+func TestAnswerOfSmallModelOutlastsLargerOneThatSendsOnlyItsHead(t *testing.T) {
+	for _, n := range []string{"silent", "breaks off"} {
+		t.Run(n, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				c := unable{endpoints: 3, other: headOnly()[n]}
+				h, s := c.serveBesideSilence("/write/1", func(context.Context, relay.Attempt) relay.Reply { return judgedLow() })
+				i.Equal(s.body.String(), events(1, 4))
+				i.True(!s.aborted)
+				i.True(h.sender.attempts[1].Model != h.sender.attempts[0].Model)
+			})
+		})
+	}
+}
