relay: ask another host at once when the one to a larger model answers nothing

Callers whose answer of a small model was judged too low waited for the time of a first event at a host between that was suspended; then an endpoint could be asked through the same host again, and the endpoint of the attempt counted as faulty.

Cause: since proxy keeps a call open until the host between answers and only signals that it is unheard, the attempt for a larger model has to take that signal. awaitOutcome didn't.

It gives the attempt up as the successor of a silent attempt does: the small model's answer is still open. The host counts as lost, the endpoint doesn't.

--- a/relay/between_test.go
+++ b/relay/between_test.go
@@ -140,3 +140,30 @@
 		}
 	})
 }
+
+// Guards against requests for a larger model that wait at a host between that doesn't say whether it has begun, and then for an
+// endpoint through the same host.
+func TestSilentHostBetweenDoesNotHoldUpALargerModel(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		d := &detour{answer: func(n int, ctx context.Context, a relay.Attempt) (relay.Reply, relay.Hop) {
+			switch n {
+			case 1:
+				return judgedLow(), relay.Hop{}
+			case 2:
+				return pausedHost(ctx, a, time.Minute, relay.Reply{})
+			}
+			return ranWithConfidence(100, events(1, 6)), relay.Hop{}
+		}}
+		w, stop := cutOffHarness(d, 3)
+		defer stop()
+		b := time.Now()
+		s := w.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 6))
+		i.Equal(len(d.attempts), 3)
+		i.True(d.hosts[2] != d.hosts[1])
+		i.True(time.Since(b) < betweenDoubt+100*time.Millisecond)
+		for _, l := range w.log.AllEntries() {
+			i.True(l.Message != "attempt: the endpoint failed") // it is the host between that is silent
+		}
+	})
+}
--- a/relay/escalation.go
+++ b/relay/escalation.go
@@ -94,7 +94,7 @@
 }
 
 // awaitOutcome waits for the outcome of the attempt. A silent endpoint gets more time while it answers other requests; then the
-// attempt is cancelled, and its outcome is unknown.
+// attempt is cancelled, and its outcome is unknown, as it is at once if the host between doesn't say whether it has begun.
 func (u *upstreamAttempt) awaitOutcome() signal {
 	w := u.newSilence(firstEventTimeout(u.choice.Wait), u.job.busyWindow())
 	defer w.stop()
@@ -103,6 +103,8 @@
 		case g := <-u.signals:
 			u.replied = true
 			return g
+		case <-u.unheard:
+			return u.giveUpUnheard()
 		case <-w.timer.C:
 			if w.check() {
 				u.cancel()
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -115,10 +115,15 @@
 	if u.replied {
 		return // the host has answered since
 	}
+	u.failSuccessor(u.giveUpUnheard(), w)
+}
+
+// giveUpUnheard cancels an attempt whose host between is silent, and returns its outcome.
+func (u *upstreamAttempt) giveUpUnheard() signal {
 	u.recordHostSilent()
 	u.cancel()
 	r := Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}
-	u.failSuccessor(signal{outcome: &outcome{reply: r, hop: Hop{Result: Lost}}}, w)
+	return signal{outcome: &outcome{reply: r, hop: Hop{Result: Lost}}}
 }
 
 // seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
