relay: give a small model's answer up at a larger model's first event, not at its head

Callers got the refusal answer-lost, or nothing before their deadline, though a small model's stream was open: it was judged too low, a larger model sent the head of a stream and then nothing or broke off, and further runs did the same until the route allowed no more.

Cause: the attempt for a larger model counted as begun with its head.

It now counts as begun with its first event, within the same time as before (that of a first event). A stream that ends without an event is still taken for a whole answer. The caller gets the head of the answer with that event.

--- a/relay/escalation.go
+++ b/relay/escalation.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"errors"
 	"time"
 
@@ -13,8 +14,8 @@
 // errNoStream means that a larger model answered with something else than a stream.
 var errNoStream = errors.New("the larger model's answer is no stream; the answer of the smaller one is kept")
 
-// escalate asks for the answer of a larger model and reports whether it has begun: it is the job's successor then. If endpoints
-// refuse, fail or are silent, others are asked while limits allow it. If none begins, this attempt's answer is kept.
+// escalate asks for the answer of a larger model and reports whether it has sent an event: it is the job's successor then. If
+// endpoints refuse, fail or are silent, others are asked while limits allow it. If none sends one, this attempt's answer is kept.
 func (u *upstreamAttempt) escalate(tier, confidence int) bool {
 	j := u.job
 	j.dropSuccessor("a larger model is asked")
@@ -75,10 +76,12 @@
 	return ok && time.Until(j.deadline) >= w
 }
 
-// awaitStream waits until the attempt has begun a stream and returns done. If it doesn't, awaitStream records why and returns what
-// would follow.
+// awaitStream waits until the attempt has sent the first event of a stream and returns done. If it doesn't, awaitStream records why
+// and returns what would follow.
 func (u *upstreamAttempt) awaitStream() nextStep {
-	g := u.awaitOutcome()
+	w := u.newSilence(firstEventTimeout(u.choice.Wait), u.job.busyWindow())
+	defer w.stop()
+	g := u.awaitSignal(w)
 	o := g.outcome
 	switch {
 	case o.hop.Result != Delivered || o.reply.Verdict != Ran:
@@ -89,26 +92,41 @@
 		u.recordFault(o.reply, time.Since(u.sent))
 		return rerun
 	}
+	u.recordHead(o)
 	u.received = append(u.received, g)
-	return done
+	return u.awaitEvent(w)
+}
+
+// awaitEvent is awaitStream after the head of the stream. A stream that ends without an event is a whole answer.
+func (u *upstreamAttempt) awaitEvent(w *silence) nextStep {
+	for {
+		g := u.awaitSignal(w)
+		switch {
+		case g.err != nil && !u.isWhole(g.err):
+			return u.recordCut(g.err)
+		case g.err != nil || hasData(g.event):
+			u.received = append(u.received, signal{event: bytes.Clone(g.event), err: g.err})
+			return done
+		}
+	}
 }
 
-// awaitOutcome waits for the outcome of the attempt. A silent endpoint gets more time while it answers other requests; then the
+// awaitSignal waits for the next signal of the attempt. A silent endpoint gets more time while it answers other requests; then the
 // attempt is cancelled, and its outcome is unknown, as it is at once if the host between doesn't say whether it has begun.
-func (u *upstreamAttempt) awaitOutcome() signal {
-	w := u.newSilence(firstEventTimeout(u.choice.Wait), u.job.busyWindow())
-	defer w.stop()
+func (u *upstreamAttempt) awaitSignal(w *silence) signal {
 	for {
 		select {
 		case g := <-u.signals:
 			u.replied = true
 			return g
 		case <-u.unheard:
-			return u.giveUpUnheard()
+			if !u.replied {
+				return u.giveUpUnheard()
+			}
 		case <-w.timer.C:
 			if w.check() {
 				u.cancel()
-				return signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}
+				return u.lateSignal()
 			}
 		}
 	}
--- a/relay/escalation_test.go
+++ b/relay/escalation_test.go
@@ -87,3 +87,23 @@
 		i.Equal(h.sender.count(), 2)
 	})
 }
+
+// Guards against a small model's answer that is given up for larger models that send only their head, so that the request is lost.
+func TestKeptAnswerOutlastsLargerModelsThatSendOnlyTheirHead(t *testing.T) {
+	for _, k := range []string{"silent", "breaks off"} {
+		t.Run(k, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				h := newHarness(4, func(n int, ctx context.Context, a relay.Attempt) relay.Reply {
+					if n == 1 {
+						return judgedLow()
+					}
+					return headOnly()[k](ctx, a)
+				})
+				s := h.serve(context.Background(), "/write/1", "key")
+				i.Equal(s.body.String(), events(1, 4))
+				i.True(!s.aborted)
+				i.True(h.sender.count() > 2) // another one was asked
+			})
+		})
+	}
+}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -290,7 +290,7 @@
 	return o.hop.Result == Delivered && o.reply.Verdict == Ran && (!j.answerBegun || j.mayContinue(o.reply))
 }
 
-// failSuccessor records why the successor can't go on with the answer. That the request has ended tells nothing of its endpoint.
+// failSuccessor records why the successor can't go on with the answer.
 func (u *upstreamAttempt) failSuccessor(g signal, w *silence) {
 	j := u.job
 	j.successor = nil
@@ -300,11 +300,20 @@
 		u.handleOutcome(g.outcome)
 		return
 	}
+	u.recordCut(g.err)
+}
+
+// recordCut records that an attempt beside another one broke off or was given up behind its head, and returns how the request would
+// continue. That the request has ended tells nothing of the endpoint.
+func (u *upstreamAttempt) recordCut(cause error) nextStep {
+	j := u.job
 	j.runs++
-	if j.context.Err() == nil {
-		u.tallyFault(false, u.wait)
-		u.handleBreak(g.err)
+	if j.context.Err() != nil {
+		return ended
 	}
+	u.tallyFault(false, u.wait)
+	u.handleBreak(cause)
+	return rerun
 }
 
 // overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time. If this host was held
@@ -315,11 +324,15 @@
 		return
 	}
 	u.cancel()
+	u.failSuccessor(u.lateSignal(), w)
+}
+
+// lateSignal returns the signal in place of the one that an attempt didn't send in time: its outcome, or an event.
+func (u *upstreamAttempt) lateSignal() signal {
 	if len(u.received) > 0 {
-		u.failSuccessor(signal{err: errNoEvent}, w)
-		return
+		return signal{err: errNoEvent}
 	}
-	u.failSuccessor(signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}, w)
+	return signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}
 }
 
 // dropSuccessor cancels the successor, if there is one. It may have run.
