relay: an old signal of a silent host between doesn't end its answer

Callers that read slowly could lose a run, and its retry, whose answer had arrived: the host between had been late with its confirmation, had answered since, and this host read both only once its caller took a comment of the silent stream. Which of the two it read first was left to chance.

Cause: the signal that the host between is unheard had no time. It has one now; one older than maxCheckLag is passed over, as a late check is. The sender signals again while the host doesn't answer.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,8 +53,8 @@
 	// signals carries what run receives to the goroutine of the job, until closed is closed. ended is closed at the end of run.
 	signals       chan signal
 	closed, ended chan struct{}
-	// unheard is signalled when the host between doesn't say whether it has begun. hostSilent is set from then on.
-	unheard    chan struct{}
+	// unheard carries when the host between hadn't said in time whether it has begun. hostSilent is set once that is taken.
+	unheard    chan time.Time
 	hostSilent bool
 	// replied is set once the outcome was taken from signals.
 	replied bool
--- a/relay/between_test.go
+++ b/relay/between_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -167,3 +169,51 @@
 		}
 	})
 }
+
+// slowSink is a caller that takes a comment only after a time.
+type slowSink struct {
+	*sink
+	pause time.Duration
+}
+
+func (s slowSink) Write(b []byte) error {
+	if b[0] == ':' {
+		time.Sleep(s.pause)
+	}
+	return s.sink.Write(b)
+}
+
+// stillHere is a comment of a stream.
+const stillHere = ": still here\n\n"
+
+// commentLate returns the reply of an endpoint that sends two events, a comment while an attempt beside it is in doubt, and nothing more.
+func commentLate(ctx context.Context) relay.Reply {
+	const pause = 1550 * time.Millisecond // from 1.5 s on, an attempt is made beside it
+	r := ranWithConfidence(100, "")
+	r.Body = body{Reader: io.MultiReader(
+		strings.NewReader(events(1, 2)), &waitingReader{ctx, pause}, strings.NewReader(stillHere), &waitingReader{ctx, time.Minute},
+	)}
+	return r
+}
+
+// Guards against an answer that is given up, though it has arrived, because the host between had been late before it and this host
+// read neither while its caller held it up.
+func TestLateNewsOfSilentHostBetweenDoesNotEndItsAnswer(t *testing.T) {
+	for range 20 {
+		inSynctest(t, func(_ *testing.T, i *is.I) {
+			d := &detour{}
+			d.answer = func(n int, ctx context.Context, a relay.Attempt) (relay.Reply, relay.Hop) {
+				if n == 1 {
+					return commentLate(ctx), relay.Hop{}
+				}
+				return pausedHost(ctx, a, 3*betweenDoubt, ran(events(3, 4)))
+			}
+			w, stop := cutOffHarness(d, 3)
+			defer stop()
+			s := slowSink{&sink{}, betweenPause}
+			w.serveTo(context.Background(), s, "r1", "/write/1", "key")
+			i.Equal(s.body.String(), events(1, 2)+stillHere+events(3, 4))
+			i.Equal(len(d.attempts), 2)
+		})
+	}
+}
--- a/relay/escalation.go
+++ b/relay/escalation.go
@@ -119,8 +119,8 @@
 		case g := <-u.signals:
 			u.replied = true
 			return g
-		case <-u.unheard:
-			if !u.replied {
+		case t := <-u.unheard:
+			if u.isHostSilent(t) {
 				return u.giveUpUnheard()
 			}
 		case <-w.timer.C:
--- a/relay/job.go
+++ b/relay/job.go
@@ -320,7 +320,7 @@
 	u.context, u.cancel = context.WithCancel(j.context)
 	u.signals, u.closed, u.ended = make(chan signal), make(chan struct{}), make(chan struct{})
 	if u.way == pick.Relayed {
-		u.unheard = make(chan struct{}, 1)
-		u.order.Unheard = func() { wake(u.unheard) }
+		u.unheard = make(chan time.Time, 1)
+		u.order.Unheard = u.signalUnheard
 	}
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -89,7 +89,7 @@
 	MaxConnections int
 	// Repeated is set if the request was sent to this endpoint before, so that the ID doesn't tell the answers apart.
 	Repeated bool
-	// Unheard is called, from any goroutine and perhaps more than once, when the host between doesn't say in time whether it has begun;
+	// Unheard is called, from any goroutine and again while that lasts, when the host between doesn't say in time whether it has begun;
 	// the attempt goes on. It may be nil, as it is for attempts that are sent directly.
 	Unheard func()
 }
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -42,10 +42,10 @@
 			if w.check() && s == nil {
 				u.job.seekSuccessor(u, w)
 			}
-		case <-u.unheard:
-			u.handleUnheard(w)
-		case <-s.hostUnheard():
-			s.failUnheard(w)
+		case t := <-u.unheard:
+			u.handleUnheard(t, w)
+		case t := <-s.hostUnheard():
+			s.failUnheard(t, w)
 		case g := <-s.incoming():
 			if s.goesOn(g, w) {
 				return u.superseded()
@@ -84,13 +84,27 @@
 }
 
 // hostUnheard returns the channel that signals that the host between of a successor doesn't say whether it has begun.
-func (u *upstreamAttempt) hostUnheard() <-chan struct{} {
+func (u *upstreamAttempt) hostUnheard() <-chan time.Time {
 	if u == nil {
 		return nil
 	}
 	return u.unheard
 }
 
+// signalUnheard signals that the host between doesn't say whether it has begun.
+func (u *upstreamAttempt) signalUnheard() {
+	select {
+	case u.unheard <- time.Now():
+	default: // signalled already
+	}
+}
+
+// isHostSilent reports whether a signal of unheard from a time says that the host between is silent. If the host has answered since,
+// it isn't; nor does the signal tell it if this host was held up, as an answer may wait to be read. It comes again then.
+func (u *upstreamAttempt) isHostSilent(at time.Time) bool {
+	return !u.replied && time.Since(at) <= maxCheckLag
+}
+
 // recordHostSilent records that the host between doesn't say whether it has begun, so that other requests avoid it.
 func (u *upstreamAttempt) recordHostSilent() {
 	j := u.job
@@ -100,9 +114,9 @@
 }
 
 // handleUnheard makes another attempt beside one whose host between is silent.
-func (u *upstreamAttempt) handleUnheard(w *silence) {
-	if u.replied {
-		return // the host has answered since
+func (u *upstreamAttempt) handleUnheard(at time.Time, w *silence) {
+	if !u.isHostSilent(at) {
+		return
 	}
 	u.recordHostSilent()
 	if u.job.successor == nil {
@@ -111,9 +125,9 @@
 }
 
 // failUnheard drops a successor whose host between is silent: the attempt beside it is still open.
-func (u *upstreamAttempt) failUnheard(w *silence) {
-	if u.replied {
-		return // the host has answered since
+func (u *upstreamAttempt) failUnheard(at time.Time, w *silence) {
+	if !u.isHostSilent(at) {
+		return
 	}
 	u.failSuccessor(u.giveUpUnheard(), w)
 }
