relay: keep a last run whose host between is late with its confirmation

Streams of hosts that are cut off ended early, and repeatable requests got answer-lost: their first attempt was silent, and the hosts between of those beside it confirmed them only after 0.4 s, as under load. Each was given up then, the last run that the route allows too, though it would have answered.

Cause: an attempt beside a silent one that is overdue has all of the time left if it is the last (startTimeout); one whose host is unheard was dropped without asking that.

The host is still recorded as silent, so that others avoid it; if the attempt ends without a reply, the host is lost and the endpoint doesn't count as faulty.

TestLastRunOutlastsSilentHostBetween: 2 of 2 cases red in 5 of 5 runs before, green in 5 of 5 after. Package relay green once.

--- a/relay/between_test.go
+++ b/relay/between_test.go
@@ -217,3 +217,36 @@
 		})
 	}
 }
+
+// Guards against a request whose last run is given up because the host between is late with its confirmation, though nothing else may
+// answer the request.
+func TestLastRunOutlastsSilentHostBetween(t *testing.T) {
+	for n, c := range map[string]struct {
+		path, got string
+	}{
+		"stream":     {"/write/1", events(1, 2)},
+		"repeatable": {"/look/1", ""},
+	} {
+		t.Run(n, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				d := &detour{}
+				d.answer = func(n int, ctx context.Context, a relay.Attempt) (relay.Reply, relay.Hop) {
+					if n == 1 && c.got == "" {
+						return silent(ctx), relay.Hop{}
+					}
+					if n == 1 {
+						return hanging(ctx, c.got), relay.Hop{}
+					}
+					return pausedHost(ctx, a, 2*betweenDoubt, ran(events(3, 4)))
+				}
+				w, stop := cutOffHarness(d, 3)
+				defer stop()
+				twoRuns(w)
+				s := w.serve(context.Background(), c.path, "key")
+				i.Equal(s.body.String(), c.got+events(3, 4))
+				i.True(!s.aborted)
+				i.Equal(len(d.attempts), 2)
+			})
+		})
+	}
+}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -124,20 +124,29 @@
 	}
 }
 
-// failUnheard drops a successor whose host between is silent: the attempt beside it is still open.
+// failUnheard drops a successor whose host between is silent: the attempt beside it is still open. If the request may not be sent
+// again, the successor has the time of other ones.
 func (u *upstreamAttempt) failUnheard(at time.Time, w *silence) {
-	if !u.isHostSilent(at) {
-		return
+	switch {
+	case !u.isHostSilent(at):
+	case u.isLast():
+		u.recordHostSilent()
+	default:
+		u.failSuccessor(u.giveUpUnheard(), w)
 	}
-	u.failSuccessor(u.giveUpUnheard(), w)
+}
+
+// isLast reports whether the request may not be sent again after a successor that has not begun.
+func (u *upstreamAttempt) isLast() bool {
+	j := u.job
+	return j.rerunLimit(u.uncounted()+j.current.uncounted()) != "" || j.sendLimit() != ""
 }
 
 // giveUpUnheard cancels an attempt whose host between is silent, and returns its outcome.
 func (u *upstreamAttempt) giveUpUnheard() signal {
 	u.recordHostSilent()
 	u.cancel()
-	r := Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}
-	return signal{outcome: &outcome{reply: r, hop: Hop{Result: Lost}}}
+	return u.lateSignal()
 }
 
 // seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
@@ -346,7 +355,11 @@
 	if len(u.received) > 0 {
 		return signal{err: errNoEvent}
 	}
-	return signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}
+	o := &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}
+	if u.hostSilent && !u.replied {
+		o.hop.Result = Lost
+	}
+	return signal{outcome: o}
 }
 
 // dropSuccessor cancels the successor, if there is one. It may have run.
