gate: a wrong chunk of a silent engine leaves the attempt beside it open

Callers got no-capacity, or another run: an engine was silent, another one read the prompt beside it, and the first sent a chunk of another answer or its end mark without the end of the answer. That ended the attempt beside it, and then its own; the next run needs a retry and begins anew.

Cause: what counts as a part of the answer was decided (hasPart) before the chunk was checked. It is checked first now, and such an engine fails like one that breaks off: the attempt beside it goes on.

A chunk that makes the answer too long still ends the attempt beside it first (by reading).

--- a/gate/stream.go
+++ b/gate/stream.go
@@ -88,6 +88,7 @@
 		call:       func() (call, error) { return j.chatCall(p.delivered.Bytes(), atMostOnce) },
 		repeatable: func() bool { return !atMostOnce && !p.notResumable },
 		begun:      func() bool { return p.headerSent },
+		complete:   p.checkComplete,
 		silence:    stallTimeout,
 	}
 	return p
--- a/gate/successor.go
+++ b/gate/successor.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -33,6 +34,8 @@
 	begun func() bool
 	// check returns the result of an answer that isn't streamed, received by the attempt with an id. It is nil for streams.
 	check func(id string, g signal) attemptResult
+	// complete returns the result of the current attempt if its stream ends now. It is set for streams only.
+	complete func() attemptResult
 	// silence is the time without a part of the answer after which another attempt is made beside the first.
 	silence time.Duration
 }
@@ -85,15 +88,34 @@
 	return a.signals
 }
 
-// checked returns a signal with the result that the job's method finds for an answer that isn't streamed.
+// checked returns a signal with the result that the job's method finds for an answer that isn't streamed, or for a chunk that isn't
+// one of the attempt's answer. Only chunks without a result are progress.
 func (j *job) checked(a *attempt, g signal) signal {
-	if g.response != nil {
+	switch {
+	case g.response != nil:
 		e := j.method.check(a.request.ID, g)
 		g.result = &e
+	case g.data != nil:
+		g.result = j.checkedChunk(a, g.data)
 	}
 	return g
 }
 
+// checkedChunk returns the result of an attempt whose stream has a chunk of another answer, or ends before its answer does, and nil
+// otherwise.
+func (j *job) checkedChunk(a *attempt, chunk []byte) *attemptResult {
+	if a == j.current && bytes.Equal(chunk, doneData) {
+		if e := j.method.complete(); !e.succeeded() {
+			return &e
+		}
+		return nil
+	}
+	if _, ok := cutID(chunk, a.request.ID); !ok {
+		return &attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errForeignChunk}
+	}
+	return nil
+}
+
 // handOver reports whether the signal of the current attempt concerns only the attempts: its decision, or a failure after
 // which the successor, if there is one, goes on. A part of the answer, or its end, ends the successor and the silence.
 func (j *job) handOver(g signal) bool {
@@ -168,10 +190,6 @@
 // of it.
 func (j *job) handleSuccessorChunk(g signal) {
 	s := j.successor
-	if _, ok := cutID(g.data, s.request.ID); !ok {
-		j.failSuccessor(attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: errForeignChunk})
-		return
-	}
 	if hasPart(g.data) {
 		j.supersede(g)
 		return
--- a/gate/successor_test.go
+++ b/gate/successor_test.go
@@ -94,3 +94,33 @@
 		}
 	}
 }
+
+// TestWrongChunkOfSilentEngineLeavesSuccessorOpen guards against streams that are lost because a chunk of another answer, or an early end mark, ended
+// the attempt beside the engine that sent it, as well as that engine's own.
+func TestWrongChunkOfSilentEngineLeavesSuccessorOpen(t *testing.T) {
+	for n, f := range map[string]func(x *exchange){
+		"foreign":       foreign,
+		"end mark only": func(x *exchange) { _, _ = x.Write([]byte("data: [DONE]\n\n")) },
+	} {
+		t.Run(n, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				w := newWorld(t)
+				w.further = 1
+				w.add("first", func(x *exchange) {
+					if x.pause(12 * time.Second) {
+						f(x)
+					}
+				})
+				w.add("other", func(x *exchange) {
+					if x.pause(5 * time.Second) {
+						sound(x)
+					}
+				})
+				r := w.stream(t.Context(), "")
+				i.Equal(r.text, wholeText)
+				i.Equal(r.outcome, "ran")
+			})
+		})
+	}
+}
