relay: keep a slow attempt beside a silent one if no retry is left for another

Streams ended early though an endpoint beside the silent one would have gone on with them: it was slower than its time to begin, was given up, and only then the retry budget refused the next attempt.

Cause: what works was given up before the limits of its replacement were asked.

The retry of the next attempt is now taken from the budget first and kept for it. A retry that was taken so is lost if the request ends before it is used, one a request at most. Whether an endpoint can take the next attempt isn't asked first.

TestSlowSuccessorOutlastsAnEmptyBudget: red 5 of 5 before, green 5 of 5 after. The tests of successors, silence, hosts between, larger models and budgets are green once with -race.

--- a/relay/job.go
+++ b/relay/job.go
@@ -84,6 +84,8 @@
 	asksWait pick.AsksWait
 	// keys are what the request may have in common with requests that end endpoints.
 	keys []poison.Key
+	// retryReserved is set while the job holds a retry from the retry budget for its next attempt.
+	retryReserved bool
 	// noRetryReason says which limit prevents another attempt. It is logged as the field spent.
 	noRetryReason string
 	// mayHaveRun is set once the request has run or may have run on any endpoint.
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -71,9 +71,18 @@
 	return ""
 }
 
-// withdrawRetry takes a retry from the retry budget of the service. It reports false if there is none.
+// withdrawRetry takes the retry that was reserved, or one from the retry budget of the service. It reports false if there is none.
 func (j *job) withdrawRetry() bool {
-	if j.relay.Budget.Withdraw(j.service.Name, j.relay.sinceStart()) {
+	r := j.reserveRetry()
+	j.retryReserved = false
+	return r
+}
+
+// reserveRetry takes a retry from the retry budget of the service for the next attempt, unless one is reserved. It reports false if
+// there is none.
+func (j *job) reserveRetry() bool {
+	if j.retryReserved || j.relay.Budget.Withdraw(j.service.Name, j.relay.sinceStart()) {
+		j.retryReserved = true
 		return true
 	}
 	j.relay.Metrics.GetOrCreateCounter(`retries_refused_total{kind="fault"}`).Inc()
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// isLast reports whether the request may not be sent again after a successor that has not begun.
+// isLast reports whether the request may not be sent again after a successor that doesn't go on yet.
 func (u *upstreamAttempt) isLast() bool {
 	j := u.job
 	return j.rerunLimit(u.uncounted()+j.current.uncounted()) != "" || j.sendLimit() != ""
@@ -339,15 +339,18 @@
 	return rerun
 }
 
-// overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time. If this host was held
-// up, what the successor has sent is read first.
+// overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time, unless the limits allow
+// no other one. If this host was held up, what the successor has sent is read first.
 func (u *upstreamAttempt) overdue(w *silence) {
-	if time.Since(u.due) > maxCheckLag {
+	switch {
+	case time.Since(u.due) > maxCheckLag:
 		u.waitFor(linkCheckInterval)
-		return
+	case u.isLast(), !u.job.reserveRetry():
+		u.waitFor(successorInterval)
+	default:
+		u.cancel()
+		u.failSuccessor(u.lateSignal(), w)
 	}
-	u.cancel()
-	u.failSuccessor(u.lateSignal(), w)
 }
 
 // lateSignal returns the signal in place of the one that an attempt didn't send in time: its outcome, or an event.
--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
@@ -224,3 +225,38 @@
 		})
 	}
 }
+
+// budgetOfOne returns a budget with one retry for a service.
+func budgetOfOne(service string) *budget.Host {
+	n := 0
+	for h := budget.NewHost(budget.Limits{Window: 10 * time.Second}); h.Withdraw(service, 0); {
+		n++
+	}
+	h := budget.NewHost(budget.Limits{Window: 10 * time.Second})
+	for range n - 1 {
+		h.Withdraw(service, 0)
+	}
+	return h
+}
+
+// Guards against streams that are lost because a slow endpoint beside the silent one was given up though no retry is left for another one.
+func TestSlowSuccessorOutlastsAnEmptyBudget(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		h := newHarness(3, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
+			if n == 1 {
+				return hanging(ctx, events(1, 2))
+			}
+			select {
+			case <-time.After(4 * time.Second):
+				return ran(events(3, 4))
+			case <-ctx.Done():
+				return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: ctx.Err()}
+			}
+		})
+		h.relay.Budget = budgetOfOne("draft")
+		s := h.serve(context.Background(), "/write/1", "key")
+		i.Equal(s.body.String(), events(1, 4))
+		i.True(!s.aborted)
+		i.Equal(h.sender.count(), 2)
+	})
+}
