Show that the head of a plain answer ends a silent attempt though its body breaks off

A repeatable request whose first endpoint is late gets answer-lost if the others send a head and break off within the body; the first would have answered.

It isn't mended here: the goroutine of the request reads plain bodies, and would have to read them beside the silent attempt.

--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -260,3 +260,23 @@
 		i.Equal(h.sender.count(), 2)
 	})
 }
+
+// Guards against a plain answer that is given up for another endpoint that sends only its head, so that the request is lost.
+func TestLatePlainAnswerOutlastsSuccessorsThatBreakOff(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		h := newHarness(3, func(n int, ctx context.Context, _ relay.Attempt) relay.Reply {
+			if n > 1 {
+				return cutAfter("par")
+			}
+			select {
+			case <-time.After(600 * time.Millisecond):
+				return ran("whole")
+			case <-ctx.Done():
+				return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: ctx.Err()}
+			}
+		})
+		s := h.serve(context.Background(), "/look/1", "key")
+		i.Equal(s.body.String(), "whole")
+		i.True(!s.aborted)
+	})
+}
