--- a/relay/job.go
+++ b/relay/job.go
@@ -84,6 +84,8 @@
 	asksWait pick.AsksWait
 	// keys are what the request may have in common with requests that end endpoints.
 	keys []poison.Key
+	// retryReserved is set while the job holds a retry from the retry budget for its next attempt.
+	retryReserved bool
 	// noRetryReason says which limit prevents another attempt. It is logged as the field spent.
 	noRetryReason string
 	// mayHaveRun is set once the request has run or may have run on any endpoint.
@@ -320,7 +322,7 @@
 	u.context, u.cancel = context.WithCancel(j.context)
 	u.signals, u.closed, u.ended = make(chan signal), make(chan struct{}), make(chan struct{})
 	if u.way == pick.Relayed {
-		u.unheard = make(chan struct{}, 1)
-		u.order.Unheard = func() { wake(u.unheard) }
+		u.unheard = make(chan time.Time, 1)
+		u.order.Unheard = u.signalUnheard
 	}
 }
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -42,10 +42,10 @@
 			if w.check() && s == nil {
 				u.job.seekSuccessor(u, w)
 			}
-		case <-u.unheard:
-			u.handleUnheard(w)
-		case <-s.hostUnheard():
-			s.failUnheard(w)
+		case t := <-u.unheard:
+			u.handleUnheard(t, w)
+		case t := <-s.hostUnheard():
+			s.failUnheard(t, w)
 		case g := <-s.incoming():
 			if s.goesOn(g, w) {
 				return u.superseded()
@@ -84,13 +84,27 @@
 }
 
 // hostUnheard returns the channel that signals that the host between of a successor doesn't say whether it has begun.
-func (u *upstreamAttempt) hostUnheard() <-chan struct{} {
+func (u *upstreamAttempt) hostUnheard() <-chan time.Time {
 	if u == nil {
 		return nil
 	}
 	return u.unheard
 }
 
+// signalUnheard signals that the host between doesn't say whether it has begun.
+func (u *upstreamAttempt) signalUnheard() {
+	select {
+	case u.unheard <- time.Now():
+	default: // signalled already
+	}
+}
+
+// isHostSilent reports whether a signal of unheard from a time says that the host between is silent. If the host has answered since,
+// it isn't; nor does the signal tell it if this host was held up, as an answer may wait to be read. It comes again then.
+func (u *upstreamAttempt) isHostSilent(at time.Time) bool {
+	return !u.replied && time.Since(at) <= maxCheckLag
+}
+
 // recordHostSilent records that the host between doesn't say whether it has begun, so that other requests avoid it.
 func (u *upstreamAttempt) recordHostSilent() {
 	j := u.job
@@ -100,9 +114,9 @@
 }
 
 // handleUnheard makes another attempt beside one whose host between is silent.
-func (u *upstreamAttempt) handleUnheard(w *silence) {
-	if u.replied {
-		return // the host has answered since
+func (u *upstreamAttempt) handleUnheard(at time.Time, w *silence) {
+	if !u.isHostSilent(at) {
+		return
 	}
 	u.recordHostSilent()
 	if u.job.successor == nil {
@@ -110,15 +124,29 @@
 	}
 }
 
-// failUnheard drops a successor whose host between is silent: the attempt beside it is still open.
-func (u *upstreamAttempt) failUnheard(w *silence) {
-	if u.replied {
-		return // the host has answered since
+// failUnheard drops a successor whose host between is silent: the attempt beside it is still open. If the request may not be sent
+// again, the successor has the time of other ones.
+func (u *upstreamAttempt) failUnheard(at time.Time, w *silence) {
+	switch {
+	case !u.isHostSilent(at):
+	case u.isLast():
+		u.recordHostSilent()
+	default:
+		u.failSuccessor(u.giveUpUnheard(), w)
 	}
+}
+
+// isLast reports whether the request may not be sent again after a successor that doesn't go on yet.
+func (u *upstreamAttempt) isLast() bool {
+	j := u.job
+	return j.rerunLimit(u.uncounted()+j.current.uncounted()) != "" || j.sendLimit() != ""
+}
+
+// giveUpUnheard cancels an attempt whose host between is silent, and returns its outcome.
+func (u *upstreamAttempt) giveUpUnheard() signal {
 	u.recordHostSilent()
 	u.cancel()
-	r := Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}
-	u.failSuccessor(signal{outcome: &outcome{reply: r, hop: Hop{Result: Lost}}}, w)
+	return u.lateSignal()
 }
 
 // seekSuccessor makes another attempt beside a silent one if the request may be sent again and an endpoint takes it.
@@ -285,7 +313,7 @@
 	return o.hop.Result == Delivered && o.reply.Verdict == Ran && (!j.answerBegun || j.mayContinue(o.reply))
 }
 
-// failSuccessor records why the successor can't go on with the answer. That the request has ended tells nothing of its endpoint.
+// failSuccessor records why the successor can't go on with the answer.
 func (u *upstreamAttempt) failSuccessor(g signal, w *silence) {
 	j := u.job
 	j.successor = nil
@@ -295,26 +323,46 @@
 		u.handleOutcome(g.outcome)
 		return
 	}
+	u.recordCut(g.err)
+}
+
+// recordCut records that an attempt beside another one broke off or was given up behind its head, and returns how the request would
+// continue. That the request has ended tells nothing of the endpoint.
+func (u *upstreamAttempt) recordCut(cause error) nextStep {
+	j := u.job
 	j.runs++
-	if j.context.Err() == nil {
-		u.tallyFault(false, u.wait)
-		u.handleBreak(g.err)
+	if j.context.Err() != nil {
+		return ended
 	}
+	u.tallyFault(false, u.wait)
+	u.handleBreak(cause)
+	return rerun
 }
 
-// overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time. If this host was held
-// up, what the successor has sent is read first.
+// overdue drops a successor that has not begun its answer in time, or has sent no event of its stream in time, unless the limits allow
+// no other one. If this host was held up, what the successor has sent is read first.
 func (u *upstreamAttempt) overdue(w *silence) {
-	if time.Since(u.due) > maxCheckLag {
+	switch {
+	case time.Since(u.due) > maxCheckLag:
 		u.waitFor(linkCheckInterval)
-		return
+	case u.isLast(), !u.job.reserveRetry():
+		u.waitFor(successorInterval)
+	default:
+		u.cancel()
+		u.failSuccessor(u.lateSignal(), w)
 	}
-	u.cancel()
+}
+
+// lateSignal returns the signal in place of the one that an attempt didn't send in time: its outcome, or an event.
+func (u *upstreamAttempt) lateSignal() signal {
 	if len(u.received) > 0 {
-		u.failSuccessor(signal{err: errNoEvent}, w)
-		return
+		return signal{err: errNoEvent}
+	}
+	o := &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}
+	if u.hostSilent && !u.replied {
+		o.hop.Result = Lost
 	}
-	u.failSuccessor(signal{outcome: &outcome{reply: Reply{Verdict: Unknown, Confidence: -1, Cause: errNotBegun}}}, w)
+	return signal{outcome: o}
 }
 
 // dropSuccessor cancels the successor, if there is one. It may have run.
