Take all retries out of the budget in the tests without one

Cause: a new budget without limits begins with some retries, so that the cases "no retry budget" of silent endpoints and of logged endings had two. They passed because the other endpoints refuse as well. Change: emptyBudget, which withdraws until nothing is left.

--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
@@ -70,7 +69,7 @@
 
 // withoutBudget leaves no retry.
 func withoutBudget(h *harness) {
-	h.relay.Budget = budget.NewHost(budget.Limits{Window: 10 * time.Second})
+	h.relay.Budget = emptyBudget("desk", "draft")
 }
 
 // leaves ends the connection, as the caller does.
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
@@ -72,7 +71,7 @@
 	refuse := func(context.Context, relay.Attempt) relay.Reply { return notRun() }
 	return map[string]unable{
 		"no retry budget": {endpoints: 3, other: refuse, prepare: func(h *harness) {
-			h.relay.Budget = budget.NewHost(budget.Limits{Window: 10 * time.Second})
+			h.relay.Budget = emptyBudget("desk", "draft")
 		}},
 		"others refuse":        {endpoints: 3, other: refuse},
 		"others don't listen":  {endpoints: 3, other: func(context.Context, relay.Attempt) relay.Reply { return unreachable() }},
