--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -197,8 +197,8 @@
 			w := simulation{failure: func(time.Duration, string, float64) (float64, float64) { return 0.01, 1 }, broken: -1, exposure: x}
 			o, a, k := simulate(w, s)
 			i.Equal(o, canary.Done)
-			rest := (budget - a).Seconds() * perSec                    // requests until the budget ends
-			i.True(float64(k)+rest <= x*perSec*budget.Seconds()+slack) // exposed requests
+			b := (budget - a).Seconds() * perSec                    // requests until the budget ends
+			i.True(float64(k)+b <= x*perSec*budget.Seconds()+slack) // exposed requests
 		}
 	}
 }
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -58,16 +58,16 @@
 	defer p.Stop()
 	t := time.NewTimer(max(min(q.Wait, maxExchangeWait), v-leastReplyInterval))
 	defer t.Stop()
-	paced := true
+	w := true // changes wait
 	for {
 		s, c := h.stateAndChange()
-		if isUrgent(s, q.Known) || !paced && hasChanges(s, q.Known) {
+		if isUrgent(s, q.Known) || !w && hasChanges(s, q.Known) {
 			return h.reply(s, q)
 		}
 		select {
 		case <-c:
 		case <-p.C:
-			paced = false
+			w = false
 		case <-t.C:
 			s, _ = h.stateAndChange()
 			return h.reply(s, q)
--- a/ctrl/flood_test.go
+++ b/ctrl/flood_test.go
@@ -64,20 +64,20 @@
 		f := floodingHost{h, n, e, &w}
 		go f.run()
 	}
-	var longest time.Duration
-	orders, late := 0, 0
+	var d time.Duration
+	c, l := 0, 0
 	for v := int64(2); time.Now().Before(e); v++ {
 		b := time.Now()
 		for _, o := range []ctlrpc.Order{{Verb: ctlrpc.Put, Version: v, Document: []byte("{}")}, {Verb: ctlrpc.Read}} {
-			if orders++; h.Do(o).Status != ctlrpc.Accepted {
-				late++
+			if c++; h.Do(o).Status != ctlrpc.Accepted {
+				l++
 			}
 		}
-		longest = max(longest, time.Since(b))
+		d = max(d, time.Since(b))
 		time.Sleep(50 * time.Millisecond)
 	}
 	w.Wait()
-	t.Logf("%d orders, %d not answered, two of them take %v at most", orders, late, longest)
-	i.Equal(late, 0)
-	i.True(longest <= maxOrderTime)
+	t.Logf("%d orders, %d not answered, two of them take %v at most", c, l, d)
+	i.Equal(l, 0)
+	i.True(d <= maxOrderTime)
 }
--- a/ctrl/helpers.go
+++ b/ctrl/helpers.go
@@ -72,11 +72,12 @@
 	r := map[string]ctlrpc.NamedHelper{}
 	for _, l := range x.byPool {
 		l = rotateFirst(l, xxhash.Sum64String(q.Host))
-		own := firstHelpers(l, helpersPerPool, func(h ctlrpc.NamedHelper) bool { return h.Host != q.Host && h.DataCentre == q.DataCentre })
-		others := firstHelpers(l, helpersPerPool, func(h ctlrpc.NamedHelper) bool { return h.DataCentre != q.DataCentre })
+		// o are in the data centre of the asking host, and e elsewhere.
+		o := firstHelpers(l, helpersPerPool, func(h ctlrpc.NamedHelper) bool { return h.Host != q.Host && h.DataCentre == q.DataCentre })
+		e := firstHelpers(l, helpersPerPool, func(h ctlrpc.NamedHelper) bool { return h.DataCentre != q.DataCentre })
 		n := helpersPerPool / 2
-		own = own[:min(len(own), max(n, helpersPerPool-len(others)))]
-		for _, h := range append(own, others[:min(len(others), helpersPerPool-len(own))]...) {
+		o = o[:min(len(o), max(n, helpersPerPool-len(e)))]
+		for _, h := range append(o, e[:min(len(e), helpersPerPool-len(o))]...) {
 			r[h.Host] = h
 		}
 	}
--- a/ctrl/helpers_test.go
+++ b/ctrl/helpers_test.go
@@ -39,11 +39,11 @@
 		c.reduce(address(n%3), ctrl.HostReported{Report: r})
 	}
 	c.run(200 * time.Millisecond)
-	helpers := func(q ctlrpc.HelperRequest) []ctlrpc.NamedHelper {
+	f := func(q ctlrpc.HelperRequest) []ctlrpc.NamedHelper {
 		s := c.hosts[address(0)].state
 		return ctrl.NewHelperIndex(s).For(q, s.Now+10*time.Millisecond)
 	}
-	l := helpers(ctlrpc.HelperRequest{Host: "h3", DataCentre: "c0"})
+	l := f(ctlrpc.HelperRequest{Host: "h3", DataCentre: "c0"})
 	i.True(len(l) > 0 && len(l) <= 12) // four for the endpoints of each data centre
 	m := map[string]bool{}
 	for _, h := range l {
@@ -59,13 +59,13 @@
 		m[h.DataCentre] = true
 	}
 	i.Equal(len(m), 3)
-	o := helpers(ctlrpc.HelperRequest{Host: "h8", DataCentre: "c2"})
+	o := f(ctlrpc.HelperRequest{Host: "h8", DataCentre: "c2"})
 	i.True(fmt.Sprint(o) != fmt.Sprint(l)) // others are named to others
 	for n := range 300 {
 		c.reduce(address(n%3), ctrl.HostReported{Report: ctlrpc.HostReport{Host: fmt.Sprint("h", n), Start: 1, Sequence: 2}}) // without Assist
 	}
 	c.run(200 * time.Millisecond)
-	i.True(len(helpers(ctlrpc.HelperRequest{Host: "h3", DataCentre: "c0"})) > 0) // the last one stays
+	i.True(len(f(ctlrpc.HelperRequest{Host: "h3", DataCentre: "c0"})) > 0) // the last one stays
 	c.run(2 * time.Second)
-	i.Equal(len(helpers(ctlrpc.HelperRequest{Host: "h3", DataCentre: "c0"})), 0)
+	i.Equal(len(f(ctlrpc.HelperRequest{Host: "h3", DataCentre: "c0"})), 0)
 }
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -98,14 +98,14 @@
 	}
 	t := time.NewTimer(gossipTimeout)
 	defer t.Stop()
-	late := false
+	e := false // the time has expired
 	for i, a := range o {
-		if !late {
+		if !e {
 			select {
 			case <-w[i]:
 				continue
 			case <-t.C:
-				late = true
+				e = true
 			}
 		}
 		select {
@@ -144,7 +144,7 @@
 	h := k.host
 	t := time.NewTimer(gossipInterval)
 	defer t.Stop()
-	sync := fullSync{}
+	f := fullSync{}
 	for {
 		t.Reset(h.strain.recent(h.now()).GossipInterval())
 		select {
@@ -155,7 +155,7 @@
 		}
 		b := k.outbox.take()
 		n := b.gossip(k.host.now())
-		if sync.due {
+		if f.due {
 			s := k.host.state.Load()
 			n.Reports = append(n.Reports, s.ConfirmedReports()...)
 			n.Poison = n.Poison.Plus(s.Poison.Report(s.Now))
@@ -165,7 +165,7 @@
 		}
 		var d ctlrpc.Ack
 		err := k.notes.call("Note", n, &d, callTimeout)
-		sync = sync.after(d, err)
+		f = f.after(d, err)
 		if err != nil {
 			k.outbox.restore(b)
 			time.Sleep(retryDelay)
--- a/proxy/ending_test.go
+++ b/proxy/ending_test.go
@@ -38,7 +38,8 @@
 			_, err = io.ReadFull(p.Body, make([]byte, len("event")))
 			i.NoErr(err)
 			end(h, w, leave)
-			go drain{p.Body}.run()
+			d := drain{p.Body}
+			go d.run()
 			itest.Eventually(t, 5*time.Second, func() error {
 				if h.log.LastEntry().Data["ended-by"] != by {
 					return errors.New("no line says that the answer was ended by the " + by)
