--- a/proxy/pause_test.go
+++ b/proxy/pause_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -19,11 +18,7 @@
 // startPausedWall returns a wall before a host that lets nothing of some directions pass for a time, on no connection.
 func startPausedWall(t *testing.T, target string, calls, answers bool, d time.Duration) *wall {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	w := &wall{listener: l, target: target, all: true}
+	w := &wall{target: target, all: true}
 	c := make(chan struct{})
 	time.AfterFunc(d, func() { close(c) })
 	if calls {
@@ -39,11 +34,7 @@
 // startSilentWall returns a wall before a host whose link to the host carries nothing back for a time.
 func startSilentWall(t *testing.T, target string, d time.Duration) *wall {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	w := &wall{listener: l, target: target, silence: d}
+	w := &wall{target: target, silence: d}
 	w.start(t)
 	return w
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -198,11 +198,7 @@
 // startWall returns a wall before a host. Without dropAnswer it holds back the call until release is closed.
 func startWall(t *testing.T, target string, dropAnswer bool) *wall {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	w := &wall{listener: l, target: target, dropAnswer: dropAnswer, release: make(chan struct{})}
+	w := &wall{target: target, dropAnswer: dropAnswer, release: make(chan struct{})}
 	w.start(t)
 	return w
 }
@@ -210,18 +206,20 @@
 // startSlowWall returns a wall before a host that holds back the host's answers on the first connection for a time.
 func startSlowWall(t *testing.T, target string, d time.Duration) *wall {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	w := &wall{listener: l, target: target, releaseAnswer: make(chan struct{})}
+	w := &wall{target: target, releaseAnswer: make(chan struct{})}
 	time.AfterFunc(d, func() { close(w.releaseAnswer) })
 	w.start(t)
 	return w
 }
 
-// start lets connections pass until the end of the test.
+// start listens and lets connections pass until the end of the test.
 func (w *wall) start(t *testing.T) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.listener = l
 	go w.run()
 	t.Cleanup(func() { _ = w.listener.Close() }) // the test is over
 }
