Drain a data centre by an order in the control log

Cause: operators had no way to keep requests from the endpoints of a data centre; the calls were answered with 404. Change: package drain holds the state; control hosts store orders in the control log, answer them once committed, and pass the state on in the exchange; entry hosts adopt newer states before the configuration of the same reply, choose no endpoint of a drained data centre, and decline to send there for others. Result: off without the settings data-centres and bounds.centre-drain.

--- a/conf/node.go
+++ b/conf/node.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/tiers"
@@ -78,6 +80,9 @@
 	// ConfigurationApply is the time after its acknowledgement within which a change of the configuration has to be in force at hosts that
 	// reach the control hosts. 0 means the default of package relay.
 	ConfigurationApply Duration `json:"configuration-apply"`
+	// CentreDrain is the time after the acknowledgement of an order to drain a data centre from which no request may reach an endpoint
+	// there. 0 means that data centres can't be drained.
+	CentreDrain Duration `json:"centre-drain"`
 }
 
 // Node holds the settings of a process in a routed deployment, in which entry hosts forward requests by a routing table
@@ -103,6 +108,8 @@
 	// Empty means that it connects to them directly. It is for a proxy of this host alone, on the machine or beside it; one that
 	// several hosts share makes them lose the endpoints together.
 	EndpointTunnel string `json:"endpoint-tunnel"`
+	// DataCentres holds the regions of all data centres of the deployment, by name.
+	DataCentres map[string]string `json:"data-centres"`
 	// Seeds holds the admin addresses of some control hosts, which listen for other hosts on PeerPort.
 	Seeds []string `json:"seeds"`
 	// Bootstrap is set only at the first start of a deployment. The seeds then create the control log.
@@ -250,5 +257,13 @@
 	return r
 }
 
+// DrainableCentres returns the sorted names of the data centres that operators may drain, or nil if the settings don't allow it.
+func (n Node) DrainableCentres() []string {
+	if n.Bounds.CentreDrain == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(n.DataCentres))
+}
+
 // withPeerPort returns the address that consists of ip and PeerPort.
 func (n Node) withPeerPort(ip string) string { return fmt.Sprintf("%s:%d", ip, n.PeerPort) }
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -12,6 +12,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/canary"
+	"github.com/hickoryshelf/hickoryshelf/drain"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
 	"github.com/hickoryshelf/hickoryshelf/poison"
@@ -153,6 +154,8 @@
 	FleetSum uint64
 	// PoisonSum is the hash of the evidence about requests that end endpoints that the host got last.
 	PoisonSum uint64
+	// DrainIndex is that of the state of drains held, or HoldsNoDrains. It is 0 for a host that takes none, as older builds do.
+	DrainIndex uint64
 }
 
 // ExchangeRequest is sent by an entry host.
@@ -224,6 +227,8 @@
 	Loan budget.Loan
 	// Watch holds changes of the keys that the host watches.
 	Watch poison.WatchUpdate
+	// Drains is set if it is newer than what the entry host holds.
+	Drains Drains
 }
 
 // HostsSum returns the hash of the names of entry hosts.
@@ -244,7 +249,7 @@
 // Verbs of orders. Put stores a configuration document and Read returns the one in force. StartRollout starts a
 // rollout and ReadRollout returns the one of a service. Join adds a control host to the replicated log as a learner. Leave
 // says that a control host is about to stop; it is accepted once the host has no vote, or no other one can take it. Retire
-// records that an endpoint is leaving or has departed.
+// records that an endpoint is leaving or has departed. StartDrain and EndDrain start and end the drain of a data centre.
 const (
 	Put          Verb = iota // put
 	Read                     // read
@@ -253,6 +258,8 @@
 	Join                     // join
 	Leave                    // leave
 	Retire                   // retire
+	StartDrain               // start-drain
+	EndDrain                 // end-drain
 )
 
 // Order is a request to the leader. Any control host accepts it and forwards it.
@@ -268,6 +275,8 @@
 	Node quorum.NodeID
 	// Endpoint is set for Retire.
 	Endpoint fleet.Report
+	// DataCentre is set for StartDrain and EndDrain.
+	DataCentre string
 	// Hops counts how often the order was forwarded, which control hosts bound.
 	Hops int
 }
@@ -280,8 +289,10 @@
 	// Unavailable means that no leader replied. The order may be sent again.
 	Unavailable Status = iota // unavailable
 	Accepted                  // accepted
-	// Missing means that the document or rollout asked for doesn't exist.
+	// Missing means that the document, rollout or data centre asked for doesn't exist.
 	Missing // missing
+	// Conflict means that the order isn't allowed in the state that is in force, and has changed nothing.
+	Conflict // conflict
 )
 
 // OrderReply is the reply to an order.
@@ -290,6 +301,9 @@
 	Version  int64
 	Document []byte
 	Rollout  canary.Rollout
+	// Drain confirms an accepted StartDrain or EndDrain: its index is above 0. Leaders of older builds answer Accepted to orders that they
+	// don't know, and leave it empty.
+	Drain drain.Change
 }
 
 // QuarantineList is the reply to an operator's question which requests are held back.
--- a/ctlrpc/enum_string.go
+++ b/ctlrpc/enum_string.go
@@ -15,11 +15,13 @@
 	_ = x[Join-4]
 	_ = x[Leave-5]
 	_ = x[Retire-6]
+	_ = x[StartDrain-7]
+	_ = x[EndDrain-8]
 }
 
-const _Verb_name = "putreadstart-rolloutread-rolloutjoinleaveretire"
+const _Verb_name = "putreadstart-rolloutread-rolloutjoinleaveretirestart-drainend-drain"
 
-var _Verb_index = [...]uint8{0, 3, 7, 20, 32, 36, 41, 47}
+var _Verb_index = [...]uint8{0, 3, 7, 20, 32, 36, 41, 47, 58, 67}
 
 func (i Verb) String() string {
 	idx := int(i) - 0
@@ -35,11 +37,12 @@
 	_ = x[Unavailable-0]
 	_ = x[Accepted-1]
 	_ = x[Missing-2]
+	_ = x[Conflict-3]
 }
 
-const _Status_name = "unavailableacceptedmissing"
+const _Status_name = "unavailableacceptedmissingconflict"
 
-var _Status_index = [...]uint8{0, 11, 19, 26}
+var _Status_index = [...]uint8{0, 11, 19, 26, 34}
 
 func (i Status) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/ctrl/drain.go
@@ -0,0 +1,128 @@
+package ctrl
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/drain"
+)
+
+// resendTime is the longest time for which operators resend an order that got no clear answer.
+const resendTime = 5 * time.Second
+
+// drainSeen records when this host learned of a change of a data centre.
+type drainSeen struct {
+	index  uint64
+	seenAt time.Duration
+}
+
+// trackDrains records when this host learned of each change. What a host holds at its start it learned then.
+func (t *transition) trackDrains() {
+	for k, c := range t.StateMachine.Drains {
+		if t.drainsSeen[k].index == c.Index {
+			continue
+		}
+		t.drainsSeen = maps.Clone(t.drainsSeen)
+		if t.drainsSeen == nil {
+			t.drainsSeen = map[string]drainSeen{}
+		}
+		t.drainsSeen[k] = drainSeen{index: c.Index, seenAt: t.Now}
+	}
+}
+
+// drainAge returns the least time since the last change of a data centre.
+func (s State) drainAge(dataCentre string) time.Duration { return s.Now - s.drainsSeen[dataCentre].seenAt }
+
+// hasNewerDrains reports whether this host may tell an entry host of drains that it doesn't hold. A host that may lack committed entries
+// tells nothing.
+func (s State) hasNewerDrains(k ctlrpc.EntryState) bool {
+	return s.Synced && k.DrainIndex > 0 && s.StateMachine.Drains.Index() > k.DrainIndex
+}
+
+// drains returns what entry hosts have to know of drains.
+func (s State) drains() ctlrpc.Drains {
+	d := s.StateMachine.Drains
+	a := map[string]time.Duration{}
+	for k := range d {
+		a[k] = s.drainAge(k)
+	}
+	return ctlrpc.Drains{State: d, Index: d.Index(), Ages: a}
+}
+
+// drainOrder returns the change that an order asks for.
+func (t *transition) drainOrder(o ctlrpc.Order) drain.Order {
+	return drain.Order{DataCentre: o.DataCentre, Drained: o.Verb == ctlrpc.StartDrain, Known: t.DataCentres}
+}
+
+// orderDrain proposes to start or end the drain of a data centre. An order that changes nothing is answered without a proposal, unless
+// another one is pending: its place in the log decides then.
+func (t *transition) orderDrain(a OrderReceived) {
+	o, d := t.drainOrder(a.Order), t.StateMachine.Drains
+	_, changed := d[o.DataCentre]
+	switch {
+	case len(t.DataCentres) == 0:
+		t.emit(Respond{CallID: a.CallID}) // other hosts may take such orders
+	case !changed && !slices.Contains(t.DataCentres, o.DataCentre):
+		t.emit(Respond{CallID: a.CallID, Reply: ctlrpc.OrderReply{Status: ctlrpc.Missing}})
+	case !t.drainPending() && d.WithOrder(o, t.Log.LastIndex()+1).Index() == d.Index():
+		t.emit(Respond{CallID: a.CallID, Reply: t.orderReply(a.Order)})
+	default:
+		t.propose(a, Command{Drain: &o})
+	}
+}
+
+// drainPending reports whether an order about a drain isn't committed yet.
+func (t *transition) drainPending() bool {
+	return slices.ContainsFunc(t.pending, func(w pendingOrder) bool {
+		return w.order.Verb == ctlrpc.StartDrain || w.order.Verb == ctlrpc.EndDrain
+	})
+}
+
+// drainResult returns the result of an order about a drain by the committed state. An order that isn't in force was refused, since the data
+// centre is the last one. It gets no clear answer if a drain there has ended lately: it may be a resend of the order that had started it,
+// which was accepted.
+func (t *transition) drainResult(o ctlrpc.Order) (ctlrpc.Status, drain.Change) {
+	d := t.drainOrder(o)
+	c, changed := t.StateMachine.Drains[d.DataCentre]
+	switch {
+	case c.Drained == d.Drained && !changed:
+		return ctlrpc.Accepted, drain.Change{Index: t.StateMachine.Applied}
+	case c.Drained == d.Drained:
+		return ctlrpc.Accepted, c
+	case changed && t.drainAge(d.DataCentre) < resendTime:
+		return ctlrpc.Unavailable, drain.Change{}
+	}
+	return ctlrpc.Conflict, drain.Change{}
+}
+
+// logOrder logs an order about a drain.
+func (h *Host) logOrder(o ctlrpc.Order) {
+	if o.Verb == ctlrpc.StartDrain || o.Verb == ctlrpc.EndDrain {
+		h.log.WithFields(logrus.Fields{"order": o.Verb.String(), "data-centre": o.DataCentre, "hops": o.Hops}).Warn("control: an operator's order about a data centre")
+	}
+}
+
+// logOrderReply logs the reply to an order about a drain, and how long it took.
+func (h *Host) logOrderReply(o ctlrpc.Order, r ctlrpc.OrderReply, took time.Duration) {
+	if o.Verb != ctlrpc.StartDrain && o.Verb != ctlrpc.EndDrain {
+		return
+	}
+	h.log.WithFields(logrus.Fields{
+		"order": o.Verb.String(), "data-centre": o.DataCentre, "hops": o.Hops, "status": r.Status.String(), "index": r.Drain.Index, "took": took.Milliseconds(),
+	}).Info("control: answers an order about a data centre")
+}
+
+// logDrains logs the changes of drains between two states. age is the least time since the change in ms.
+func (h *Host) logDrains(o, s State) {
+	for k, c := range s.StateMachine.Drains {
+		if o.StateMachine.Drains[k] != c {
+			h.log.WithFields(logrus.Fields{
+				"data-centre": k, "drained": c.Drained, "index": c.Index, "age": s.drainAge(k).Milliseconds(), "all-drained": s.StateMachine.Drains.Drained(),
+			}).Warn("control: drain changed")
+		}
+	}
+}
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -22,11 +22,13 @@
 	rolloutSum uint64
 	// poisonSum is the hash of what entry hosts have to know about requests that end endpoints.
 	poisonSum uint64
+	// drainIndex is that of the newest change of drains.
+	drainIndex uint64
 }
 
-// notifyExchanges wakes the waiting exchanges when the configuration, the fleet, the synced flag or a rollout changed.
+// notifyExchanges wakes the waiting exchanges when the configuration, the fleet, the synced flag, a rollout or a drain changed.
 func (h *Host) notifyExchanges(s State) {
-	v := published{version: s.StateMachine.Document.Version, fleet: s.Fleet.Revision, synced: s.Synced, poisonSum: s.sharedPoisonSum}
+	v := published{version: s.StateMachine.Document.Version, fleet: s.Fleet.Revision, synced: s.Synced, poisonSum: s.sharedPoisonSum, drainIndex: s.StateMachine.Drains.Index()}
 	for _, r := range s.StateMachine.Rollouts {
 		v.rolloutSum += r.Serial + uint64(r.Outcome)
 	}
@@ -48,7 +50,7 @@
 }
 
 // Exchange queues an entry host's report for Reduce and returns the changes that the entry host doesn't hold yet. It
-// returns at once if the entry host lacks a configuration or asks this process for the first time. Other changes wait until
+// returns at once if the entry host lacks a configuration or a change of drains, or asks this process for the first time. Other changes wait until
 // the reply before is Strain.ReplyInterval ago. Without changes it returns after q.Wait, at most maxExchangeWait. It returns ErrStopped
 // once the host has stopped: an empty reply would say that there are no other entry hosts.
 func (h *Host) Exchange(q ctlrpc.ExchangeRequest) (ctlrpc.ExchangeReply, error) {
@@ -94,9 +96,9 @@
 	return r
 }
 
-// isUrgent reports whether an entry host lacks the newest configuration or holds nothing from this process.
+// isUrgent reports whether an entry host lacks the newest configuration or change of drains, or holds nothing from this process.
 func isUrgent(s State, k ctlrpc.EntryState) bool {
-	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID
+	return s.Synced && s.StateMachine.Document.Version > k.TableVersion || k.Control != s.StartID || s.hasNewerDrains(k)
 }
 
 // hasChanges reports whether the state has another fleet than an entry host holds, or other evidence about requests that end
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -97,7 +97,7 @@
 	k := d.QuorumState()
 	s, err := New(Options{
 		Node: n, StartID: newStartID(), Heartbeat: o.Settings.Bounds.Heartbeat.Std(), Exposure: canary.Exposure{Share: o.Settings.Bounds.ExposureShare, Slack: o.Settings.Bounds.ExposureExtra},
-		RetryWindow: o.Settings.Bounds.RetryWindow.Std(),
+		RetryWindow: o.Settings.Bounds.RetryWindow.Std(), DataCentres: o.Settings.DrainableCentres(),
 		Log:         quorum.New(n, timing, k.Hard, k.Snapshot, k.Entries, randomSeed()),
 	})
 	if err != nil {
@@ -276,6 +276,15 @@
 // Do executes an order on this host if it leads, otherwise on the leader. If no reply comes within
 // orderTimeout, or before this host has stopped, Do returns one with the status Unavailable; the order may still take effect.
 func (h *Host) Do(o ctlrpc.Order) ctlrpc.OrderReply {
+	b := h.sinceStart()
+	h.logOrder(o)
+	r := h.execute(o)
+	h.logOrderReply(o, r, h.sinceStart()-b)
+	return r
+}
+
+// execute is Do without log lines.
+func (h *Host) execute(o ctlrpc.Order) ctlrpc.OrderReply {
 	t, c := h.calls.add()
 	defer h.calls.remove(t)
 	if h.post(OrderReceived{CallID: t, Order: o}) != nil {
--- a/ctrl/logging.go
+++ b/ctrl/logging.go
@@ -28,7 +28,7 @@
 }
 
 // logChanges logs the differences between two states: role, leader or term, configuration in force, voters and
-// learners, rollouts, and whether the host has caught up.
+// learners, rollouts, drains, and whether the host has caught up.
 func (h *Host) logChanges(o, s State) {
 	if o.Log.Role != s.Log.Role || o.Log.Leader != s.Log.Leader || o.Log.Hard.Term != s.Log.Hard.Term {
 		h.log.WithFields(logrus.Fields{
@@ -49,6 +49,7 @@
 			h.log.WithFields(logrus.Fields{"service": k, "target": r.Target, "serial": r.Serial, "outcome": r.Outcome.String()}).Info("control: roll-out changed")
 		}
 	}
+	h.logDrains(o, s)
 	if o.Synced != s.Synced {
 		h.log.WithFields(logrus.Fields{"version": s.StateMachine.Document.Version}).Info("control: caught up after the start")
 	}
@@ -102,6 +103,7 @@
 		return 0
 	})
 	g("control_table_version", func(s State) float64 { return float64(s.StateMachine.Document.Version) })
+	g("drained_data_centres", func(s State) float64 { return float64(len(s.StateMachine.Drains.Drained())) })
 	g("control_poison_rules", func(s State) float64 { return float64(len(s.Poison.Rules())) })
 	m.NewGauge("control_reports_waiting", func() float64 { n, _ := h.reports.Load(); return float64(n) })
 	m.NewGauge("control_evidence_dropped_total", func() float64 { _, n := h.reports.Load(); return float64(n) })
--- a/ctrl/order.go
+++ b/ctrl/order.go
@@ -34,6 +34,8 @@
 		t.retireEndpoint(a)
 	case ctlrpc.Leave:
 		t.releaseVoter(a)
+	case ctlrpc.StartDrain, ctlrpc.EndDrain:
+		t.orderDrain(a)
 	default:
 		t.emit(Respond{CallID: a.CallID, Reply: t.orderReply(a.Order)})
 	}
@@ -67,6 +69,8 @@
 		if !ok {
 			r.Status = ctlrpc.Missing
 		}
+	case ctlrpc.StartDrain, ctlrpc.EndDrain:
+		r.Status, r.Drain = t.drainResult(o)
 	}
 	return r
 }
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -59,8 +59,8 @@
 	return &ReplyBuilder{sent: map[string]sentState{}, budgets: budget.NewPool(0)}
 }
 
-// Build returns the reply to an exchange request: a newer configuration, rollouts, and changes of the fleet and of
-// loads. Configuration and rollouts are left out until this control host has caught up. now is the time since the start of the
+// Build returns the reply to an exchange request: a newer configuration, newer drains, rollouts, and changes of the fleet and of
+// loads. Configuration, drains and rollouts are left out until this control host has caught up. now is the time since the start of the
 // host, which the time of the state may be behind.
 func (t *ReplyBuilder) Build(s State, q ctlrpc.ExchangeRequest, now time.Duration) ctlrpc.ExchangeReply {
 	t.lock.Lock()
@@ -78,6 +78,9 @@
 	if s.Synced {
 		n.Rollouts = t.aggregate.views
 	}
+	if s.hasNewerDrains(q.Known) {
+		n.Drains = s.At(now).drains()
+	}
 	n.Limits = t.aggregate.limits
 	n.Overdue = t.aggregate.overdue
 	if n.PoisonSum = s.sharedPoisonSum; n.PoisonSum != q.Known.PoisonSum {
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -61,6 +61,8 @@
 	Exposure canary.Exposure
 	// RetryWindow is the window of the retry budgets. Without one no starting balances are granted.
 	RetryWindow time.Duration
+	// DataCentres holds the data centres that may be drained. Without any this host takes no orders about drains.
+	DataCentres []string
 }
 
 // entryHost holds the newest report of an entry host, without its tallies, and the merged tallies of all its starts.
@@ -130,6 +132,8 @@
 
 	entryHosts    *immutable.Map[string, entryHost]
 	rolloutStarts map[string]rolloutStart
+	// drainsSeen records when this host learned of the last change of each data centre.
+	drainsSeen map[string]drainSeen
 	// assessments holds the newest assessment of each running rollout by serial. nextAssessment is when they are due again.
 	assessments    map[uint64]canary.Assessment
 	nextAssessment time.Duration
@@ -298,12 +302,13 @@
 	return d
 }
 
-// available counts the ready endpoints of a rollout's service, with the target version and with other versions.
+// available counts the ready endpoints of a rollout's service, with the target version and with other versions. Those of drained data
+// centres are left out: they couldn't serve what an outcome would send them.
 func (s State) available(r canary.Rollout) canary.EndpointCounts {
 	var f canary.EndpointCounts
 	for e := range s.Fleet.All {
 		switch {
-		case e.Service != r.Service || e.Phase != fleet.Ready:
+		case e.Service != r.Service || e.Phase != fleet.Ready || s.StateMachine.Drains.IsDrained(e.DataCentre):
 		case e.Version == r.Target:
 			f.Target++
 		default:
--- a/ctrl/statemachine.go
+++ b/ctrl/statemachine.go
@@ -6,6 +6,7 @@
 	"maps"
 
 	"github.com/hickoryshelf/hickoryshelf/canary"
+	"github.com/hickoryshelf/hickoryshelf/drain"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
 
@@ -19,6 +20,8 @@
 	End *canary.Rollout `json:"end,omitempty"`
 	// Retire records an endpoint that is leaving or has departed.
 	Retire *Leaver `json:"retire,omitempty"`
+	// Drain starts or ends the drain of a data centre.
+	Drain *drain.Order `json:"drain,omitempty"`
 }
 
 // Document is a configuration as the operator wrote it, with its version.
@@ -38,6 +41,8 @@
 	Rollouts map[string]canary.Rollout `json:"rollouts"`
 	// Leavers holds the endpoints that were last acknowledged as leaving or departed, by id, at most maxLeavers.
 	Leavers map[string]Leaver `json:"leavers,omitempty"`
+	// Drains holds which data centres are drained.
+	Drains drain.State `json:"drains,omitempty"`
 }
 
 // WithEntry returns the state after a log entry. Entries that were applied before change nothing. If the entry can't be
@@ -67,6 +72,8 @@
 		return m.withEnd(*c.End)
 	case c.Retire != nil:
 		return m.withLeaver(*c.Retire, index)
+	case c.Drain != nil:
+		m.Drains = m.Drains.WithOrder(*c.Drain, index)
 	}
 	return m
 }
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -17,6 +17,7 @@
 	}
 	e.lastExchange.Store(time.Now().UnixNano())
 	e.Relay.SetSource(relay.TableSource{Control: e.address, Current: r.Current, Position: r.Position, HeardAt: time.Now()})
+	e.applyDrains(r.Drains) // before a configuration makes this host ready
 	if len(r.Document) == 0 || e.applyTable(r) {
 		e.confirmTable(r, sent)
 	}
@@ -56,6 +57,22 @@
 	}
 }
 
+// applyDrains puts a state of drains in force, unless it is older than the one that is. age is the time since the newest change, as far as
+// the control host knows, in ms.
+func (e *Entry) applyDrains(d ctlrpc.Drains) {
+	if d.Index == 0 || !e.Set.SetDrains(d, time.Now()) {
+		return
+	}
+	f := logrus.Fields{"index": d.Index, "before": e.state.DrainIndex, "control": e.address, "drained": d.State.Drained()}
+	for k, c := range d.State {
+		if c.Index == d.Index {
+			f["data-centre"], f["age"] = k, d.Ages[k].Milliseconds()
+		}
+	}
+	e.state.DrainIndex = d.Index
+	e.Log.WithFields(f).Warn("entry: drains in force")
+}
+
 // applyTable decodes the configuration of a reply and puts it in force. A configuration that can't be decoded is
 // logged and ignored, and applyTable returns false.
 func (e *Entry) applyTable(r ctlrpc.ExchangeReply) bool {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,6 +122,10 @@
 		}
 		return 0
 	})
+	if o.Settings.Bounds.CentreDrain > 0 {
+		e.state.DrainIndex = ctlrpc.HoldsNoDrains
+	}
+	o.Metrics.NewGauge("drained_data_centres", func() float64 { return float64(len(o.Set.DrainedCentres())) })
 	o.Metrics.NewGauge("links_cut", func() float64 {
 		_, n := o.Set.LinkCounts()
 		return float64(n)
--- a/pick/asks.go
+++ b/pick/asks.go
@@ -101,7 +101,7 @@
 }
 
 // BeginRelay counts a request of another host as in flight at an endpoint, until EndRelay, unless this host must not send
-// it: the endpoint isn't known as the same one, takes no requests, its link is cut, or it rests. rest is the time left of
+// it: the endpoint isn't known as the same one, takes no requests, its data centre is drained, its link is cut, or it rests. rest is the time left of
 // its rest, or 0.
 func (s *Set) BeginRelay(r fleet.Report, now time.Time) (rest time.Duration, ok bool) {
 	s.lock.Lock()
--- /dev/null
+++ b/pick/drain.go
@@ -0,0 +1,74 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/drain"
+)
+
+// drainState is the state of drains that is in force.
+type drainState struct {
+	state drain.State
+	index uint64
+	// changedAt holds the latest time at which each data centre can have changed.
+	changedAt map[string]time.Time
+}
+
+// SetDrains puts a state of drains in force and reports whether it did: an older one than that in force is ignored. Requests in flight at
+// endpoints of drained data centres go on, and none is sent there any more.
+func (s *Set) SetDrains(d ctlrpc.Drains, now time.Time) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if d.Index < s.drains.index {
+		return false
+	}
+	n := drainState{state: d.State, index: d.Index, changedAt: map[string]time.Time{}}
+	for k, c := range d.State {
+		n.changedAt[k] = now.Add(-d.Ages[k])
+		if o, ok := s.drains.changedAt[k]; ok && s.drains.state[k] == c && o.Before(n.changedAt[k]) {
+			n.changedAt[k] = o
+		}
+	}
+	s.drains = n
+	for _, e := range s.endpoints {
+		e.drained = n.state.IsDrained(e.report.DataCentre)
+	}
+	return true
+}
+
+// DrainChange returns the last change of a data centre and the latest time at which it can have been made. The index of the change is 0
+// if the data centre was never drained.
+func (s *Set) DrainChange(dataCentre string) (c drain.Change, at time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.drains.state[dataCentre], s.drains.changedAt[dataCentre]
+}
+
+// DrainedCentres returns the sorted names of the drained data centres.
+func (s *Set) DrainedCentres() []string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.drains.state.Drained()
+}
+
+// IsDrained reports whether an endpoint is known and its data centre is drained.
+func (s *Set) IsDrained(id string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	return ok && n.drained
+}
+
+// Withheld returns the number of endpoints that would serve a service if their data centres weren't drained, and the index of the drains.
+func (s *Set) Withheld(service string) (endpoints int, index uint64) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, n := range s.endpoints {
+		o := *n
+		if o.drained = false; n.drained && o.serves(service) {
+			endpoints++
+		}
+	}
+	return endpoints, s.drains.index
+}
--- a/pick/links.go
+++ b/pick/links.go
@@ -215,12 +215,13 @@
 }
 
 // NeighboursHeard reports whether anything has come since a time from the pool of an endpoint or, if it is alone there, from
-// other pools of its service or, if it is the only one of its service, from any.
+// other pools of its service or, if it is the only one of its service, from any. It tells nothing of endpoints in a drained data centre,
+// whose neighbours aren't probed.
 func (s *Set) NeighboursHeard(id string, since time.Time) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
-	if !ok {
+	if !ok || n.drained {
 		return false
 	}
 	if p := n.pool(); s.poolSize(p) > 1 {
@@ -319,13 +320,13 @@
 }
 
 // Answered returns how long ago this host last got an answer. Only endpoints that it reaches directly count, and only pools with a
-// steady link.
+// steady link outside the drained data centres, since other hosts send requests there by it.
 func (s *Set) Answered(now time.Time) map[ctlrpc.Pool]time.Duration {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	r := map[ctlrpc.Pool]time.Duration{}
 	for k, t := range s.answeredAt {
-		if a := now.Sub(t); a < maxAnsweredAge && s.links[k].Steady(now) {
+		if a := now.Sub(t); a < maxAnsweredAge && s.links[k].Steady(now) && !s.drains.state.IsDrained(k.DataCentre) {
 			r[k] = a
 		}
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -135,6 +135,8 @@
 	replaced bool
 	// removed is set once the control hosts no longer know the endpoint.
 	removed bool
+	// drained is set while the endpoint's data centre is drained.
+	drained bool
 }
 
 // Set holds the endpoints that a host knows. It is safe for concurrent use.
@@ -155,6 +157,7 @@
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
 	departed map[string]departure
+	drains   drainState
 }
 
 // NewSet returns an empty set for a host in a data centre.
@@ -271,9 +274,10 @@
 	return all
 }
 
-// serves reports whether the endpoint takes requests of a service.
+// serves reports whether the endpoint takes requests of a service. All that choose, count or probe endpoints ask here, so that those of a
+// drained data centre get nothing.
 func (n *endpoint) serves(service string) bool {
-	return !n.replaced && !n.removed && !n.leaving && n.report.Service == service && n.report.Phase == fleet.Ready
+	return !n.replaced && !n.removed && !n.leaving && !n.drained && n.report.Service == service && n.report.Phase == fleet.Ready
 }
 
 // ejected reports whether the endpoint is ejected on the way of the request, or its link is to be avoided.
@@ -351,7 +355,7 @@
 func (s *Set) hasAffinity(n *endpoint, q Request) bool {
 	w := rendezvousWeight(n.report.ID, q.Affinity)
 	for _, o := range s.endpoints {
-		if o != n && o.report.Service == q.Service && o.report.Phase == fleet.Ready && rendezvousWeight(o.report.ID, q.Affinity) > w {
+		if o != n && o.report.Service == q.Service && o.report.Phase == fleet.Ready && !o.drained && rendezvousWeight(o.report.ID, q.Affinity) > w {
 			return false
 		}
 	}
--- a/pick/state.go
+++ b/pick/state.go
@@ -86,7 +86,7 @@
 		}
 		s.endpoints[r.ID] = n
 	}
-	n.report, n.removed = r, false
+	n.report, n.removed, n.drained = r, false, s.drains.state.IsDrained(r.DataCentre)
 }
 
 // Leaving returns the reports of endpoints that this host knows to be leaving or departed.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -197,6 +197,11 @@
 	return refusal{}, false
 }
 
+// refusalOfDrained returns why a call isn't taken whose endpoint is in a drained data centre.
+func refusalOfDrained() refusal {
+	return refusal{Reason: "data centre drained", RetryAfterMS: unreachablePause.Milliseconds()}
+}
+
 // handle sends the request of a call to its endpoint, or declines. The body of the request, of a number of bytes, wasn't read.
 func (c *connection) handle(v call, bodyBytes int) error {
 	s := c.server
@@ -214,6 +219,8 @@
 	switch {
 	case w > 0:
 		return c.declineAtRest(w, bodyBytes, l)
+	case !ok && s.Relay.Endpoints.IsDrained(v.Endpoint.ID):
+		return c.decline(refusalOfDrained(), bodyBytes, l)
 	case !ok:
 		return c.decline(refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, bodyBytes, l)
 	}
@@ -222,6 +229,9 @@
 	if _, err := io.ReadFull(c.reader, b); err != nil {
 		return err
 	}
+	if s.Relay.Endpoints.IsDrained(v.Endpoint.ID) { // since the call came
+		return c.decline(refusalOfDrained(), 0, l)
+	}
 	if !s.calls.begin(v.ID, n) {
 		return c.decline(refusal{Reason: "revoked"}, 0, l)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,6 +80,8 @@
 	tallies                tallies
 	// Poison finds out which requests end the endpoints that run them. Its times are those since start.
 	Poison *poison.Observer
+	// drainsNoted holds by service the index of the drains under which noteDrains last logged a refusal.
+	drainsNoted sync.Map
 }
 
 // New returns a Relay without a routing table. Serve refuses requests until SetTable was called.
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -143,10 +143,12 @@
 	case late:
 		j.refuse(Expired, noEndpointRetryAfter)
 	case v == overloaded:
+		j.noteDrains()
 		j.refuse(Overloaded, j.retryAfter())
 	case v == cutOff, v == declined:
 		j.refuse(CutOff, j.cutOffRetryAfter())
 	default:
+		j.noteDrains()
 		j.refuse(NoEndpoint, noEndpointRetryAfter)
 	}
 }
