--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -53,6 +53,8 @@
 	each func()
 	// old holds the hosts of an older build, whose messages lack what that doesn't know.
 	old map[string]bool
+	// centres holds the data centres that may be drained, at hosts that start from then on.
+	centres []string
 }
 
 // newCluster starts a cluster whose first hosts are the seeds of the control log.
@@ -81,7 +83,7 @@
 	b := c.hosts[a]
 	n := ctrl.Node(a, b.diskID)
 	s, err := ctrl.New(ctrl.Options{
-		Node: n, StartID: fmt.Sprint(c.startCount), Heartbeat: time.Second, Exposure: canary.Exposure{Share: 0.15, Slack: 30},
+		Node: n, StartID: fmt.Sprint(c.startCount), Heartbeat: time.Second, Exposure: canary.Exposure{Share: 0.15, Slack: 30}, DataCentres: c.centres,
 		Log: quorum.New(n, timing, b.stored.Hard, b.stored.Snapshot, b.stored.Entries, uint64(c.startCount)),
 	})
 	if err != nil {
--- a/ctrl/drain.go
+++ b/ctrl/drain.go
@@ -35,7 +35,9 @@
 }
 
 // drainAge returns the least time since the last change of a data centre.
-func (s State) drainAge(dataCentre string) time.Duration { return s.Now - s.drainsSeen[dataCentre].seenAt }
+func (s State) drainAge(dataCentre string) time.Duration {
+	return s.Now - s.drainsSeen[dataCentre].seenAt
+}
 
 // hasNewerDrains reports whether this host may tell an entry host of drains that it doesn't hold. A host that may lack committed entries
 // tells nothing.
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -98,7 +98,7 @@
 	s, err := New(Options{
 		Node: n, StartID: newStartID(), Heartbeat: o.Settings.Bounds.Heartbeat.Std(), Exposure: canary.Exposure{Share: o.Settings.Bounds.ExposureShare, Slack: o.Settings.Bounds.ExposureExtra},
 		RetryWindow: o.Settings.Bounds.RetryWindow.Std(), DataCentres: o.Settings.DrainableCentres(),
-		Log:         quorum.New(n, timing, k.Hard, k.Snapshot, k.Entries, randomSeed()),
+		Log: quorum.New(n, timing, k.Hard, k.Snapshot, k.Entries, randomSeed()),
 	})
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -28,6 +28,8 @@
 	applyTime time.Duration
 	// suspended is the time for which the machine was suspended, or nil for that of the system.
 	suspended clock.Source
+	// centreDrain is the setting of that name.
+	centreDrain conf.Duration
 }
 
 // newEntry starts an entry host without endpoints. The caller stops it.
@@ -42,7 +44,7 @@
 	b := budget.NewHost(budget.Limits{Ratio: 0.9, Slack: 58, Window: time.Second})
 	r := relay.New(relay.Options{Endpoints: s, Budget: b, Log: g, Metrics: m, ApplyTime: o.applyTime, Suspended: o.suspended})
 	e := entry.New(entry.Options{
-		Settings: conf.Node{Name: "e", PeerPort: o.port, Seeds: o.seeds}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
+		Settings: conf.Node{Name: "e", PeerPort: o.port, Seeds: o.seeds, Bounds: conf.Bounds{CentreDrain: o.centreDrain}}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
 		Decode: o.decode, Log: g, Metrics: m,
 	})
 	return e, r
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -72,6 +72,8 @@
 	Mesh *Mesh
 	// Grace is the time that processes have for a planned stop. A change holds for processes that start after it.
 	Grace time.Duration
+	// centreDrain is the setting of that name of all processes, or 0 for none: older builds refuse it.
+	centreDrain time.Duration
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -87,6 +89,12 @@
 	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true})
 }
 
+// StartDrainableDeployment is like StartTunnelledDeployment, but data centres can be drained, within the given time.
+func StartDrainableDeployment(t testing.TB, binary string, entries int, centreDrain time.Duration) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, centreDrain: centreDrain})
+}
+
 // StartMeshedDeployment is like StartDeployment, but has the given number of control hosts, and a Mesh in place of the proxies.
 func StartMeshedDeployment(t testing.TB, binary string, controls, entries int) *Deployment {
 	t.Helper()
@@ -99,17 +107,18 @@
 	centreCount   = 3
 )
 
-// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, and whether it has
-// a Mesh.
+// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, whether it has
+// a Mesh, and the setting centre-drain.
 type layout struct {
 	controls, entries int
 	tunnels, mesh     bool
+	centreDrain       time.Duration
 }
 
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, Grace: usualGrace, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, centreDrain: y.centreDrain, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -161,6 +170,14 @@
 			"grace": d.Grace.String(), "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
 		},
 	}
+	if d.centreDrain > 0 {
+		z := map[string]any{}
+		for k := range centreCount {
+			z[fmt.Sprint("centre", k)] = "region"
+		}
+		m["data-centres"] = z
+		m["bounds"].(map[string]any)["centre-drain"] = d.centreDrain.String()
+	}
 	if p.Control {
 		m["part"], m["admin-address"], m["data-folder"] = "control", fmt.Sprintf("%s:%d", p.IP, adminPort), filepath.Join(d.folder, p.Name)
 		m["peer-listen-port"] = peerListenPort
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -17,7 +17,9 @@
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/budget"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/dial"
+	drains "github.com/hickoryshelf/hickoryshelf/drain"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/itest"
 	"github.com/hickoryshelf/hickoryshelf/pick"
@@ -66,6 +68,7 @@
 	address  string
 	server   *proxy.Server
 	log      *logtest.Hook
+	set      *pick.Set
 }
 
 // startHelping starts a host that sends requests for others.
@@ -85,6 +88,7 @@
 	h := &helping{sender: &sender{answer: answer}, bound: assist.NewBound(0, 0), log: k}
 	p := pick.NewSet("c")
 	p.Replace([]fleet.Report{endpoint})
+	h.set = p
 	r := relay.New(relay.Options{Sender: h.sender, Endpoints: p, Log: g, Metrics: metrics.NewSet(), Budget: budget.NewHost(budget.Limits{Ratio: 1, Slack: 1, Window: time.Second})})
 	h.address = l.Addr().String()
 	s := proxy.NewServer(proxy.Options{Token: "secret", Relay: r, Bound: h.bound, Stopping: func() bool { return h.stopping }, Log: g, Metrics: metrics.NewSet()})
@@ -422,6 +426,9 @@
 		"the host stops":                {func(h *helping, _ *assist.Helper, _ *relay.Attempt) { h.stopping = true }, "stopping"},
 		"unknown endpoint":              {func(_ *helping, _ *assist.Helper, a *relay.Attempt) { a.Endpoint.ID = "i-2" }, "endpoint not reached"},
 		"another start of the endpoint": {func(_ *helping, _ *assist.Helper, a *relay.Attempt) { a.Endpoint.Born = 8 }, "endpoint not reached"},
+		"drained data centre": {func(h *helping, _ *assist.Helper, _ *relay.Attempt) {
+			h.set.SetDrains(ctlrpc.Drains{State: drains.State{"c": {Drained: true, Index: 5}}, Index: 5}, time.Now())
+		}, "data centre drained"},
 		"no room": {func(h *helping, _ *assist.Helper, _ *relay.Attempt) {
 			for ok := true; ok; {
 				_, ok = h.bound.Take("o", 2, 0, time.Now())
