--- a/ctrl/drain_test.go
+++ b/ctrl/drain_test.go
@@ -233,6 +233,42 @@
 	i.True(d.Ages["a"] <= time.Second)
 }
 
+// Guards against drains that wait as long as other changes do, and against exchanges without a pause: entry hosts of older builds never say that
+// they hold the drains.
+func TestDrainsAreToldAtOnceToHostsThatKnowThem(t *testing.T) {
+	i := is.New(t)
+	h, _, n := startPolling(t, startOptions{DataCentres: map[string]string{"a": "r", "b": "r"}}) // all are of an older build
+	q := ctlrpc.ExchangeRequest{Report: ctlrpc.HostReport{Host: "new", Start: 1, Sequence: 1}, Known: ctlrpc.EntryState{DrainIndex: ctlrpc.HoldsNoDrains}}
+	r, err := h.Exchange(q)
+	i.NoErr(err)
+	i.Equal(r.Drains, ctlrpc.Drains{})
+	q.Known.Control, q.Known.TableVersion, q.Known.FleetRevision, q.Known.PoisonSum = r.Control, r.TableVersion, r.FleetRevision, r.PoisonSum
+	q.Wait, q.Report.Sequence = time.Second, 2
+	c := make(chan ctlrpc.ExchangeReply, 1)
+	w := waitingExchange{h, q, c}
+	go w.run()
+	time.Sleep(100 * time.Millisecond)
+	calm := exchangeRate(n, func() { time.Sleep(time.Second / 2) })
+	b := time.Now()
+	i.Equal(h.Do(startOf("a")).Status, ctlrpc.Accepted)
+	r = <-c
+	i.True(time.Since(b) < 200*time.Millisecond)
+	i.Equal(r.Drains.State.Drained(), []string{"a"})
+	i.True(exchangeRate(n, func() { time.Sleep(time.Second / 2) }) <= 2*calm)
+}
+
+// waitingExchange is an exchange whose reply is passed on.
+type waitingExchange struct {
+	host    *ctrl.Host
+	request ctlrpc.ExchangeRequest
+	reply   chan<- ctlrpc.ExchangeReply
+}
+
+func (w waitingExchange) run() {
+	r, _ := w.host.Exchange(w.request) // an error gives an empty reply
+	w.reply <- r
+}
+
 // Guards against a rollout that ends by endpoints to which no request may go: all of the target's are in a data centre that may be drained.
 func TestRolloutCountsNoEndpointsOfDrainedDataCentre(t *testing.T) {
 	for _, drained := range []bool{false, true} {
--- a/ctrl/start_test.go
+++ b/ctrl/start_test.go
@@ -36,6 +36,8 @@
 	Port int
 	// Suspended is the time for which the machine was suspended, or nil for that of the system.
 	Suspended clock.Source
+	// DataCentres holds the data centres that may be drained.
+	DataCentres map[string]string
 }
 
 // startHost starts a control host, on 127.0.0.1 unless the options say where. Its listener is closed at the end of the test; the port
@@ -66,7 +68,10 @@
 	}
 	s := conf.Node{
 		Part: conf.PartControl, Name: "c", IP: a.IP.String(), PeerPort: uint16(p), Bootstrap: len(o.Seeds) > 0, DataFolder: o.Folder, Seeds: []string{"127.0.0.1:1"},
-		Bounds: conf.Bounds{Heartbeat: conf.Duration(time.Second)},
+		Bounds: conf.Bounds{Heartbeat: conf.Duration(time.Second)}, DataCentres: o.DataCentres,
+	}
+	if o.DataCentres != nil {
+		s.Bounds.CentreDrain = conf.Duration(5 * time.Second)
 	}
 	if len(o.Seeds) > 0 {
 		s.Seeds = nil
--- a/pick/drain_test.go
+++ b/pick/drain_test.go
@@ -158,3 +158,19 @@
 	c, _ = s.DrainChange("c")
 	i.Equal(c, drain.Change{})
 }
+
+// Guards against prompts whose shared part is cached nowhere, since the endpoint that is preferred for it is in a drained data centre.
+func TestAffinityMovesFromDrainedDataCentre(t *testing.T) {
+	i := is.New(t)
+	s := newSet(4, false, "a", "b")
+	s.SetDrains(drained(5, "a"), epoch)
+	for k := range uint64(20) {
+		q := request()
+		q.Affinity, q.CacheSaving = k, 200*time.Millisecond
+		c, ok := s.Choose(q, epoch)
+		i.True(ok)
+		i.True(c.Cached)
+		s.AnswerStarted(c.ID, q.Work)
+		s.RequestEnded(c.ID)
+	}
+}
