--- a/ctrl/drain_test.go
+++ b/ctrl/drain_test.go
@@ -233,6 +233,26 @@
 	i.True(d.Ages["a"] <= time.Second)
 }
 
+// Guards against a control host that starts, and tells of the drains of its last snapshot before it holds all that is committed.
+func TestDrainsOfSnapshotAreNotToldBeforeHostIsSynced(t *testing.T) {
+	i := is.New(t)
+	c := startDrainable(t)
+	i.Equal(c.submit(address(0), startOf("a")).Status, ctlrpc.Accepted)
+	for v := range int64(220) {
+		i.Equal(c.put(address(0), v+1).Status, ctlrpc.Accepted)
+	}
+	for k := range 3 {
+		c.kill(address(k))
+	}
+	c.start(address(0)) // alone
+	c.run(time.Second)
+	i.Equal(c.drainsAt(0).Drained(), []string{"a"})
+	i.Equal(c.drainsFor(0, ctlrpc.HoldsNoDrains), ctlrpc.Drains{})
+	c.start(address(1))
+	c.run(3 * time.Second)
+	i.Equal(c.drainsFor(0, ctlrpc.HoldsNoDrains).State.Drained(), []string{"a"})
+}
+
 // Guards against drains that wait as long as other changes do, and against exchanges without a pause: entry hosts of older builds never say that
 // they hold the drains.
 func TestDrainsAreToldAtOnceToHostsThatKnowThem(t *testing.T) {
