--- a/ctrl/drain.go
+++ b/ctrl/drain.go
@@ -20,18 +20,19 @@
 	seenAt time.Duration
 }
 
-// trackDrains records when this host learned of each change. What a host holds at its start it learned then.
-func (t *transition) trackDrains() {
-	for k, c := range t.StateMachine.Drains {
-		if t.drainsSeen[k].index == c.Index {
+// withDrainsSeen records that this host learns of the changes now that it didn't hold before. What a host holds at its start it learns then.
+func (s State) withDrainsSeen() State {
+	for k, c := range s.StateMachine.Drains {
+		if s.drainsSeen[k].index == c.Index {
 			continue
 		}
-		t.drainsSeen = maps.Clone(t.drainsSeen)
-		if t.drainsSeen == nil {
-			t.drainsSeen = map[string]drainSeen{}
+		s.drainsSeen = maps.Clone(s.drainsSeen)
+		if s.drainsSeen == nil {
+			s.drainsSeen = map[string]drainSeen{}
 		}
-		t.drainsSeen[k] = drainSeen{index: c.Index, seenAt: t.Now}
+		s.drainsSeen[k] = drainSeen{index: c.Index, seenAt: s.Now}
 	}
+	return s
 }
 
 // drainAge returns the least time since the last change of a data centre.
--- a/ctrl/drain_test.go
+++ b/ctrl/drain_test.go
@@ -250,7 +250,9 @@
 	i.Equal(c.drainsFor(0, ctlrpc.HoldsNoDrains), ctlrpc.Drains{})
 	c.start(address(1))
 	c.run(3 * time.Second)
-	i.Equal(c.drainsFor(0, ctlrpc.HoldsNoDrains).State.Drained(), []string{"a"})
+	d := c.drainsFor(0, ctlrpc.HoldsNoDrains)
+	i.Equal(d.State.Drained(), []string{"a"})
+	i.True(d.Ages["a"] >= 3*time.Second) // since the start, not since the next entry
 }
 
 // Guards against drains that wait as long as other changes do, and against exchanges without a pause: entry hosts of older builds never say that
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -95,7 +95,7 @@
 	}
 	t.StateMachine = m
 	t.trackRollouts()
-	t.trackDrains()
+	t.State = t.withDrainsSeen()
 	t.retireLeavers(0)
 }
 
@@ -107,7 +107,7 @@
 	}
 	t.StateMachine = m
 	t.trackRollouts()
-	t.trackDrains()
+	t.State = t.withDrainsSeen()
 	t.retireLeavers(e.Index)
 	t.pending = slices.DeleteFunc(slices.Clone(t.pending), func(w pendingOrder) bool {
 		if w.index != e.Index || w.term != e.Term {
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -157,7 +157,7 @@
 	s := State{Options: o, FirstStart: o.Log.LastIndex() == bootstrapIndex, Fleet: fleet.New(), entryHosts: immutable.NewMap[string, entryHost](nil), rolloutStarts: map[string]rolloutStart{}}
 	m, err := StateMachine{}.WithSnapshot(o.Log.Snapshot)
 	s.StateMachine = m
-	return s, err
+	return s.withDrainsSeen(), err
 }
 
 // Address returns the peer address of a node.
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -72,8 +72,8 @@
 	Mesh *Mesh
 	// Grace is the time that processes have for a planned stop. A change holds for processes that start after it.
 	Grace time.Duration
-	// centreDrain is the setting of that name of all processes, or 0 for none: older builds refuse it.
-	centreDrain time.Duration
+	// CentreDrain is the setting of that name, or 0 for none: older builds refuse it. A change holds for processes that start after it.
+	CentreDrain time.Duration
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -118,7 +118,7 @@
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, Grace: usualGrace, centreDrain: y.centreDrain, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, CentreDrain: y.centreDrain, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -170,13 +170,13 @@
 			"grace": d.Grace.String(), "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
 		},
 	}
-	if d.centreDrain > 0 {
+	if d.CentreDrain > 0 {
 		z := map[string]any{}
 		for k := range centreCount {
 			z[fmt.Sprint("centre", k)] = "region"
 		}
 		m["data-centres"] = z
-		m["bounds"].(map[string]any)["centre-drain"] = d.centreDrain.String()
+		m["bounds"].(map[string]any)["centre-drain"] = d.CentreDrain.String()
 	}
 	if p.Control {
 		m["part"], m["admin-address"], m["data-folder"] = "control", fmt.Sprintf("%s:%d", p.IP, adminPort), filepath.Join(d.folder, p.Name)
