--- a/proxy/drained_test.go
+++ b/proxy/drained_test.go
@@ -15,6 +15,11 @@
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
 
+// drain drains the data centre of the endpoint.
+func (h *helping) drain() {
+	h.set.SetDrains(ctlrpc.Drains{State: drains.State{"c": {Drained: true, Index: 5}}, Index: 5}, time.Now())
+}
+
 // pausedLink passes one connection on to an address. After the first bytes of a call it waits until it may go on.
 type pausedLink struct {
 	listener net.Listener
@@ -73,6 +78,6 @@
 func (d drainDuringPause) run() {
 	<-d.link.paused
 	time.Sleep(50 * time.Millisecond) // until the helper waits for the body
-	d.helping.set.SetDrains(ctlrpc.Drains{State: drains.State{"c": {Drained: true, Index: 5}}, Index: 5}, time.Now())
+	d.helping.drain()
 	close(d.link.goOn)
 }
