--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -424,7 +424,7 @@
 		"the host stops":                {func(h *helping, _ *assist.Helper, _ *relay.Attempt) { h.stopping = true }, "stopping"},
 		"unknown endpoint":              {func(_ *helping, _ *assist.Helper, a *relay.Attempt) { a.Endpoint.ID = "i-2" }, "endpoint not reached"},
 		"another start of the endpoint": {func(_ *helping, _ *assist.Helper, a *relay.Attempt) { a.Endpoint.Born = 8 }, "endpoint not reached"},
-		"drained data centre": {func(h *helping, _ *assist.Helper, _ *relay.Attempt) { h.drain() }, "data centre drained"},
+		"drained data centre":           {func(h *helping, _ *assist.Helper, _ *relay.Attempt) { h.drain() }, "data centre drained"},
 		"no room": {func(h *helping, _ *assist.Helper, _ *relay.Attempt) {
 			for ok := true; ok; {
 				_, ok = h.bound.Take("o", 2, 0, time.Now())
