Limit the requests to cold endpoints by permits under leases

Cause: cold endpoints only cost 60 ms more, so that all hosts together sent an endpoint more than it takes after its start. Change: package warmup lends permits; control hosts lend them in exchanges, and entry hosts send to cold endpoints only under one. Result: off without bounds.cold-overage.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -191,8 +191,8 @@
 	r := relay.New(relay.Options{
 		Detour: &proxy.Client{Host: n.settings.Name, Start: rand.Text(), Pool: h, Memory: m}, Helpers: assist.NewBoard(n.settings.DataCentre),
 		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel, Memory: m}, Memory: m, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
-		ApplyTime: n.settings.Bounds.ConfigurationApply.Std(),
-		Budget:    budget.NewHost(budget.Limits{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow.Std()}),
+		ApplyTime: n.settings.Bounds.ConfigurationApply.Std(), Cold: n.settings.Bounds.ColdLimits(),
+		Budget: budget.NewHost(budget.Limits{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow.Std()}),
 	})
 	a := entry.Assisting{Address: n.settings.PeerAddress(), Token: k, Bound: assist.NewBound(n.settings.Descriptors, n.settings.MemoryMB)}
 	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pools: []*dial.Pool{o, h}, Assisting: a, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
--- a/conf/node.go
+++ b/conf/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/tiers"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 //go:generate go tool stringer -type=Part -linecomment -output=enum_string.go
@@ -78,6 +79,15 @@
 	// ConfigurationApply is the time after its acknowledgement within which a change of the configuration has to be in force at hosts that
 	// reach the control hosts. 0 means the default of package relay.
 	ConfigurationApply Duration `json:"configuration-apply"`
+	// ColdOverage and ColdSlack bound the requests of all hosts together to an endpoint that is still cold after its start: in each
+	// second at most the rate of its service times ColdOverage, plus ColdSlack. A ColdOverage of 0 means no bound.
+	ColdOverage float64 `json:"cold-overage"`
+	ColdSlack   float64 `json:"cold-slack"`
+}
+
+// ColdLimits returns the bound on requests to cold endpoints.
+func (b Bounds) ColdLimits() warmup.Limits {
+	return warmup.Limits{Overage: b.ColdOverage, Slack: b.ColdSlack}
 }
 
 // Node holds the settings of a process in a routed deployment, in which entry hosts forward requests by a routing table
@@ -177,6 +187,9 @@
 			return err
 		}
 	}
+	if n.Bounds.ColdOverage < 0 || n.Bounds.ColdSlack < 0 {
+		return &Fault{Field: "bounds.cold-overage", What: "or bounds.cold-slack is negative", Remedy: "write a number that isn't negative, or leave both out"}
+	}
 	if err := n.checkDecisions(); err != nil {
 		return err
 	}
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryshelf/hickoryshelf/limit"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 //go:generate go tool stringer -type=Verb,Status -linecomment -output=enum_string.go
@@ -68,6 +69,8 @@
 	Budget map[string]budget.Statement
 	// Holding is the host's share of the slack of all retry budgets. Older builds leave it empty.
 	Holding budget.Holding
+	// WarmUp says which cold endpoints the host would use. Older builds leave it empty.
+	WarmUp WarmUp
 }
 
 // WithAge returns the report as it reads some time later.
@@ -224,6 +227,8 @@
 	Loan budget.Loan
 	// Watch holds changes of the keys that the host watches.
 	Watch poison.WatchUpdate
+	// Permits holds those for cold endpoints that are lent to the host. Older builds leave it empty.
+	Permits []warmup.Permit
 }
 
 // HostsSum returns the hash of the names of entry hosts.
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -88,6 +88,7 @@
 func (h *Host) reply(s State, q ctlrpc.ExchangeRequest) ctlrpc.ExchangeReply {
 	b := h.sinceStart()
 	r := h.replies.Build(s, q, h.now())
+	h.logPermits(q.Report.Host, q.Report.WarmUp, r.Permits)
 	n := s.At(h.now())
 	r.Current, r.Position = n.Current(), n.Position()
 	h.strain.replied(h.sinceStart()-b, h.sinceStart())
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -97,8 +97,8 @@
 	k := d.QuorumState()
 	s, err := New(Options{
 		Node: n, StartID: newStartID(), Heartbeat: o.Settings.Bounds.Heartbeat.Std(), Exposure: canary.Exposure{Share: o.Settings.Bounds.ExposureShare, Slack: o.Settings.Bounds.ExposureExtra},
-		RetryWindow: o.Settings.Bounds.RetryWindow.Std(),
-		Log:         quorum.New(n, timing, k.Hard, k.Snapshot, k.Entries, randomSeed()),
+		RetryWindow: o.Settings.Bounds.RetryWindow.Std(), ColdLimits: o.Settings.Bounds.ColdLimits(),
+		Log: quorum.New(n, timing, k.Hard, k.Snapshot, k.Entries, randomSeed()),
 	})
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
--- a/ctrl/logging.go
+++ b/ctrl/logging.go
@@ -103,6 +103,7 @@
 	})
 	g("control_table_version", func(s State) float64 { return float64(s.StateMachine.Document.Version) })
 	g("control_poison_rules", func(s State) float64 { return float64(len(s.Poison.Rules())) })
+	m.NewGauge("control_permits_lent", func() float64 { return float64(h.replies.PermitsLent(h.now())) })
 	m.NewGauge("control_reports_waiting", func() float64 { n, _ := h.reports.Load(); return float64(n) })
 	m.NewGauge("control_evidence_dropped_total", func() float64 { _, n := h.reports.Load(); return float64(n) })
 	g("control_entries", func(s State) float64 { return float64(s.EntryHosts()) })
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -221,7 +221,7 @@
 	n.report.Tallies, n.report.Active, n.report.Poison = nil, nil, poison.Report{}
 	t.entryHosts = t.entryHosts.Set(r.Host, n)
 	if direct {
-		r.Budget = nil // lent by the control host that was asked
+		r.Budget, r.WarmUp = nil, ctlrpc.WarmUp{} // lent by the control host that was asked
 		t.emit(SendGossip{Gossip: ctlrpc.Gossip{Hosts: []ctlrpc.HostReport{r}}})
 	}
 }
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/poison"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 const (
@@ -27,6 +28,8 @@
 	aggregate aggregate
 	// budgets lends shares of the slack to entry hosts, and retries among them.
 	budgets *budget.Pool
+	// permits lends permits for cold endpoints.
+	permits *warmup.Lender
 }
 
 // sentState records what an entry host has received of loads and watched keys, to send only changes.
@@ -56,7 +59,7 @@
 
 // NewReplyBuilder returns a builder that has sent nothing yet.
 func NewReplyBuilder() *ReplyBuilder {
-	return &ReplyBuilder{sent: map[string]sentState{}, budgets: budget.NewPool(0)}
+	return &ReplyBuilder{sent: map[string]sentState{}, budgets: budget.NewPool(0), permits: warmup.NewLender(0)}
 }
 
 // Build returns the reply to an exchange request: a newer configuration, rollouts, and changes of the fleet and of
@@ -119,7 +122,7 @@
 	n.FleetNew, n.Reports = true, s.Fleet.Reports()
 }
 
-// addHostChanges adds what differs between entry hosts: grants, changes of watched keys, and changes of the loads of other
+// addHostChanges adds what differs between entry hosts: grants, permits, changes of watched keys, and changes of the loads of other
 // entry hosts. A host that holds nothing from this start of the control host gets all loads. A request that is older than the
 // last answered one gets none of it and changes no record, because its reply may never arrive.
 func (t *ReplyBuilder) addHostChanges(n *ctlrpc.ExchangeReply, s State, q ctlrpc.ExchangeRequest, now time.Duration) {
@@ -133,6 +136,7 @@
 		o = sentState{}
 	}
 	n.Loan, n.Grants = t.budgets.Exchange(s.budgetRequest(r, first), now)
+	n.Permits = t.permits.Lend(s.permitRequest(r.Host, r.Start, r.WarmUp), now)
 	n.Watch = s.watch.ChangesFrom(o.watch)
 	n.Watch.New = first
 	l := t.otherLoads(s, r.Host)
@@ -151,12 +155,18 @@
 	q := budget.Request{
 		Host: r.Host, Start: r.Start, Begin: first, Statements: r.Budget, Holding: r.Holding, New: s.FirstStart, Window: s.RetryWindow,
 	}
-	if s.Log.Peers.Has(s.Node) && s.Log.Stable > bootstrapIndex {
-		q.Controls = len(s.ControlAddresses())
-	}
+	q.Controls = s.lenders()
 	return q
 }
 
+// lenders returns the number of control hosts in the control log, or 0 if this one lends nothing.
+func (s State) lenders() int {
+	if !s.Log.Peers.Has(s.Node) || s.Log.Stable <= bootstrapIndex {
+		return 0
+	}
+	return len(s.ControlAddresses())
+}
+
 // withLoads returns loads after changes. Those that are empty then are left out.
 func withLoads(loads, changes map[string]ctlrpc.Load) map[string]ctlrpc.Load {
 	r := maps.Clone(loads)
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 const (
@@ -61,6 +62,8 @@
 	Exposure canary.Exposure
 	// RetryWindow is the window of the retry budgets. Without one no starting balances are granted.
 	RetryWindow time.Duration
+	// ColdLimits are those of endpoints that are cold after their start. Without them no permits are lent.
+	ColdLimits warmup.Limits
 }
 
 // entryHost holds the newest report of an entry host, without its tallies, and the merged tallies of all its starts.
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -44,6 +44,8 @@
 	}
 	e.Relay.Poison.AdoptWatch(r.Watch)
 	e.Relay.AcceptBudget(r.Control, r.Loan, r.Grants)
+	e.Set.AcceptPermits(r.Control, r.Permits, sent)
+	e.Relay.LogCold()
 	e.Set.MergeLimits(r.Limits, time.Now())
 	e.overdue = r.Overdue
 	if len(r.Hosts) > 0 {
@@ -54,6 +56,7 @@
 	if len(r.Controls) > 0 {
 		e.controls = r.Controls
 	}
+	e.planPermits(r.Entries)
 }
 
 // applyTable decodes the configuration of a reply and puts it in force. A configuration that can't be decoded is
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -86,6 +86,8 @@
 	leads bool
 	// current is the same connection for other goroutines than run, or nil.
 	current atomic.Pointer[rpc.Client]
+	// askFirst holds the control hosts to ask for permits beside the current one. It is nil before the first reply.
+	askFirst atomic.Pointer[[]string]
 	// retryPause is the pause after the next failed exchange, and besidePause that before the next one beside it.
 	retryPause, besidePause pause
 	// search looks for a control host with a leader, from a failed exchange until a reply of a control host that is current. It is nil
@@ -133,6 +135,10 @@
 	f := &helperFinder{entry: e}
 	p.Start()
 	go f.run()
+	if o.Settings.Bounds.ColdLimits().On() {
+		a := permitAsker{entry: e, clients: map[string]*rpc.Client{}}
+		go a.run()
+	}
 	return e
 }
 
@@ -226,6 +232,7 @@
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Report.Budget, q.Report.Holding = e.Relay.ReportBudget()
+	q.Report.WarmUp.Wishes = e.Set.ColdWishes(time.Now())
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
 	if first {
 		q.Known.Control = ""
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,10 +38,13 @@
 	Version    string
 	Slots      int
 	Phase      Phase
-	// ColdLeft is how much longer the endpoint stays slow after its start.
+	// ColdLeft is how much longer the endpoint stays cold, which is slow, after its start, or ColdUnknown.
 	ColdLeft time.Duration
 }
 
+// ColdUnknown is the ColdLeft of a report that doesn't say.
+const ColdUnknown time.Duration = -1
+
 // Endpoint is the newest report of an endpoint with the time at which it arrived.
 type Endpoint struct {
 	Report
--- a/pick/asks.go
+++ b/pick/asks.go
@@ -21,6 +21,8 @@
 	TurnedAway bool
 	// Leaving is set if the endpoint says that it is about to leave.
 	Leaving bool
+	// ColdLeft is how much longer the endpoint stays cold after its start, or 0 if the answer doesn't say that it is.
+	ColdLeft time.Duration
 }
 
 // AsksChange says what an answer has changed.
@@ -43,6 +45,7 @@
 	if !ok {
 		return c
 	}
+	s.cold.told(id, a.ColdLeft)
 	c.Leaving = a.Leaving && !n.leaving
 	n.leaving = n.leaving || a.Leaving
 	c.Limit = n.setLimit(n.limit.WithAnswer(a.Limit, now))
@@ -71,6 +74,8 @@
 	Time time.Duration
 	// Resting is set if endpoints rest, so that the request must not come back sooner.
 	Resting bool
+	// Cold is set if all that could take the request are cold and this host has no permit for them.
+	Cold bool
 }
 
 // AsksWait returns the time until an endpoint of a service that asks for less requests takes another one. ok is false if
@@ -79,18 +84,23 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	var t limit.Rate
+	cold := false
 	for _, n := range s.endpoints {
 		switch {
 		case !n.serves(q.Service):
 		case n.mustRest(q.Way, now):
 			l := max(returnWait, n.rests[q.Way].Left(now))
 			if !w.Resting || l < w.Time {
-				w = AsksWait{l, true}
+				w = AsksWait{Time: l, Resting: true}
 			}
 		case !q.Tried[n.report.ID]:
 			t += n.limit.Rate
+			cold = cold || s.withheld(n, q.Way, now)
 		}
 	}
+	if t == 0 && cold && !w.Resting {
+		return AsksWait{Time: coldWait, Cold: true}, true
+	}
 	if t == 0 {
 		return w, w.Resting
 	}
@@ -101,7 +111,7 @@
 }
 
 // BeginRelay counts a request of another host as in flight at an endpoint, until EndRelay, unless this host must not send
-// it: the endpoint isn't known as the same one, takes no requests, its link is cut, or it rests. rest is the time left of
+// it: the endpoint isn't known as the same one, takes no requests, its link is cut, it is cold, or it rests. rest is the time left of
 // its rest, or 0.
 func (s *Set) BeginRelay(r fleet.Report, now time.Time) (rest time.Duration, ok bool) {
 	s.lock.Lock()
@@ -110,6 +120,9 @@
 	if !ok || !n.serves(r.Service) || n.report.Address != r.Address || n.report.Born != r.Born || s.links[n.pool()].State() == reach.Cut {
 		return 0, false
 	}
+	if s.isCold(n, now) {
+		return 0, false // the host that chose it believes it warm
+	}
 	if n.mustRest(Direct, now) {
 		return max(returnWait, n.rests[Direct].Left(now)), false
 	}
--- a/pick/links.go
+++ b/pick/links.go
@@ -48,6 +48,9 @@
 		s.recordSign(n, o.Ended)
 		n.openFailingSince, n.openFailedAt, n.probedAt = time.Time{}, time.Time{}, o.Ended
 	case reach.Refused, reach.Silent:
+		if k := s.cold.starts[o.Endpoint]; k != nil && o.Outcome == reach.Refused {
+			k.refusedAt = s.cold.now()
+		}
 		if n.openFailingSince.IsZero() {
 			n.openFailingSince = o.Began
 		}
@@ -109,6 +112,9 @@
 		if n.pool() == p {
 			n.paths[Direct] = pathHealth{}
 			n.openFailingSince, n.openFailedAt = time.Time{}, time.Time{}
+			if k := s.cold.starts[n.report.ID]; k != nil {
+				k.refusedAt = 0 // the link was cut
+			}
 		}
 	}
 }
@@ -160,7 +166,7 @@
 		if s.links[p].State() == reach.Sound {
 			continue
 		}
-		l, e := s.links[p].WithProbes(s.inPool(p), now)
+		l, e := s.links[p].WithProbes(s.warm(s.inPool(p), now), now)
 		s.links[p] = l
 		for _, i := range e {
 			r = append(r, s.endpoints[i].report)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
 	"github.com/hickoryshelf/hickoryshelf/reach"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 const (
@@ -93,6 +94,9 @@
 	Candidates int
 	// Cached is set if the endpoint is expected to have what the request shares with others in its cache.
 	Cached bool
+	// Cold is set if the request may be sent only under a permit, which was used for it.
+	Cold   bool
+	permit warmup.Use
 }
 
 // endpoint holds the state of an endpoint as this host knows it.
@@ -135,6 +139,9 @@
 	replaced bool
 	// removed is set once the control hosts no longer know the endpoint.
 	removed bool
+	// cold is set if the endpoint counted as cold when that was last asked, and warmAt is when it last ceased to.
+	cold   bool
+	warmAt time.Time
 }
 
 // Set holds the endpoints that a host knows. It is safe for concurrent use.
@@ -155,6 +162,7 @@
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
 	departed map[string]departure
+	cold     coldState
 }
 
 // NewSet returns an empty set for a host in a data centre.
@@ -168,9 +176,11 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	b, l := s.best(q, now)
+	s.wish(q, b, now)
 	if b == nil {
 		return c, false
 	}
+	s.usePermit(b, now, &c)
 	c.Wait, c.Expected = s.estimate(b, q), s.expected(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.local.Plus(b.remote), len(l)
 	c.Cached = q.CacheSaving > 0 && s.hasAffinity(b, q)
@@ -247,11 +257,11 @@
 }
 
 // preferUsable returns the endpoints that aren't ejected, or else those whose links aren't cut, or else all. Endpoints that
-// rest, or whose limit leaves no request, are never returned.
+// rest, whose limit leaves no request, or that are cold without a permit, are never returned.
 func (s *Set) preferUsable(endpoints []*endpoint, q Request, now time.Time) []*endpoint {
 	var usable, linked, all []*endpoint
 	for _, n := range endpoints {
-		if s.limited(n, now) || n.mustRest(q.Way, now) {
+		if s.limited(n, now) || n.mustRest(q.Way, now) || s.withheld(n, q.Way, now) {
 			continue
 		}
 		all = append(all, n)
@@ -264,7 +274,7 @@
 	}
 	switch {
 	case len(usable) > 0:
-		return usable
+		return preferRamped(usable, q, now)
 	case len(linked) > 0:
 		return linked
 	}
--- a/pick/state.go
+++ b/pick/state.go
@@ -78,6 +78,7 @@
 		s.departed[r.ID] = departure{report: r, heardAt: time.Now()}
 	}
 	n, ok := s.endpoints[r.ID]
+	s.cold.note(r, ok && !n.removed)
 	if !ok || n.report.Born != r.Born || n.report.Address != r.Address {
 		o := n
 		n = &endpoint{slowdown: 1}
--- a/relay/job.go
+++ b/relay/job.go
@@ -201,7 +201,7 @@
 		return nil
 	}
 	return logrus.Fields{
-		"estimate": j.choice.Wait.Milliseconds(), "load": j.choice.Load.Requests, "backlog": j.choice.Load.Backlog, "candidates": j.choice.Candidates,
+		"estimate": j.choice.Wait.Milliseconds(), "load": j.choice.Load.Requests, "backlog": j.choice.Load.Backlog, "candidates": j.choice.Candidates, "cold": j.asksWait.Cold,
 	}
 }
 
@@ -335,6 +335,7 @@
 	j.choice = c
 	if time.Until(j.deadline) < c.Wait && !j.answerBegun {
 		u.end()
+		j.relay.Endpoints.ReturnPermit(c)
 		return nil, overloaded
 	}
 	j.prepare(u)
@@ -353,6 +354,7 @@
 	if !j.takeRetry() {
 		e.AnswerStarted(c.ID, q.Work)
 		e.RequestEnded(c.ID)
+		e.ReturnPermit(c)
 		return c, unpaid
 	}
 	return c, done
@@ -374,6 +376,7 @@
 		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, MaxConnections: j.maxConnections(), Repeated: j.sentTo[u.choice.ID],
 	}
 	j.sentTo[u.choice.ID] = true
+	u.limitSending()
 	if len(j.route.Tiers) > 0 {
 		u.order.Model = j.route.Tiers[j.tier]
 	}
--- a/relay/links.go
+++ b/relay/links.go
@@ -98,6 +98,9 @@
 // suspended meanwhile.
 func (r *Relay) probe(ctx context.Context, e fleet.Report, decides bool) Liveness {
 	b := time.Now()
+	if !r.Endpoints.MayProbe(e.ID, b) {
+		return Unclear // it counts as a request
+	}
 	l := r.Sender.Probe(ctx, e.Address, r.healthPath(e.Service))
 	o := reach.Opening{Endpoint: e.ID, Began: b, Ended: time.Now(), Outcome: l.outcome(), Probe: decides}
 	if o.Outcome == reach.Answered || o.Outcome == reach.Refused || o.Ended.Sub(b) < linkProbeTimeout+maxProberLag {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/tiers"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 // Options holds what a Relay depends on.
@@ -40,6 +41,8 @@
 	ApplyTime time.Duration
 	// Weights are the assumptions behind the choice of model tiers. The zero value means tiers.DefaultWeights.
 	Weights tiers.Weights
+	// Cold bounds the requests to endpoints that are cold after their start. The zero value sets no bound.
+	Cold warmup.Limits
 	// Suspended is the time for which the machine was suspended. If it is nil, the system is asked.
 	Suspended clock.Source
 }
@@ -101,6 +104,9 @@
 		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
 	}
 	r.entryHosts.Store(1)
+	if o.Cold.On() {
+		r.limitCold()
+	}
 	o.Metrics.GetOrCreateGauge("answer_memory_bytes", func() float64 { return float64(o.Memory.Taken()) })
 	return r
 }
@@ -162,6 +168,7 @@
 		}
 		if r.table.CompareAndSwap(o, v) {
 			r.expectServices(t)
+			r.setColdLimits(t)
 			return true
 		}
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -97,6 +97,10 @@
 	// KVCapacity is the capacity of an engine's KV cache in tokens.
 	KVCapacity int
 	Models     []Model
+	// ColdRate is the number of requests a second that an endpoint takes while it is cold after its start, or 0 for no limit. ColdTime
+	// is how long that lasts if its reports don't say.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Limits restrict the size of requests and the time that callers take to send them.
