--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -19,6 +19,10 @@
 	rampTime = 2 * time.Second
 	// coldWait is when a request may come back if all endpoints that could take it are cold and this host has no permit.
 	coldWait = 250 * time.Millisecond
+	// trickleShare is the share of requests that may go to a cold endpoint though warm ones are faster.
+	trickleShare = 0.1
+	// restartTime is how long after a refused connection an endpoint may have started again without this host's notice.
+	restartTime = 2 * time.Second
 	// maxColdChanges bounds the changes that are kept until they are taken.
 	maxColdChanges = 64
 )
@@ -168,7 +172,7 @@
 	}
 	// A refused connection may be the end of the start. Where the link is cut it tells nothing about the endpoint.
 	k := s.links[n.pool()].State()
-	return o.refusedAt > 0 && t < o.refusedAt+l.Time && k != reach.Cut && k != reach.Returning
+	return o.refusedAt > 0 && t < o.refusedAt+restartTime+l.Time && k != reach.Cut && k != reach.Returning
 }
 
 // withheld reports whether an endpoint is cold and this host may not send to it now. Requests that go through other hosts never
@@ -200,7 +204,7 @@
 		if !s.isCold(n, now) || s.limited(n, now) || n.mustRest(q.Way, now) || s.ejected(n, q, now) {
 			continue
 		}
-		if n == chosen || chosen == nil || s.cost(n, q, 0) < most {
+		if n == chosen || chosen == nil || s.cost(n, q, 0) <= most {
 			s.cold.wishes[n.report.ID] = t
 			missed = missed || n != chosen
 		}
@@ -210,6 +214,13 @@
 	}
 }
 
+// isTrickle reports whether a request may go to a cold endpoint though warm ones are faster, so that cold ones get few requests but not
+// none.
+func (s *Set) isTrickle(n *endpoint, q Request) bool {
+	_, ok := s.cold.limits[n.report.Service]
+	return ok && s.cold.now != nil && q.LinkDraw < trickleShare
+}
+
 // eligibleNow returns the endpoints of the request's version that weren't tried.
 func (s *Set) eligibleNow(q Request) []*endpoint {
 	v, ok := s.rollouts[q.Service]
--- a/warmup/holder.go
+++ b/warmup/holder.go
@@ -13,7 +13,8 @@
 
 // grant is a permit and its last use.
 type grant struct {
-	until, interval time.Duration
+	// from is when the first request may be sent.
+	from, until, interval time.Duration
 	// used is set once it was used, at usedAt.
 	used   bool
 	usedAt time.Duration
@@ -28,7 +29,10 @@
 	maps.DeleteFunc(h.grants, func(_ grantKey, g grant) bool { return g.isOver(now) })
 	for _, p := range permits {
 		k := grantKey{control, p.Endpoint}
-		g := h.grants[k]
+		g, ok := h.grants[k]
+		if !ok {
+			g.from = askedAt + p.Delay
+		}
 		if u := askedAt + p.Lease; u > g.until {
 			g.until, g.interval = u, max(p.Interval, 1)
 			h.grants[k] = g
@@ -45,7 +49,7 @@
 // readyAt returns when a request may be sent under the grant.
 func (g grant) readyAt() time.Duration {
 	if !g.used {
-		return 0
+		return g.from
 	}
 	return g.usedAt + g.interval
 }
--- a/warmup/lender.go
+++ b/warmup/lender.go
@@ -11,6 +11,9 @@
 	// maxTenure is how long a host keeps a permit while others wait for it. A change of the holder leaves the permit unused for
 	// holdTime and an interval, so that it has to be rare.
 	maxTenure = 12 * time.Second
+	// delayShare is the part of an interval over which the first requests under the permits of all control hosts are spread. Otherwise
+	// they come at once, beside those of hosts that haven't heard of the start yet.
+	delayShare = 0.5
 )
 
 // Lender lends the permits of one control host. It isn't safe for concurrent use.
@@ -50,6 +53,11 @@
 	Controls, Rank int
 }
 
+// delay returns how long the first request under a new permit waits.
+func (r Request) delay(i time.Duration) time.Duration {
+	return time.Duration(float64(i) * delayShare * float64(r.Rank) / float64(r.Controls))
+}
+
 // Lend returns the permits of a host until it asks again. Those that it held before and doesn't ask for end with their lease.
 func (l *Lender) Lend(r Request, now time.Duration) []Permit {
 	if len(r.Wishes) == 0 {
@@ -65,17 +73,19 @@
 		i := interval(w.Rate, r.Controls)
 		o := l.loan(w.Endpoint)
 		o.wishes[r.Host] = now
+		var d time.Duration
 		if !o.renewable(r, now) {
 			if now < o.freeAt(i) || o.heldBy(r) && o.othersWait(r.Host, now, nil) || o.othersWait(r.Host, now, held) {
 				continue
 			}
 			held[r.Host]++
+			d = r.delay(i)
 		}
 		if !o.heldBy(r) || now >= o.until {
 			o.host, o.start, o.since = r.Host, r.Start, now
 		}
 		o.until, o.interval = max(o.until, now+holdTime), i
-		p = append(p, Permit{Endpoint: w.Endpoint, Lease: leaseTime, Interval: i})
+		p = append(p, Permit{Endpoint: w.Endpoint, Lease: leaseTime, Interval: i, Delay: d})
 	}
 	return p
 }
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -72,4 +72,6 @@
 	Endpoint string
 	// Lease is how long the permit may be used after the host has asked for it, and Interval the least time between two requests.
 	Lease, Interval time.Duration
+	// Delay is how long after it has asked the host waits with the first request under a new permit.
+	Delay time.Duration
 }
