Spread the first requests under permits, and test cold endpoints on real processes

Cause: the permits of all control hosts were first used at once, beside requests of hosts that hadn't heard of the start.

--- a/conf/node_test.go
+++ b/conf/node_test.go
@@ -56,6 +56,7 @@
 		{`["127.0.0.9:5"]`, `[]`, "seeds"},
 		{`["127.0.0.9:5"]`, `["x"]`, "seeds[0]"},
 		{`"grace":"8s"`, `"grace":"8"`, "duration"},
+		{`"grace":"8s"`, `"grace":"8s","cold-slack":-1`, "bounds.cold-overage"},
 		{`"caller-address":"127.0.0.1:1"`, `"caller-address":""`, "caller-address"},
 		{`"part":"entry"`, `"part":"control"`, "data-folder"},
 		{`"peer-port":3`, `"peer-port":3,"decisions":{"late-share":1.1}`, "decisions.late-share"},
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -72,6 +73,8 @@
 	Mesh *Mesh
 	// Grace is the time that processes have for a planned stop. A change holds for processes that start after it.
 	Grace time.Duration
+	// bounds are settings of bounds in addition to the usual ones.
+	bounds map[string]any
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -93,23 +96,30 @@
 	return startDeployment(t, binary, layout{controls: controls, entries: entries, mesh: true})
 }
 
+// StartBoundedDeployment is like StartDeployment, with settings of bounds in addition to the usual ones.
+func StartBoundedDeployment(t testing.TB, binary string, entries int, bounds map[string]any) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, bounds: bounds})
+}
+
 // usualControls is the number of control hosts unless a test asks for another one, and centreCount that of data centres.
 const (
 	usualControls = 3
 	centreCount   = 3
 )
 
-// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, and whether it has
-// a Mesh.
+// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, whether it has
+// a Mesh, and settings of bounds in addition to the usual ones.
 type layout struct {
 	controls, entries int
 	tunnels, mesh     bool
+	bounds            map[string]any
 }
 
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, Grace: usualGrace, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, bounds: y.bounds, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -161,6 +171,7 @@
 			"grace": d.Grace.String(), "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
 		},
 	}
+	maps.Copy(m["bounds"].(map[string]any), d.bounds)
 	if p.Control {
 		m["part"], m["admin-address"], m["data-folder"] = "control", fmt.Sprintf("%s:%d", p.IP, adminPort), filepath.Join(d.folder, p.Name)
 		m["peer-listen-port"] = peerListenPort
--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// Guards against a model that can't fail: without permits it exceeds the bound.
+func TestModelOfColdEndpointExceedsBoundWithoutPermits(t *testing.T) {
+	f := coldFleet{hosts: 30, controls: 5, endpoints: 4, greedy: true, faults: true, free: true, length: 20 * time.Second}
+	f.run(2)
+	is.New(t).True(most(f.servers[0].aware) > coldBound)
+}
+
 // Guards against cold endpoints that stay idle while callers wait.
 func TestColdEndpointsAreUsedWhileAllCallersWait(t *testing.T) {
 	for _, n := range []int{3, 8, 30, 75, 300} {
--- a/warmup/lender.go
+++ b/warmup/lender.go
@@ -11,9 +11,6 @@
 	// maxTenure is how long a host keeps a permit while others wait for it. A change of the holder leaves the permit unused for
 	// holdTime and an interval, so that it has to be rare.
 	maxTenure = 12 * time.Second
-	// delayShare is the part of an interval over which the first requests under the permits of all control hosts are spread. Otherwise
-	// they come at once, beside those of hosts that haven't heard of the start yet.
-	delayShare = 0.5
 )
 
 // Lender lends the permits of one control host. It isn't safe for concurrent use.
@@ -53,9 +50,10 @@
 	Controls, Rank int
 }
 
-// delay returns how long the first request under a new permit waits.
+// delay returns how long the first request under a new permit waits. Those under the permits of all control hosts are spread over an
+// interval: otherwise they would come at once, beside those of hosts that haven't heard of the start yet.
 func (r Request) delay(i time.Duration) time.Duration {
-	return time.Duration(float64(i) * delayShare * float64(r.Rank) / float64(r.Controls))
+	return time.Duration(float64(i) * float64(r.Rank) / float64(r.Controls))
 }
 
 // Lend returns the permits of a host until it asks again. Those that it held before and doesn't ask for end with their lease.
