Tell entry hosts and control hosts at once that an endpoint has become cold

Cause: a change of the fleet waited up to 40 ms for gossip and 100 ms for the next reply; hosts that haven't heard of a start find the endpoint idle. Change: with bounds.cold-overage such a change is gossiped at once, and replies wait a fifth of the usual interval.

--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -76,8 +76,11 @@
 	To     quorum.NodeID
 }
 
-// SendGossip queues reports that this host received for all other control hosts.
-type SendGossip struct{ Gossip ctlrpc.Gossip }
+// SendGossip queues reports that this host received for all other control hosts. If it is urgent, it is sent at once.
+type SendGossip struct {
+	Gossip ctlrpc.Gossip
+	Urgent bool
+}
 
 // RolloutEndProposed logs that the leader proposes to end a rollout, and why.
 type RolloutEndProposed struct {
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -49,7 +49,7 @@
 
 // Exchange queues an entry host's report for Reduce and returns the changes that the entry host doesn't hold yet. It
 // returns at once if the entry host lacks a configuration or asks this process for the first time. Other changes wait until
-// the reply before is Strain.ReplyInterval ago. Without changes it returns after q.Wait, at most maxExchangeWait. It returns ErrStopped
+// the reply before is Strain.ReplyInterval ago, or a part of that if an endpoint has become cold. Without changes it returns after q.Wait, at most maxExchangeWait. It returns ErrStopped
 // once the host has stopped: an empty reply would say that there are no other entry hosts.
 func (h *Host) Exchange(q ctlrpc.ExchangeRequest) (ctlrpc.ExchangeReply, error) {
 	if h.isStopped() {
@@ -65,16 +65,20 @@
 	defer p.Stop()
 	t := time.NewTimer(max(min(q.Wait, maxExchangeWait), v-leastReplyInterval))
 	defer t.Stop()
-	w := true // changes wait
+	u := time.NewTimer(max(0, h.replies.SentAt(q.Report.Host)+v/urgentReplyPart-h.now())) // from then on, that an endpoint became cold is sent
+	defer u.Stop()
+	w, y := true, true // changes wait, and that an endpoint became cold
 	for {
 		s, c := h.stateAndChange()
-		if isUrgent(s, q.Known) || !w && hasChanges(s, q.Known) {
+		if isUrgent(s, q.Known) || !w && hasChanges(s, q.Known) || !y && s.coldRevision > q.Known.FleetRevision {
 			return h.reply(s, q), nil
 		}
 		select {
 		case <-c:
 		case <-p.C:
 			w = false
+		case <-u.C:
+			y = false
 		case <-t.C:
 			s, _ = h.stateAndChange()
 			return h.reply(s, q), nil
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -253,7 +253,7 @@
 		w := forwardCall{h, v}
 		go w.run()
 	case SendGossip:
-		h.links.gossip(v.Gossip)
+		h.links.gossip(v.Gossip, v.Urgent)
 	case RolloutEndProposed:
 		h.logAssessment(v.Rollout, v.Elapsed, v.Assessment).WithFields(logrus.Fields{"outcome": v.Rollout.Outcome.String(), "why": v.Reason}).Warn("control: proposes the end of a roll-out")
 	case RolloutAssessed:
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -81,10 +81,14 @@
 	return r
 }
 
-// gossip queues a gossip message for all other control hosts.
-func (l *links) gossip(n ctlrpc.Gossip) {
+// gossip queues a gossip message for all other control hosts, which is sent at once if it is urgent.
+func (l *links) gossip(n ctlrpc.Gossip, urgent bool) {
 	for _, a := range l.otherHosts() {
-		l.link(a).outbox.add(n)
+		if o := l.link(a).outbox; urgent {
+			o.addAtOnce(n)
+		} else {
+			o.add(n)
+		}
 	}
 }
 
--- a/ctrl/outbox.go
+++ b/ctrl/outbox.go
@@ -33,17 +33,28 @@
 // add queues gossip for the next interval.
 func (o *outbox) add(g ctlrpc.Gossip) { o.reports.AddGossip(Relayed, g) }
 
-// addUrgent queues gossip that is sent at once. The channel is closed when it is acknowledged.
+// addAtOnce queues gossip that is sent at once.
+func (o *outbox) addAtOnce(g ctlrpc.Gossip) {
+	o.add(g)
+	o.hurry()
+}
+
+// hurry makes what waits be sent at once.
+func (o *outbox) hurry() {
+	select {
+	case o.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// addUrgent is addAtOnce for a caller that waits. The channel is closed when the gossip is acknowledged.
 func (o *outbox) addUrgent(g ctlrpc.Gossip) <-chan struct{} {
 	c := make(chan struct{})
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	o.add(g)
 	o.waiters = append(o.waiters, c)
-	select {
-	case o.urgent <- struct{}{}:
-	default:
-	}
+	o.hurry()
 	return c
 }
 
--- a/ctrl/pace.go
+++ b/ctrl/pace.go
@@ -6,6 +6,9 @@
 	// leastReplyInterval is the least time between two replies to an entry host that hold changes other than a configuration.
 	// Hundreds of endpoints that change at once then cost each host some replies, not one for each of them.
 	leastReplyInterval = 100 * time.Millisecond
+	// urgentReplyPart divides that time for a reply that tells that an endpoint has become cold: until then hosts find it idle and send
+	// more than it takes.
+	urgentReplyPart = 5
 	// mostReplyInterval bounds that time while this host is behind its work. It leaves an entry host time before it takes this
 	// host for lost.
 	mostReplyInterval = 450 * time.Millisecond
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -180,14 +180,24 @@
 // is passed on by gossip.
 func (t *transition) applyReport(r fleet.Report, direct bool) {
 	r = t.StateMachine.Corrected(r)
+	o, known := t.Fleet.Get(r.ID)
 	n, ok := t.Fleet.WithReport(r, t.Now)
 	t.Fleet = n
+	e, _ := n.Get(r.ID)
+	c := ok && t.ColdLimits.On() && becameCold(o.Report, e.Report, known)
+	if c {
+		t.coldRevision = n.Revision
+	}
 	if ok && direct {
-		e, _ := n.Get(r.ID)
-		t.emit(SendGossip{Gossip: ctlrpc.Gossip{Reports: []fleet.Report{e.Report}}})
+		t.emit(SendGossip{Gossip: ctlrpc.Gossip{Reports: []fleet.Report{e.Report}}, Urgent: c})
 	}
 }
 
+// becameCold reports whether an endpoint isn't known to be warm by a report, and was by the one before, or has started again.
+func becameCold(before, r fleet.Report, known bool) bool {
+	return r.Phase == fleet.Ready && r.ColdLeft != 0 && (!known || before.Born != r.Born || before.ColdLeft == 0)
+}
+
 // isEarlierStart reports whether a start of an entry host comes before another one that was last heard some time ago. Starts are numbered by
 // the host's clock, which may be set back between them: a lower number counts as the newer start once the other one has been silent for
 // loadTimeout, from which on its loads are ignored as well.
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -131,6 +131,9 @@
 	// Now is the time of the newest event.
 	Now time.Duration
 
+	// coldRevision is the revision of the fleet at which an endpoint last became cold.
+	coldRevision uint64
+
 	entryHosts    *immutable.Map[string, entryHost]
 	rolloutStarts map[string]rolloutStart
 	// assessments holds the newest assessment of each running rollout by serial. nextAssessment is when they are due again.
