--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -96,10 +96,11 @@
 	return startDeployment(t, binary, layout{controls: controls, entries: entries, mesh: true})
 }
 
-// StartBoundedDeployment is like StartDeployment, with settings of bounds in addition to the usual ones.
-func StartBoundedDeployment(t testing.TB, binary string, entries int, bounds map[string]any) *Deployment {
+// StartBoundedDeployment is like StartDeployment, or like StartTunnelledDeployment if tunnels is set, with settings of bounds in addition
+// to the usual ones.
+func StartBoundedDeployment(t testing.TB, binary string, entries int, tunnels bool, bounds map[string]any) *Deployment {
 	t.Helper()
-	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, bounds: bounds})
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: tunnels, bounds: bounds})
 }
 
 // usualControls is the number of control hosts unless a test asks for another one, and centreCount that of data centres.
