--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -69,7 +69,8 @@
 type start struct {
 	born, sequence int64
 	left           time.Duration
-	heardAt        time.Duration
+	// heardAt is when the start was heard of first, and knownAt when its endpoint was known last.
+	heardAt, knownAt time.Duration
 	// refusedAt is when the endpoint's host last refused a connection, which may be the end of this start, or 0.
 	refusedAt time.Duration
 	// toldUntil is until when an answer of the endpoint has said that it is cold, or 0.
@@ -111,7 +112,7 @@
 	o, ok := c.starts[r.ID]
 	switch {
 	case !ok, r.Born > o.born, r.Born == 0 && o.born == 0 && !known && r.Sequence < o.sequence:
-		c.starts[r.ID] = &start{born: r.Born, sequence: r.Sequence, left: r.ColdLeft, heardAt: c.now()}
+		c.starts[r.ID] = &start{born: r.Born, sequence: r.Sequence, left: r.ColdLeft, heardAt: c.now(), knownAt: c.now()}
 	case r.Born == o.born && r.Sequence > o.sequence:
 		o.sequence, o.left, o.refusedAt = r.Sequence, r.ColdLeft, 0
 	}
@@ -130,7 +131,14 @@
 		return
 	}
 	n := c.now()
-	maps.DeleteFunc(c.starts, func(i string, o *start) bool { return endpoints[i] == nil && n-o.heardAt > 2*departureRetention })
+	for i, o := range c.starts {
+		if endpoints[i] != nil {
+			o.knownAt = n
+		}
+		if n-o.knownAt > departureRetention {
+			delete(c.starts, i)
+		}
+	}
 	maps.DeleteFunc(c.wishes, func(_ string, t time.Duration) bool { return n-t > coldWishTime })
 }
 
