--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -186,3 +186,23 @@
 	i.True(n["w"] > 130 && n["w"] < 150) // until half of the requests may come, after 1.4 s
 	i.Equal(n["c"]+n["w"], 200)
 }
+
+// Guards against a cold endpoint that gets nothing while warm ones are faster, or as much as they.
+func TestColdEndpointBesideWarmOneGetsFewRequests(t *testing.T) {
+	i := is.New(t)
+	s, d := coldSet(time.Second)
+	q, n := pick.Request{Service: "s", Work: time.Millisecond}, map[string]int{}
+	for k := range 1000 {
+		*d += 10 * time.Millisecond
+		if k%15 == 0 && len(s.ColdWishes(epoch.Add(*d))) > 0 {
+			s.AcceptPermits("k", []warmup.Permit{{Endpoint: "c", Lease: time.Second, Interval: 100 * time.Millisecond}}, *d)
+		}
+		q.LinkDraw = float64(k%20) / 20
+		c, ok := s.Choose(q, epoch.Add(*d))
+		i.True(ok)
+		n[c.ID]++
+		s.AnswerStarted(c.ID, q.Work)
+		s.RequestEnded(c.ID)
+	}
+	i.True(n["c"] >= 10 && n["c"] <= 100)
+}
