--- a/conf/node.go
+++ b/conf/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/tiers"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 //go:generate go tool stringer -type=Part -linecomment -output=enum_string.go
@@ -83,6 +84,15 @@
 	// CentreDrain is the time after the acknowledgement of an order to drain a data centre from which no request may reach an endpoint
 	// there. 0 means that data centres can't be drained.
 	CentreDrain Duration `json:"centre-drain"`
+	// ColdOverage and ColdSlack bound the requests of all hosts together to an endpoint that is still cold after its start: in each
+	// second at most the rate of its service times ColdOverage, plus ColdSlack. A ColdOverage of 0 means no bound.
+	ColdOverage float64 `json:"cold-overage"`
+	ColdSlack   float64 `json:"cold-slack"`
+}
+
+// ColdLimits returns the bound on requests to cold endpoints.
+func (b Bounds) ColdLimits() warmup.Limits {
+	return warmup.Limits{Overage: b.ColdOverage, Slack: b.ColdSlack}
 }
 
 // Node holds the settings of a process in a routed deployment, in which entry hosts forward requests by a routing table
@@ -184,6 +194,9 @@
 			return err
 		}
 	}
+	if n.Bounds.ColdOverage < 0 || n.Bounds.ColdSlack < 0 {
+		return &Fault{Field: "bounds.cold-overage", What: "or bounds.cold-slack is negative", Remedy: "write a number that isn't negative, or leave both out"}
+	}
 	if err := n.checkDecisions(); err != nil {
 		return err
 	}
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryshelf/hickoryshelf/limit"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 //go:generate go tool stringer -type=Verb,Status -linecomment -output=enum_string.go
@@ -69,6 +70,8 @@
 	Budget map[string]budget.Statement
 	// Holding is the host's share of the slack of all retry budgets. Older builds leave it empty.
 	Holding budget.Holding
+	// WarmUp says which cold endpoints the host would use. Older builds leave it empty.
+	WarmUp WarmUp
 }
 
 // WithAge returns the report as it reads some time later.
@@ -229,6 +232,8 @@
 	Watch poison.WatchUpdate
 	// Drains is set if it is newer than what the entry host holds.
 	Drains Drains
+	// Permits holds those for cold endpoints that are lent to the host. Older builds leave it empty.
+	Permits []warmup.Permit
 }
 
 // HostsSum returns the hash of the names of entry hosts.
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -97,7 +97,7 @@
 	k := d.QuorumState()
 	s, err := New(Options{
 		Node: n, StartID: newStartID(), Heartbeat: o.Settings.Bounds.Heartbeat.Std(), Exposure: canary.Exposure{Share: o.Settings.Bounds.ExposureShare, Slack: o.Settings.Bounds.ExposureExtra},
-		RetryWindow: o.Settings.Bounds.RetryWindow.Std(), DataCentres: o.Settings.DrainableCentres(),
+		RetryWindow: o.Settings.Bounds.RetryWindow.Std(), DataCentres: o.Settings.DrainableCentres(), ColdLimits: o.Settings.Bounds.ColdLimits(),
 		Log: quorum.New(n, timing, k.Hard, k.Snapshot, k.Entries, randomSeed()),
 	})
 	if err != nil {
@@ -253,7 +253,7 @@
 		w := forwardCall{h, v}
 		go w.run()
 	case SendGossip:
-		h.links.gossip(v.Gossip)
+		h.links.gossip(v.Gossip, v.Urgent)
 	case RolloutEndProposed:
 		h.logAssessment(v.Rollout, v.Elapsed, v.Assessment).WithFields(logrus.Fields{"outcome": v.Rollout.Outcome.String(), "why": v.Reason}).Warn("control: proposes the end of a roll-out")
 	case RolloutAssessed:
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 const (
@@ -63,6 +64,8 @@
 	RetryWindow time.Duration
 	// DataCentres holds the data centres that may be drained. Without any this host takes no orders about drains.
 	DataCentres []string
+	// ColdLimits are those of endpoints that are cold after their start. Without them no permits are lent.
+	ColdLimits warmup.Limits
 }
 
 // entryHost holds the newest report of an entry host, without its tallies, and the merged tallies of all its starts.
@@ -130,6 +133,9 @@
 	// Now is the time of the newest event.
 	Now time.Duration
 
+	// coldRevision is the revision of the fleet at which an endpoint last became cold.
+	coldRevision uint64
+
 	entryHosts    *immutable.Map[string, entryHost]
 	rolloutStarts map[string]rolloutStart
 	// drainsSeen records when this host learned of the last change of each data centre.
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -45,6 +45,8 @@
 	}
 	e.Relay.Poison.AdoptWatch(r.Watch)
 	e.Relay.AcceptBudget(r.Control, r.Loan, r.Grants)
+	e.Set.AcceptPermits(r.Control, r.Permits, sent)
+	e.Relay.LogCold()
 	e.Set.MergeLimits(r.Limits, time.Now())
 	e.overdue = r.Overdue
 	if len(r.Hosts) > 0 {
@@ -55,11 +57,13 @@
 	if len(r.Controls) > 0 {
 		e.controls = r.Controls
 	}
+	e.planPermits(r.Entries)
 }
 
 // applyDrains puts a state of drains in force, unless it is older than the one that is. age is the time since the newest change, as far as
 // the control host knows, in ms.
 func (e *Entry) applyDrains(d ctlrpc.Drains) {
+	e.expectCold(d)
 	if d.Index == 0 || !e.Set.SetDrains(d, time.Now()) {
 		return
 	}
@@ -73,6 +77,20 @@
 	e.Log.WithFields(f).Warn("entry: drains in force")
 }
 
+// expectCold makes the endpoints of data centres whose drain has ended a moment ago count as cold: they may have become so while nothing was
+// sent to them, and their reports come a heartbeat later, with another one for those that were under way.
+func (e *Entry) expectCold(d ctlrpc.Drains) {
+	if d.Index <= e.state.DrainIndex {
+		return
+	}
+	l := 2*e.Settings.Bounds.Heartbeat.Std() + coldReportDelay
+	for k, c := range d.State {
+		if !c.Drained && d.Ages[k] < l {
+			e.Set.TreatAsCold(k, time.Now().Add(l-d.Ages[k]))
+		}
+	}
+}
+
 // applyTable decodes the configuration of a reply and puts it in force. A configuration that can't be decoded is
 // logged and ignored, and applyTable returns false.
 func (e *Entry) applyTable(r ctlrpc.ExchangeReply) bool {
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -74,6 +75,8 @@
 	Grace time.Duration
 	// CentreDrain is the setting of that name, or 0 for none: older builds refuse it. A change holds for processes that start after it.
 	CentreDrain time.Duration
+	// bounds are settings of bounds in addition to the usual ones.
+	bounds map[string]any
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -89,10 +92,11 @@
 	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true})
 }
 
-// StartDrainableDeployment is like StartTunnelledDeployment, but data centres can be drained, within the given time.
-func StartDrainableDeployment(t testing.TB, binary string, entries int, centreDrain time.Duration) *Deployment {
+// StartDrainableDeployment is like StartTunnelledDeployment, but data centres can be drained, within the given time, and there are
+// settings of bounds in addition to the usual ones, or nil.
+func StartDrainableDeployment(t testing.TB, binary string, entries int, centreDrain time.Duration, bounds map[string]any) *Deployment {
 	t.Helper()
-	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, centreDrain: centreDrain})
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, centreDrain: centreDrain, bounds: bounds})
 }
 
 // StartMeshedDeployment is like StartDeployment, but has the given number of control hosts, and a Mesh in place of the proxies.
@@ -101,6 +105,13 @@
 	return startDeployment(t, binary, layout{controls: controls, entries: entries, mesh: true})
 }
 
+// StartBoundedDeployment is like StartDeployment, or like StartTunnelledDeployment if tunnels is set, with settings of bounds in addition
+// to the usual ones.
+func StartBoundedDeployment(t testing.TB, binary string, entries int, tunnels bool, bounds map[string]any) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: tunnels, bounds: bounds})
+}
+
 // usualControls is the number of control hosts unless a test asks for another one, and centreCount that of data centres.
 const (
 	usualControls = 3
@@ -108,17 +119,18 @@
 )
 
 // layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, whether it has
-// a Mesh, and the setting centre-drain.
+// a Mesh, the setting centre-drain, and settings of bounds in addition to the usual ones.
 type layout struct {
 	controls, entries int
 	tunnels, mesh     bool
 	centreDrain       time.Duration
+	bounds            map[string]any
 }
 
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, Grace: usualGrace, CentreDrain: y.centreDrain, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, CentreDrain: y.centreDrain, bounds: y.bounds, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -178,6 +190,7 @@
 		m["data-centres"] = z
 		m["bounds"].(map[string]any)["centre-drain"] = d.CentreDrain.String()
 	}
+	maps.Copy(m["bounds"].(map[string]any), d.bounds)
 	if p.Control {
 		m["part"], m["admin-address"], m["data-folder"] = "control", fmt.Sprintf("%s:%d", p.IP, adminPort), filepath.Join(d.folder, p.Name)
 		m["peer-listen-port"] = peerListenPort
