Spread the requests of hosts out of touch over the endpoints

Cause: a host that doesn't hear of a start finds the endpoint idle by old loads, the more as other hosts send little to a cold one.

--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -1,6 +1,7 @@
 package pick_test
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/warmup"
@@ -206,3 +208,25 @@
 	}
 	i.True(n["c"] >= 10 && n["c"] <= 100)
 }
+
+// Guards against hosts that are out of touch and send all to the endpoint that the last loads show idle: it may have started again.
+func TestHostOutOfTouchSpreadsItsRequests(t *testing.T) {
+	i := is.New(t)
+	s, d := coldSet(0)
+	var r []fleet.Report
+	loads := map[string]ctlrpc.Load{}
+	for k := range 8 {
+		e := fmt.Sprint("e", k)
+		r, loads[e] = append(r, coldReport(e, 1, 1, 0)), ctlrpc.Load{Requests: 10 * k, Backlog: 100 * k}
+	}
+	s.Replace(r)
+	s.SetRemoteLoads(loads)
+	s.Touch()
+	q := pick.Request{Service: "s", Work: time.Millisecond}
+	i.Equal(chosen(s, d, q, time.Second), map[string]int{"e0": 100})
+	n := chosen(s, d, q, time.Second)
+	i.True(n["e0"] <= 18) // each eighth at most, of 8, and what came first
+	i.True(n["e5"] > 0)
+	s.Touch()
+	i.Equal(chosen(s, d, q, time.Second), map[string]int{"e0": 100})
+}
--- a/pick/coldmodel_test.go
+++ b/pick/coldmodel_test.go
@@ -271,7 +271,7 @@
 			return
 		}
 		p := c.lend(q, f.now)
-		id, s := c.id, c.fleet
+		id, s, current := c.id, c.fleet, f.current(c)
 		f.noteLoads(h, c, loads)
 		remote := c.otherLoads(h.name)
 		d, ok := f.delay()
@@ -285,6 +285,9 @@
 			f.adopt(h, id, s)
 			h.set.AcceptPermits(id, p, asked)
 			h.set.SetRemoteLoads(remote)
+			if current {
+				h.set.Touch()
+			}
 			next()
 		})
 	})
@@ -319,6 +322,17 @@
 	c.waiting = nil
 }
 
+// current reports whether a control host reaches a majority, so that it can tell the newest state.
+func (f *coldFleet) current(c *coldControl) bool {
+	n := 0
+	for _, o := range f.nodes {
+		if o.side == c.side && f.now >= o.downUntil {
+			n++
+		}
+	}
+	return 2*n > f.controls
+}
+
 // noteLoads takes over the loads of a host, and passes them on to the other control hosts.
 func (f *coldFleet) noteLoads(h *coldHost, c *coldControl, loads map[string]ctlrpc.Load) {
 	for _, o := range f.nodes {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -142,6 +142,8 @@
 	// cold is set if the endpoint counted as cold when that was last asked, and warmAt is when it last ceased to.
 	cold   bool
 	warmAt time.Time
+	// chosenAt is the number of the last choice of the endpoint among those of its service.
+	chosenAt uint64
 }
 
 // Set holds the endpoints that a host knows. It is safe for concurrent use.
@@ -181,6 +183,7 @@
 		return c, false
 	}
 	s.usePermit(b, now, &c)
+	s.countChoice(b)
 	c.Wait, c.Expected = s.estimate(b, q), s.expected(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.local.Plus(b.remote), len(l)
 	c.Cached = q.CacheSaving > 0 && s.hasAffinity(b, q)
@@ -274,7 +277,7 @@
 	}
 	switch {
 	case len(usable) > 0:
-		return preferRamped(usable, q, now)
+		return s.spread(preferRamped(usable, q, now), q)
 	case len(linked) > 0:
 		return linked
 	}
--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -21,6 +21,10 @@
 	coldWait = 250 * time.Millisecond
 	// trickleShare is the share of requests that may go to a cold endpoint though warm ones are faster.
 	trickleShare = 0.1
+	// touchTime is how long after the last reply of a control host this host counts as out of touch. Replies come some times a second.
+	touchTime = time.Second
+	// restShare is the part of a service's endpoints that a host which is out of touch uses before it uses one of them again.
+	restShare = 0.75
 	// restartTime is how long after a refused connection an endpoint may have started again without this host's notice.
 	restartTime = 2 * time.Second
 	// maxColdChanges bounds the changes that are kept until they are taken.
@@ -63,6 +67,10 @@
 	wishes  map[string]time.Duration
 	changes []ColdChange
 	counts  ColdCounts
+	// touchedAt is when a control host replied last that could tell the newest state.
+	touchedAt time.Duration
+	// choices counts the choices of endpoints by service.
+	choices map[string]uint64
 }
 
 // start is what the reports of an endpoint's newest start say about its warm-up.
@@ -83,7 +91,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.cold = coldState{
-		now: now, holder: warmup.NewHolder(), starts: map[string]*start{}, centres: map[string]time.Time{}, wishes: map[string]time.Duration{},
+		now: now, holder: warmup.NewHolder(), starts: map[string]*start{}, centres: map[string]time.Time{}, wishes: map[string]time.Duration{}, choices: map[string]uint64{},
 	}
 }
 
@@ -238,6 +246,43 @@
 	return s.untried(q, ofVersion(v, s.goesToTarget(v, q)))
 }
 
+// Touch records that a control host has replied that can tell the newest state.
+func (s *Set) Touch() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.cold.now != nil {
+		s.cold.touchedAt = s.cold.now()
+	}
+}
+
+// countChoice counts the choice of an endpoint.
+func (s *Set) countChoice(n *endpoint) {
+	if s.cold.now != nil {
+		s.cold.choices[n.report.Service]++
+		n.chosenAt = s.cold.choices[n.report.Service]
+	}
+}
+
+// spread returns the endpoints that were not chosen lately if this host is out of touch, unless there are none. It then doesn't hear that an
+// endpoint became cold, and finds that one idle by the loads that it knows: it must not send all there.
+func (s *Set) spread(endpoints []*endpoint, q Request) []*endpoint {
+	c := &s.cold
+	if _, ok := c.limits[q.Service]; !ok || c.now == nil || c.now() < c.touchedAt+touchTime {
+		return endpoints
+	}
+	least, k := uint64(float64(len(endpoints))*restShare), c.choices[q.Service]
+	var r []*endpoint
+	for _, n := range endpoints {
+		if n.chosenAt == 0 || k-n.chosenAt >= least {
+			r = append(r, n)
+		}
+	}
+	if len(r) == 0 {
+		return endpoints
+	}
+	return r
+}
+
 // preferRamped returns the endpoints without those that have warmed up a moment ago and don't get this request yet, unless there are no
 // others.
 func preferRamped(endpoints []*endpoint, q Request, now time.Time) []*endpoint {
