--- a/relay/job.go
+++ b/relay/job.go
@@ -182,7 +182,12 @@
 
 // refuse logs and counts a refusal and ends the request with it.
 func (j *job) refuse(reason Reason, after time.Duration) {
-	j.refuseWith(reason, after, j.choiceFields())
+	f := logrus.Fields{}
+	maps.Copy(f, j.choiceFields())
+	if j.asksWait.Cold {
+		f["cold"] = true // all that could take it are cold, and there is no permit
+	}
+	j.refuseWith(reason, after, f)
 }
 
 // refuseWith refuses a request with further fields in the log line.
@@ -201,7 +206,7 @@
 		return nil
 	}
 	return logrus.Fields{
-		"estimate": j.choice.Wait.Milliseconds(), "load": j.choice.Load.Requests, "backlog": j.choice.Load.Backlog, "candidates": j.choice.Candidates, "cold": j.asksWait.Cold,
+		"estimate": j.choice.Wait.Milliseconds(), "load": j.choice.Load.Requests, "backlog": j.choice.Load.Backlog, "candidates": j.choice.Candidates,
 	}
 }
 
