Ignore orders about drains that are delivered after a later change

Cause: a follower that is held up before it forwards an order delivers it after its caller has got 503, and after other orders about the data centre were acknowledged, which it then reverts. Change: the follower that takes an order adds the index of the data centre's last change that it holds (Order.DrainSeen, drain.Order.Seen). WithOrder ignores an order after a later change, and the reply is Unavailable, so that the order sent again takes the newer index. A follower that isn't current answers Unavailable itself. A leader proposes at once what it takes itself, so that its place in the log decides.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -275,8 +275,10 @@
 	Node quorum.NodeID
 	// Endpoint is set for Retire.
 	Endpoint fleet.Report
-	// DataCentre is set for StartDrain and EndDrain.
+	// DataCentre is set for StartDrain and EndDrain. DrainSeen is drain.Order.Seen for them, set by the control host that took the order
+	// and forwards it, and 0 from hosts of older builds.
 	DataCentre string
+	DrainSeen  uint64
 	// Hops counts how often the order was forwarded, which control hosts bound.
 	Hops int
 }
--- a/ctlrpc/drain.go
+++ b/ctlrpc/drain.go
@@ -6,9 +6,8 @@
 	"github.com/hickoryshelf/hickoryshelf/drain"
 )
 
-// HoldsNoDrains is EntryState.DrainIndex of an entry host that holds no state of drains. No change has it, since the control log begins
-// with a snapshot at this index.
-const HoldsNoDrains uint64 = 1
+// HoldsNoDrains is EntryState.DrainIndex of an entry host that holds no state of drains.
+const HoldsNoDrains = drain.Unchanged
 
 // Drains is the whole state of drains.
 type Drains struct {
--- a/ctrl/drain.go
+++ b/ctrl/drain.go
@@ -56,9 +56,28 @@
 	return ctlrpc.Drains{State: d, Index: d.Index(), Ages: a}
 }
 
+// isDrainOrder reports whether an order is about a drain.
+func isDrainOrder(o ctlrpc.Order) bool {
+	return o.Verb == ctlrpc.StartDrain || o.Verb == ctlrpc.EndDrain
+}
+
+// forwardNoted forwards an order to the leader. To an order about a drain that comes from an operator it adds which change of the data centre
+// this host holds, so that the order reverts no later one if it is delivered late. A host that may hold an old change answers Unavailable.
+// A leader proposes at once what it takes itself: its place in the log decides.
+func (t *transition) forwardNoted(a OrderReceived) {
+	if isDrainOrder(a.Order) && a.Order.Hops == 0 {
+		if !t.Current() {
+			t.emit(Respond{CallID: a.CallID})
+			return
+		}
+		a.Order.DrainSeen = t.StateMachine.Drains.Seen(a.Order.DataCentre)
+	}
+	t.forward(a)
+}
+
 // drainOrder returns the change that an order asks for.
 func (t *transition) drainOrder(o ctlrpc.Order) drain.Order {
-	return drain.Order{DataCentre: o.DataCentre, Drained: o.Verb == ctlrpc.StartDrain, Known: t.DataCentres}
+	return drain.Order{DataCentre: o.DataCentre, Drained: o.Verb == ctlrpc.StartDrain, Known: t.DataCentres, Seen: o.DrainSeen}
 }
 
 // orderDrain proposes to start or end the drain of a data centre. An order that changes nothing is answered without a proposal, unless
@@ -81,12 +100,12 @@
 // drainPending reports whether an order about a drain isn't committed yet.
 func (t *transition) drainPending() bool {
 	return slices.ContainsFunc(t.pending, func(w pendingOrder) bool {
-		return w.order.Verb == ctlrpc.StartDrain || w.order.Verb == ctlrpc.EndDrain
+		return isDrainOrder(w.order)
 	})
 }
 
-// drainResult returns the result of an order about a drain by the committed state. An order that isn't in force was refused, since the data
-// centre is the last one. It gets no clear answer if a drain there has ended lately: it may be a resend of the order that had started it,
+// drainResult returns the result of an order about a drain by the committed state. An order that isn't in force was late, or was refused since
+// the data centre is the last one. It gets no clear answer if it was late, or if a drain there has ended lately: it may be a resend of the order that had started it,
 // which was accepted.
 func (t *transition) drainResult(o ctlrpc.Order) (ctlrpc.Status, drain.Change) {
 	d := t.drainOrder(o)
@@ -96,6 +115,8 @@
 		return ctlrpc.Accepted, drain.Change{Index: t.StateMachine.Applied}
 	case c.Drained == d.Drained:
 		return ctlrpc.Accepted, c
+	case t.StateMachine.Drains.IsLate(d):
+		return ctlrpc.Unavailable, drain.Change{} // sent again it is taken with the newer change
 	case changed && t.drainAge(d.DataCentre) < resendTime:
 		return ctlrpc.Unavailable, drain.Change{}
 	}
@@ -104,14 +125,14 @@
 
 // logOrder logs an order about a drain.
 func (h *Host) logOrder(o ctlrpc.Order) {
-	if o.Verb == ctlrpc.StartDrain || o.Verb == ctlrpc.EndDrain {
+	if isDrainOrder(o) {
 		h.log.WithFields(logrus.Fields{"order": o.Verb.String(), "data-centre": o.DataCentre, "hops": o.Hops}).Warn("control: an operator's order about a data centre")
 	}
 }
 
 // logOrderReply logs the reply to an order about a drain, and how long it took.
 func (h *Host) logOrderReply(o ctlrpc.Order, r ctlrpc.OrderReply, took time.Duration) {
-	if o.Verb != ctlrpc.StartDrain && o.Verb != ctlrpc.EndDrain {
+	if !isDrainOrder(o) {
 		return
 	}
 	h.log.WithFields(logrus.Fields{
--- a/ctrl/drain_test.go
+++ b/ctrl/drain_test.go
@@ -126,6 +126,37 @@
 	i.Equal(c.submit(address(0), startOf("a")).Status, ctlrpc.Conflict)
 }
 
+// follower returns the address of a host that doesn't lead.
+func (c *cluster) follower() string {
+	for k := range 3 {
+		if address(k) != c.leader() {
+			return address(k)
+		}
+	}
+	return ""
+}
+
+// Guards against an order that a follower forwards late, and that reverts one that was acknowledged since. The same order sent again is
+// accepted, and a host that may lack committed entries takes none.
+func TestOrderDeliveredLateDoesNotRevertAcknowledgedOne(t *testing.T) {
+	i := is.New(t)
+	c := startDrainable(t)
+	f := c.follower()
+	b := c.hosts[f]
+	_, e := ctrl.Reduce(b.state, c.now-b.startedAt, ctrl.OrderReceived{CallID: 999, Order: startOf("a")})
+	i.Equal(len(e), 1)
+	i.Equal(c.submit(c.leader(), startOf("a")).Status, ctlrpc.Accepted)
+	c.run(time.Second)
+	i.Equal(c.submit(f, endOf("a")).Status, ctlrpc.Accepted)
+	c.perform(f, e[0]) // the follower goes on
+	c.run(time.Second)
+	i.Equal(c.replies[999].Status, ctlrpc.Unavailable)
+	i.Equal(c.drainsAt(0).Drained(), nil)
+	i.Equal(c.submit(f, startOf("a")).Status, ctlrpc.Accepted)
+	_, e = ctrl.Reduce(b.state, c.now-b.startedAt+time.Minute, ctrl.OrderReceived{CallID: 1000, Order: endOf("a")})
+	i.Equal(e, []ctrl.Effect{ctrl.Respond{CallID: 1000}})
+}
+
 // Guards against an acknowledged order that reverts: all control hosts are killed right after it, and one of them loses its disk. The log is
 // long, so that some start from a snapshot, in one of the cases.
 func TestAcknowledgedDrainSurvivesKillOfAllControlHosts(t *testing.T) {
--- a/ctrl/order.go
+++ b/ctrl/order.go
@@ -15,7 +15,7 @@
 // answers Unavailable.
 func (t *transition) handleOrder(a OrderReceived) {
 	if t.Log.Role != quorum.Leader {
-		t.forward(a)
+		t.forwardNoted(a)
 		return
 	}
 	if !t.Log.Ready(t.Now) {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -20,16 +20,23 @@
 	Drained    bool   `json:"drained"`
 	// Known holds the data centres of the deployment. The order carries them so that all hosts that apply it decide alike.
 	Known []string `json:"known,omitempty"`
+	// Seen is the index of the last change of the data centre that was known when the order was given, or Unchanged. An order that is
+	// delivered after a later change is ignored. 0 means that the order may follow any change.
+	Seen uint64 `json:"seen,omitempty"`
 }
 
+// Unchanged is Order.Seen if the data centre was never drained. No change has it, since the control log begins with a snapshot at this
+// index.
+const Unchanged uint64 = 1
+
 // State holds the last change of each data centre that was ever drained, by name. It is an immutable value: methods return changed
 // copies. A data centre whose drain has ended stays in it.
 type State map[string]Change
 
 // WithOrder returns the state after an order with a log index. An order that changes nothing keeps the index of the change before. One
-// that would drain the last data centre changes nothing.
+// that would drain the last data centre, or that is late, changes nothing.
 func (s State) WithOrder(o Order, index uint64) State {
-	if s.IsDrained(o.DataCentre) == o.Drained || o.Drained && s.IsLast(o.DataCentre, o.Known) {
+	if s.IsDrained(o.DataCentre) == o.Drained || s.IsLate(o) || o.Drained && s.IsLast(o.DataCentre, o.Known) {
 		return s
 	}
 	n := maps.Clone(s)
@@ -40,6 +47,12 @@
 	return n
 }
 
+// Seen returns what an order about a data centre that is given now has as Order.Seen.
+func (s State) Seen(dataCentre string) uint64 { return max(Unchanged, s[dataCentre].Index) }
+
+// IsLate reports whether the data centre of an order has changed since the order was given.
+func (s State) IsLate(o Order) bool { return o.Seen > 0 && o.Seen != s.Seen(o.DataCentre) }
+
 // IsDrained reports whether a data centre is drained.
 func (s State) IsDrained(dataCentre string) bool { return s[dataCentre].Drained }
 
