Keep a drain from promoting the version on trial

Cause: drained endpoints of the other versions weren't counted for the outcome of a rollout, so that a target with one endpoint was promoted over eight drained ones. Entry hosts sent all requests of the old version to the target where its endpoints are drained. Change: available leaves out drained endpoints of the target only. Where drains withhold the old version, its requests go to the target only if its evidence is good enough to promote it, which control hosts tell in canary.View.Proven.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -73,6 +73,9 @@
 type View struct {
 	Rollout
 	Plan Plan
+	// Proven is set while the rollout runs if the evidence for the target is good enough to promote it. Control hosts of older builds leave
+	// it out.
+	Proven bool
 	// Elapsed is the time since the rollout was ordered, as far as the control host knows.
 	Elapsed time.Duration
 }
@@ -169,6 +172,9 @@
 // odds returns the odds that the target is bad.
 func (a Assessment) odds() float64 { return math.Exp(a.LogOdds) }
 
+// IsProven reports whether the evidence for a target is good enough to promote it.
+func (a Assessment) IsProven() bool { return a.Answers > 0 && a.odds() < promoteOdds }
+
 // Traffic returns the plan of a rollout. elapsed is the time since the rollout was ordered.
 func Traffic(r Rollout, elapsed time.Duration, x Exposure, a Assessment) Plan {
 	switch r.Outcome {
--- a/ctrl/drain_test.go
+++ b/ctrl/drain_test.go
@@ -322,24 +322,41 @@
 	w.reply <- r
 }
 
-// Guards against a rollout that ends by endpoints to which no request may go: all of the target's are in a data centre that may be drained.
+// Guards against a rollout that ends by endpoints to which no request may go: all of the target's are in a data centre that may be drained;
+// and against one that is promoted since most endpoints of the others are.
 func TestRolloutCountsNoEndpointsOfDrainedDataCentre(t *testing.T) {
-	for _, drained := range []bool{false, true} {
-		t.Run(fmt.Sprint(drained), func(t *testing.T) {
+	for _, v := range []struct {
+		name    string
+		drained bool
+		target  string
+		others  int
+		done    bool
+	}{
+		{"not drained", false, "a", 1, true},
+		{"target drained", true, "a", 1, false},
+		{"few targets", false, "b", 8, false},
+		{"others drained", true, "b", 8, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
 			i := is.New(t)
 			c := startDrainable(t)
 			l := c.leader()
-			if drained {
+			if v.drained {
 				i.Equal(c.submit(l, startOf("a")).Status, ctlrpc.Accepted)
 			}
 			i.Equal(c.submit(l, ctlrpc.Order{Verb: ctlrpc.StartRollout, Rollout: canary.Rollout{Service: "s", Target: "v2", Budget: 5 * time.Second}}).Status, ctlrpc.Accepted)
+			report := func(id, centre, version string, n int64) {
+				c.endpointReports(l, fleet.Report{ID: id, Born: 1, Sequence: n + 1, Service: "s", Address: "10.0.1.1:" + id, DataCentre: centre, Version: version})
+			}
+			o := map[string]string{"a": "b", "b": "a"}[v.target]
 			for n := range int64(24) { // without a request
-				for k, v := range map[string]string{"a": "v2", "b": "v1"} {
-					c.endpointReports(l, fleet.Report{ID: "i" + k, Born: 1, Sequence: n + 1, Service: "s", Address: "10.0.1.1:" + k, DataCentre: k, Version: v})
+				report("target", v.target, "v2", n)
+				for k := range v.others {
+					report(fmt.Sprint("other", k), o, "v1", n)
 				}
 				c.run(500 * time.Millisecond)
 			}
-			i.Equal(c.hosts[l].state.StateMachine.Rollouts["s"].Outcome == canary.Done, !drained)
+			i.Equal(c.hosts[l].state.StateMachine.Rollouts["s"].Outcome == canary.Done, v.done)
 		})
 	}
 }
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -269,7 +269,8 @@
 		v := canary.View{Rollout: o}
 		if o.Outcome == canary.Running {
 			v.Elapsed = s.elapsed(o)
-			v.Plan = canary.Traffic(o, v.Elapsed, s.Exposure, s.assessment(o))
+			a := s.assessment(o)
+			v.Plan, v.Proven = canary.Traffic(o, v.Elapsed, s.Exposure, a), a.IsProven()
 		} else {
 			v.Plan = canary.Traffic(o, 0, s.Exposure, canary.Assessment{})
 		}
@@ -302,17 +303,18 @@
 	return d
 }
 
-// available counts the ready endpoints of a rollout's service, with the target version and with other versions. Those of drained data
-// centres are left out: they couldn't serve what an outcome would send them.
+// available counts the ready endpoints of a rollout's service, with the target version and with other versions. Those of the target in
+// drained data centres are left out: they couldn't serve what a promotion would send them. The others there count, as they do once the
+// drain ends: a drain is no reason to promote the target.
 func (s State) available(r canary.Rollout) canary.EndpointCounts {
 	var f canary.EndpointCounts
 	for e := range s.Fleet.All {
 		switch {
-		case e.Service != r.Service || e.Phase != fleet.Ready || s.StateMachine.Drains.IsDrained(e.DataCentre):
-		case e.Version == r.Target:
-			f.Target++
-		default:
+		case e.Service != r.Service || e.Phase != fleet.Ready:
+		case e.Version != r.Target:
 			f.Others++
+		case !s.StateMachine.Drains.IsDrained(e.DataCentre):
+			f.Target++
 		}
 	}
 	return f
--- a/pick/drain.go
+++ b/pick/drain.go
@@ -11,6 +11,8 @@
 type drainState struct {
 	state drain.State
 	index uint64
+	// any is set if any data centre is drained.
+	any bool
 	// changedAt holds the latest time at which each data centre can have changed.
 	changedAt map[string]time.Time
 }
@@ -23,7 +25,7 @@
 	if d.Index < s.drains.index {
 		return false
 	}
-	n := drainState{state: d.State, index: d.Index, changedAt: map[string]time.Time{}}
+	n := drainState{state: d.State, index: d.Index, any: len(d.State.Drained()) > 0, changedAt: map[string]time.Time{}}
 	for k, c := range d.State {
 		n.changedAt[k] = now.Add(-d.Ages[k])
 		if o, ok := s.drains.changedAt[k]; ok && s.drains.state[k] == c && o.Before(n.changedAt[k]) {
@@ -64,11 +66,20 @@
 func (s *Set) Withheld(service string) (endpoints int, index uint64) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	return s.withheld(service, nil), s.drains.index
+}
+
+// withheld returns the number of endpoints that meet the condition, if it isn't nil, and would serve a service if their data centres weren't
+// drained.
+func (s *Set) withheld(service string, condition func(*endpoint) bool) int {
+	if !s.drains.any {
+		return 0
+	}
+	k := 0
 	for _, n := range s.endpoints {
-		o := *n
-		if o.drained = false; n.drained && o.serves(service) {
-			endpoints++
+		if n.drained && n.runs(service) && (condition == nil || condition(n)) {
+			k++
 		}
 	}
-	return endpoints, s.drains.index
+	return k
 }
--- a/pick/drain_test.go
+++ b/pick/drain_test.go
@@ -174,3 +174,37 @@
 		s.RequestEnded(c.ID)
 	}
 }
+
+// Guards against a version on trial that gets all requests since the endpoints of the others are drained. It gets them only once its evidence
+// is good.
+func TestDrainSendsVersionOnTrialNoMoreThanItsShare(t *testing.T) {
+	for _, v := range []struct {
+		name            string
+		drained, proven bool
+		draw            float64
+		served          bool
+	}{
+		{"share", true, false, 0.05, true},
+		{"beyond its share", true, false, 0.9, false},
+		{"proven", true, true, 0.9, true},
+		{"endpoints gone", false, false, 0.9, true}, // as before
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			i := is.New(t)
+			s := pick.NewSet("b")
+			l := []fleet.Report{{ID: "b0", Service: "s", DataCentre: "b", Address: "b0", Version: "v2"}}
+			if v.drained {
+				l = append(l, fleet.Report{ID: "a0", Service: "s", DataCentre: "a", Address: "a0", Version: "v1"})
+			}
+			s.Replace(l)
+			s.SetRollouts([]canary.View{{Rollout: canary.Rollout{Service: "s", Target: "v2", Serial: 1}, Plan: canary.Plan{Fresh: 0.1, Bound: 0.1}, Proven: v.proven}})
+			s.SetDrains(drained(5, "a"), epoch)
+			q := request()
+			q.Draw = v.draw
+			_, ok := s.Choose(q, epoch)
+			i.Equal(ok, v.served)
+			c := s.CutOff(q, epoch)
+			i.True(!c.Cut && !c.Undecided)
+		})
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -276,8 +276,11 @@
 
 // serves reports whether the endpoint takes requests of a service. All that choose, count or probe endpoints ask here, so that those of a
 // drained data centre get nothing.
-func (n *endpoint) serves(service string) bool {
-	return !n.replaced && !n.removed && !n.leaving && !n.drained && n.report.Service == service && n.report.Phase == fleet.Ready
+func (n *endpoint) serves(service string) bool { return !n.drained && n.runs(service) }
+
+// runs reports whether the endpoint would take requests of a service if its data centre weren't drained.
+func (n *endpoint) runs(service string) bool {
+	return !n.replaced && !n.removed && !n.leaving && n.report.Service == service && n.report.Phase == fleet.Ready
 }
 
 // ejected reports whether the endpoint is ejected on the way of the request, or its link is to be avoided.
@@ -292,9 +295,16 @@
 
 // mayUseOtherVersion reports whether a request may go to the other version if its own version has no endpoint.
 // target is set if its own version is the target of the rollout. Requests for the old version may not go to a
-// target that was rolled back, or that sessions may not use yet.
+// target that was rolled back, or that sessions may not use yet. Where drains withhold the endpoints of the old version, they may go to the
+// target only once its evidence is good: a drain isn't to send more requests to it than the bound of its trial.
 func (s *Set) mayUseOtherVersion(v canary.View, target bool) bool {
-	return target || v.Outcome != canary.RolledBack && v.Plan.Bound > 0
+	switch {
+	case target:
+		return true
+	case v.Outcome == canary.RolledBack || v.Plan.Bound == 0:
+		return false
+	}
+	return v.Outcome != canary.Running || v.Proven || s.withheld(v.Service, ofVersion(v, false)) == 0
 }
 
 // estimate returns the estimated time to the start of the answer.
