--- a/pick/pick.go
+++ b/pick/pick.go
@@ -75,6 +75,8 @@
 	// all.
 	Way     Way
 	Centres map[string]bool
+	// Avoided holds the data centres that another host says are drained, which this host may not have heard yet.
+	Avoided map[string]bool
 	// LinkDraw is a random number from 0 to 1, by which the request uses a link that returns after a cut.
 	LinkDraw float64
 	// Tried holds the IDs of the endpoints that earlier attempts of the request went to.
@@ -242,7 +244,7 @@
 func (s *Set) untried(q Request, condition func(*endpoint) bool) []*endpoint {
 	l := make([]*endpoint, 0, len(s.endpoints))
 	for _, n := range s.endpoints {
-		if n.serves(q.Service) && !q.Tried[n.report.ID] && (q.Centres == nil || q.Centres[n.report.DataCentre]) && (condition == nil || condition(n)) {
+		if n.serves(q.Service) && !q.Tried[n.report.ID] && !q.Avoided[n.report.DataCentre] && (q.Centres == nil || q.Centres[n.report.DataCentre]) && (condition == nil || condition(n)) {
 			l = append(l, n)
 		}
 	}
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -181,7 +181,7 @@
 		return lost(relay.NotRun, err)
 	}
 	x.release()
-	return relay.Reply{Verdict: relay.NotRun, Confidence: -1}, relay.Hop{Result: relay.Declined, Reason: f.Reason, RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond}
+	return relay.Reply{Verdict: relay.NotRun, Confidence: -1}, relay.Hop{Result: relay.Declined, Reason: f.Reason, RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond, Drained: f.Drained}
 }
 
 // reply reads the reply of the endpoint.
--- a/proxy/drained_test.go
+++ b/proxy/drained_test.go
@@ -65,6 +65,7 @@
 	r, n := client().Send(context.Background(), helper(l.Addr().String()), a)
 	i.Equal(n.Result, relay.Declined)
 	i.Equal(n.Reason, "data centre drained")
+	i.True(n.Drained) // so that the helper is asked for other data centres
 	i.Equal(r.Verdict, relay.NotRun)
 	i.Equal(h.sender.count(), 0)
 }
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -89,6 +89,9 @@
 	Reason string `json:"reason"`
 	// RetryAfterMS is the time after which the host may be asked again, in milliseconds.
 	RetryAfterMS int64 `json:"retry-after-ms"`
+	// Drained tells that the data centre of the endpoint is drained. Hosts of earlier builds leave it out, and ask the host for nothing
+	// during RetryAfterMS.
+	Drained bool `json:"drained,omitempty"`
 }
 
 // head is the reply of an endpoint, without its body.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -199,7 +199,7 @@
 
 // refusalOfDrained returns why a call isn't taken whose endpoint is in a drained data centre.
 func refusalOfDrained() refusal {
-	return refusal{Reason: "data centre drained", RetryAfterMS: unreachablePause.Milliseconds()}
+	return refusal{Reason: "data centre drained", RetryAfterMS: unreachablePause.Milliseconds(), Drained: true}
 }
 
 // handle sends the request of a call to its endpoint, or declines. The body of the request, of a number of bytes, wasn't read.
--- a/relay/detour.go
+++ b/relay/detour.go
@@ -160,17 +160,31 @@
 	j.refusedBy[host] = true
 }
 
+// avoidCentre keeps further attempts of the request from a data centre: another host knows that it is drained, and this one will hear of it.
+func (j *job) avoidCentre(dataCentre string) {
+	if j.avoided == nil {
+		j.avoided = map[string]bool{}
+	}
+	j.avoided[dataCentre] = true
+}
+
 // handleHop records that another host didn't send the attempt, or that it is unknown whether it did.
 func (u *upstreamAttempt) handleHop(r Reply, h Hop) nextStep {
 	j := u.job
 	n := time.Now()
-	j.refuseBy(u.helper.Host)
 	j.hops++
-	j.hopWait = max(j.hopWait, h.RetryAfter)
-	if h.Result == Declined {
+	switch {
+	case h.Drained:
+		j.avoidCentre(u.choice.DataCentre)
+	case h.Result == Declined:
+		j.refuseBy(u.helper.Host)
+		j.hopWait = max(j.hopWait, h.RetryAfter)
 		j.relay.Helpers.Decline(u.helper.Host, h.RetryAfter, n)
-	} else if u.context.Err() == nil {
-		j.relay.Helpers.Fail(u.helper.Host, n)
+	default:
+		j.refuseBy(u.helper.Host)
+		if u.context.Err() == nil {
+			j.relay.Helpers.Fail(u.helper.Host, n)
+		}
 	}
 	u.log().WithError(r.Cause).WithFields(logrus.Fields{"hop": h.Result.String(), "reason": h.Reason, "outcome": r.Verdict.String()}).Info("attempt: another host didn't send the request")
 	if r.Verdict == NotRun {
--- /dev/null
+++ b/relay/drain_test.go
@@ -0,0 +1,48 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/reach"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+)
+
+// farReport is the report of an endpoint of the service desk in another data centre.
+var farReport = fleet.Report{ID: "desk9", Service: "desk", Address: "10.0.1.9:1", DataCentre: "there", Version: "v1", Sequence: 1, Slots: 6}
+
+// Guards against a host that hasn't heard of a drain and refuses requests as cut off: the only helper declines for the drained data centre, and
+// would serve them elsewhere.
+func TestDrainDeclineLeavesHelperForOtherDataCentres(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		w := newHarness(3, func(int, context.Context, relay.Attempt) relay.Reply { return unreachable() })
+		w.set.Merge([]fleet.Report{farReport}, nil)
+		d := byOthers()
+		served := d.answer
+		d.answer = func(n int, ctx context.Context, a relay.Attempt) (relay.Reply, relay.Hop) {
+			if a.Endpoint.DataCentre == "here" {
+				return relay.Reply{Verdict: relay.NotRun}, relay.Hop{Result: relay.Declined, Drained: true, RetryAfter: 300 * time.Millisecond}
+			}
+			return served(n, ctx, a)
+		}
+		defer w.withDetour(d, 0, unanswered)()
+		w.loseLinks("desk", 3, reach.Silent)
+		for range 2 {
+			time.Sleep(time.Millisecond)
+			w.relay.RecordOpening("desk9", time.Now(), relay.Reply{Unreachable: true})
+		}
+		n := time.Now().Add(time.Millisecond)
+		w.relay.Helpers.Set([]assist.Helper{{Host: "h0", AnsweredAt: map[ctlrpc.Pool]time.Time{{Service: "desk", DataCentre: "here"}: n, {Service: "desk", DataCentre: "there"}: n}}}, time.Now())
+		for range 2 {
+			i.Equal(w.serve(context.Background(), "/book/1", "key").status, 200)
+		}
+		i.Equal(len(d.attempts), 4) // each asks for one endpoint here, then for one there
+		i.Equal(w.sender.count(), 0)
+	})
+}
--- a/relay/estimate.go
+++ b/relay/estimate.go
@@ -106,7 +106,7 @@
 // session use the hash of the session in place of that of the request ID, so that a rollout treats them alike. For
 // streams, the cache affinity is the hash of all parts of the prompt but the last, which other requests may share.
 func (j *job) endpointRequest() pick.Request {
-	n := pick.Request{Service: j.service.Name, Slots: j.service.Slots, Work: j.startWork(), SlotTime: j.holdTime(), Draw: j.fraction, Tried: j.triedDirectly(), Kind: j.kind()}
+	n := pick.Request{Service: j.service.Name, Slots: j.service.Slots, Work: j.startWork(), SlotTime: j.holdTime(), Draw: j.fraction, Tried: j.triedDirectly(), Avoided: j.avoided, Kind: j.kind()}
 	if j.request.Session != "" {
 		n.InSession, n.Draw = true, hashFraction(j.request.Session)
 	}
--- a/relay/job.go
+++ b/relay/job.go
@@ -85,6 +85,8 @@
 	helper    assist.Choice
 	refusedBy map[string]bool
 	hops      int
+	// avoided holds the data centres that are drained by the word of hosts that declined this request.
+	avoided map[string]bool
 	// hopWait is the time after which a host that declined the request may be asked again.
 	hopWait time.Duration
 	// asksWait is when the service's endpoints take another request, if they ask for less.
--- a/relay/request.go
+++ b/relay/request.go
@@ -175,6 +175,8 @@
 	// Reason says why the host declined, and RetryAfter when it may be asked again.
 	Reason     string
 	RetryAfter time.Duration
+	// Drained is set if the host declined since the data centre of the endpoint is drained. It may be asked for others.
+	Drained bool
 }
 
 // Sink writes the answer to the caller.
