Refuse a start at the last data centre clearly after a restart

Cause: the age of an ended drain counts from the start of the process for changes from before, so that a start at the last data centre got 503 for 5 s after each restart of a leader. Change: only ends that a host learned of while it was synced keep the answer unclear. Result: TestLastDataCentreIsRefusedAfterRestart, red before (unavailable), is green.

--- a/ctrl/drain.go
+++ b/ctrl/drain.go
@@ -18,6 +18,8 @@
 type drainSeen struct {
 	index  uint64
 	seenAt time.Duration
+	// live is set if the host was synced already, so that it learned of the change when that was committed.
+	live bool
 }
 
 // withDrainsSeen records that this host learns of the changes now that it didn't hold before. What a host holds at its start it learns then.
@@ -30,7 +32,7 @@
 		if s.drainsSeen == nil {
 			s.drainsSeen = map[string]drainSeen{}
 		}
-		s.drainsSeen[k] = drainSeen{index: c.Index, seenAt: s.Now}
+		s.drainsSeen[k] = drainSeen{index: c.Index, seenAt: s.Now, live: s.Synced}
 	}
 	return s
 }
@@ -105,8 +107,8 @@
 }
 
 // drainResult returns the result of an order about a drain by the committed state. An order that isn't in force was late, or was refused since
-// the data centre is the last one. It gets no clear answer if it was late, or if a drain there has ended lately: it may be a resend of the order that had started it,
-// which was accepted.
+// the data centre is the last one. It gets no clear answer if it was late, or if this host has seen a drain there end lately: it may be a
+// resend of the order that had started it, which was accepted.
 func (t *transition) drainResult(o ctlrpc.Order) (ctlrpc.Status, drain.Change) {
 	d := t.drainOrder(o)
 	c, changed := t.StateMachine.Drains[d.DataCentre]
@@ -117,7 +119,7 @@
 		return ctlrpc.Accepted, c
 	case t.StateMachine.Drains.IsLate(d):
 		return ctlrpc.Unavailable, drain.Change{} // sent again it is taken with the newer change
-	case changed && t.drainAge(d.DataCentre) < resendTime:
+	case t.drainsSeen[d.DataCentre].live && t.drainAge(d.DataCentre) < resendTime:
 		return ctlrpc.Unavailable, drain.Change{}
 	}
 	return ctlrpc.Conflict, drain.Change{}
--- a/ctrl/drain_test.go
+++ b/ctrl/drain_test.go
@@ -157,6 +157,30 @@
 	i.Equal(e, []ctrl.Effect{ctrl.Respond{CallID: 1000}})
 }
 
+// Guards against a start at the last data centre that gets no clear answer since the control hosts have restarted: none has seen a drain
+// there end.
+func TestLastDataCentreIsRefusedAfterRestart(t *testing.T) {
+	for _, entries := range []int{0, 220} { // the second one from a snapshot
+		i := is.New(t)
+		c := startDrainable(t)
+		for _, o := range []ctlrpc.Order{startOf("c"), endOf("c"), startOf("a"), startOf("b")} {
+			i.Equal(c.submit(address(0), o).Status, ctlrpc.Accepted)
+		}
+		for v := range entries {
+			i.Equal(c.put(address(0), int64(v+1)).Status, ctlrpc.Accepted)
+		}
+		messageQueue = nil
+		for k := range 3 {
+			c.kill(address(k))
+			c.start(address(k))
+		}
+		for c.leader() == "" {
+			c.run(step)
+		}
+		i.Equal(c.submit(c.leader(), startOf("c")).Status, ctlrpc.Conflict)
+	}
+}
+
 // Guards against an acknowledged order that reverts: all control hosts are killed right after it, and one of them loses its disk. The log is
 // long, so that some start from a snapshot, in one of the cases.
 func TestAcknowledgedDrainSurvivesKillOfAllControlHosts(t *testing.T) {
