Send no probes to drained endpoints after answers that break off there

Cause: recordBreak and endCheck open a connection to the endpoint of the answer, also while its data centre is drained. Change: Relay.probe is Unclear for an endpoint of a drained data centre, without a connection and without a record about its link. Result: TestDrainedEndpointsAreNotProbed, red before (a probe was sent), is green.

--- a/pick/drain.go
+++ b/pick/drain.go
@@ -5,6 +5,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/drain"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
 )
 
 // drainState is the state of drains that is in force.
@@ -62,6 +63,14 @@
 	return ok && n.drained
 }
 
+// InDrainedCentre reports whether the data centre of an endpoint is drained, by a report or by what this host knows of the endpoint.
+func (s *Set) InDrainedCentre(r fleet.Report) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[r.ID]
+	return s.drains.state.IsDrained(r.DataCentre) || ok && n.drained
+}
+
 // Withheld returns the number of endpoints that would serve a service if their data centres weren't drained, and the index of the drains.
 func (s *Set) Withheld(service string) (endpoints int, index uint64) {
 	s.lock.Lock()
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -276,8 +276,9 @@
 	return all
 }
 
-// serves reports whether the endpoint takes requests of a service. All that choose, count or probe endpoints ask here, so that those of a
-// drained data centre get nothing.
+// serves reports whether the endpoint takes requests of a service. All that choose or count endpoints, or select them for probes of links, ask
+// here, so that those of a drained data centre get nothing. What sends to an endpoint that was chosen before asks InDrainedCentre: helpers,
+// and probes of endpoints where runs broke off.
 func (n *endpoint) serves(service string) bool { return !n.drained && n.runs(service) }
 
 // runs reports whether the endpoint would take requests of a service if its data centre weren't drained.
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/drain"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/reach"
 	"github.com/hickoryshelf/hickoryshelf/relay"
@@ -46,3 +49,36 @@
 		i.Equal(w.sender.count(), 0)
 	})
 }
+
+// setDrained drains or opens the data centre of all endpoints but farReport, by the change with an index.
+func (h *harness) setDrained(drained bool, index uint64) {
+	h.set.SetDrains(ctlrpc.Drains{State: drain.State{"here": {Drained: drained, Index: index}}, Index: index}, time.Now())
+}
+
+// Guards against connections to drained endpoints that ask whether they have ended: after an answer that breaks off there, and after one
+// without a length in a service whose endpoints end.
+func TestDrainedEndpointsAreNotProbed(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		for _, drained := range []bool{false, true} {
+			inSynctest(t, func(t *testing.T, i *is.I) {
+				const endpoints = 4
+				h := newEndingHarness(t, endpoints, 1)
+				h.serve(t.Context(), "/write/1", "key")
+				h.lose(endpoints)
+				answer := h.sender.answer
+				h.sender.answer = func(n int, ctx context.Context, a relay.Attempt) relay.Reply {
+					h.setDrained(drained, 5)
+					r := answer(n, ctx, a)
+					if broken {
+						r.Body, r.EndsWithConnection = body{Reader: iotest.ErrReader(io.ErrUnexpectedEOF)}, false
+					}
+					return r
+				}
+				b := h.sender.probed()
+				h.serve(t.Context(), "/write/2", "key")
+				time.Sleep(time.Second)
+				i.Equal(h.sender.probed() == b, drained)
+			})
+		}
+	}
+}
--- a/relay/links.go
+++ b/relay/links.go
@@ -95,8 +95,11 @@
 
 // probe asks an endpoint whether it runs and records what that tells about the link. decides is set if the probe was made for the link:
 // only then does an endpoint count against it that accepts the connection and is slow to answer. It tells nothing if this host was
-// suspended meanwhile.
+// suspended meanwhile, and opens no connection to an endpoint of a drained data centre.
 func (r *Relay) probe(ctx context.Context, e fleet.Report, decides bool) Liveness {
+	if r.Endpoints.InDrainedCentre(e) {
+		return Unclear
+	}
 	b := time.Now()
 	l := r.Sender.Probe(ctx, e.Address, r.healthPath(e.Service))
 	o := reach.Opening{Endpoint: e.ID, Began: b, Ended: time.Now(), Outcome: l.outcome(), Probe: decides}
