Decline for endpoints of a drained data centre that are no longer known

Result: the case 'true' of TestCallIsDeclinedIfItsDataCentreIsDrainedWhileItsBodyArrives, red before (delivered), is green.

--- a/pick/drain.go
+++ b/pick/drain.go
@@ -55,14 +55,6 @@
 	return s.drains.state.Drained()
 }
 
-// IsDrained reports whether an endpoint is known and its data centre is drained.
-func (s *Set) IsDrained(id string) bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n, ok := s.endpoints[id]
-	return ok && n.drained
-}
-
 // InDrainedCentre reports whether the data centre of an endpoint is drained, by a report or by what this host knows of the endpoint.
 func (s *Set) InDrainedCentre(r fleet.Report) bool {
 	s.lock.Lock()
--- a/pick/drain_test.go
+++ b/pick/drain_test.go
@@ -97,7 +97,9 @@
 	n, x := s.Withheld("s")
 	i.Equal(n, 2)
 	i.Equal(x, uint64(5))
-	i.True(s.IsDrained("a0") && !s.IsDrained("b0") && !s.IsDrained("none"))
+	in := func(id, centre string) bool { return s.InDrainedCentre(fleet.Report{ID: id, DataCentre: centre}) }
+	i.True(in("a0", "a") && !in("b0", "b") && in("none", "a") && !in("none", "b"))
+	i.True(in("a0", "b")) // what this host knows counts too
 	s.SetDrains(drained(6, "a", "b"), epoch)
 	_, ok := s.Wait(request(), epoch)
 	i.True(!ok)
--- a/proxy/drained_test.go
+++ b/proxy/drained_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -49,8 +50,15 @@
 	_, _ = io.Copy(s, c) // ends with the connection
 }
 
-// Guards against a request that is sent to a drained data centre since its body was still under way when the helper heard of the drain.
+// Guards against a request that is sent to a drained data centre since its body was still under way when the helper heard of the drain,
+// and of the end of the endpoint.
 func TestCallIsDeclinedIfItsDataCentreIsDrainedWhileItsBodyArrives(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		t.Run(fmt.Sprint(removed), func(t *testing.T) { declinesWhileBodyArrives(t, removed) })
+	}
+}
+
+func declinesWhileBodyArrives(t *testing.T, removed bool) {
 	i := is.New(t)
 	h := startHelping(t, answering(bytes.NewBufferString("")))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -60,7 +68,7 @@
 	go p.run()
 	a := attempt()
 	a.Body = bytes.Repeat([]byte("x"), 64<<10)
-	d := drainDuringPause{h, p}
+	d := drainDuringPause{h, p, removed}
 	go d.run()
 	r, n := client().Send(context.Background(), helper(l.Addr().String()), a)
 	i.Equal(n.Result, relay.Declined)
@@ -74,11 +82,16 @@
 type drainDuringPause struct {
 	helping *helping
 	link    pausedLink
+	// removed is set if the endpoint is no longer known then.
+	removed bool
 }
 
 func (d drainDuringPause) run() {
 	<-d.link.paused
 	time.Sleep(50 * time.Millisecond) // until the helper waits for the body
 	d.helping.drain()
+	if d.removed {
+		d.helping.set.Replace(nil)
+	}
 	close(d.link.goOn)
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -219,7 +219,7 @@
 	switch {
 	case w > 0:
 		return c.declineAtRest(w, bodyBytes, l)
-	case !ok && s.Relay.Endpoints.IsDrained(v.Endpoint.ID):
+	case !ok && s.Relay.Endpoints.InDrainedCentre(v.Endpoint):
 		return c.decline(refusalOfDrained(), bodyBytes, l)
 	case !ok:
 		return c.decline(refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, bodyBytes, l)
@@ -229,7 +229,7 @@
 	if _, err := io.ReadFull(c.reader, b); err != nil {
 		return err
 	}
-	if s.Relay.Endpoints.IsDrained(v.Endpoint.ID) { // since the call came
+	if s.Relay.Endpoints.InDrainedCentre(v.Endpoint) { // since the call came
 		return c.decline(refusalOfDrained(), 0, l)
 	}
 	if !s.calls.begin(v.ID, n) {
