Look for withheld endpoints only where none takes a request

Cause: noteDrains also ran for refusals by the retry budget and by limits of attempts, and each time copied all endpoints under the lock of the set. Result: the tests of drains and refusals of relay and pick pass; no figure was measured.

--- a/relay/retry.go
+++ b/relay/retry.go
@@ -147,9 +147,11 @@
 		j.refuse(Overloaded, j.retryAfter())
 	case v == cutOff, v == declined:
 		j.refuse(CutOff, j.cutOffRetryAfter())
-	default:
+	case v == noEndpoint:
 		j.noteDrains()
 		j.refuse(NoEndpoint, noEndpointRetryAfter)
+	default: // a limit of attempts, or the budget
+		j.refuse(NoEndpoint, noEndpointRetryAfter)
 	}
 }
 
