Refuse centre-drain without data centres

Cause: with centre-drain and no data-centres the calls answered 404 without a word, while entry hosts took drains. Change: Check refuses it and names the remedy; the comment says what the value does. A negative value was refused before, by the type Duration; a case of the test shows it.

--- a/conf/node.go
+++ b/conf/node.go
@@ -80,8 +80,9 @@
 	// ConfigurationApply is the time after its acknowledgement within which a change of the configuration has to be in force at hosts that
 	// reach the control hosts. 0 means the default of package relay.
 	ConfigurationApply Duration `json:"configuration-apply"`
-	// CentreDrain is the time after the acknowledgement of an order to drain a data centre from which no request may reach an endpoint
-	// there. 0 means that data centres can't be drained.
+	// CentreDrain allows operators to drain the data centres of Node.DataCentres, if it is above 0. Its value is the time after the
+	// acknowledgement of an order from which no request may reach an endpoint there; hosts don't wait for it, since each applies a drain as
+	// soon as it hears of it.
 	CentreDrain Duration `json:"centre-drain"`
 }
 
@@ -184,12 +185,23 @@
 			return err
 		}
 	}
+	if err := n.checkDrains(); err != nil {
+		return err
+	}
 	if err := n.checkDecisions(); err != nil {
 		return err
 	}
 	return n.checkPart()
 }
 
+// checkDrains checks the settings about drains of data centres.
+func (n Node) checkDrains() error {
+	if n.Bounds.CentreDrain > 0 && len(n.DataCentres) == 0 {
+		return &Fault{Field: "data-centres", What: "is empty though bounds.centre-drain is set", Remedy: "name the data centres that may be drained, or leave out bounds.centre-drain"}
+	}
+	return nil
+}
+
 // checkDecisions checks the weights of decisions.
 func (n Node) checkDecisions() error {
 	w := n.Decisions
--- a/conf/node_test.go
+++ b/conf/node_test.go
@@ -58,6 +58,8 @@
 		{`"grace":"8s"`, `"grace":"8"`, "duration"},
 		{`"caller-address":"127.0.0.1:1"`, `"caller-address":""`, "caller-address"},
 		{`"part":"entry"`, `"part":"control"`, "data-folder"},
+		{`"drain":"2000ms"`, `"centre-drain":"5s"`, "data-centres"},
+		{`"drain":"2000ms"`, `"centre-drain":"-5s"`, "duration"},
 		{`"peer-port":3`, `"peer-port":3,"decisions":{"late-share":1.1}`, "decisions.late-share"},
 		{`"peer-port":3`, `"peer-port":3,"decisions":{"delay-rate":-1}`, "decisions.delay-rate"},
 	} {
