--- a/ctrl/drain.go
+++ b/ctrl/drain.go
@@ -151,4 +151,10 @@
 			}).Warn("control: drain changed")
 		}
 	}
+	for k, c := range o.StateMachine.Drains {
+		if _, ok := s.StateMachine.Drains[k]; !ok {
+			h.log.WithFields(logrus.Fields{"data-centre": k, "drained": c.Drained, "index": c.Index}).
+				Error("control: the snapshot of an older build holds no drains; upgrade all control hosts and send the order again")
+		}
+	}
 }
