Test later attempts of requests while a data centre is drained

Change: a retry of a request that wasn't delivered, one of a request that may have run, and an escalation run through relay with a drain that begins during the first attempt. The test of pick asserts that an endpoint is chosen each time.

--- a/pick/drain_test.go
+++ b/pick/drain_test.go
@@ -65,7 +65,8 @@
 			}
 			for k := range 60 {
 				c, ok := s.Choose(q, epoch.Add(time.Duration(k)*10*time.Millisecond))
-				i.True(!ok || c.DataCentre == "b")
+				i.True(ok)
+				i.Equal(c.DataCentre, "b")
 			}
 			s.SetDrains(drained(6), epoch.Add(time.Second))
 			c, ok := s.Choose(q, epoch.Add(time.Second))
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -82,3 +82,36 @@
 		}
 	}
 }
+
+// Guards against a request that goes to a drained data centre after its first attempt: a retry of one that ran or was refused there, or an
+// escalation to a larger model.
+func TestLaterAttemptsGoToOtherDataCentres(t *testing.T) {
+	for n, v := range map[string]struct {
+		path  string
+		first relay.Reply
+	}{
+		"not reached": {"/book/1", unreachable()},
+		"lost":        {"/look/1", unknown()},
+		"escalation":  {"/write/1", judgedLow()},
+	} {
+		t.Run(n, func(t *testing.T) {
+			inSynctest(t, func(_ *testing.T, i *is.I) {
+				h := newHarness(3, nil)
+				far := farReport
+				far.ID, far.Service = "draft9", "draft"
+				h.set.Merge([]fleet.Report{farReport, far}, nil)
+				h.sender.answer = func(n int, _ context.Context, _ relay.Attempt) relay.Reply {
+					if n == 1 {
+						h.setDrained(true, 5)
+						return v.first
+					}
+					return ranWithConfidence(100, events(1, 6))
+				}
+				i.Equal(h.serve(context.Background(), v.path, "key").status, 200)
+				i.Equal(len(h.sender.attempts), 2)
+				i.Equal(h.sender.attempts[0].Endpoint.DataCentre, "here")
+				i.Equal(h.sender.attempts[1].Endpoint.DataCentre, "there")
+			})
+		})
+	}
+}
