--- a/ctrl/drain_test.go
+++ b/ctrl/drain_test.go
@@ -126,6 +126,61 @@
 	i.Equal(c.submit(address(0), startOf("a")).Status, ctlrpc.Conflict)
 }
 
+// follower returns the address of a host that doesn't lead.
+func (c *cluster) follower() string {
+	for k := range 3 {
+		if address(k) != c.leader() {
+			return address(k)
+		}
+	}
+	return ""
+}
+
+// Guards against an order that a follower forwards late, and that reverts one that was acknowledged since. The same order sent again is
+// accepted, and a host that may lack committed entries takes none.
+func TestOrderDeliveredLateDoesNotRevertAcknowledgedOne(t *testing.T) {
+	i := is.New(t)
+	c := startDrainable(t)
+	f := c.follower()
+	b := c.hosts[f]
+	_, e := ctrl.Reduce(b.state, c.now-b.startedAt, ctrl.OrderReceived{CallID: 999, Order: startOf("a")})
+	i.Equal(len(e), 1)
+	i.Equal(c.submit(c.leader(), startOf("a")).Status, ctlrpc.Accepted)
+	c.run(time.Second)
+	i.Equal(c.submit(f, endOf("a")).Status, ctlrpc.Accepted)
+	c.perform(f, e[0]) // the follower goes on
+	c.run(time.Second)
+	i.Equal(c.replies[999].Status, ctlrpc.Unavailable)
+	i.Equal(c.drainsAt(0).Drained(), nil)
+	i.Equal(c.submit(f, startOf("a")).Status, ctlrpc.Accepted)
+	_, e = ctrl.Reduce(b.state, c.now-b.startedAt+time.Minute, ctrl.OrderReceived{CallID: 1000, Order: endOf("a")})
+	i.Equal(e, []ctrl.Effect{ctrl.Respond{CallID: 1000}})
+}
+
+// Guards against a start at the last data centre that gets no clear answer since the control hosts have restarted: none has seen a drain
+// there end.
+func TestLastDataCentreIsRefusedAfterRestart(t *testing.T) {
+	for _, entries := range []int{0, 220} { // the second one from a snapshot
+		i := is.New(t)
+		c := startDrainable(t)
+		for _, o := range []ctlrpc.Order{startOf("c"), endOf("c"), startOf("a"), startOf("b")} {
+			i.Equal(c.submit(address(0), o).Status, ctlrpc.Accepted)
+		}
+		for v := range entries {
+			i.Equal(c.put(address(0), int64(v+1)).Status, ctlrpc.Accepted)
+		}
+		messageQueue = nil
+		for k := range 3 {
+			c.kill(address(k))
+			c.start(address(k))
+		}
+		for c.leader() == "" {
+			c.run(step)
+		}
+		i.Equal(c.submit(c.leader(), startOf("c")).Status, ctlrpc.Conflict)
+	}
+}
+
 // Guards against an acknowledged order that reverts: all control hosts are killed right after it, and one of them loses its disk. The log is
 // long, so that some start from a snapshot, in one of the cases.
 func TestAcknowledgedDrainSurvivesKillOfAllControlHosts(t *testing.T) {
@@ -291,24 +346,41 @@
 	w.reply <- r
 }
 
-// Guards against a rollout that ends by endpoints to which no request may go: all of the target's are in a data centre that may be drained.
+// Guards against a rollout that ends by endpoints to which no request may go: all of the target's are in a data centre that may be drained;
+// and against one that is promoted since most endpoints of the others are.
 func TestRolloutCountsNoEndpointsOfDrainedDataCentre(t *testing.T) {
-	for _, drained := range []bool{false, true} {
-		t.Run(fmt.Sprint(drained), func(t *testing.T) {
+	for _, v := range []struct {
+		name    string
+		drained bool
+		target  string
+		others  int
+		done    bool
+	}{
+		{"not drained", false, "a", 1, true},
+		{"target drained", true, "a", 1, false},
+		{"few targets", false, "b", 8, false},
+		{"others drained", true, "b", 8, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
 			i := is.New(t)
 			c := startDrainable(t)
 			l := c.leader()
-			if drained {
+			if v.drained {
 				i.Equal(c.submit(l, startOf("a")).Status, ctlrpc.Accepted)
 			}
 			i.Equal(c.submit(l, ctlrpc.Order{Verb: ctlrpc.StartRollout, Rollout: canary.Rollout{Service: "s", Target: "v2", Budget: 5 * time.Second}}).Status, ctlrpc.Accepted)
+			report := func(id, centre, version string, n int64) {
+				c.endpointReports(l, fleet.Report{ID: id, Born: 1, Sequence: n + 1, Service: "s", Address: "10.0.1.1:" + id, DataCentre: centre, Version: version})
+			}
+			o := map[string]string{"a": "b", "b": "a"}[v.target]
 			for n := range int64(24) { // without a request
-				for k, v := range map[string]string{"a": "v2", "b": "v1"} {
-					c.endpointReports(l, fleet.Report{ID: "i" + k, Born: 1, Sequence: n + 1, Service: "s", Address: "10.0.1.1:" + k, DataCentre: k, Version: v})
+				report("target", v.target, "v2", n)
+				for k := range v.others {
+					report(fmt.Sprint("other", k), o, "v1", n)
 				}
 				c.run(500 * time.Millisecond)
 			}
-			i.Equal(c.hosts[l].state.StateMachine.Rollouts["s"].Outcome == canary.Done, !drained)
+			i.Equal(c.hosts[l].state.StateMachine.Rollouts["s"].Outcome == canary.Done, v.done)
 		})
 	}
 }
--- a/pick/asks.go
+++ b/pick/asks.go
@@ -95,7 +95,7 @@
 			}
 		case !q.Tried[n.report.ID]:
 			t += n.limit.Rate
-			cold = cold || s.withheld(n, q.Way, now)
+			cold = cold || s.lacksPermit(n, q.Way, now)
 		}
 	}
 	if t == 0 && cold && !w.Resting {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -76,6 +76,8 @@
 	// all.
 	Way     Way
 	Centres map[string]bool
+	// Avoided holds the data centres that another host says are drained, which this host may not have heard yet.
+	Avoided map[string]bool
 	// LinkDraw is a random number from 0 to 1, by which the request uses a link that returns after a cut.
 	LinkDraw float64
 	// Tried holds the IDs of the endpoints that earlier attempts of the request went to.
@@ -255,7 +257,7 @@
 func (s *Set) untried(q Request, condition func(*endpoint) bool) []*endpoint {
 	l := make([]*endpoint, 0, len(s.endpoints))
 	for _, n := range s.endpoints {
-		if n.serves(q.Service) && !q.Tried[n.report.ID] && (q.Centres == nil || q.Centres[n.report.DataCentre]) && (condition == nil || condition(n)) {
+		if n.serves(q.Service) && !q.Tried[n.report.ID] && !q.Avoided[n.report.DataCentre] && (q.Centres == nil || q.Centres[n.report.DataCentre]) && (condition == nil || condition(n)) {
 			l = append(l, n)
 		}
 	}
@@ -267,7 +269,7 @@
 func (s *Set) preferUsable(endpoints []*endpoint, q Request, now time.Time) []*endpoint {
 	var usable, linked, all []*endpoint
 	for _, n := range endpoints {
-		if s.limited(n, now) || n.mustRest(q.Way, now) || s.withheld(n, q.Way, now) {
+		if s.limited(n, now) || n.mustRest(q.Way, now) || s.lacksPermit(n, q.Way, now) {
 			continue
 		}
 		all = append(all, n)
@@ -287,10 +289,14 @@
 	return all
 }
 
-// serves reports whether the endpoint takes requests of a service. All that choose, count or probe endpoints ask here, so that those of a
-// drained data centre get nothing.
-func (n *endpoint) serves(service string) bool {
-	return !n.replaced && !n.removed && !n.leaving && !n.drained && n.report.Service == service && n.report.Phase == fleet.Ready
+// serves reports whether the endpoint takes requests of a service. All that choose or count endpoints, or select them for probes of links, ask
+// here, so that those of a drained data centre get nothing. What sends to an endpoint that was chosen before asks InDrainedCentre: helpers,
+// and probes of endpoints where runs broke off.
+func (n *endpoint) serves(service string) bool { return !n.drained && n.runs(service) }
+
+// runs reports whether the endpoint would take requests of a service if its data centre weren't drained.
+func (n *endpoint) runs(service string) bool {
+	return !n.replaced && !n.removed && !n.leaving && n.report.Service == service && n.report.Phase == fleet.Ready
 }
 
 // ejected reports whether the endpoint is ejected on the way of the request, or its link is to be avoided.
@@ -305,9 +311,16 @@
 
 // mayUseOtherVersion reports whether a request may go to the other version if its own version has no endpoint.
 // target is set if its own version is the target of the rollout. Requests for the old version may not go to a
-// target that was rolled back, or that sessions may not use yet.
+// target that was rolled back, or that sessions may not use yet. Where drains withhold the endpoints of the old version, they may go to the
+// target only once its evidence is good: a drain isn't to send more requests to it than the bound of its trial.
 func (s *Set) mayUseOtherVersion(v canary.View, target bool) bool {
-	return target || v.Outcome != canary.RolledBack && v.Plan.Bound > 0
+	switch {
+	case target:
+		return true
+	case v.Outcome == canary.RolledBack || v.Plan.Bound == 0:
+		return false
+	}
+	return v.Outcome != canary.Running || v.Proven || s.drainedCount(v.Service, ofVersion(v, false)) == 0
 }
 
 // estimate returns the estimated time to the start of the answer.
--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -191,13 +191,13 @@
 	return o.refusedAt > 0 && t < o.refusedAt+restartTime+l.Time && k != reach.Cut && k != reach.Returning
 }
 
-// withheld reports whether an endpoint is cold and this host may not send to it now. Requests that go through other hosts never
+// lacksPermit reports whether an endpoint is cold and this host may not send to it now. Requests that go through other hosts never
 // use a permit: the time between the choice and the sending isn't bounded for them.
-func (s *Set) withheld(n *endpoint, way Way, now time.Time) bool {
+func (s *Set) lacksPermit(n *endpoint, way Way, now time.Time) bool {
 	return s.isCold(n, now) && (way != Direct || !s.cold.holder.Ready(n.report.ID, s.cold.now()))
 }
 
-// usePermit uses a permit if the endpoint is cold. It is called right after withheld was false.
+// usePermit uses a permit if the endpoint is cold. It is called right after lacksPermit was false.
 func (s *Set) usePermit(n *endpoint, now time.Time, c *Choice) {
 	if !s.isCold(n, now) {
 		return
