Share what entry hosts measure of the speed of endpoints

Cause: with 58 hosts and 112 endpoints a host sees an endpoint too seldom to learn how fast it is, and forgets it at a restart. Change: package speed: entry hosts measure the time between events and waits by band of load, control hosts merge the sums and send factors, pick uses them in its estimates. Behind decisions.shared-speeds, off by default.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -30,6 +30,7 @@
 	"github.com/hickoryshelf/hickoryshelf/platform"
 	"github.com/hickoryshelf/hickoryshelf/proxy"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
@@ -188,9 +189,13 @@
 	p := pick.NewSet(n.settings.DataCentre)
 	o, h := dial.NewPool(), dial.NewPool()
 	k, m := rand.Text(), memory.NewAccount(n.settings.MemoryMB)
+	var g *speed.Meter
+	if n.settings.Decisions.SharedSpeeds {
+		g = speed.NewMeter()
+	}
 	r := relay.New(relay.Options{
 		Detour: &proxy.Client{Host: n.settings.Name, Start: rand.Text(), Pool: h, Memory: m}, Helpers: assist.NewBoard(n.settings.DataCentre),
-		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel, Memory: m}, Memory: m, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
+		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel, Memory: m}, Memory: m, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions, Speeds: g,
 		ApplyTime: n.settings.Bounds.ConfigurationApply.Std(),
 		Budget:    budget.NewHost(budget.Limits{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow.Std()}),
 	})
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryshelf/hickoryshelf/limit"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 )
 
 //go:generate go tool stringer -type=Verb,Status -linecomment -output=enum_string.go
@@ -68,6 +69,8 @@
 	Budget map[string]budget.Statement
 	// Holding is the host's share of the slack of all retry budgets. Older builds leave it empty.
 	Holding budget.Holding
+	// Speeds is what the host has measured of the speed of endpoints. Only some reports hold any.
+	Speeds SpeedReport
 }
 
 // WithAge returns the report as it reads some time later.
@@ -76,6 +79,7 @@
 		return r
 	}
 	r.Poison = r.Poison.WithAge(d)
+	r.Speeds = speed.Faded(r.Speeds, d)
 	r.Limits, r.Ages, r.Active = maps.Clone(r.Limits), maps.Clone(r.Ages), slices.Clone(r.Active)
 	for e, l := range r.Limits {
 		l.Age += d
@@ -153,6 +157,8 @@
 	FleetSum uint64
 	// PoisonSum is the hash of the evidence about requests that end endpoints that the host got last.
 	PoisonSum uint64
+	// SharesSpeeds is set if the host uses ExchangeReply.Speeds.
+	SharesSpeeds bool
 }
 
 // ExchangeRequest is sent by an entry host.
@@ -224,6 +230,8 @@
 	Loan budget.Loan
 	// Watch holds changes of the keys that the host watches.
 	Watch poison.WatchUpdate
+	// Speeds holds the speeds of endpoints, for a host that uses them.
+	Speeds SpeedUpdate
 }
 
 // HostsSum returns the hash of the names of entry hosts.
--- a/ctrl/queue.go
+++ b/ctrl/queue.go
@@ -230,6 +230,7 @@
 	if b.Reads == nil {
 		b.Reads = a.Reads
 	}
+	b.Speeds = mergeSpeeds(a.Speeds, b.Speeds)
 	b.Active = slices.Concat(a.Active, b.Active)
 	b.Tallies = mergeTallies(a.Tallies, b.Tallies)
 	return b
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -24,6 +24,7 @@
 		t.assessRollouts()
 		t.judgePoison()
 		t.runLeaderTasks()
+		t.sweepSpeeds()
 		t.Fleet = t.Fleet.WithoutSilent(now - maxMissedHeartbeats*t.Heartbeat)
 	case MessagesReceived:
 		for _, m := range v.Messages {
@@ -208,6 +209,7 @@
 	for _, a := range r.Active {
 		t.Fleet = t.Fleet.WithSign(a.ID, a.Born, t.Now-a.Age)
 	}
+	t.speeds = t.speeds.WithReport(r.Host, r.Start, r.Speeds, t.Now)
 	n := entryHost{report: r, tallies: o.tallies, heardAt: t.Now, assistAt: t.Now}
 	if r.Assist.Address == "" {
 		n.report.Assist, n.assistAt = o.report.Assist, o.assistAt
@@ -218,7 +220,7 @@
 	if !ok {
 		t.removeExpiredHosts()
 	}
-	n.report.Tallies, n.report.Active, n.report.Poison = nil, nil, poison.Report{}
+	n.report.Tallies, n.report.Active, n.report.Poison, n.report.Speeds = nil, nil, poison.Report{}, nil
 	t.entryHosts = t.entryHosts.Set(r.Host, n)
 	if direct {
 		r.Budget = nil // lent by the control host that was asked
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/poison"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 )
 
 const (
@@ -27,6 +28,7 @@
 	aggregate aggregate
 	// budgets lends shares of the slack to entry hosts, and retries among them.
 	budgets *budget.Pool
+	speeds  speedCache
 }
 
 // sentState records what an entry host has received of loads and watched keys, to send only changes.
@@ -37,7 +39,9 @@
 	sequence uint64
 	loads    map[string]ctlrpc.Load
 	// watch holds the keys that the host watches.
-	watch  poison.Watch
+	watch poison.Watch
+	// speeds holds the factors of speed that the host has.
+	speeds map[string]speed.Factor
 	sentAt time.Duration
 }
 
@@ -135,6 +139,8 @@
 	n.Loan, n.Grants = t.budgets.Exchange(s.budgetRequest(r, first), now)
 	n.Watch = s.watch.ChangesFrom(o.watch)
 	n.Watch.New = first
+	var v map[string]speed.Factor
+	n.Speeds, v = t.speeds.speedUpdate(s, q, first, o.speeds)
 	l := t.otherLoads(s, r.Host)
 	if first {
 		n.LoadsNew, n.Loads = true, l
@@ -142,7 +148,7 @@
 		n.Loads = ctlrpc.LoadChanges(o.loads, l, maxLoadChanges)
 		l = withLoads(o.loads, n.Loads)
 	}
-	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), sentAt: s.Now}, s)
+	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), speeds: v, sentAt: s.Now}, s)
 }
 
 // budgetRequest returns what the pool of retry budgets has to know of an entry host's report. Nothing is lent by a control host that
--- /dev/null
+++ b/ctrl/speed.go
@@ -0,0 +1,84 @@
+package ctrl
+
+import (
+	"maps"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/speed"
+)
+
+const (
+	// maxSpeedAge is how long factors of speed are reused.
+	maxSpeedAge = 250 * time.Millisecond
+	// speedSweepInterval is the interval at which faded samples are removed.
+	speedSweepInterval = 10 * time.Second
+	// speedLearnTime is how long after its start a control host doesn't know all that entry hosts have measured.
+	speedLearnTime = 10 * time.Second
+)
+
+// mergeSpeeds returns what a report and a later one of the same start of an entry host have measured.
+func mergeSpeeds(a, b ctlrpc.SpeedReport) ctlrpc.SpeedReport {
+	if len(a) == 0 {
+		return b
+	}
+	r := maps.Clone(a)
+	maps.Copy(r, b)
+	return r
+}
+
+// sweepSpeeds removes faded samples if it is due.
+func (t *transition) sweepSpeeds() {
+	if t.Now-t.speedsSweptAt >= speedSweepInterval {
+		t.speeds, t.speedsSweptAt = t.speeds.WithoutFaded(t.Now), t.Now
+	}
+}
+
+// Speeds returns the factors of speed of the endpoints that were measured lately. Those that differ little from previous ones
+// stay as they were.
+func (s State) Speeds(previous map[string]speed.Factor) map[string]speed.Factor {
+	return s.speeds.Estimate(s.Now, func(yield func(speed.Endpoint) bool) {
+		for e := range s.Fleet.All {
+			if e.Phase == fleet.Ready && !yield(speed.Endpoint{ID: e.ID, Service: e.Service, Born: e.Born}) {
+				return
+			}
+		}
+	}, previous)
+}
+
+// speedCache holds the newest factors of speed.
+type speedCache struct {
+	factors    map[string]speed.Factor
+	computedAt time.Duration
+}
+
+// update computes the factors again if they are too old.
+func (c *speedCache) update(s State) {
+	if c.factors == nil || s.Now-c.computedAt > maxSpeedAge {
+		c.factors, c.computedAt = s.Speeds(c.factors), s.Now
+	}
+}
+
+// speedUpdate returns what an entry host lacks of the speeds, and what it has with that. sent is what it has got from this start
+// of the control host. One that holds nothing from it gets all factors. They replace the ones that it has only if this host
+// knows them long enough.
+func (c *speedCache) speedUpdate(s State, q ctlrpc.ExchangeRequest, first bool, sent map[string]speed.Factor) (ctlrpc.SpeedUpdate, map[string]speed.Factor) {
+	if !q.Known.SharesSpeeds {
+		return ctlrpc.SpeedUpdate{}, nil
+	}
+	c.update(s)
+	if first {
+		return ctlrpc.SpeedUpdate{New: s.Now > speedLearnTime, Factors: c.factors}, c.factors
+	}
+	u := ctlrpc.SpeedUpdate{Factors: speed.Changes(sent, c.factors, speed.MaxChanges)}
+	if len(u.Factors) == 0 {
+		return u, sent
+	}
+	n := maps.Clone(sent)
+	if n == nil {
+		n = map[string]speed.Factor{}
+	}
+	maps.Copy(n, u.Factors)
+	return u, n
+}
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -16,6 +16,7 @@
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 )
 
 const (
@@ -105,7 +106,11 @@
 	Fleet        fleet.State
 	// Poison is the evidence about requests that end endpoints. poisonRevision grows with each report of it, and
 	// judgedRevision is the one that was judged last.
-	Poison         poison.State
+	Poison poison.State
+	// speeds is what entry hosts have measured of the speed of endpoints.
+	speeds speed.State
+	// speedsSweptAt is when faded samples were last removed from it.
+	speedsSweptAt  time.Duration
 	poisonRevision uint64
 	// poisonInbox holds the reports of it that aren't merged yet.
 	poisonInbox []poison.Arrival
@@ -150,7 +155,7 @@
 
 // New returns the state of a control host that has just started. It fails if the snapshot of the log can't be decoded.
 func New(o Options) (State, error) {
-	s := State{Options: o, FirstStart: o.Log.LastIndex() == bootstrapIndex, Fleet: fleet.New(), entryHosts: immutable.NewMap[string, entryHost](nil), rolloutStarts: map[string]rolloutStart{}}
+	s := State{Options: o, FirstStart: o.Log.LastIndex() == bootstrapIndex, Fleet: fleet.New(), entryHosts: immutable.NewMap[string, entryHost](nil), rolloutStarts: map[string]rolloutStart{}, speeds: speed.NewState()}
 	m, err := StateMachine{}.WithSnapshot(o.Log.Snapshot)
 	s.StateMachine = m
 	return s, err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -226,6 +226,9 @@
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Report.Budget, q.Report.Holding = e.Relay.ReportBudget()
+	if e.Relay.Speeds != nil {
+		q.Known.SharesSpeeds, q.Report.Speeds = true, e.takeSpeeds()
+	}
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
 	if first {
 		q.Known.Control = ""
@@ -238,6 +241,9 @@
 func (e *Entry) resend() {
 	e.Relay.ResendTallies()
 	e.Relay.Poison.Resend()
+	if e.Relay.Speeds != nil {
+		e.Relay.Speeds.Resend(time.Now())
+	}
 }
 
 // leaveStale goes on with another control host if one has said that it has a leader before the current one replied that it has none.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/limit"
 	"github.com/hickoryshelf/hickoryshelf/reach"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 )
 
 const (
@@ -88,6 +89,10 @@
 	// exactly as fast as its model should be.
 	Wait     time.Duration
 	Expected time.Duration
+	// Factor is the endpoint's shared factor of speed at the band of its load, which Wait includes and Expected doesn't. It is 1
+	// where hosts don't share speeds.
+	Factor float64
+	Band   int
 	// Load is the known load of the endpoint before the request, and Candidates the number of endpoints compared.
 	Load       ctlrpc.Load
 	Candidates int
@@ -112,8 +117,13 @@
 	openFailingSince, openFailedAt time.Time
 	// probedAt is when the endpoint last answered on a new connection, to a request or a probe.
 	probedAt time.Time
-	// slowdown is the moving average of the measured wait divided by the expected wait.
+	// slowdown is the moving average of the measured wait divided by the expected wait. With a shared factor of speed, it is
+	// what this host has seen beyond that.
 	slowdown float64
+	factor   speed.Factor
+	// preference is by how much this host prefers the endpoint to other hosts, below 1 if it does, or 0 where hosts don't share
+	// speeds.
+	preference float64
 	// lastActive is the time of the endpoint's last sign of activity. unanswered counts the requests whose answer
 	// hasn't begun. silentSince is the time since which the endpoint has been silent while it had unanswered
 	// requests.
@@ -152,6 +162,8 @@
 	// answeredAt holds when this host last got an answer or opened a connection directly.
 	answeredAt map[ctlrpc.Pool]time.Time
 	hosts      hostList
+	// slowdownsFadedAt is when the slowdowns last faded, or the zero time where hosts don't share speeds.
+	slowdownsFadedAt time.Time
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
 	departed map[string]departure
@@ -172,6 +184,7 @@
 		return c, false
 	}
 	c.Wait, c.Expected = s.estimate(b, q), s.expected(b, q)
+	c.Factor, c.Band = b.speedFactor(q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.local.Plus(b.remote), len(l)
 	c.Cached = q.CacheSaving > 0 && s.hasAffinity(b, q)
 	b.local.Requests++
@@ -192,7 +205,8 @@
 	var b *endpoint
 	var m time.Duration
 	for _, n := range l {
-		if k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, s.estimate(n, q)); b == nil || k < m {
+		e := s.estimate(n, q)
+		if k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, e) + n.preferencePenalty(e); b == nil || k < m {
 			b, m = n, k
 		}
 	}
@@ -295,7 +309,8 @@
 
 // estimate returns the estimated time to the start of the answer.
 func (s *Set) estimate(n *endpoint, q Request) time.Duration {
-	return time.Duration(float64(s.expected(n, q)) * n.slowdown)
+	f, _ := n.speedFactor(q)
+	return time.Duration(float64(s.expected(n, q)) * f * n.slowdown)
 }
 
 // expected returns the same estimate for an endpoint that is exactly as fast as its model should be.
--- /dev/null
+++ b/pick/speed.go
@@ -0,0 +1,119 @@
+package pick
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickoryshelf/hickoryshelf/speed"
+)
+
+const (
+	// slowdownMemory is the time in which a slowdown fades to 1/e of its logarithm where hosts share what they know of speeds.
+	// It is long against the time between two answers of an endpoint that is in use, so that it concerns avoided ones.
+	slowdownMemory = time.Minute
+	// preferenceShare is the share of its estimate by which an endpoint counts as faster or slower at most for one host than
+	// for another. Hosts that know the same of endpoints would choose the same one until they hear of each other's requests.
+	preferenceShare = 0.3
+)
+
+// SpeedChange is a factor of an endpoint that differs from the one before.
+type SpeedChange struct {
+	ID, Service   string
+	Before, After speed.Factor
+}
+
+// SetSpeeds takes over factors of endpoints that the hosts found out together. Those of another start than the known one are
+// ignored. If complete is set, endpoints that aren't named are unknown; otherwise they keep theirs. Between two calls the
+// slowdowns that this host has seen by itself fade.
+func (s *Set) SetSpeeds(factors map[string]speed.Factor, complete bool, now time.Time) []SpeedChange {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.fadeSlowdowns(now)
+	s.setPreferences()
+	var r []SpeedChange
+	if complete {
+		for i, n := range s.endpoints {
+			if _, ok := factors[i]; !ok {
+				n.setFactor(speed.Factor{Born: n.report.Born})
+			}
+		}
+	}
+	for i, f := range factors {
+		n, ok := s.endpoints[i]
+		if !ok || n.report.Born != f.Born {
+			continue
+		}
+		if o := n.setFactor(f); o != f {
+			r = append(r, SpeedChange{ID: i, Service: n.report.Service, Before: o, After: f})
+		}
+	}
+	return r
+}
+
+// fadeSlowdowns lets slowdowns fade by the time since the last call.
+func (s *Set) fadeSlowdowns(now time.Time) {
+	if d := now.Sub(s.slowdownsFadedAt); !s.slowdownsFadedAt.IsZero() {
+		x := math.Exp(-max(0, d).Seconds() / slowdownMemory.Seconds())
+		for _, n := range s.endpoints {
+			if n.slowdown != 1 {
+				n.slowdown = math.Pow(n.slowdown, x)
+			}
+		}
+	}
+	s.slowdownsFadedAt = now
+}
+
+// setPreferences draws for each endpoint how much this host prefers it, if there are other hosts. The draw depends only on the
+// names of both.
+func (s *Set) setPreferences() {
+	h := xxhash.Sum64String(s.hosts.self)
+	for _, n := range s.endpoints {
+		n.preference = 1
+		if len(s.hosts.all) > 1 {
+			w := float64(rendezvousWeight(n.report.ID, h)) / math.MaxUint64
+			n.preference = 1 + preferenceShare*(2*w-1)
+		}
+	}
+}
+
+// preferencePenalty returns the cost of an endpoint by this host's preference, which is negative for preferred ones. estimate is
+// the expected time to the start of an answer.
+func (n *endpoint) preferencePenalty(estimate time.Duration) time.Duration {
+	if n.preference == 0 {
+		return 0
+	}
+	return time.Duration(float64(estimate) * (n.preference - 1))
+}
+
+// setFactor sets the factor and returns the one before. As far as the slowdown explains the same, it is taken back, so that the
+// same slowness doesn't count twice.
+func (n *endpoint) setFactor(f speed.Factor) speed.Factor {
+	o := n.factor
+	if x := f.At(0) / o.At(0); n.slowdown > 1 && x > 1 {
+		n.slowdown = max(1, n.slowdown/x)
+	} else if n.slowdown < 1 && x < 1 {
+		n.slowdown = min(1, n.slowdown/x)
+	}
+	n.factor = f
+	return o
+}
+
+// speedFactor returns the factor of the endpoint for another request at its known load, and the band of that load.
+func (n *endpoint) speedFactor(q Request) (factor float64, band int) {
+	band = speed.Band(n.local.Requests+n.remote.Requests, q.Slots)
+	return n.factor.At(band), band
+}
+
+// BandNow returns the band of the known load of an endpoint whose service has a number of slots for each. The request that asks
+// is part of that load and doesn't count. ok is false if the endpoint isn't known as the same start.
+func (s *Set) BandNow(id string, born int64, slots int) (band int, ok bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[id]
+	if !ok || n.report.Born != born {
+		return 0, false
+	}
+	return speed.Band(n.local.Requests+n.remote.Requests-1, slots), true
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -46,6 +46,8 @@
 	// was counted as slow.
 	tally canary.Tally
 	slow  bool
+	// gaps holds the times between the first events of the answer, where hosts share the speed of endpoints.
+	gaps []time.Duration
 	// context is the context of the call of Sender.Send and of reading its reply.
 	context context.Context
 	// cancel cancels the call of Sender.Send and the reading of its reply, which stops the run at the endpoint.
@@ -248,18 +250,19 @@
 func (u *upstreamAttempt) recordStart(wait time.Duration) {
 	u.job.relay.Endpoints.RecordSuccess(u.choice.ID, u.way, wait, u.choice.Wait)
 	u.tallyAnswer(false, wait)
+	u.recordWaitSpeed(wait)
 	u.job.relay.demands.addWait(u.job.service.Name, wait, u.choice.Wait)
 	if u.job.route.Kind == table.Stream && !u.onTrial() {
-		u.job.relay.Prefill.Observe(u.job.model(), u.job.modelCost(u.job.model()), u.job.request.Prompt.Tokens, wait, time.Duration(u.choice.Load.Backlog)*time.Millisecond)
+		u.job.relay.Prefill.Observe(u.job.model(), u.job.modelCost(u.job.model()), u.job.request.Prompt.Tokens, u.usualWait(wait), time.Duration(u.choice.Load.Backlog)*time.Millisecond)
 	}
 	u.job.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("attempt_wait_seconds{route=%q}", u.job.route.Name)).Update(wait.Seconds())
 }
 
-// learnDuration adds a duration to the average with a key. A version on trial is left out, since it is compared
+// learnDuration adds a duration to the average with a key, as the mean endpoint would have taken. A version on trial is left out, since it is compared
 // with the averages.
 func (u *upstreamAttempt) learnDuration(key string, d time.Duration) {
 	if !u.onTrial() {
-		u.job.relay.durations.add(key, d)
+		u.job.relay.durations.add(key, u.usual(d))
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/tiers"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
@@ -40,6 +41,8 @@
 	ApplyTime time.Duration
 	// Weights are the assumptions behind the choice of model tiers. The zero value means tiers.DefaultWeights.
 	Weights tiers.Weights
+	// Speeds collects what this host measures of the speed of endpoints. It is nil if hosts don't share that.
+	Speeds *speed.Meter
 	// Suspended is the time for which the machine was suspended. If it is nil, the system is asked.
 	Suspended clock.Source
 }
--- /dev/null
+++ b/relay/speed.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/speed"
+	"github.com/hickoryshelf/hickoryshelf/ttft"
+)
+
+const (
+	// minGaps is the number of gaps between events from which their median is a sample of the endpoint's speed, and maxGaps
+	// bounds those that are kept.
+	minGaps = 4
+	maxGaps = 64
+	// maxQueueShare is the share of an estimate that may be waiting for other requests if the wait is to tell the endpoint's
+	// speed: queues are known late.
+	maxQueueShare = 1.0 / 3
+)
+
+// usual returns the time that the mean endpoint of the service would have taken where this one took d. Averages of models and
+// routes hold that time, so that they don't depend on the endpoints that answered.
+func (u *upstreamAttempt) usual(d time.Duration) time.Duration {
+	if f := u.choice.Factor; f > 0 && f != 1 {
+		return time.Duration(float64(d) / f)
+	}
+	return d
+}
+
+// usualWait is usual for a wait for the first event, whose base latency doesn't depend on the endpoint.
+func (u *upstreamAttempt) usualWait(wait time.Duration) time.Duration {
+	return ttft.BaseLatency + u.usual(wait-ttft.BaseLatency)
+}
+
+// measuresSpeed reports whether the times of the attempt tell the speed of its endpoint.
+func (u *upstreamAttempt) measuresSpeed() bool {
+	return u.job.relay.Speeds != nil && u.way == pick.Direct && !u.onTrial()
+}
+
+// recordWaitSpeed adds the wait for the answer to the samples of the endpoint's speed, unless it was queued there or may have
+// been shortened by a cache.
+func (u *upstreamAttempt) recordWaitSpeed(wait time.Duration) {
+	e := u.choice.Expected
+	if u.choice.Cached || e <= 0 || float64(e-u.work) > maxQueueShare*float64(e) || !u.measuresSpeed() {
+		return
+	}
+	u.observeSpeed(speed.Wait, u.choice.Band, float64(wait)/float64(e))
+}
+
+// recordGap keeps the time between two events of the answer.
+func (u *upstreamAttempt) recordGap(d time.Duration) {
+	if u.job.relay.Speeds != nil && len(u.gaps) < maxGaps {
+		u.gaps = append(u.gaps, d)
+	}
+}
+
+// recordGapSpeed adds the median time between events of a whole stream to the samples of the endpoint's speed, at the mean of
+// its load at the start and at the end. The median leaves out the pauses of this host and of the network.
+func (u *upstreamAttempt) recordGapSpeed() {
+	if len(u.gaps) < minGaps || !u.measuresSpeed() {
+		return
+	}
+	b, ok := u.job.relay.Endpoints.BandNow(u.choice.ID, u.choice.Born, u.job.service.Slots)
+	if !ok {
+		return
+	}
+	slices.Sort(u.gaps)
+	u.observeSpeed(speed.Gap, (u.choice.Band+b)/2, u.gaps[len(u.gaps)/2].Seconds())
+}
+
+// observeSpeed adds a sample. Only samples of the same route and model are compared.
+func (u *upstreamAttempt) observeSpeed(k speed.Kind, band int, took float64) {
+	u.job.relay.Speeds.Observe(speed.Sample{
+		Kind: k, Work: u.job.kind(), Endpoint: u.choice.ID, Born: u.choice.Born, Band: band, Factor: u.choice.Factor, Took: took,
+	}, time.Now())
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -42,6 +42,7 @@
 	switch {
 	case err == nil:
 		u.learnDuration(holdKey(j.route.Name, j.model()), time.Since(u.sent))
+		u.recordGapSpeed()
 		u.recordServed(r.Status)
 		return done
 	case errors.Is(err, errCallerLeft), j.callerContext.Err() != nil:
@@ -135,7 +136,9 @@
 		j.ttft = time.Since(j.request.Received)
 		u.learnDuration(firstEventKey(j.route.Name, j.model()), time.Since(u.sent)-u.wait)
 	} else {
-		j.longestGap = max(j.longestGap, time.Since(j.lastEventAt))
+		g := time.Since(j.lastEventAt)
+		j.longestGap = max(j.longestGap, g)
+		u.recordGap(g)
 	}
 	j.lastEventAt = time.Now()
 	u.linkLost = false
--- a/tiers/tiers.go
+++ b/tiers/tiers.go
@@ -20,6 +20,8 @@
 	DelayRate float64 `json:"delay-rate"`
 	// ReportNoise is the standard deviation, in points of confidence, of what models report of their answers.
 	ReportNoise float64 `json:"report-noise"`
+	// SharedSpeeds is set if hosts share what they measure of the speed of endpoints; see package speed.
+	SharedSpeeds bool `json:"shared-speeds"`
 }
 
 // DefaultWeights returns the weights that hold where the settings name no others.
