--- a/entry/entry.go
+++ b/entry/entry.go
@@ -242,7 +242,7 @@
 	e.Relay.ResendTallies()
 	e.Relay.Poison.Resend()
 	if e.Relay.Speeds != nil {
-		e.Relay.Speeds.Resend(time.Now())
+		e.Relay.Speeds.Resend()
 	}
 }
 
--- /dev/null
+++ b/pick/speed_test.go
@@ -0,0 +1,98 @@
+package pick_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/speed"
+)
+
+// speedSet returns a set with one endpoint, and the request that its tests use.
+func speedSet() (*pick.Set, pick.Request) {
+	s := pick.NewSet("c")
+	s.Replace([]fleet.Report{{ID: "e", Born: 5, Service: "s", DataCentre: "c", Sequence: 1}})
+	return s, pick.Request{Service: "s", Slots: 8, Work: 100 * time.Millisecond}
+}
+
+// double is the factor 2 at all bands of load.
+func double(born int64) speed.Factor {
+	return speed.Factor{Born: born, Steps: [speed.Bands]int8{35, 35, 35, 35}}
+}
+
+// waitOf returns the estimated wait of a request that is answered at once.
+func waitOf(s *pick.Set, q pick.Request, now time.Time) pick.Choice {
+	c, _ := s.Choose(q, now)
+	s.AnswerStarted(c.ID, q.Work)
+	s.RequestEnded(c.ID)
+	return c
+}
+
+// Guards against slowness that counts twice: a host that has seen by itself that an endpoint takes twice as long learns the same
+// from the others.
+func TestSameSlownessCountsOnce(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	now := epoch
+	s.SetSpeeds(nil, false, now)
+	for range 60 {
+		c := waitOf(s, q, now)
+		s.RecordSuccess(c.ID, pick.Direct, 200*time.Millisecond, c.Wait)
+	}
+	i.True(waitOf(s, q, now).Wait > 190*time.Millisecond)
+	i.Equal(len(s.SetSpeeds(map[string]speed.Factor{"e": double(5)}, false, now)), 1)
+	c := waitOf(s, q, now)
+	i.True(c.Wait > 190*time.Millisecond && c.Wait < 210*time.Millisecond)
+	i.Equal(c.Expected, q.Work) // rollouts judge by the model's speed
+}
+
+// Guards against figures of another start of an endpoint, and against ones that stay after a control host no longer knows them.
+func TestFactorsConcernOneStart(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	i.Equal(len(s.SetSpeeds(map[string]speed.Factor{"e": double(4), "other": double(1)}, false, epoch)), 0)
+	i.Equal(waitOf(s, q, epoch).Factor, 1.0)
+	s.SetSpeeds(map[string]speed.Factor{"e": double(5)}, false, epoch)
+	s.SetSpeeds(nil, false, epoch)
+	i.True(waitOf(s, q, epoch).Factor > 1.9)
+	s.Merge([]fleet.Report{{ID: "e", Born: 6, Service: "s", DataCentre: "c", Sequence: 1}}, nil)
+	i.Equal(waitOf(s, q, epoch).Factor, 1.0)
+	s.SetSpeeds(map[string]speed.Factor{"e": double(6)}, false, epoch)
+	s.SetSpeeds(nil, true, epoch)
+	i.Equal(waitOf(s, q, epoch).Factor, 1.0)
+}
+
+// Guards against a host that avoids an endpoint for good after momentary trouble, since an avoided endpoint gives no answers.
+func TestSlowdownOfAvoidedEndpointFades(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	s.SetSpeeds(nil, false, epoch)
+	c := waitOf(s, q, epoch)
+	s.RecordSuccess(c.ID, pick.Direct, time.Second, c.Wait)
+	b := waitOf(s, q, epoch).Wait
+	s.SetSpeeds(nil, false, epoch.Add(3*time.Minute))
+	i.True(b > 150*time.Millisecond)
+	i.True(waitOf(s, q, epoch).Wait < 110*time.Millisecond)
+}
+
+// BenchmarkSetSpeeds measures what an exchange costs a host at the target size.
+func BenchmarkSetSpeeds(b *testing.B) {
+	s := pick.NewSet("c")
+	var l []fleet.Report
+	f := map[string]speed.Factor{}
+	for k := range 610 {
+		r := fleet.Report{ID: "endpoint-" + string(rune('0'+k%10)) + string(rune('0'+k/10%10)) + string(rune('0'+k/100)), Born: 5, Service: "s", Sequence: 1}
+		l = append(l, r)
+		if k < speed.MaxChanges {
+			f[r.ID] = double(5)
+		}
+	}
+	s.Replace(l)
+	s.SetHosts("h", []string{"h", "g"}, epoch)
+	for b.Loop() {
+		s.SetSpeeds(f, false, epoch)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -46,7 +46,7 @@
 	// was counted as slow.
 	tally canary.Tally
 	slow  bool
-	// gaps holds the times between the first events of the answer, where hosts share the speed of endpoints.
+	// gaps holds the times between events since the last sample of the endpoint's speed, where hosts share that.
 	gaps []time.Duration
 	// context is the context of the call of Sender.Send and of reading its reply.
 	context context.Context
--- a/relay/speed.go
+++ b/relay/speed.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// minGaps is the number of gaps between events from which their median is a sample of the endpoint's speed, and maxGaps
-	// bounds those that are kept.
-	minGaps = 4
-	maxGaps = 64
+	// gapsPerSample is the number of gaps between events whose median is a sample of the endpoint's speed. A whole stream would
+	// tell of a change only at its end. minGaps is the number of gaps from which the rest of a stream is a sample.
+	gapsPerSample = 12
+	minGaps       = 4
 	// maxQueueShare is the share of an estimate that may be waiting for other requests if the wait is to tell the endpoint's
 	// speed: queues are known late.
 	maxQueueShare = 1.0 / 3
@@ -48,16 +48,20 @@
 	u.observeSpeed(speed.Wait, u.choice.Band, float64(wait)/float64(e))
 }
 
-// recordGap keeps the time between two events of the answer.
+// recordGap keeps the time between two events of the answer, until there are enough for a sample.
 func (u *upstreamAttempt) recordGap(d time.Duration) {
-	if u.job.relay.Speeds != nil && len(u.gaps) < maxGaps {
-		u.gaps = append(u.gaps, d)
+	if u.job.relay.Speeds == nil {
+		return
+	}
+	if u.gaps = append(u.gaps, d); len(u.gaps) >= gapsPerSample {
+		u.recordGapSpeed()
 	}
 }
 
-// recordGapSpeed adds the median time between events of a whole stream to the samples of the endpoint's speed, at the mean of
-// its load at the start and at the end. The median leaves out the pauses of this host and of the network.
+// recordGapSpeed adds the median time between the last events to the samples of the endpoint's speed, at its load now. The median
+// leaves out the pauses of this host and of the network.
 func (u *upstreamAttempt) recordGapSpeed() {
+	defer func() { u.gaps = u.gaps[:0] }()
 	if len(u.gaps) < minGaps || !u.measuresSpeed() {
 		return
 	}
@@ -66,7 +70,7 @@
 		return
 	}
 	slices.Sort(u.gaps)
-	u.observeSpeed(speed.Gap, (u.choice.Band+b)/2, u.gaps[len(u.gaps)/2].Seconds())
+	u.observeSpeed(speed.Gap, b, u.gaps[len(u.gaps)/2].Seconds())
 }
 
 // observeSpeed adds a sample. Only samples of the same route and model are compared.
--- /dev/null
+++ b/relay/speed_test.go
@@ -0,0 +1,65 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/speed"
+)
+
+// pacedReader yields events with pauses between them.
+type pacedReader struct {
+	pause  time.Duration
+	events int
+	buffer bytes.Buffer
+	sent   int
+}
+
+func (r *pacedReader) Read(b []byte) (int, error) {
+	if r.buffer.Len() == 0 && r.sent < r.events {
+		time.Sleep(r.pause)
+		r.sent++
+		_, _ = fmt.Fprintf(&r.buffer, "id: %d\ndata: x\n\n", r.sent)
+	}
+	return r.buffer.Read(b)
+}
+
+// Guards against samples that are never taken, and against samples on hosts whose settings don't ask for them.
+func TestStreamsTellSpeedOfEndpoints(t *testing.T) {
+	for _, shared := range []bool{false, true} {
+		t.Run(fmt.Sprint(shared), func(t *testing.T) {
+			inSynctest(t, func(t *testing.T, i *is.I) {
+				h := newHarness(2, func(_ int, _ context.Context, a relay.Attempt) relay.Reply {
+					r := ran("")
+					r.Body = body{Reader: &pacedReader{pause: 30 * time.Millisecond, events: 30}}
+					return r
+				})
+				if shared {
+					h.relay.Speeds = speed.NewMeter()
+				}
+				for range 8 {
+					i.Equal(h.serve(t.Context(), "/write/a", "key").status, 200)
+				}
+				if !shared {
+					i.True(h.relay.Speeds == nil)
+					return
+				}
+				var gaps int64
+				for _, s := range h.relay.Speeds.Take(time.Now()) {
+					for _, c := range s.Cells {
+						if c.Place/speed.Bands == int(speed.Gap) {
+							gaps += c.Count
+						}
+					}
+				}
+				i.True(gaps > 3000) // thousandths, faded
+			})
+		})
+	}
+}
--- a/speed/meter.go
+++ b/speed/meter.go
@@ -136,7 +136,7 @@
 }
 
 // Resend makes the next calls of Take return the sums of all endpoints, for a control host that may lack some of them.
-func (m *Meter) Resend(now time.Time) {
+func (m *Meter) Resend() {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	for _, e := range slices.Sorted(maps.Keys(m.endpoints)) {
--- a/speed/model_test.go
+++ b/speed/model_test.go
@@ -73,10 +73,17 @@
 	return x
 }
 
+// loads multiply the rates of modelWorks.
+const (
+	usualLoad = 1.0
+	highLoad  = 1.2
+)
+
 // model is a fleet without a network: the real endpoint sets of all hosts, and endpoints that read prompts one after the other
 // and write answers side by side.
 type model struct {
 	world     world
+	load      float64
 	shared    bool
 	rand      *rand.Rand
 	now       time.Duration
@@ -120,8 +127,8 @@
 	late     bool
 }
 
-func newModel(seed uint64, shared bool, w world) *model {
-	m := &model{world: w, shared: shared, rand: rand.New(rand.NewPCG(seed, 11)), state: speed.NewState()}
+func newModel(seed uint64, load float64, shared bool, w world) *model {
+	m := &model{world: w, load: load, shared: shared, rand: rand.New(rand.NewPCG(seed, 11)), state: speed.NewState()}
 	for k := range modelEndpoints {
 		m.endpoints = append(m.endpoints, &modelEndpoint{report: fleet.Report{ID: fmt.Sprintf("e%03d", k), Born: 1, Service: "s", DataCentre: "c", Address: fmt.Sprint("a", k), Sequence: 1}})
 	}
@@ -178,11 +185,11 @@
 func (m *model) arrive(h *modelHost) {
 	var t float64
 	for _, w := range modelWorks {
-		t += w.rate
+		t += w.rate * m.load
 	}
 	x := m.rand.Float64() * t
 	for _, w := range modelWorks {
-		if x -= w.rate; x < 0 {
+		if x -= w.rate * m.load; x < 0 {
 			m.send(h, w)
 			break
 		}
@@ -215,8 +222,9 @@
 	choice   pick.Choice
 	request  pick.Request
 	sent     time.Duration
-	first    time.Duration
-	band     int
+	// since is when the four events began from which the time between events is measured, and steps counts them.
+	since time.Duration
+	steps int
 }
 
 func (r *modelRequest) reach() {
@@ -252,7 +260,7 @@
 	if m.shared && r.choice.Expected < 3*r.request.Work/2 {
 		r.observe(speed.Wait, r.choice.Band, float64(w)/float64(r.choice.Expected))
 	}
-	r.first = m.now
+	r.since = m.now
 	m.after(r.step(), func() { r.next(r.work.events / 4) })
 }
 
@@ -264,12 +272,15 @@
 // next is called after each four events. left counts them with the ones that have just passed.
 func (r *modelRequest) next(left int) {
 	m, e := r.model, r.endpoint
+	if r.steps++; r.steps == 3 {
+		r.observeGap()
+	}
 	if left > 1 {
 		m.after(r.step(), func() { r.next(left - 1) })
 		return
 	}
-	if b, ok := r.set.BandNow(r.choice.ID, r.choice.Born, modelSlots); ok && m.shared && r.work.events >= 8 {
-		r.observe(speed.Gap, (b+r.choice.Band)/2, (m.now-r.first).Seconds()/float64(r.work.events))
+	if r.work.events >= 12 {
+		r.observeGap()
 	}
 	r.set.RequestEnded(r.choice.ID)
 	e.inFlight--
@@ -280,6 +291,14 @@
 	}
 }
 
+// observeGap adds a sample of the time between events.
+func (r *modelRequest) observeGap() {
+	if b, ok := r.set.BandNow(r.choice.ID, r.choice.Born, modelSlots); ok && r.model.shared && r.steps > 0 {
+		r.observe(speed.Gap, b, (r.model.now-r.since).Seconds()/float64(4*r.steps))
+	}
+	r.since, r.steps = r.model.now, 0
+}
+
 func (r *modelRequest) observe(k speed.Kind, band int, took float64) {
 	r.meter.Observe(speed.Sample{Kind: k, Work: r.work.name, Endpoint: r.choice.ID, Born: r.choice.Born, Band: band, Factor: r.choice.Factor, Took: took}, r.model.at())
 }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -11,14 +11,15 @@
 const (
 	// Bands is the number of bands of load: the requests in flight at an endpoint against its slots.
 	Bands = 4
-	// Fade is the time in which the weight of a sample falls to 1/e. After 10 s a tenth of it is left, and a change has
-	// two thirds of its effect after 5 s.
-	Fade = 4 * time.Second
-	// MinFactor and MaxFactor bound a factor.
+	// Fade is the time in which the weight of a sample falls to 1/e. After 10 s a thirtieth of it is left, and a change has
+	// four fifths of its effect after 5 s.
+	Fade = 3 * time.Second
+	// MinFactor is the least factor.
 	MinFactor = 0.4
+	// MaxFactor is the greatest factor.
 	MaxFactor = 4
-	// MaxChanges bounds the endpoints in one message.
-	MaxChanges = 40
+	// MaxChanges bounds the endpoints in one message. Twenty in each stay below 6 KB/s for a host, also if all change all the time.
+	MaxChanges = 20
 	// logStep is the unit of Factor.Steps.
 	logStep = 0.02
 	// maxLog bounds the logarithm of one sample, so that an answer that waited in a queue nobody knew counts little.
