--- a/conf/node_test.go
+++ b/conf/node_test.go
@@ -46,6 +46,17 @@
 	i.Equal(n.Decisions, w)
 }
 
+// Guards against a host that shares speeds though its settings don't ask for it, and against one that doesn't though they do.
+func TestSpeedsAreSharedOnlyIfSettingsAsk(t *testing.T) {
+	i := is.New(t)
+	n, err := loadNode(t, nodeDocument)
+	i.NoErr(err)
+	i.True(!n.Decisions.SharedSpeeds)
+	n, err = loadNode(t, strings.Replace(nodeDocument, `"peer-port":3`, `"peer-port":3,"decisions":{"shared-speeds":true}`, 1))
+	i.NoErr(err)
+	i.True(n.Decisions.SharedSpeeds)
+}
+
 // TestLoadNodeNamesFieldAndRemedy makes nodeDocument invalid by one replacement for each case.
 func TestLoadNodeNamesFieldAndRemedy(t *testing.T) {
 	for _, c := range []struct{ from, to, field string }{
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -14,6 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/entry"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
@@ -28,6 +29,9 @@
 	applyTime time.Duration
 	// suspended is the time for which the machine was suspended, or nil for that of the system.
 	suspended clock.Source
+	// speeds is set if hosts share the speed of endpoints, and log is where the lines go, or nil.
+	speeds *speed.Meter
+	log    io.Writer
 }
 
 // newEntry starts an entry host without endpoints. The caller stops it.
@@ -37,10 +41,13 @@
 	}
 	g := logrus.New()
 	g.SetOutput(io.Discard)
+	if o.log != nil {
+		g.SetOutput(o.log)
+	}
 	m := metrics.NewSet()
 	s := pick.NewSet("a")
 	b := budget.NewHost(budget.Limits{Ratio: 0.9, Slack: 58, Window: time.Second})
-	r := relay.New(relay.Options{Endpoints: s, Budget: b, Log: g, Metrics: m, ApplyTime: o.applyTime, Suspended: o.suspended})
+	r := relay.New(relay.Options{Endpoints: s, Budget: b, Log: g, Metrics: m, ApplyTime: o.applyTime, Suspended: o.suspended, Speeds: o.speeds})
 	e := entry.New(entry.Options{
 		Settings: conf.Node{Name: "e", PeerPort: o.port, Seeds: o.seeds}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
 		Decode: o.decode, Log: g, Metrics: m,
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -72,6 +72,8 @@
 	Mesh *Mesh
 	// Grace is the time that processes have for a planned stop. A change holds for processes that start after it.
 	Grace time.Duration
+	// decisions is the section of that name of the settings, or nil.
+	decisions map[string]any
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -87,6 +89,12 @@
 	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true})
 }
 
+// StartSoakDeployment is like StartTunnelledDeployment, but with the features that are off by default.
+func StartSoakDeployment(t testing.TB, binary string, entries int) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, decisions: map[string]any{"shared-speeds": true}})
+}
+
 // StartMeshedDeployment is like StartDeployment, but has the given number of control hosts, and a Mesh in place of the proxies.
 func StartMeshedDeployment(t testing.TB, binary string, controls, entries int) *Deployment {
 	t.Helper()
@@ -104,12 +112,14 @@
 type layout struct {
 	controls, entries int
 	tunnels, mesh     bool
+	// decisions is the section of that name of the settings of all processes, or nil.
+	decisions map[string]any
 }
 
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, Grace: usualGrace, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, decisions: y.decisions, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -161,6 +171,9 @@
 			"grace": d.Grace.String(), "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
 		},
 	}
+	if d.decisions != nil {
+		m["decisions"] = d.decisions
+	}
 	if p.Control {
 		m["part"], m["admin-address"], m["data-folder"] = "control", fmt.Sprintf("%s:%d", p.IP, adminPort), filepath.Join(d.folder, p.Name)
 		m["peer-listen-port"] = peerListenPort
