Follow changes of speed sooner

Change: samples fade in 2 s, a stream gives one for each 8 events, samples of a stream count as correlated.

--- a/entry/speed.go
+++ b/entry/speed.go
@@ -13,7 +13,7 @@
 const (
 	// speedReportEvery is the number of exchanges after which measured speeds are reported: more often, most endpoints would be
 	// named again and again for one further sample.
-	speedReportEvery = 4
+	speedReportEvery = 3
 	// speedLogDistance is the difference of a factor's logarithm from which it is logged: a tenth.
 	speedLogDistance = 0.095
 )
--- a/relay/speed.go
+++ b/relay/speed.go
@@ -12,7 +12,7 @@
 const (
 	// gapsPerSample is the number of gaps between events whose median is a sample of the endpoint's speed. A whole stream would
 	// tell of a change only at its end. minGaps is the number of gaps from which the rest of a stream is a sample.
-	gapsPerSample = 12
+	gapsPerSample = 8
 	minGaps       = 4
 	// maxQueueShare is the share of an estimate that may be waiting for other requests if the wait is to tell the endpoint's
 	// speed: queues are known late.
--- a/speed/estimate.go
+++ b/speed/estimate.go
@@ -9,20 +9,21 @@
 const (
 	// significance is the number of standard errors within which a difference counts as chance. Beyond that it counts more
 	// and more, and with few samples not at all.
-	significance = 3
+	significance = 2.5
 	// priorVariance is the variance of samples that is assumed with the weight of priorSamples, and minVariance the least one:
 	// samples of an endpoint at about the same time have the same disturbances, so that many of them tell less than they seem.
 	priorVariance = 0.16
 	priorSamples  = 10
 	minVariance   = 0.02
 	// publishDistance is the difference of logarithms from which a factor replaces the one before.
-	publishDistance = 0.06
+	publishDistance = 0.05
 	// minCount is the weight of samples of a band below which its neighbour of less load stands for it.
 	minCount = 0.5
-	// correlation is the number of samples that tell as much as one: requests that reach an endpoint within the age of the known
-	// loads wait for each other, so that their waits are long together.
+	// waitCorrelation and gapCorrelation are the numbers of samples that tell as much as one. Requests that reach an endpoint
+	// within the age of the known loads wait for each other, so that their waits are long together; a stream gives several
+	// samples of the time between events.
 	waitCorrelation = 6
-	gapCorrelation  = 1
+	gapCorrelation  = 2
 	// leastGapShare is the share of a service's samples from which those between events alone carry its factors.
 	leastGapShare = 0.02
 	// lostSamples is the share of one sample that the variance within a cell lacks because the cell's mean is taken from the
--- a/speed/meter.go
+++ b/speed/meter.go
@@ -12,7 +12,7 @@
 	// usualStep is the weight of the newest sample in the moving average of what is usual, once there are enough.
 	usualStep = 0.04
 	// minUsual is the number of samples behind such an average from which others are compared with it.
-	minUsual = 3
+	minUsual = 6
 	// sweepInterval is the interval at which endpoints whose samples have faded are forgotten.
 	sweepInterval = 10 * Fade
 )
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -11,9 +11,9 @@
 const (
 	// Bands is the number of bands of load: the requests in flight at an endpoint against its slots.
 	Bands = 4
-	// Fade is the time in which the weight of a sample falls to 1/e. After 10 s a thirtieth of it is left, and a change has
-	// four fifths of its effect after 5 s.
-	Fade = 3 * time.Second
+	// Fade is the time in which the weight of a sample falls to 1/e. An endpoint that gets little to do because it was slow has
+	// few samples of its new speed, which have to outweigh the old ones within 5 s.
+	Fade = 2 * time.Second
 	// MinFactor is the least factor.
 	MinFactor = 0.4
 	// MaxFactor is the greatest factor.
