--- a/relay/speed_test.go
+++ b/relay/speed_test.go
@@ -35,7 +35,7 @@
 	for _, shared := range []bool{false, true} {
 		t.Run(fmt.Sprint(shared), func(t *testing.T) {
 			inSynctest(t, func(t *testing.T, i *is.I) {
-				h := newHarness(2, func(_ int, _ context.Context, a relay.Attempt) relay.Reply {
+				h := newHarness(2, func(_ int, _ context.Context, _ relay.Attempt) relay.Reply {
 					r := ran("")
 					r.Body = body{Reader: &pacedReader{pause: 30 * time.Millisecond, events: 30}}
 					return r
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -156,7 +156,7 @@
 	i := is.New(t)
 	now := settleTime
 	slow := true
-	m := newModel(8, usualLoad, true, func(k int, t time.Duration, _ int) float64 {
+	m := newModel(8, usualLoad, true, func(k int, _ time.Duration, _ int) float64 {
 		if k == 2 && slow {
 			return 1.6
 		}
