--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryshelf/hickoryshelf/limit"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/quorum"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
@@ -72,6 +73,8 @@
 	Holding budget.Holding
 	// WarmUp says which cold endpoints the host would use. Older builds leave it empty.
 	WarmUp WarmUp
+	// Speeds is what the host has measured of the speed of endpoints. Only some reports hold any.
+	Speeds SpeedReport
 }
 
 // WithAge returns the report as it reads some time later.
@@ -80,6 +83,7 @@
 		return r
 	}
 	r.Poison = r.Poison.WithAge(d)
+	r.Speeds = speed.Faded(r.Speeds, d)
 	r.Limits, r.Ages, r.Active = maps.Clone(r.Limits), maps.Clone(r.Ages), slices.Clone(r.Active)
 	for e, l := range r.Limits {
 		l.Age += d
@@ -159,6 +163,8 @@
 	PoisonSum uint64
 	// DrainIndex is that of the state of drains held, or HoldsNoDrains. It is 0 for a host that takes none, as older builds do.
 	DrainIndex uint64
+	// SharesSpeeds is set if the host uses ExchangeReply.Speeds.
+	SharesSpeeds bool
 }
 
 // ExchangeRequest is sent by an entry host.
@@ -234,6 +240,8 @@
 	Drains Drains
 	// Permits holds those for cold endpoints that are lent to the host. Older builds leave it empty.
 	Permits []warmup.Permit
+	// Speeds holds the speeds of endpoints, for a host that uses them.
+	Speeds SpeedUpdate
 }
 
 // HostsSum returns the hash of the names of entry hosts.
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -9,6 +9,7 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/poison"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
@@ -30,6 +31,7 @@
 	budgets *budget.Pool
 	// permits lends permits for cold endpoints.
 	permits *warmup.Lender
+	speeds  speedCache
 }
 
 // sentState records what an entry host has received of loads and watched keys, to send only changes.
@@ -40,7 +42,9 @@
 	sequence uint64
 	loads    map[string]ctlrpc.Load
 	// watch holds the keys that the host watches.
-	watch  poison.Watch
+	watch poison.Watch
+	// speeds holds the factors of speed that the host has.
+	speeds map[string]speed.Factor
 	sentAt time.Duration
 }
 
@@ -142,6 +146,8 @@
 	n.Permits = t.permits.Lend(s.permitRequest(r.Host, r.Start, r.WarmUp), now)
 	n.Watch = s.watch.ChangesFrom(o.watch)
 	n.Watch.New = first
+	var v map[string]speed.Factor
+	n.Speeds, v = t.speeds.speedUpdate(s, q, first, o.speeds)
 	l := t.otherLoads(s, r.Host)
 	if first {
 		n.LoadsNew, n.Loads = true, l
@@ -149,7 +155,7 @@
 		n.Loads = ctlrpc.LoadChanges(o.loads, l, maxLoadChanges)
 		l = withLoads(o.loads, n.Loads)
 	}
-	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), sentAt: s.Now}, s)
+	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), speeds: v, sentAt: s.Now}, s)
 }
 
 // budgetRequest returns what the pool of retry budgets has to know of an entry host's report. Nothing is lent by a control host that
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -239,6 +239,9 @@
 	}
 	q.Report.Budget, q.Report.Holding = e.Relay.ReportBudget()
 	q.Report.WarmUp.Wishes = e.Set.ColdWishes(time.Now())
+	if e.Relay.Speeds != nil {
+		q.Known.SharesSpeeds, q.Report.Speeds = true, e.takeSpeeds()
+	}
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
 	if first {
 		q.Known.Control = ""
@@ -251,6 +254,9 @@
 func (e *Entry) resend() {
 	e.Relay.ResendTallies()
 	e.Relay.Poison.Resend()
+	if e.Relay.Speeds != nil {
+		e.Relay.Speeds.Resend()
+	}
 }
 
 // leaveStale goes on with another control host if one has said that it has a leader before the current one replied that it has none.
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -77,6 +77,8 @@
 	CentreDrain time.Duration
 	// bounds are settings of bounds in addition to the usual ones.
 	bounds map[string]any
+	// decisions is the section of that name of the settings, or nil.
+	decisions map[string]any
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -92,11 +94,18 @@
 	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true})
 }
 
-// StartDrainableDeployment is like StartTunnelledDeployment, but data centres can be drained, within the given time, and there are
-// settings of bounds in addition to the usual ones, or nil.
-func StartDrainableDeployment(t testing.TB, binary string, entries int, centreDrain time.Duration, bounds map[string]any) *Deployment {
+// StartDrainableDeployment is like StartTunnelledDeployment, but data centres can be drained, within the given time.
+func StartDrainableDeployment(t testing.TB, binary string, entries int, centreDrain time.Duration) *Deployment {
 	t.Helper()
-	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, centreDrain: centreDrain, bounds: bounds})
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, centreDrain: centreDrain})
+}
+
+// StartSoakDeployment is like StartDrainableDeployment, but with settings of bounds in addition to the usual ones, and with the decisions
+// that are off by default.
+func StartSoakDeployment(t testing.TB, binary string, entries int, centreDrain time.Duration, bounds map[string]any) *Deployment {
+	t.Helper()
+	d := map[string]any{"shared-speeds": true}
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, centreDrain: centreDrain, bounds: bounds, decisions: d})
 }
 
 // StartMeshedDeployment is like StartDeployment, but has the given number of control hosts, and a Mesh in place of the proxies.
@@ -125,12 +134,14 @@
 	tunnels, mesh     bool
 	centreDrain       time.Duration
 	bounds            map[string]any
+	// decisions is the section of that name of the settings of all processes, or nil.
+	decisions map[string]any
 }
 
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, Grace: usualGrace, CentreDrain: y.centreDrain, bounds: y.bounds, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, CentreDrain: y.centreDrain, bounds: y.bounds, decisions: y.decisions, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -191,6 +202,9 @@
 		m["bounds"].(map[string]any)["centre-drain"] = d.CentreDrain.String()
 	}
 	maps.Copy(m["bounds"].(map[string]any), d.bounds)
+	if d.decisions != nil {
+		m["decisions"] = d.decisions
+	}
 	if p.Control {
 		m["part"], m["admin-address"], m["data-folder"] = "control", fmt.Sprintf("%s:%d", p.IP, adminPort), filepath.Join(d.folder, p.Name)
 		m["peer-listen-port"] = peerListenPort
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/tiers"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
@@ -44,6 +45,8 @@
 	Weights tiers.Weights
 	// Cold bounds the requests to endpoints that are cold after their start. The zero value sets no bound.
 	Cold warmup.Limits
+	// Speeds collects what this host measures of the speed of endpoints. It is nil if hosts don't share that.
+	Speeds *speed.Meter
 	// Suspended is the time for which the machine was suspended. If it is nil, the system is asked.
 	Suspended clock.Source
 }
