Lend retries on demand out of what no host has as a share

Hosts that have just started, and hosts of a fleet with a small slack, were refused optional retries while the slack was hardly used: starting balances came to the hosts that asked first, shares to hosts that needed none. A host now says what it lacks for its next retry. Its control host grants that or nothing: a piece out of what was lent to nobody as a share within the last window, which may be used beyond the balance cap until the lease ends, or a part of the starting balances. The first process of a control host lends shares within 4 s. A deposit may be used beyond the cap for 250 ms, and windowShare falls to 0.16 in return.

TestFewFaultsOnQuietServiceOfLargeFleetAreRetried stays red at 120 and 300 hosts.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -3,18 +3,21 @@
 // which a control host lends to it. What one host doesn't need is lent to others by the control host with which they exchange
 // messages. The package uses no network and no clock: times are durations since an origin that the caller chooses.
 //
-// The retries in a window are at most the balances at its begin, the deposits in it, what is lent then of deposits shortly
-// before it, and the starting balances granted in it. With r requests in the window and b in the one before it, and s the sum of
-// the shares lent at a time, that is
+// The retries in a window are at most the balances at its begin, the deposits in it, what is used or lent then of deposits shortly
+// before it, the starting balances granted in it, and the pieces that are granted in it or may still be used at its begin. With r requests
+// in the window and b in the one before it, s the sum of the shares lent at its begin, and g that of those pieces, that is
 //
-//	s * slackShare * Slack + windowShare * Ratio * b + depositShare * Ratio * r + lent + s' * startShare * Slack
+//	slackShare * s * Slack + g + windowShare * Ratio * b + depositShare * Ratio * r + unkept + s' * startShare * Slack
 //
 // where s' is the sum of the parts of which starting balances are granted. A control host lends 1/(n+1) at most if n control
 // hosts are in the control log as it knows it, so that s and s' don't exceed 1 even if one that was added or removed counts
-// another n. No number of entry hosts is part of it: a host that knows of no other, or that just started, has no share of the
-// slack. Hence
+// another n. It grants pieces only of what it has lent to nobody as a share within the last window, and lends shares only of what no piece
+// in use takes, so that slackShare * s * Slack + g doesn't exceed slackShare * Slack. No number of entry hosts is part of it: a host that
+// knows of no other, or that just started, has no share of the slack. unkept is what the deposits before the window have left beyond the
+// caps: it is used within freshTime, or lent within spareTime and lendTime after that, so that it is at most
+// depositShare * Ratio * b * (freshTime + spareTime + lendTime) / Window where requests come evenly. Hence, for a window of 10 s,
 //
-//	slackShare + startShare <= 1 and depositShare + windowShare + lent / (Ratio * r) <= 1
+//	slackShare + startShare <= 1 and depositShare + windowShare + unkept / (Ratio * b) <= 1
 package budget
 
 import (
@@ -27,13 +30,13 @@
 	// up to windowShare of the retries that the ratio allows for the requests of a window, plus the share of the slack.
 	// Both together, with what is lent for a part of the window, stay below 1.
 	depositShare = 0.76
-	windowShare  = 0.19
+	windowShare  = 0.16
 	// slackShare is the part of the slack that is lent to the hosts as shares, and startShare that granted as starting balances.
 	slackShare = 0.75
 	startShare = 1 - slackShare
 	// reserveShare is the part of the balance cap beyond one retry that WithdrawOptional leaves for retries after faults, and
 	// scarceReserve replaces it while nothing is lent to a host that wants it.
-	reserveShare  = 0.25
+	reserveShare  = 0.2
 	scarceReserve = 0.5
 	// enough is what a host may want, in retries, without missing it.
 	enough = 0.5
@@ -65,6 +68,10 @@
 type account struct {
 	// balance is the number of retries that may be made now, at most the balance cap when the account was updated.
 	balance float64
+	// fresh holds the deposits of the last freshTime, by which the balance may exceed its cap.
+	fresh deposits
+	// pieces holds what may be used beyond the balance, the oldest first.
+	pieces pieces
 	// requests holds those of the last window when the account was updated.
 	requests recentCount
 	updated  time.Duration
@@ -76,6 +83,9 @@
 	// wanted is what the last statement asked for, and lent is set if about as much was lent since, or nothing was needed.
 	wanted float64
 	lent   bool
+	// lacked is what the last statement asked for as a part of the slack, and askedAt when the last request came.
+	lacked  float64
+	askedAt time.Duration
 	// granted is the sum of all that the control host has lent, by its last reply.
 	granted Grant
 }
@@ -93,7 +103,10 @@
 	defer h.lock.Unlock()
 	a := h.account(service, now)
 	a.requests.add()
-	h.add(a, h.limits.Ratio*depositShare, now)
+	a.askedAt = now
+	d := h.limits.Ratio * depositShare
+	a.fresh.add(d, now)
+	a.balance += d
 }
 
 // Expect makes a service known, so that a starting balance is asked for before its first request.
@@ -103,13 +116,6 @@
 	h.account(service, now)
 }
 
-// add raises a balance up to its cap. What is above it is spare.
-func (h *Host) add(a *account, retries float64, now time.Duration) {
-	n := a.balance + retries
-	a.balance = min(h.balanceCap(a, now), n)
-	a.spare += max(0, n-a.balance)
-}
-
 // account returns the budget of a service at a time. The caller holds the lock. A new budget starts empty.
 func (h *Host) account(service string, now time.Duration) *account {
 	a, ok := h.services[service]
@@ -121,17 +127,24 @@
 	return a
 }
 
-// update advances an account to a time: it lowers the balance to its cap, which falls as requests become old and as the share ends.
-// What the age of the requests took within lendTime is spare.
+// update advances an account to a time: it lowers the balance to its cap and what is fresh, which falls as requests become old and as the
+// share ends. What the age of the requests and deposits took within lendTime is spare.
 func (h *Host) update(a *account, now time.Duration) {
 	e, o := max(0, now-a.updated), a.requests.sum()
 	a.updated += e
 	a.requests.advance(a.updated, h.limits.Window)
-	n := max(0, a.balance-h.balanceCap(a, a.updated))
+	u := a.fresh.expire(a.updated, h.limits.Window)
+	n := max(0, a.balance-h.balanceCap(a, a.updated)-a.fresh.sum)
 	a.balance -= n
 	if e <= lendTime {
-		a.spare += min(n, (o-a.requests.sum())*h.limits.Ratio*windowShare)
+		a.spare += min(n, u+(o-a.requests.sum())*h.limits.Ratio*windowShare)
 	}
+	h.fill(a, a.pieces.takeEnding(a.updated))
+}
+
+// fill raises a balance to its cap at most.
+func (h *Host) fill(a *account, retries float64) {
+	a.balance = max(a.balance, min(h.balanceCap(a, a.updated), a.balance+retries))
 }
 
 // updateAll advances all accounts to a time.
@@ -164,7 +177,7 @@
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	a := h.account(service, now)
-	return Level{Balance: a.balance, Cap: h.balanceCap(a, now), Share: h.share(now), LoanAge: now - max(h.loan.AskedAt, h.before.AskedAt)}
+	return Level{Balance: a.balance + a.pieces.sum(), Cap: h.balanceCap(a, now), Share: h.share(now), LoanAge: now - max(h.loan.AskedAt, h.before.AskedAt)}
 }
 
 // Withdraw takes one retry after a fault from the balance. It reports false if less than one is left.
@@ -185,10 +198,10 @@
 	if a.lent {
 		reserve = min(reserve, reserveShare)
 	}
-	if a.balance < withReserve(h.balanceCap(a, now), reserve) {
+	if a.balance+a.pieces.sum() < withReserve(h.balanceCap(a, now), reserve) {
 		return false
 	}
-	a.balance--
+	a.balance -= 1 - a.pieces.take(1)
 	return true
 }
 
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -40,7 +40,9 @@
 	// unaware is set if the last control host was added to the control log without the knowledge of the others, or removed from it
 	// without its own.
 	unaware bool
-	length  time.Duration
+	// mixed is set if every other host, and every other control host, is of a build that doesn't lend on demand.
+	mixed  bool
+	length time.Duration
 	// granted is set if all hosts got their whole starting balance before the first request.
 	granted bool
 }
@@ -204,9 +206,12 @@
 	}
 	c := m.controls[h.control]
 	l, g := c.pool.Exchange(budget.Request{
-		Host: fmt.Sprint("h", k), Start: h.start, Begin: h.begun, Statements: h.Statements(now), Holding: h.Holding(now), Controls: c.known, New: c.first, Window: m.Window,
+		Host: fmt.Sprint("h", k), Start: h.start, Begin: h.begun, Statements: m.statements(k, now), Holding: h.Holding(now), Controls: c.known, New: c.first, Window: m.Window,
 	}, now)
 	h.begun = false
+	if m.mixed && (k%2 == 0 || h.control%2 == 1) {
+		l.Pieces = nil
+	}
 	if m.granted && now < 0 {
 		l.Starts = map[string]float64{"s": h.Statements(now)["s"].Start}
 	}
@@ -219,6 +224,17 @@
 	}
 }
 
+// statements returns what reaches a host's control host of its statements.
+func (m *model) statements(k int, now time.Duration) map[string]budget.Statement {
+	s := m.members[k].Statements(now)
+	if m.mixed && (k%2 == 0 || m.members[k].control%2 == 1) {
+		for n, v := range s {
+			s[n] = budget.Statement{Spare: v.Spare, Wanted: v.Wanted, Start: v.Start}
+		}
+	}
+	return s
+}
+
 // move connects a host to another control host.
 func (m *model) move(h *member, now time.Duration) {
 	h.control, h.begun = m.random.IntN(len(m.controls)), true
--- a/budget/lender.go
+++ b/budget/lender.go
@@ -10,6 +10,10 @@
 	holdTime = 5 * time.Second
 	// keptShares is how many shares are kept for a host that starts, which would else wait until the others give back a part of theirs.
 	keptShares = 0.5
+	// lackShare is the part of the starting balances that is kept for hosts that lack a retry for their next request.
+	lackShare = 0.2
+	// likeShare replaces it for hosts that lack nothing and start.
+	likeShare = 0.5
 )
 
 // lease is a share that was lent, and the time until which it may be in use.
@@ -27,7 +31,7 @@
 	before []lease
 }
 
-// start is a starting balance that was granted, as a part of the slack, with the time.
+// start is a starting balance or a piece that was granted, as a part of the slack, with the time.
 type start struct {
 	part float64
 	at   time.Duration
@@ -38,12 +42,14 @@
 	// began is when the process of the control host began.
 	began     time.Duration
 	borrowers map[string]*borrower
-	// starts holds the starting balances of late, by service, the oldest first.
-	starts map[string][]start
+	// starts holds the starting balances of late, and pieces the pieces, both by service and the oldest first.
+	starts, pieces map[string][]start
+	// peaks holds the sum of all shares.
+	peaks peaks
 }
 
 func newLender(now time.Duration) lender {
-	return lender{began: now, borrowers: map[string]*borrower{}, starts: map[string][]start{}}
+	return lender{began: now, borrowers: map[string]*borrower{}, starts: map[string][]start{}, pieces: map[string][]start{}}
 }
 
 // lend returns the loan to a host. The shares of all borrowers together never exceed the part of this control host, whatever it
@@ -65,13 +71,34 @@
 	b.now = lease{h, now + holdTime}
 	n := Loan{AskedAt: r.Holding.AskedAt, Lease: leaseTime}
 	if r.New || now >= l.began+holdTime {
-		p := r.part()
+		p := l.lendable(r, now)
 		s, k := l.lent()
 		n.Share = max(0, min(p/(float64(k)+keptShares), p-s+h))
 		b.now.share = max(h, n.Share)
 	}
-	if r.New || now >= l.began+r.Window {
-		n.Starts = l.grantStarts(r, now)
+	s, _ := l.lent()
+	l.peaks.add(s, now)
+	l.grant(r, now, &n)
+	return n
+}
+
+// lendable returns the sum of the shares that may be lent: what pieces that may be in use leave. The first process of a control host comes
+// to it little by little in the first leaseTime. Hosts that start with it have no balances to keep yet, and get pieces in place of shares.
+func (l *lender) lendable(r Request, now time.Duration) float64 {
+	n := r.part()
+	if r.New {
+		n *= min(1, (now-l.began).Seconds()/leaseTime.Seconds())
+	}
+	for s := range l.pieces {
+		n = min(n, r.part()-sum(since(l.pieces[s], now-holdTime))/slackShare)
+	}
+	return max(0, n)
+}
+
+// sum returns the sum of what was granted.
+func sum(list []start) (n float64) {
+	for _, o := range list {
+		n += o.part
 	}
 	return n
 }
@@ -103,26 +130,84 @@
 	}
 }
 
-// grantStarts grants starting balances out of what is left of this control host's part in the last window.
-func (l *lender) grantStarts(r Request, now time.Duration) map[string]float64 {
-	n := map[string]float64{}
+// grant grants a host what it lacks for its next retry: a piece, or else a starting balance.
+func (l *lender) grant(r Request, now time.Duration, n *Loan) {
 	for s, v := range r.Statements {
-		if v.Start <= 0 {
-			continue
-		}
-		g := l.starts[s]
-		for len(g) > 0 && g[0].at+r.Window <= now {
-			g = g[1:]
+		if g := l.grantPiece(s, v, r, now); g > 0 {
+			n.Pieces = with(n.Pieces, s, g)
+		} else if g := l.grantStart(s, v, r, now); g > 0 {
+			n.Starts = with(n.Starts, s, g)
 		}
-		f := r.part() * startShare
-		for _, o := range g {
-			f -= o.part
-		}
-		if f = min(f, v.Start); f > 0 {
-			g = append(g, start{f, now})
-			n[s] = f
-		}
-		l.starts[s] = g
 	}
+}
+
+// with returns a map with a value, which is made if there is none: an empty one would be sent.
+func with(m map[string]float64, key string, v float64) map[string]float64 {
+	if m == nil {
+		m = map[string]float64{}
+	}
+	m[key] = v
+	return m
+}
+
+// grantPiece grants a piece out of what was lent to nobody as a share in the last window. Each piece counts as long as a window may begin
+// before its end that contains this time.
+func (l *lender) grantPiece(service string, v Statement, r Request, now time.Duration) float64 {
+	if v.Likes <= 0 || !r.New && now < l.began+r.Window+holdTime {
+		return 0
+	}
+	g := since(l.pieces[service], now-r.Window-holdTime)
+	f := slackShare*(r.part()-l.peaks.max(r.Window, now)) - sum(g)
+	n := v.Likes
+	if n > f {
+		n = v.Lacks
+	}
+	if n > f {
+		n = 0
+	}
+	if n > 0 {
+		g = append(g, start{n, now})
+	}
+	l.pieces[service] = g
 	return n
 }
+
+// grantStart grants a starting balance out of what is left of this control host's part in the last window. A host that says what it lacks
+// gets that or nothing: a part of a retry is of no use.
+func (l *lender) grantStart(service string, v Statement, r Request, now time.Duration) float64 {
+	if v.Start <= 0 || !r.New && now < l.began+r.Window {
+		return 0
+	}
+	g := since(l.starts[service], now-r.Window)
+	f := startShare*r.part() - sum(g)
+	n := min(f, v.Start)
+	if v.OnDemand {
+		n = v.demand(f, r.part()*startShare)
+	}
+	if n > 0 {
+		g = append(g, start{n, now})
+	}
+	l.starts[service] = g
+	return n
+}
+
+// demand returns what of the starting balances is granted to a host that says what it lacks, with what is left of a part of the slack.
+func (v Statement) demand(left, part float64) float64 {
+	switch {
+	case v.Likes > 0 && v.Likes <= left-lackShare*part:
+		return min(v.Start, v.Likes)
+	case v.Lacks > 0 && min(v.Start, v.Lacks) <= left:
+		return min(v.Start, v.Lacks)
+	case v.Likes == 0 && v.Start <= left-likeShare*part:
+		return v.Start
+	}
+	return 0
+}
+
+// since returns what was granted after a time, the oldest first.
+func since(list []start, at time.Duration) []start {
+	for len(list) > 0 && list[0].at <= at {
+		list = list[1:]
+	}
+	return list
+}
