Add package shed, which decides on requests beyond capacity

Where all endpoints are full and requests wait, a request waits for the model by which least is lost, or is refused at once with a time to come back. The admitted share falls with the wait, so that the queue stays short of what the shortest objective allows; accounts above their fair share and less urgent priorities give way first, and each keeps a third of the mean. Nothing uses it yet.

--- /dev/null
+++ b/shed/shed_test.go
@@ -0,0 +1,97 @@
+package shed_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/shed"
+	"github.com/hickoryshelf/hickoryshelf/tiers"
+)
+
+// chooser returns a chooser with the usual weights.
+func chooser() shed.Chooser { return shed.NewChooser(tiers.NewChooser(tiers.DefaultWeights())) }
+
+// refused returns a request that is refused: it would wait for as long as is allowed.
+func refused() shed.Request {
+	return shed.Request{Wait: time.Second, Full: true, Allowed: time.Second, Work: 50 * time.Millisecond, Left: 20 * time.Second, Draw: 0.5}
+}
+
+// Guards against refusals while endpoints have free slots, or nothing waits, whatever else is known.
+func TestNothingIsRefusedWhileSlotsAreFree(t *testing.T) {
+	i := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	d := shed.Demand{Accounts: map[string]float64{"a": 1000, "b": 1}, Priorities: map[int]float64{0: 1000, 9: 1}}
+	for range 1000 {
+		q := shed.Request{Account: "a", Priority: 9, Demand: d, Allowed: time.Duration(r.IntN(2000)) * time.Millisecond, Left: time.Duration(r.IntN(2000)) * time.Millisecond, Draw: r.Float64()}
+		q.Wait, q.Full = time.Duration(r.IntN(9000))*time.Millisecond, false
+		i.Equal(chooser().First(q).Outcome, shed.Serve)
+		i.True(chooser().MayEscalate(q))
+		q.Wait, q.Full = 0, true
+		i.Equal(chooser().First(q).Outcome, shed.Serve)
+	}
+}
+
+// Guards against a request that is held until its deadline although no endpoint is expected to begin before.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	i := is.New(t)
+	q := refused()
+	q.Allowed, q.Draw, q.Left = time.Minute, 0, 900*time.Millisecond
+	d := chooser().First(q)
+	i.Equal(d.Outcome, shed.Hopeless)
+	i.True(d.RetryAfter <= 300*time.Millisecond)
+}
+
+// Guards against refused callers that come back together, or after they have given up.
+func TestTimesToComeBackAreSpread(t *testing.T) {
+	i := is.New(t)
+	slots := map[time.Duration]int{}
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 1000 {
+		q := refused()
+		q.ReturnDraw = r.Float64()
+		d := chooser().First(q)
+		i.Equal(d.Outcome, shed.Shed)
+		i.True(d.RetryAfter >= 600*time.Millisecond && d.RetryAfter <= q.Left/3)
+		slots[d.RetryAfter/(100*time.Millisecond)]++
+	}
+	for _, n := range slots {
+		i.True(n <= 150)
+	}
+}
+
+// Guards against an account above its fair share that is refused no more often than others, or starved.
+func TestAccountAboveFairShareIsRefusedFirst(t *testing.T) {
+	i := is.New(t)
+	q := refused()
+	q.Wait = 600 * time.Millisecond // half is admitted
+	q.Demand = shed.Demand{Accounts: map[string]float64{"large": 6, "a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1}}
+	q.Account = "large"
+	l := chooser().First(q)
+	q.Account = "a"
+	s := chooser().First(q)
+	i.True(s.Share > 0.8) // six accounts and what is left of the large one share half of the work
+	i.True(l.Share < 0.3)
+	i.True(l.Share >= l.Mean/4)
+	f, ok := q.Demand.FairShare(1)
+	i.True(!ok)
+	i.Equal(f, 0.0)
+}
+
+// Guards against old demand of the fleet that names accounts which have stopped since.
+func TestOldDemandOfFleetIsNotUsed(t *testing.T) {
+	i := is.New(t)
+	l := shed.NewLedger()
+	u := shed.Use{Kind: "k", Account: "a", SlotTime: time.Second, Work: 100 * time.Millisecond, Objective: time.Second}
+	l.Add("s", u, time.Second)
+	l.Adopt(map[string]shed.Demand{"s": {Accounts: map[string]float64{"b": 9}}}, 500*time.Millisecond, time.Second)
+	v := l.View("s", 2*time.Second)
+	i.True(v.Fleet)
+	i.Equal(v.Age, 1500*time.Millisecond)
+	i.Equal(v.Allowed, 900*time.Millisecond)
+	v = l.View("s", 4*time.Second)
+	i.True(!v.Fleet)
+	i.Equal(len(v.Demand.Accounts), 0) // one request tells no shares
+}
--- a/tiers/demand.go
+++ b/tiers/demand.go
@@ -20,6 +20,9 @@
 	return d
 }
 
+// Value returns the mean value of a request.
+func (d Demand) Value() float64 { return d.value }
+
 // delayCost returns the value that other requests lose if an endpoint is busy for the given time, where requests wait
 // for queue on average: those in the queue each wait for that much longer. rate is the share of a mean value that is lost
 // for each second of work and each second of the queue.
--- a/tiers/tiers.go
+++ b/tiers/tiers.go
@@ -91,15 +91,24 @@
 	if len(r.Tiers) < 2 || r.AttemptsLeft <= 0 {
 		return 0
 	}
-	v, b, n := c.Value(r.Tiers), 0.0, 0
-	for k := range r.Tiers {
-		if u := c.firstUtility(r, v, k); k == 0 || u > b {
+	b, n := 0.0, 0
+	for k, u := range c.Utilities(r) {
+		if k == 0 || u > b {
 			b, n = u, k
 		}
 	}
 	return n
 }
 
+// Utilities returns the expected utility of asking each tier first.
+func (c Chooser) Utilities(r Request) []float64 {
+	v, l := c.Value(r.Tiers), make([]float64, len(r.Tiers))
+	for k := range r.Tiers {
+		l[k] = c.firstUtility(r, v, k)
+	}
+	return l
+}
+
 // firstUtility returns the expected utility of asking tier k first, for an answer of the given value.
 func (c Chooser) firstUtility(r Request, value float64, k int) float64 {
 	t, e, n := r.Tiers[k], r.Errors.Wrong(k), len(r.Tiers)-1
