Refuse requests beyond capacity at once where the settings say decisions.shed

Requests waited at full endpoints until they were late or their deadline had passed. With decisions.shed an entry host weighs them by package shed when the first model is chosen, before a larger model is asked, and before a request that hasn't run is sent again. A refused one earns no part of a retry. Without the setting nothing is reported, asked or refused.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -30,6 +30,7 @@
 	"github.com/hickoryshelf/hickoryshelf/platform"
 	"github.com/hickoryshelf/hickoryshelf/proxy"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/shed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
@@ -190,7 +191,7 @@
 	k, m := rand.Text(), memory.NewAccount(n.settings.MemoryMB)
 	r := relay.New(relay.Options{
 		Detour: &proxy.Client{Host: n.settings.Name, Start: rand.Text(), Pool: h, Memory: m}, Helpers: assist.NewBoard(n.settings.DataCentre),
-		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel, Memory: m}, Memory: m, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions,
+		Sender: &platform.Sender{Pool: o, Tunnel: n.settings.EndpointTunnel, Memory: m}, Memory: m, Endpoints: p, Log: n.log, Metrics: n.metrics, Weights: n.settings.Decisions.Weights, Shed: n.demandLedger(),
 		ApplyTime: n.settings.Bounds.ConfigurationApply.Std(),
 		Budget:    budget.NewHost(budget.Limits{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow.Std()}),
 	})
@@ -216,6 +217,14 @@
 	return nil
 }
 
+// demandLedger returns what an entry host knows of the demand, or nil if it doesn't shed loads.
+func (n *node) demandLedger() *shed.Ledger {
+	if !n.settings.Decisions.Shed {
+		return nil
+	}
+	return shed.NewLedger()
+}
+
 // proxyServer is a server for requests of other hosts and the listener on which it serves.
 type proxyServer struct {
 	proxy    *proxy.Server
--- a/conf/node.go
+++ b/conf/node.go
@@ -116,7 +116,14 @@
 	LogLevel string `json:"log-level"`
 	// Decisions holds the assumptions behind the choice of model tiers. Fields that the file doesn't name have the
 	// values of tiers.DefaultWeights.
-	Decisions tiers.Weights `json:"decisions"`
+	Decisions Decisions `json:"decisions"`
+}
+
+// Decisions holds the assumptions behind decisions, and which of them are taken.
+type Decisions struct {
+	tiers.Weights
+	// Shed is set if requests beyond the capacity of a service are refused at once, with a time to come back.
+	Shed bool `json:"shed"`
 }
 
 // IsNode reports whether a settings file is for a process of a routed deployment, which its key "part" tells. It
@@ -142,7 +149,7 @@
 	if err != nil {
 		return Node{}, fmt.Errorf("settings: %w; name a file that can be read", err)
 	}
-	n, err := DecodeOver(Node{Decisions: tiers.DefaultWeights()}, b)
+	n, err := DecodeOver(Node{Decisions: Decisions{Weights: tiers.DefaultWeights()}}, b)
 	if err != nil {
 		return n, fmt.Errorf("settings %s: %w", path, err)
 	}
--- a/conf/node_test.go
+++ b/conf/node_test.go
@@ -43,7 +43,7 @@
 	i.NoErr(err)
 	w := tiers.DefaultWeights()
 	w.LateShare = 0.5
-	i.Equal(n.Decisions, w)
+	i.Equal(n.Decisions, conf.Decisions{Weights: w})
 }
 
 // TestLoadNodeNamesFieldAndRemedy makes nodeDocument invalid by one replacement for each case.
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -68,6 +68,8 @@
 	Budget map[string]budget.Statement
 	// Holding is the host's share of the slack of all retry budgets. Older builds leave it empty.
 	Holding budget.Holding
+	// Demand is the demand that the host has seen. Most reports leave it out: without services the last one stays.
+	Demand Demand
 }
 
 // WithAge returns the report as it reads some time later.
@@ -76,6 +78,7 @@
 		return r
 	}
 	r.Poison = r.Poison.WithAge(d)
+	r.Demand.Age += d
 	r.Limits, r.Ages, r.Active = maps.Clone(r.Limits), maps.Clone(r.Ages), slices.Clone(r.Active)
 	for e, l := range r.Limits {
 		l.Age += d
@@ -222,6 +225,8 @@
 	Grants map[string]budget.Grant
 	// Loan is the share of the slack that is lent to the host. Older builds leave it empty.
 	Loan budget.Loan
+	// Demand is that of the fleet. Most replies leave it out.
+	Demand Demand
 	// Watch holds changes of the keys that the host watches.
 	Watch poison.WatchUpdate
 }
--- a/ctrl/queue.go
+++ b/ctrl/queue.go
@@ -227,6 +227,9 @@
 	if b.Assist.Address == "" {
 		b.Assist = a.Assist
 	}
+	if !b.Demand.HasServices() {
+		b.Demand = a.Demand
+	}
 	if b.Reads == nil {
 		b.Reads = a.Reads
 	}
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -208,7 +208,10 @@
 	for _, a := range r.Active {
 		t.Fleet = t.Fleet.WithSign(a.ID, a.Born, t.Now-a.Age)
 	}
-	n := entryHost{report: r, tallies: o.tallies, heardAt: t.Now, assistAt: t.Now}
+	n := entryHost{report: r, tallies: o.tallies, heardAt: t.Now, assistAt: t.Now, demandAt: t.Now}
+	if !r.Demand.HasServices() {
+		n.report.Demand, n.demandAt = o.report.Demand, o.demandAt
+	}
 	if r.Assist.Address == "" {
 		n.report.Assist, n.assistAt = o.report.Assist, o.assistAt
 	}
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -27,6 +27,7 @@
 	aggregate aggregate
 	// budgets lends shares of the slack to entry hosts, and retries among them.
 	budgets *budget.Pool
+	demand  demandSum
 }
 
 // sentState records what an entry host has received of loads and watched keys, to send only changes.
@@ -39,6 +40,8 @@
 	// watch holds the keys that the host watches.
 	watch  poison.Watch
 	sentAt time.Duration
+	// demandAt is when the demand of the fleet was sent, or 0.
+	demandAt time.Duration
 }
 
 // aggregate caches loads and rollout views that are computed from the reports of all entry hosts.
@@ -142,7 +145,10 @@
 		n.Loads = ctlrpc.LoadChanges(o.loads, l, maxLoadChanges)
 		l = withLoads(o.loads, n.Loads)
 	}
-	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), sentAt: s.Now}, s)
+	if d, ok := t.demandFor(s, r.Host, o.demandAt); ok {
+		n.Demand, o.demandAt = d, s.Now
+	}
+	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), sentAt: s.Now, demandAt: o.demandAt}, s)
 }
 
 // budgetRequest returns what the pool of retry budgets has to know of an entry host's report. Nothing is lent by a control host that
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -71,6 +71,8 @@
 	heardAt time.Duration
 	// assistAt is when the newest report came that holds report.Assist.
 	assistAt time.Duration
+	// demandAt is when the newest report came that holds report.Demand.
+	demandAt time.Duration
 }
 
 // tallyKey identifies a tally of one start of an entry host.
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -44,6 +44,7 @@
 	}
 	e.Relay.Poison.AdoptWatch(r.Watch)
 	e.Relay.AcceptBudget(r.Control, r.Loan, r.Grants)
+	e.Relay.AdoptDemand(r.Demand)
 	e.Set.MergeLimits(r.Limits, time.Now())
 	e.overdue = r.Overdue
 	if len(r.Hosts) > 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -226,6 +226,7 @@
 		Known:  e.state, Wait: longPollWait,
 	}
 	q.Report.Budget, q.Report.Holding = e.Relay.ReportBudget()
+	q.Report.Demand = e.Relay.ReportDemand()
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
 	if first {
 		q.Known.Control = ""
--- a/relay/escalation.go
+++ b/relay/escalation.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/shed"
 	"github.com/hickoryshelf/hickoryshelf/tiers"
 )
 
@@ -142,6 +143,10 @@
 	if !ok {
 		return n, false
 	}
+	if !j.mayTakeLarger() {
+		j.noRetryReason = shed.Shed.String()
+		return 0, false
+	}
 	if !j.takeOptionalRetry() {
 		j.noRetryReason = "spare budget"
 		return 0, false
--- a/relay/job.go
+++ b/relay/job.go
@@ -102,6 +102,8 @@
 	tier int
 	// tierAsked is set if the caller named that model: no other one answers.
 	tierAsked bool
+	// draw and returnDraw are the random numbers by which package shed decides on the request.
+	draw, returnDraw float64
 	// queue is the mean wait at the endpoints when the first tier was chosen.
 	queue time.Duration
 	// escalatedFrom is the latest answer that was judged by its confidence, or nil. It is kept or dropped after that.
@@ -218,6 +220,9 @@
 		j.chooseTier()
 	}
 	j.setKeys()
+	if !j.admit() {
+		return
+	}
 	defer func() { j.lastFailure.release() }()
 	for {
 		v := j.attempt()
@@ -231,6 +236,8 @@
 		case !j.mayRetry(v):
 			j.giveUp(v)
 			return
+		case j.isShed():
+			return
 		}
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
+	"github.com/hickoryshelf/hickoryshelf/shed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/tiers"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
@@ -40,6 +41,8 @@
 	ApplyTime time.Duration
 	// Weights are the assumptions behind the choice of model tiers. The zero value means tiers.DefaultWeights.
 	Weights tiers.Weights
+	// Shed holds the demand by which requests beyond capacity are decided on, or is nil: then each waits for an endpoint.
+	Shed *shed.Ledger
 	// Suspended is the time for which the machine was suspended. If it is nil, the system is asked.
 	Suspended clock.Source
 }
@@ -66,6 +69,7 @@
 	// durations holds averages under the keys that holdKey and firstEventKey return.
 	durations durationAverages
 	chooser   tiers.Chooser
+	shedder   shed.Chooser
 	// errors holds the error rates of the model tiers, as their answers' confidence tells them.
 	errors  *tiers.Ledger
 	demands demands
@@ -98,7 +102,7 @@
 	r := &Relay{
 		linkWake: make(chan struct{}, 1), seekWake: make(chan struct{}, 1), endChecks: make(chan struct{}, maxEndChecks),
 		Options: o, start: time.Now(), clock: clock.New(o.Suspended), durations: newDurationAverages(), Prefill: ttft.New(), tallies: tallies{byKey: map[string]canary.Tally{}},
-		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
+		chooser: tiers.NewChooser(o.Weights), shedder: shed.NewChooser(tiers.NewChooser(o.Weights)), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
 	}
 	r.entryHosts.Store(1)
 	o.Metrics.GetOrCreateGauge("answer_memory_bytes", func() float64 { return float64(o.Memory.Taken()) })
@@ -307,7 +311,9 @@
 	c, f := context.WithDeadline(ctx, j.deadline)
 	defer f()
 	r.awaitEndpoint(c, j.service.Name)
-	r.Budget.Deposit(j.service.Name, r.Now())
+	if r.Shed == nil {
+		r.Budget.Deposit(j.service.Name, r.Now())
+	}
 	j.run(c)
 }
 
--- /dev/null
+++ b/relay/shed.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/shed"
+	"github.com/hickoryshelf/hickoryshelf/table"
+	"github.com/hickoryshelf/hickoryshelf/ttft"
+)
+
+// admit decides whether a request is sent at all. Where loads are shed, only such a request earns a part of a retry.
+func (j *job) admit() bool {
+	if j.relay.Shed == nil {
+		return true
+	}
+	j.noteDemand()
+	if j.isShed() {
+		return false
+	}
+	j.relay.Budget.Deposit(j.service.Name, j.relay.Now())
+	return true
+}
+
+// noteDemand adds the request to the demand for its service, and draws the numbers by which package shed decides on it.
+func (j *job) noteDemand() {
+	if !j.mayShed() {
+		return
+	}
+	j.draw, j.returnDraw = rand.Float64(), rand.Float64()
+	j.relay.Shed.Add(j.service.Name, shed.Use{
+		Kind: j.route.Name, Account: j.account, Priority: j.priority, SlotTime: j.modelHoldTime(j.smallestModel()),
+		Work: j.leastWork(), Objective: j.route.Objective,
+	}, j.relay.Now())
+}
+
+// mayShed reports whether package shed decides on the request: only where endpoints say how many they run at once does this host know
+// whether there is room.
+func (j *job) mayShed() bool { return j.relay.Shed != nil && j.service.Slots > 0 }
+
+// smallestModel returns the name of the smallest model that may answer, or an empty text if the caller chooses it.
+func (j *job) smallestModel() string {
+	if len(j.route.Tiers) == 0 || j.tierAsked {
+		return j.model()
+	}
+	return j.route.Tiers[0]
+}
+
+// leastWork returns what startWork returns where the smallest model answers.
+func (j *job) leastWork() time.Duration {
+	m := j.smallestModel()
+	if j.route.Kind != table.Stream {
+		return j.modelHoldTime(m)
+	}
+	return ttft.BaseLatency + j.relay.Prefill.PrefillTime(m, j.modelCost(m), j.request.Prompt.Tokens)
+}
+
+// shedRequest returns the properties of the request by which package shed decides.
+func (j *job) shedRequest() (shed.Request, shed.View) {
+	v := j.relay.Shed.View(j.service.Name, j.relay.Now())
+	n := j.endpointRequest()
+	n.SlotTime = v.SlotTime
+	q := j.relay.Endpoints.Queue(n, time.Now())
+	r := shed.Request{
+		Wait: q.Least, Full: q.Full >= 1, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
+		Account: j.account, Priority: j.priority, Demand: v.Demand, Draw: j.draw, ReturnDraw: j.returnDraw,
+	}
+	if len(j.route.Tiers) > 0 {
+		r.Tiers = j.tierRequest()
+	}
+	for _, m := range j.route.Tiers {
+		r.SlotTimes = append(r.SlotTimes, j.modelHoldTime(m))
+	}
+	return r, v
+}
+
+// isShed decides on a request that no endpoint has run, and refuses it if that loses least. It chooses the model unless the caller has.
+func (j *job) isShed() bool {
+	if !j.mayShed() || j.mayHaveRun || j.runs > 0 || j.answerBegun {
+		return false
+	}
+	r, v := j.shedRequest()
+	d := j.relay.shedder.First(r)
+	if j.sends == 0 && len(j.route.Tiers) > 0 && !j.tierAsked {
+		j.tier = d.Tier
+	}
+	j.countShed(d.Outcome.String())
+	if d.Outcome == shed.Serve {
+		if d.Mean < 1 {
+			j.logShed(r, v, d)
+		}
+		return false
+	}
+	j.logShed(r, v, d)
+	j.noRetryReason = d.Outcome.String()
+	j.refuse(Overloaded, d.RetryAfter)
+	return true
+}
+
+// mayTakeLarger reports whether the answer of a larger model may be asked for: it isn't where others are refused for its work.
+func (j *job) mayTakeLarger() bool {
+	if !j.mayShed() {
+		return true
+	}
+	r, v := j.shedRequest()
+	if j.relay.shedder.MayEscalate(r) {
+		return true
+	}
+	j.countShed("keep")
+	j.logShed(r, v, shed.Decision{Tier: j.tier})
+	return false
+}
+
+// countShed counts a decision of package shed.
+func (j *job) countShed(outcome string) {
+	j.relay.Metrics.GetOrCreateCounter(fmt.Sprintf("shed_decisions_total{route=%q,outcome=%q}", j.route.Name, outcome)).Inc()
+}
+
+// logShed logs a decision of package shed with its inputs. Times are in ms. demand-age is that of the fleet's demand, left out where this
+// host used its own.
+func (j *job) logShed(r shed.Request, v shed.View, d shed.Decision) {
+	f := logrus.Fields{
+		"outcome": d.Outcome.String(), "wait": r.Wait.Milliseconds(), "allowed": r.Allowed.Milliseconds(), "full": r.Full, "mean-share": d.Mean, "share": d.Share, "draw": r.Draw,
+		"priority": j.priority, "model": j.model(), "account-work": v.Demand.Accounts[j.account], "service-work": v.Demand.Total(), "retry-after": d.RetryAfter.Milliseconds(),
+	}
+	if v.Fleet {
+		f["demand-age"] = v.Age.Milliseconds()
+	}
+	j.log().WithFields(f).Info("request: weighed against the others that wait")
+}
+
+// ReportDemand returns the demand that this host has seen, or nothing if it isn't due or loads aren't shed.
+func (r *Relay) ReportDemand() ctlrpc.Demand {
+	if r.Shed == nil {
+		return ctlrpc.Demand{}
+	}
+	return ctlrpc.Demand{Services: r.Shed.Report(r.Now())}
+}
+
+// AdoptDemand takes over the demand of the fleet that a control host has sent.
+func (r *Relay) AdoptDemand(d ctlrpc.Demand) {
+	if r.Shed != nil && d.HasServices() {
+		r.Shed.Adopt(d.Services, d.Age, r.Now())
+	}
+}
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -95,3 +95,21 @@
 	i.True(!v.Fleet)
 	i.Equal(len(v.Demand.Accounts), 0) // one request tells no shares
 }
+
+// Guards against messages that name all of many accounts, and work that is lost since they don't.
+func TestBoundedDemandNamesAccountsWithMostWork(t *testing.T) {
+	i := is.New(t)
+	d := shed.Demand{Accounts: map[string]float64{}, Priorities: map[int]float64{0: 210}}
+	for n := range 20 {
+		d.Accounts[string(rune('a'+n))] = float64(n + 1)
+	}
+	b := d.Bounded(5).Bounded(5)
+	i.Equal(len(b.Accounts), 5)
+	i.Equal(b.Accounts["t"], 20.0)
+	i.Equal(b.Rest, 120.0)
+	i.Equal(b.RestAccounts, 15)
+	f, ok := d.FairShare(0.5)
+	g, _ := b.FairShare(0.5)
+	i.True(ok)
+	i.True(g > 0.8*f && g < 1.2*f)
+}
