--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -72,6 +72,8 @@
 	Mesh *Mesh
 	// Grace is the time that processes have for a planned stop. A change holds for processes that start after it.
 	Grace time.Duration
+	// sheds is set if entry hosts refuse requests beyond capacity at once.
+	sheds bool
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -81,6 +83,12 @@
 	return startDeployment(t, binary, layout{controls: usualControls, entries: entries})
 }
 
+// StartSheddingDeployment is like StartTunnelledDeployment, but entry hosts refuse requests beyond capacity at once.
+func StartSheddingDeployment(t testing.TB, binary string, entries int) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, sheds: true})
+}
+
 // StartTunnelledDeployment is like StartDeployment, but entry hosts connect to endpoints through a Tunnel each.
 func StartTunnelledDeployment(t testing.TB, binary string, entries int) *Deployment {
 	t.Helper()
@@ -99,17 +107,17 @@
 	centreCount   = 3
 )
 
-// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, and whether it has
-// a Mesh.
+// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, whether it has a Mesh, and
+// whether entry hosts shed loads.
 type layout struct {
-	controls, entries int
-	tunnels, mesh     bool
+	controls, entries    int
+	tunnels, mesh, sheds bool
 }
 
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
-	d := &Deployment{t: t, Grace: usualGrace, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d := &Deployment{t: t, Grace: usualGrace, sheds: y.sheds, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -167,6 +175,9 @@
 		return m
 	}
 	m["caller-address"], m["ready-address"] = fmt.Sprintf("%s:%d", p.IP, callerPort), fmt.Sprintf("%s:%d", p.IP, readyPort)
+	if d.sheds {
+		m["decisions"] = map[string]any{"shed": true}
+	}
 	if p.Tunnel != nil {
 		m["endpoint-tunnel"] = p.Tunnel.IP
 	}
