--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -75,6 +75,8 @@
 	WarmUp WarmUp
 	// Speeds is what the host has measured of the speed of endpoints. Only some reports hold any.
 	Speeds SpeedReport
+	// Demand is the demand that the host has seen. Most reports leave it out: without services the last one stays.
+	Demand Demand
 }
 
 // WithAge returns the report as it reads some time later.
@@ -84,6 +86,7 @@
 	}
 	r.Poison = r.Poison.WithAge(d)
 	r.Speeds = speed.Faded(r.Speeds, d)
+	r.Demand.Age += d
 	r.Limits, r.Ages, r.Active = maps.Clone(r.Limits), maps.Clone(r.Ages), slices.Clone(r.Active)
 	for e, l := range r.Limits {
 		l.Age += d
@@ -234,6 +237,8 @@
 	Grants map[string]budget.Grant
 	// Loan is the share of the slack that is lent to the host. Older builds leave it empty.
 	Loan budget.Loan
+	// Demand is that of the fleet. Most replies leave it out.
+	Demand Demand
 	// Watch holds changes of the keys that the host watches.
 	Watch poison.WatchUpdate
 	// Drains is set if it is newer than what the entry host holds.
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -32,6 +32,7 @@
 	// permits lends permits for cold endpoints.
 	permits *warmup.Lender
 	speeds  speedCache
+	demand  demandSum
 }
 
 // sentState records what an entry host has received of loads and watched keys, to send only changes.
@@ -46,6 +47,8 @@
 	// speeds holds the factors of speed that the host has.
 	speeds map[string]speed.Factor
 	sentAt time.Duration
+	// demandAt is when the demand of the fleet was sent, or 0.
+	demandAt time.Duration
 }
 
 // aggregate caches loads and rollout views that are computed from the reports of all entry hosts.
@@ -155,7 +158,10 @@
 		n.Loads = ctlrpc.LoadChanges(o.loads, l, maxLoadChanges)
 		l = withLoads(o.loads, n.Loads)
 	}
-	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), speeds: v, sentAt: s.Now}, s)
+	if d, ok := t.demandFor(s, r.Host, o.demandAt); ok {
+		n.Demand, o.demandAt = d, s.Now
+	}
+	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), speeds: v, sentAt: s.Now, demandAt: o.demandAt}, s)
 }
 
 // budgetRequest returns what the pool of retry budgets has to know of an entry host's report. Nothing is lent by a control host that
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -50,6 +50,7 @@
 	}
 	e.Set.AcceptPermits(r.Control, r.Permits, sent)
 	e.Relay.LogCold()
+	e.Relay.AdoptDemand(r.Demand)
 	e.Set.MergeLimits(r.Limits, time.Now())
 	e.overdue = r.Overdue
 	if len(r.Hosts) > 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -242,6 +242,7 @@
 	if e.Relay.Speeds != nil {
 		q.Known.SharesSpeeds, q.Report.Speeds = true, e.takeSpeeds()
 	}
+	q.Report.Demand = e.Relay.ReportDemand()
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
 	if first {
 		q.Known.Control = ""
--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -104,7 +104,7 @@
 // that are off by default.
 func StartSoakDeployment(t testing.TB, binary string, entries int, centreDrain time.Duration, bounds map[string]any) *Deployment {
 	t.Helper()
-	d := map[string]any{"shared-speeds": true}
+	d := map[string]any{"shared-speeds": true, "shed": true}
 	return startDeployment(t, binary, layout{controls: usualControls, entries: entries, tunnels: true, centreDrain: centreDrain, bounds: bounds, decisions: d})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
+	"github.com/hickoryshelf/hickoryshelf/shed"
 	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/tiers"
@@ -47,6 +48,8 @@
 	Cold warmup.Limits
 	// Speeds collects what this host measures of the speed of endpoints. It is nil if hosts don't share that.
 	Speeds *speed.Meter
+	// Shed holds the demand by which requests beyond capacity are decided on, or is nil: then each waits for an endpoint.
+	Shed *shed.Ledger
 	// Suspended is the time for which the machine was suspended. If it is nil, the system is asked.
 	Suspended clock.Source
 }
@@ -73,6 +76,7 @@
 	// durations holds averages under the keys that holdKey and firstEventKey return.
 	durations durationAverages
 	chooser   tiers.Chooser
+	shedder   shed.Chooser
 	// errors holds the error rates of the model tiers, as their answers' confidence tells them.
 	errors  *tiers.Ledger
 	demands demands
@@ -107,7 +111,7 @@
 	r := &Relay{
 		linkWake: make(chan struct{}, 1), seekWake: make(chan struct{}, 1), endChecks: make(chan struct{}, maxEndChecks),
 		Options: o, start: time.Now(), clock: clock.New(o.Suspended), durations: newDurationAverages(), Prefill: ttft.New(), tallies: tallies{byKey: map[string]canary.Tally{}},
-		chooser: tiers.NewChooser(o.Weights), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
+		chooser: tiers.NewChooser(o.Weights), shedder: shed.NewChooser(tiers.NewChooser(o.Weights)), errors: tiers.NewLedger(), demands: newDemands(), Poison: poison.NewObserver(),
 	}
 	r.entryHosts.Store(1)
 	if o.Cold.On() {
@@ -320,7 +324,9 @@
 	c, f := context.WithDeadline(ctx, j.deadline)
 	defer f()
 	r.awaitEndpoint(c, j.service.Name)
-	r.Budget.Deposit(j.service.Name, r.Now())
+	if r.Shed == nil {
+		r.Budget.Deposit(j.service.Name, r.Now())
+	}
 	j.run(c)
 }
 
