Test that crowds of bodies, heads and documents leave memory

Clients that send many large bodies to just short of their end make a host take many times its memory, since each body is read whole before the caller is known and without a bound over all of them.

--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -72,6 +73,9 @@
 	Mesh *Mesh
 	// Grace is the time that processes have for a planned stop. A change holds for processes that start after it.
 	Grace time.Duration
+	// MemoryMB and Descriptors are the limits of each process.
+	MemoryMB    int64
+	Descriptors int
 }
 
 // StartDeployment creates and starts a deployment with one control host in each of three data centres and the given
@@ -93,23 +97,39 @@
 	return startDeployment(t, binary, layout{controls: controls, entries: entries, mesh: true})
 }
 
+// StartLimitedDeployment starts a deployment with one control host and one entry host, whose settings name the given limits of memory
+// and file descriptors.
+func StartLimitedDeployment(t testing.TB, binary string, memoryMB int64, descriptors int) *Deployment {
+	t.Helper()
+	return startDeployment(t, binary, layout{controls: 1, entries: 1, memoryMB: memoryMB, descriptors: descriptors})
+}
+
 // usualControls is the number of control hosts unless a test asks for another one, and centreCount that of data centres.
 const (
 	usualControls = 3
 	centreCount   = 3
 )
 
-// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, and whether it has
-// a Mesh.
+// layout says what a deployment consists of: the numbers of hosts, whether entry hosts have a Tunnel each, whether it has
+// a Mesh, and the limits of each process, or 0 for usualMemoryMB and usualDescriptors.
 type layout struct {
 	controls, entries int
 	tunnels, mesh     bool
+	memoryMB          int64
+	descriptors       int
 }
 
+const (
+	// usualMemoryMB and usualDescriptors are the limits of a process unless a test asks for others.
+	usualMemoryMB    = 280
+	usualDescriptors = 4000
+)
+
 func startDeployment(t testing.TB, binary string, y layout) *Deployment {
 	t.Helper()
 	n := addressCount.Add(1)
 	d := &Deployment{t: t, Grace: usualGrace, folder: t.TempDir(), subnet: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 100+n%100)}
+	d.MemoryMB, d.Descriptors = cmp.Or(y.memoryMB, usualMemoryMB), cmp.Or(y.descriptors, usualDescriptors)
 	d.proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	t.Cleanup(d.stop)
 	if y.mesh {
@@ -156,7 +176,7 @@
 	}
 	m := map[string]any{
 		"part": "entry", "name": p.Name, "data-centre": p.DataCentre, "ip": p.IP, "peer-port": peerPort, "metrics-port": metricsPort,
-		"seeds": s, "found": p.bootstrap, "memory-mb": 280, "descriptors": 4000, "caller-address": "", "ready-address": "", "admin-address": "", "data-folder": "",
+		"seeds": s, "found": p.bootstrap, "memory-mb": d.MemoryMB, "descriptors": d.Descriptors, "caller-address": "", "ready-address": "", "admin-address": "", "data-folder": "",
 		"bounds": map[string]any{
 			"grace": d.Grace.String(), "drain": "2s", "heartbeat": "400ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58, "exposure-share": 0.15,
 		},
