Bound the memory of requests that arrive

An entry host read each body whole before the caller was known, without a bound over all requests; a control host read documents of 32 MiB the same way. Package intake now counts heads, header fields and bodies as they come, over all requests, by address and by client account. Once a limit is reached, requests that have stalled or come slowest are dropped (503, or the connection is closed), not newcomers. Route and key are looked up before the body is read; a refused body is read on and thrown away for a bounded time, so that the refusal reaches its caller. Bodies stay in the pieces in which they came and are written on without a copy, also between hosts. caller.Gate bounds the number of connections and what their heads take. Limits are settings (section clients).

--- a/caller/tracker.go
+++ b/caller/tracker.go
@@ -1,4 +1,4 @@
-// Package caller tracks the connections of callers to an entry host.
+// Package caller tracks the connections of callers to an entry host, and bounds their number and the memory of their heads.
 package caller
 
 import (
@@ -103,6 +103,9 @@
 }
 
 func (t *Tracker) isClosing(n net.Conn) bool {
+	if g, ok := n.(*gateConn); ok && g.isClosing() {
+		return true
+	}
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	return t.closing[n]
--- a/cmds/node.go
+++ b/cmds/node.go
@@ -24,6 +24,7 @@
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/entry"
+	"github.com/hickoryshelf/hickoryshelf/intake"
 	"github.com/hickoryshelf/hickoryshelf/logger"
 	"github.com/hickoryshelf/hickoryshelf/memory"
 	"github.com/hickoryshelf/hickoryshelf/pick"
@@ -52,6 +53,10 @@
 	closeDelay = 120 * time.Millisecond
 	// handlerTimeout bounds the wait for the requests that a stopping host has broken off to end and log why.
 	handlerTimeout = 60 * time.Millisecond
+	// sideConnections is the number of connections for metrics, and for readiness checks: of few clients, with small requests.
+	sideConnections = 32
+	// peerPart is the part of the clients' connections that other hosts may have: a half.
+	peerPart = 2
 	// stopPollInterval is how often a stopping host checks whether requests are in flight.
 	stopPollInterval = 20 * time.Millisecond
 	// handlerPollInterval is the same for requests that were broken off.
@@ -64,7 +69,9 @@
 	log       *logrus.Logger
 	metrics   *metrics.Set
 	logWriter *logger.Writer
-	stop      func() // ends the host; set by startControl or startEntry
+	// intake bounds what requests of clients take in memory.
+	intake *intake.Account
+	stop   func() // ends the host; set by startControl or startEntry
 }
 
 // runNode runs the process that the settings file describes until ctx ends or a SIGTERM or an interrupt arrives.
@@ -77,7 +84,8 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * heapShare))
-	n := &node{settings: s, metrics: metrics.NewSet(), logWriter: logger.NewWriter(os.Stdout)}
+	n := &node{settings: s, metrics: metrics.NewSet(), logWriter: logger.NewWriter(os.Stdout), intake: intake.NewAccount(s.IntakeLimits())}
+	n.metrics.NewGauge("intake_bytes", func() float64 { return float64(n.intake.Taken()) })
 	defer n.logWriter.Flush()
 	n.log = logger.NewLogger(n.logWriter, s.LogLevel, s.Name, n.metrics)
 	n.log.WithFields(logrus.Fields{"part": s.Part.String(), "data-centre": s.DataCentre, "found": s.Bootstrap, "seeds": s.Seeds}).Info("host: starts")
@@ -131,7 +139,7 @@
 			return fmt.Errorf("listen for metrics: %w; choose a free metrics-port", err)
 		}
 		h := &http.Server{Handler: metricsHandler{n.metrics}, ReadHeaderTimeout: nodeHeaderTimeout}
-		s := n.newServer(h, l, "metrics")
+		s := n.newServer(h, l, "metrics", sideConnections)
 		go s.run()
 	}
 	if n.settings.Part == conf.PartControl {
@@ -140,9 +148,18 @@
 	return n.startEntry()
 }
 
-// newServer returns an HTTP server that takes its connections from a listener. name says in logs and metrics who connects.
-func (n *node) newServer(h *http.Server, l net.Listener, name string) server {
-	return newServer(h, accept.Options{Listener: l, Name: name, Log: n.log, Metrics: n.metrics})
+// newServer returns an HTTP server that takes its connections from a listener, a number of them at most. name says in logs and metrics
+// who connects.
+func (n *node) newServer(h *http.Server, l net.Listener, name string, connections int) server {
+	g := caller.NewGate(caller.GateOptions{Listener: l, Name: name, Connections: connections, Intake: n.intake, Log: n.log, Metrics: n.metrics})
+	t := h.ConnState
+	h.ConnState = func(c net.Conn, s http.ConnState) {
+		g.Track(c, s)
+		if t != nil {
+			t(c, s)
+		}
+	}
+	return newServer(h, accept.Options{Listener: g, Name: name, Log: n.log, Metrics: n.metrics})
 }
 
 // metricsHandler serves a set of metrics and the metrics of the process.
@@ -164,8 +181,10 @@
 	if err != nil {
 		return err
 	}
-	a := &http.Server{Handler: platform.NewAdmin(h), ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	s := n.newServer(a, l[1], "endpoints-and-operators")
+	c := n.settings.ClientLimits()
+	d := platform.NewLimitedAdmin(h, platform.AdminLimits{Intake: n.intake, DocumentBytes: c.DocumentBytes, BodyTimeout: c.BodyTimeout.Std()})
+	a := &http.Server{Handler: d, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	s := n.newServer(a, l[1], "endpoints-and-operators", c.Connections)
 	go s.run()
 	n.stop = func() {
 		h.Leave()
@@ -197,13 +216,17 @@
 	a := entry.Assisting{Address: n.settings.PeerAddress(), Token: k, Bound: assist.NewBound(n.settings.Descriptors, n.settings.MemoryMB)}
 	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pools: []*dial.Pool{o, h}, Assisting: a, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
 	i := caller.NewTracker(func() time.Duration { return idleTimeout(r.Table()) })
+	c := n.settings.ClientLimits()
+	b := &platform.CallerHandler{
+		Relay: r, Stopping: e.Stopping, Intake: n.intake, BodyTimeout: c.BodyTimeout.Std(), DiscardBytes: c.DiscardBytes, DiscardTime: c.DiscardTime.Std(),
+	}
 	s := &http.Server{
-		Handler: i.Guard(&platform.CallerHandler{Relay: r, Stopping: e.Stopping}), ReadHeaderTimeout: nodeHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: i.Guard(b), ReadHeaderTimeout: nodeHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: i.Track, ConnContext: i.ConnContext,
 	}
 	d := &http.Server{Handler: readinessHandler{e}, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	y := proxy.NewServer(proxy.Options{Token: k, Relay: r, Bound: a.Bound, Stopping: e.Stopping, Log: n.log, Metrics: n.metrics})
-	u, v, w := n.newServer(s, l[0], "callers"), n.newServer(d, l[1], "readiness"), proxyServer{y, l[2]}
+	y := proxy.NewServer(proxy.Options{Token: k, Relay: r, Bound: a.Bound, Stopping: e.Stopping, Intake: n.intake, Connections: c.Connections / peerPart, Log: n.log, Metrics: n.metrics})
+	u, v, w := n.newServer(s, l[0], "callers", c.Connections), n.newServer(d, l[1], "readiness", sideConnections), proxyServer{y, l[2]}
 	go u.run()
 	go v.run()
 	go w.run()
--- a/conf/node.go
+++ b/conf/node.go
@@ -117,6 +117,8 @@
 	// Decisions holds the assumptions behind the choice of model tiers. Fields that the file doesn't name have the
 	// values of tiers.DefaultWeights.
 	Decisions tiers.Weights `json:"decisions"`
+	// Clients bounds what clients may take of the process.
+	Clients Clients `json:"clients"`
 }
 
 // IsNode reports whether a settings file is for a process of a routed deployment, which its key "part" tells. It
@@ -180,6 +182,9 @@
 	if err := n.checkDecisions(); err != nil {
 		return err
 	}
+	if err := n.Clients.check(); err != nil {
+		return err
+	}
 	return n.checkPart()
 }
 
--- a/poison/request.go
+++ b/poison/request.go
@@ -19,7 +19,9 @@
 	Host    string
 	// Target is the path and the query as the caller wrote them.
 	Target string
-	Body   []byte
+	// Body is the body, or its beginning, and Rest what follows it.
+	Body []byte
+	Rest [][]byte
 }
 
 // head returns what precedes the body, in a form that no other head has.
@@ -42,6 +44,9 @@
 	d := sha256.New()
 	d.Write([]byte(i.head()))
 	d.Write(i.Body)
+	for _, p := range i.Rest {
+		d.Write(p)
+	}
 	k := i.HeadKey()
 	k.ID += digestSeparator + hex.EncodeToString(d.Sum(nil)[:digestBytes])
 	return k
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -106,7 +106,7 @@
 	if err := writeJSON(x.conn, k, v); err != nil {
 		return err
 	}
-	return writeFrame(x.conn, bodyFrame, a.Body)
+	return writeBody(x.conn, a.Request)
 }
 
 // begin reads whether the host begins, and the reply of the endpoint.
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -140,13 +141,35 @@
 
 // writeFrame writes a frame.
 func writeFrame(w io.Writer, k kind, content []byte) error {
-	b := make([]byte, frameHeadBytes, frameHeadBytes+len(content))
-	b[0] = byte(k)
-	binary.BigEndian.PutUint32(b[1:], uint32(len(content)))
-	_, err := w.Write(append(b, content...))
+	_, err := w.Write(append(frameHead(k, len(content)), content...))
 	return err
 }
 
+// frameHead returns what precedes the content of a frame, with room for that content if it is short.
+func frameHead(k kind, length int) []byte {
+	b := make([]byte, frameHeadBytes, frameHeadBytes+min(length, dataBytes))
+	b[0] = byte(k)
+	binary.BigEndian.PutUint32(b[1:], uint32(length))
+	return b
+}
+
+// joinedBodyBytes is the largest body that is copied, so that it is written together with its frame's head.
+const joinedBodyBytes = 4 << 10
+
+// writeBody writes the bodyFrame of a request. A long body is written piece by piece without a copy.
+func writeBody(w io.Writer, q *relay.Request) error {
+	n := q.BodyLen()
+	if n <= joinedBodyBytes {
+		var b bytes.Buffer
+		_ = q.WriteBody(&b) // writing to a bytes.Buffer doesn't fail
+		return writeFrame(w, bodyFrame, b.Bytes())
+	}
+	if _, err := w.Write(frameHead(bodyFrame, n)); err != nil {
+		return err
+	}
+	return q.WriteBody(w)
+}
+
 // writeJSON writes a frame that holds a value as JSON.
 func writeJSON(w io.Writer, k kind, v any) error {
 	b, err := json.Marshal(v)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +16,7 @@
 	"github.com/hickoryshelf/hickoryshelf/accept"
 	"github.com/hickoryshelf/hickoryshelf/assist"
 	"github.com/hickoryshelf/hickoryshelf/dial"
+	"github.com/hickoryshelf/hickoryshelf/intake"
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
 )
@@ -32,13 +34,17 @@
 	stoppingPause = 10 * time.Second
 )
 
-// Options holds what a Server depends on. All fields are required.
+// Options holds what a Server depends on. All fields but Intake and Connections are required.
 type Options struct {
 	// Token is what calls have to hold. It differs between starts.
 	Token string
 	// Relay holds what requests of other hosts are sent with.
 	Relay *relay.Relay
 	Bound *assist.Bound
+	// Intake bounds what requests of other hosts take in memory, with those of callers. Nil means no bound.
+	Intake *intake.Account
+	// Connections bounds the connections of other hosts; 0 means maxConnections.
+	Connections int
 	// Stopping reports whether this host is about to stop.
 	Stopping func() bool
 	Log      *logrus.Logger
@@ -88,7 +94,7 @@
 func (s *Server) track(c net.Conn) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.closed || len(s.connections) >= maxConnections {
+	if s.closed || len(s.connections) >= cmp.Or(s.Connections, maxConnections) {
 		return false
 	}
 	s.connections[c] = true
@@ -125,6 +131,8 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
+	// share is what the call that is served takes, or nil.
+	share *intake.Share
 	// watched is closed once the leaveWatch of the last call no longer reads, or nil.
 	watched chan struct{}
 }
@@ -154,7 +162,9 @@
 
 // serve reads one call and answers it.
 func (c *connection) serve() error {
-	k, b, err := readFrame(c.reader, maxHeadBytes)
+	c.share = c.server.Intake.Open(intake.Options{Address: c.address(), Drop: c.drop})
+	defer c.share.Close()
+	k, b, err := c.readCall()
 	if err != nil {
 		return err
 	}
@@ -218,8 +228,11 @@
 		return c.decline(refusal{Reason: "endpoint not reached", RetryAfterMS: unreachablePause.Milliseconds()}, bodyBytes, l)
 	}
 	defer s.Relay.Endpoints.EndRelay(v.Endpoint.ID)
-	b := make([]byte, bodyBytes)
-	if _, err := io.ReadFull(c.reader, b); err != nil {
+	b, skipped, err := c.readBody(bodyBytes)
+	if skipped {
+		return c.decline(refusal{Reason: "no memory", RetryAfterMS: unreachablePause.Milliseconds()}, 0, l)
+	}
+	if err != nil {
 		return err
 	}
 	if !s.calls.begin(v.ID, n) {
@@ -266,7 +279,7 @@
 var errAtRest = errors.New("the endpoint has asked the other host for rest")
 
 // relay sends the request to its endpoint and passes the reply on. The run ends when the other host closes the connection.
-func (c *connection) relay(v call, b []byte, l *logrus.Entry) error {
+func (c *connection) relay(v call, b [][]byte, l *logrus.Entry) error {
 	ctx, f := context.WithTimeout(context.Background(), time.Duration(v.RemainingMS)*time.Millisecond)
 	defer f()
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
@@ -353,9 +366,11 @@
 
 // attempt returns the attempt that a call asks for. origins is the number of hosts for which this one sends: the connections
 // that they don't use are free.
-func (v call) attempt(b []byte, origins int) relay.Attempt {
+func (v call) attempt(b [][]byte, origins int) relay.Attempt {
+	q := &relay.Request{ID: v.RequestID, Method: v.Method, Host: v.Host, Target: v.Target, Header: v.Header, Prompt: v.Prompt}
+	q.SetBody(b)
 	return relay.Attempt{
-		Request:  &relay.Request{ID: v.RequestID, Method: v.Method, Host: v.Host, Target: v.Target, Header: v.Header, Prompt: v.Prompt, Body: b},
+		Request:  q,
 		Endpoint: v.Endpoint, Account: v.Account, Model: v.Model, Remaining: time.Duration(v.RemainingMS) * time.Millisecond, ResumeAfter: v.ResumeAfter,
 		Priority: v.Priority, MaxConnections: v.MaxConnections * (1 + origins), Repeated: v.Repeated,
 	}
--- a/relay/break.go
+++ b/relay/break.go
@@ -170,7 +170,7 @@
 // unless something is known against such a request.
 func (j *job) setKeys() {
 	j.keys = j.request.Prompt.poisonKeys()
-	if h := j.identity().HeadKey(); len(j.request.Body) > inlineDigestBytes && !j.relay.Poison.Knows(h) {
+	if h := j.identity().HeadKey(); j.request.BodyLen() > inlineDigestBytes && !j.relay.Poison.Knows(h) {
 		j.relay.Poison.Started(j.service.Name, append(slices.Clone(j.keys), h), j.relay.sinceStart())
 		return
 	}
@@ -188,7 +188,7 @@
 // identity returns what makes another request the same as this one.
 func (j *job) identity() poison.Identity {
 	q := j.request
-	return poison.Identity{Account: j.account, Method: q.Method, Host: q.Host, Target: q.Target, Body: q.Body}
+	return poison.Identity{Account: j.account, Method: q.Method, Host: q.Host, Target: q.Target, Body: q.Body, Rest: q.Rest}
 }
 
 // poisonKeys returns the keys of the parts that other requests may have in common with this one: all but the last.
--- a/relay/enum_string.go
+++ b/relay/enum_string.go
@@ -25,7 +25,6 @@
 	}
 	return _Verdict_name[_Verdict_index[idx]:_Verdict_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -44,11 +43,13 @@
 	_ = x[CutOff-11]
 	_ = x[Unconfirmed-12]
 	_ = x[HeadersTooLarge-13]
+	_ = x[BodyDropped-14]
+	_ = x[BodyLate-15]
 }
 
-const _Reason_name = "no-configurationno-routeunknown-keybody-too-largeno-endpointoverloadedanswer-losttimed-outstoppingheld-backexpired-not-runcut-offunconfirmedheaders-too-large"
+const _Reason_name = "no-configurationno-routeunknown-keybody-too-largeno-endpointoverloadedanswer-losttimed-outstoppingheld-backexpired-not-runcut-offunconfirmedheaders-too-largebody-droppedbody-late"
 
-var _Reason_index = [...]uint8{0, 16, 24, 35, 49, 60, 70, 81, 90, 98, 107, 122, 129, 140, 157}
+var _Reason_index = [...]uint8{0, 16, 24, 35, 49, 60, 70, 81, 90, 98, 107, 122, 129, 140, 157, 169, 178}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
@@ -57,7 +58,6 @@
 	}
 	return _Reason_name[_Reason_index[idx]:_Reason_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -79,7 +79,6 @@
 	}
 	return _Liveness_name[_Liveness_index[idx]:_Liveness_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -100,7 +99,6 @@
 	}
 	return _HopResult_name[_HopResult_index[idx]:_HopResult_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -130,7 +128,6 @@
 	}
 	return _nextStep_name[_nextStep_index[idx]:_nextStep_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/relay/job.go
+++ b/relay/job.go
@@ -35,6 +35,8 @@
 	// unconfirmedRetryAfter is the Retry-After of a denial by a table that may not be the newest. It is short because another host, or
 	// this one after its next exchange with a control host, can tell.
 	unconfirmedRetryAfter = 250 * time.Millisecond
+	// bodyDroppedRetryAfter is the Retry-After of a request that was dropped for want of memory. Stalled requests give theirs up sooner.
+	bodyDroppedRetryAfter = 500 * time.Millisecond
 	// heldBackRetryAfter is the Retry-After of a request that is held back: it is refused until an operator lifts the rule.
 	heldBackRetryAfter = time.Minute
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -268,28 +268,43 @@
 	}
 }
 
+// Admission is a request whose route and client account are known. Its body may be missing until Serve is called.
+type Admission struct {
+	job *job
+	// table is the one that the request was admitted by.
+	table *tableInForce
+}
+
 // Serve finds the route and the client account of a request, sends it to endpoints and writes the answer or a refusal
 // to s. It returns when the request has ended. ctx has to be cancelled when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, q *Request, s Sink) {
+	if a, ok := r.Admit(ctx, q, s); ok {
+		a.Serve()
+	}
+}
+
+// Admit finds the route and the client account of a request, whose body isn't looked at. If it is refused, Admit writes the refusal to s
+// and returns false. ctx has to be cancelled when the caller disconnects.
+func (r *Relay) Admit(ctx context.Context, q *Request, s Sink) (Admission, bool) {
 	v := r.awaitConfiguration(ctx)
 	j := &job{relay: r, request: q, sink: s, tried: map[string]bool{}, unreached: map[string]bool{}, sentTo: map[string]bool{}, callerContext: ctx, confidence: -1}
 	if v == nil {
 		j.refuse(NoConfiguration, configurationRetryAfter)
-		return
+		return Admission{}, false
 	}
 	t := &v.table
 	j.version, j.tableSince = t.Version, v.since
 	o, ok := t.Route(q.Host, q.Path)
 	if !ok {
 		j.deny(NoRoute, v)
-		return
+		return Admission{}, false
 	}
 	j.route = o
 	if len(t.Accounts) > 0 && !o.Public {
 		a, ok := t.Account(q.Key)
 		if !ok {
 			j.deny(UnknownKey, v)
-			return
+			return Admission{}, false
 		}
 		j.account = a.Name
 		j.priority = o.Priority
@@ -304,7 +319,43 @@
 		l = min(l, q.MaxWait)
 	}
 	j.deadline = q.Received.Add(l)
-	c, f := context.WithDeadline(ctx, j.deadline)
+	return Admission{j, v}, true
+}
+
+// Account returns the name of the client account that the request belongs to, or an empty text.
+func (a Admission) Account() string { return a.job.account }
+
+// Deadline returns the time until which the request may be answered.
+func (a Admission) Deadline() time.Time { return a.job.deadline }
+
+// HasMaxWait reports whether the caller has said how long it waits.
+func (a Admission) HasMaxWait() bool { return a.job.request.MaxWait > 0 }
+
+// SetBody sets the body of the request.
+func (a Admission) SetBody(pieces [][]byte) { a.job.request.SetBody(pieces) }
+
+// RefuseBody refuses a request whose body didn't come whole, with further fields in the log line.
+func (a Admission) RefuseBody(reason Reason, f logrus.Fields) {
+	t := time.Duration(0)
+	if reason == BodyDropped {
+		t = bodyDroppedRetryAfter
+	}
+	a.job.refuseWith(reason, t, f)
+}
+
+// Serve sends the request, whose body is whole, to endpoints and writes the answer or a refusal. It returns when the request has ended. If
+// another table was put in force while the body came, the request is admitted by that.
+func (a Admission) Serve() {
+	j := a.job
+	r := j.relay
+	if a.table != r.table.Load() {
+		n, ok := r.Admit(j.callerContext, j.request, j.sink)
+		if !ok {
+			return
+		}
+		j = n.job
+	}
+	c, f := context.WithDeadline(j.callerContext, j.deadline)
 	defer f()
 	r.awaitEndpoint(c, j.service.Name)
 	r.Budget.Deposit(j.service.Name, r.Now())
--- a/relay/request.go
+++ b/relay/request.go
@@ -68,11 +68,47 @@
 	AskedModel string
 	// Header holds the header fields that are passed on to the endpoint unchanged.
 	Header http.Header
-	Body   []byte
+	// Body is the body, or its beginning, and Rest what follows it. A body that came piece by piece is never joined, so that it isn't
+	// in memory twice.
+	Body []byte
+	Rest [][]byte
 	// Received is when the head of the request was read.
 	Received time.Time
 }
 
+// SetBody sets the body from its pieces.
+func (q *Request) SetBody(pieces [][]byte) {
+	q.Body, q.Rest = nil, nil
+	if len(pieces) > 0 {
+		q.Body = pieces[0]
+	}
+	if len(pieces) > 1 {
+		q.Rest = pieces[1:]
+	}
+}
+
+// BodyLen returns the length of the body in bytes.
+func (q *Request) BodyLen() int {
+	n := len(q.Body)
+	for _, p := range q.Rest {
+		n += len(p)
+	}
+	return n
+}
+
+// WriteBody writes the body piece by piece.
+func (q *Request) WriteBody(w io.Writer) error {
+	if _, err := w.Write(q.Body); err != nil {
+		return err
+	}
+	for _, p := range q.Rest {
+		if _, err := w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Attempt is one attempt of a request at one endpoint.
 type Attempt struct {
 	*Request
@@ -224,6 +260,10 @@
 	Unconfirmed // unconfirmed
 	// HeadersTooLarge means that the head of the request exceeds the limit of the routing table.
 	HeadersTooLarge // headers-too-large
+	// BodyDropped means that the request was dropped before its end had come, because requests take too much memory. It has not run.
+	BodyDropped // body-dropped
+	// BodyLate means that the end of the body did not come in time. The request has not run.
+	BodyLate // body-late
 )
 
 // Refusal is an answer of this host in place of an endpoint.
@@ -235,7 +275,7 @@
 
 // NotRun reports whether the refusal states that the request has not run.
 func (r Refusal) NotRun() bool {
-	return r.Reason == NoConfiguration || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == HeldBack || r.Reason == Expired || r.Reason == CutOff || r.Reason == Unconfirmed
+	return r.Reason == NoConfiguration || r.Reason == NoEndpoint || r.Reason == Overloaded || r.Reason == Stopping || r.Reason == HeldBack || r.Reason == Expired || r.Reason == CutOff || r.Reason == Unconfirmed || r.Reason == BodyDropped || r.Reason == BodyLate
 }
 
 // Liveness says whether the process of an endpoint still runs.
--- a/relay/unserved.go
+++ b/relay/unserved.go
@@ -23,6 +23,12 @@
 	return d
 }
 
+// RefuseUnserved returns the refusal of a request that was dropped for want of memory before Serve was called, and logs and counts it.
+func (r *Relay) RefuseUnserved(id string, cause error) Refusal {
+	r.logUnserved(id, BodyDropped.String(), cause, nil)
+	return Refusal{Reason: BodyDropped, RetryAfter: bodyDroppedRetryAfter}
+}
+
 // logUnserved is like LogUnserved with further fields in the line.
 func (r *Relay) logUnserved(id, outcome string, cause error, f logrus.Fields) {
 	r.countRequest("", outcome)
