--- a/intake/rank.go
+++ b/intake/rank.go
@@ -72,13 +72,18 @@
 func (a *Account) worst(k scope, s *Share, now time.Time) (*Share, Cause) {
 	var v *Share
 	var w standing
+	n := 0
 	for o := range a.shares {
 		if !o.arriving || o.cause != Kept || o.taken == 0 && o != s || s != nil && !o.isIn(k, s) {
 			continue
 		}
+		n++
 		if r := o.standingOf(now); v == nil || r.isBefore(w) {
 			v, w = o, r
 		}
 	}
+	if n == 1 && v == s {
+		return v, NoRoom // it is dropped whatever its standing
+	}
 	return v, w.cause
 }
