--- a/cmds/node.go
+++ b/cmds/node.go
@@ -218,7 +218,7 @@
 	i := caller.NewTracker(func() time.Duration { return idleTimeout(r.Table()) })
 	c := n.settings.ClientLimits()
 	b := &platform.CallerHandler{
-		Relay: r, Stopping: e.Stopping, Intake: n.intake, BodyTimeout: c.BodyTimeout.Std(), DiscardBytes: c.DiscardBytes, DiscardTime: c.DiscardTime.Std(),
+		Relay: r, Stopping: e.Stopping, Intake: n.intake, BodyTimeout: c.BodyTimeout.Std(), DiscardBytes: c.DiscardBytes, DiscardTime: c.DiscardTime.Std(), AnswerTimeout: c.AnswerTimeout.Std(),
 	}
 	s := &http.Server{
 		Handler: i.Guard(b), ReadHeaderTimeout: nodeHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/conf/clients.go
+++ b/conf/clients.go
@@ -38,6 +38,8 @@
 	Connections int `json:"connections"`
 	// BodyTimeout is the time within which a body must have come if its caller doesn't say how long it waits.
 	BodyTimeout Duration `json:"body-timeout"`
+	// AnswerTimeout is the time within which a caller must take a piece of an answer.
+	AnswerTimeout Duration `json:"answer-timeout"`
 	// DiscardBytes and DiscardTime bound what is read, and thrown away, of the body of a request that was refused.
 	DiscardBytes int64    `json:"discard-bytes"`
 	DiscardTime  Duration `json:"discard-time"`
