--- /dev/null
+++ b/proxy/crowd_test.go
@@ -0,0 +1,71 @@
+package proxy_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/intake"
+	"github.com/hickoryshelf/hickoryshelf/itest"
+	"github.com/hickoryshelf/hickoryshelf/proxy"
+	"github.com/hickoryshelf/hickoryshelf/relay"
+)
+
+// Guards against calls and bodies just short of their end that take the memory of a host, also of anyone who connects without a token, and
+// against a call that isn't answered beside them.
+func TestCrowdOfCallsLeavesMemory(t *testing.T) {
+	const calls, length = 60, 1 << 20
+	for n, body := range map[string]bool{"calls": false, "bodies": true} {
+		t.Run(n, func(t *testing.T) {
+			i := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			i.NoErr(err)
+			h := startHelpingOn(t, l, answering(bytes.NewBufferString("answer")))
+			a := intake.NewAccount(intake.Limits{Bytes: 8 * length})
+			s := proxy.NewServer(proxy.Options{
+				Token: "secret", Relay: h.server.Relay, Bound: assist.NewBound(4000, 4096), Stopping: func() bool { return false }, Intake: a, Log: h.server.Relay.Log, Metrics: metrics.NewSet(),
+			})
+			o, err := net.Listen("tcp", "127.0.0.1:0")
+			i.NoErr(err)
+			v := serving{s, o}
+			go v.run()
+			t.Cleanup(func() {
+				_ = o.Close() // the test is over
+				s.Close()
+			})
+			b := heapBytes()
+			for range calls {
+				c, err := net.Dial("tcp", o.Addr().String())
+				i.NoErr(err)
+				defer c.Close() //nolint:errcheck // the test ends
+				i.NoErr(c.SetWriteDeadline(time.Now().Add(2 * time.Second)))
+				f := frame(callKind, bytes.Repeat([]byte("x"), length))
+				if body {
+					j, err := json.Marshal(map[string]any{"id": "e", "token": "secret", "origin": "e", "method": "POST", "target": "/", "endpoint": endpoint, "remaining-ms": 5000, "max-connections": 4})
+					i.NoErr(err)
+					f = append(frame(callKind, j), frame(1, bytes.Repeat([]byte("x"), length))...)
+				}
+				_, _ = c.Write(f[:len(f)-10]) // the host may close the connection
+			}
+			time.Sleep(300 * time.Millisecond) // until all that comes was read
+			k := heapBytes() - b
+			t.Logf("%d bytes kept, %d counted", k, a.Taken())
+			i.True(k <= 12*length)
+			itest.Eventually(t, 5*time.Second, func() error {
+				r, p := client().Send(context.Background(), helper(o.Addr().String()), attempt())
+				if p.Result != relay.Delivered {
+					return io.ErrUnexpectedEOF
+				}
+				return r.Body.Close()
+			})
+		})
+	}
+}
