Drop requests without a byte of their body to free their connections

Such a request took no memory and was never chosen, so that a crowd of them could hold all connections until its timeout.

--- a/conf/clients.go
+++ b/conf/clients.go
@@ -17,9 +17,9 @@
 	// connectionsPerMB is the number of connections for each MB of memory. A connection with a request in flight takes about 100 KB with
 	// its buffers, and few have one.
 	connectionsPerMB = 6
-	// documentPart is the part of the memory that a configuration document may take, and maxDocumentBytes the most: while it is put in
-	// force it is in memory several times.
-	documentPart     = 16
+	// documentPart is the part of the memory that a configuration document may take, and maxDocumentBytes the most: it is in memory twice
+	// while it is joined, which has to fit into what one address may take, and more often while it is put in force.
+	documentPart     = 20
 	maxDocumentBytes = 32 << 20
 	// defaultMemoryMB and defaultDescriptors stand for limits that aren't known.
 	defaultMemoryMB    = 256
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -90,8 +90,6 @@
 	byAddress, byOwner map[string]int64
 	// changed is closed and replaced when memory was given back or a share was dropped.
 	changed chan struct{}
-	// dropped counts the shares that were dropped.
-	dropped int64
 }
 
 // NewAccount returns an account of which nothing is taken.
@@ -217,6 +215,5 @@
 	}
 	s.cause, s.limit, s.takenByAll = c, k, a.taken
 	s.droppedAt = time.Now()
-	a.dropped++
 	a.notify()
 }
--- a/intake/rank.go
+++ b/intake/rank.go
@@ -68,13 +68,13 @@
 }
 
 // worst returns the request that is dropped first for a share of a scope, and why, or nil if none may be dropped. Requests that have
-// arrived whole are never dropped.
+// arrived whole are never dropped, and those without memory only if s is nil, for their connections.
 func (a *Account) worst(k scope, s *Share, now time.Time) (*Share, Cause) {
 	var v *Share
 	var w standing
 	n := 0
 	for o := range a.shares {
-		if !o.arriving || o.cause != Kept || o.taken == 0 && o != s || s != nil && !o.isIn(k, s) {
+		if !o.arriving || o.cause != Kept || s != nil && (!o.isIn(k, s) || o.taken == 0 && o != s) {
 			continue
 		}
 		n++
