--- a/conf/node.go
+++ b/conf/node.go
@@ -135,6 +135,8 @@
 	// Decisions holds the assumptions behind the choice of model tiers. Fields that the file doesn't name have the
 	// values of tiers.DefaultWeights.
 	Decisions Decisions `json:"decisions"`
+	// Clients bounds what clients may take of the process.
+	Clients Clients `json:"clients"`
 }
 
 // Decisions holds the assumptions behind decisions, and which of them are taken.
@@ -213,6 +215,9 @@
 	if err := n.checkDecisions(); err != nil {
 		return err
 	}
+	if err := n.Clients.check(); err != nil {
+		return err
+	}
 	return n.checkPart()
 }
 
