Keep requests at the endpoint with their cached part where hosts share speeds

Cause: this host's preference of up to 0.3 of the estimate outweighed what the cache saves, so that shared parts were read again elsewhere. Change: the preference decides only where the endpoint with the cached part hasn't the lowest cost without it. Result: TestPreferenceLeavesCacheAffinity, red before, passes; the tests of pick pass.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -216,19 +216,27 @@
 	return c, true
 }
 
-// best returns the endpoint with the lowest cost, or nil, and the endpoints compared.
+// best returns the endpoint with the lowest cost, or nil, and the endpoints compared. This host's preference decides only if the
+// endpoint with the lowest cost isn't the one that has what the request shares with others in its cache.
 func (s *Set) best(q Request, now time.Time) (*endpoint, []*endpoint) {
 	l := s.candidates(q, now)
 	f := usualFaultRate(l, now)
-	var b *endpoint
-	var m time.Duration
+	var b, p *endpoint
+	var m, o time.Duration
 	for _, n := range l {
 		e := s.estimate(n, q)
-		if k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, e) + n.preferencePenalty(e); b == nil || k < m {
+		k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, e)
+		if b == nil || k < m {
 			b, m = n, k
 		}
+		if k += n.preferencePenalty(e); p == nil || k < o {
+			p, o = n, k
+		}
+	}
+	if p != b && q.CacheSaving > 0 && s.hasAffinity(b, q) {
+		return b, l
 	}
-	return b, l
+	return p, l
 }
 
 // Wait returns the estimated time to the start of the answer at the endpoint that Choose would return. ok is false if there
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -96,3 +96,24 @@
 		s.SetSpeeds(f, false, epoch)
 	}
 }
+
+// Guards against a preference that leads requests away from the endpoint that has their shared part cached, which is then read again.
+func TestPreferenceLeavesCacheAffinity(t *testing.T) {
+	i := is.New(t)
+	s := pick.NewSet("c")
+	var l []fleet.Report
+	for _, e := range []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7"} {
+		l = append(l, fleet.Report{ID: e, Born: 5, Service: "s", DataCentre: "c", Sequence: 1})
+	}
+	s.Replace(l)
+	s.SetHosts("h", []string{"h", "g"}, epoch)
+	s.SetSpeeds(nil, false, epoch)
+	plain := map[string]bool{}
+	for a := range uint64(100) {
+		q := pick.Request{Service: "s", Slots: 8, Work: 100 * time.Millisecond}
+		plain[waitOf(s, q, epoch).ID] = true
+		q.Affinity, q.CacheSaving = a*0x9e3779b97f4a7c15, 10*time.Millisecond
+		i.True(waitOf(s, q, epoch).Cached)
+	}
+	i.Equal(len(plain), 1) // the preference concerns the other requests
+}
