Send complete speeds to hosts that connect before a control host knows them

Cause: a host that connected within 10 s of a control host's start kept what it had from others, and the control host never sent a factor that it didn't know itself. Change: the record of what was sent says whether it was complete; all factors are sent with New once the control host has run for 10 s and is current. Before, New didn't ask that it is current. Result: TestHostThatConnectsEarlyGetsCompleteSpeedsLater, red before, passes with the other tests of speeds in ctrl.

--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -9,7 +9,6 @@
 	"github.com/hickoryshelf/hickoryshelf/canary"
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/poison"
-	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
@@ -44,8 +43,8 @@
 	loads    map[string]ctlrpc.Load
 	// watch holds the keys that the host watches.
 	watch poison.Watch
-	// speeds holds the factors of speed that the host has.
-	speeds map[string]speed.Factor
+	// speeds holds the factors of speed that the host has got.
+	speeds sentSpeeds
 	sentAt time.Duration
 	// demandAt is when the demand of the fleet was sent, or 0.
 	demandAt time.Duration
@@ -149,7 +148,7 @@
 	n.Permits = t.permits.Lend(s.permitRequest(r.Host, r.Start, r.WarmUp), now)
 	n.Watch = s.watch.ChangesFrom(o.watch)
 	n.Watch.New = first
-	var v map[string]speed.Factor
+	var v sentSpeeds
 	n.Speeds, v = t.speeds.speedUpdate(s, q, first, o.speeds)
 	l := t.otherLoads(s, r.Host)
 	if first {
--- a/ctrl/speed.go
+++ b/ctrl/speed.go
@@ -60,25 +60,33 @@
 	}
 }
 
-// speedUpdate returns what an entry host lacks of the speeds, and what it has with that. sent is what it has got from this start
-// of the control host. One that holds nothing from it gets all factors. They replace the ones that it has only if this host
-// knows them long enough.
-func (c *speedCache) speedUpdate(s State, q ctlrpc.ExchangeRequest, first bool, sent map[string]speed.Factor) (ctlrpc.SpeedUpdate, map[string]speed.Factor) {
+// sentSpeeds is what an entry host has got of the factors of speed from this start of the control host.
+type sentSpeeds struct {
+	factors map[string]speed.Factor
+	// complete is set if the host has got all factors from a control host that knew them, so that it holds no others.
+	complete bool
+}
+
+// speedUpdate returns what an entry host lacks of the speeds, and what it has with that. One that holds nothing from this start of
+// the control host gets all factors. They replace the ones that it has only if this host is current and knows them long enough. A
+// host that connects before gets all again then, since what it holds from other control hosts isn't known here.
+func (c *speedCache) speedUpdate(s State, q ctlrpc.ExchangeRequest, first bool, sent sentSpeeds) (ctlrpc.SpeedUpdate, sentSpeeds) {
 	if !q.Known.SharesSpeeds {
-		return ctlrpc.SpeedUpdate{}, nil
+		return ctlrpc.SpeedUpdate{}, sentSpeeds{}
 	}
 	c.update(s)
-	if first {
-		return ctlrpc.SpeedUpdate{New: s.Now > speedLearnTime, Factors: c.factors}, c.factors
+	k := s.Now > speedLearnTime && s.Current()
+	if first || k && !sent.complete {
+		return ctlrpc.SpeedUpdate{New: k, Factors: c.factors}, sentSpeeds{c.factors, k}
 	}
-	u := ctlrpc.SpeedUpdate{Factors: speed.Changes(sent, c.factors, speed.MaxChanges)}
+	u := ctlrpc.SpeedUpdate{Factors: speed.Changes(sent.factors, c.factors, speed.MaxChanges)}
 	if len(u.Factors) == 0 {
 		return u, sent
 	}
-	n := maps.Clone(sent)
+	n := maps.Clone(sent.factors)
 	if n == nil {
 		n = map[string]speed.Factor{}
 	}
 	maps.Copy(n, u.Factors)
-	return u, n
+	return u, sentSpeeds{n, sent.complete}
 }
--- a/ctrl/speed_test.go
+++ b/ctrl/speed_test.go
@@ -89,3 +89,26 @@
 	i.True(ok)
 	i.Equal(e.(ctrl.HostReported).Report.Speeds, ctlrpc.SpeedReport{"e1": l["e1"], "e2": l["e2"]})
 }
+
+// Guards against factors that stay at hosts that connected before the control host knew all: they get the complete ones once it does,
+// and not before it is current.
+func TestHostThatConnectsEarlyGetsCompleteSpeedsLater(t *testing.T) {
+	i := is.New(t)
+	c := newCluster(t, 3)
+	a, b := address(1), ctrl.NewReplyBuilder()
+	c.run(2 * time.Second)
+	i.True(!c.askSpeeds(b, a, ctlrpc.EntryState{SharesSpeeds: true}).New)
+	k := ctlrpc.EntryState{SharesSpeeds: true, Control: c.hosts[a].state.StartID}
+	c.run(9 * time.Second)
+	c.kill(address(0))
+	c.kill(address(2))
+	c.run(10 * time.Second)
+	i.True(!c.hosts[a].state.Current())
+	i.True(!c.askSpeeds(b, a, k).New)
+	c.start(address(0))
+	c.start(address(2))
+	c.run(3 * time.Second)
+	i.True(c.askSpeeds(b, a, k).New)
+	c.run(time.Second)
+	i.True(!c.askSpeeds(b, a, k).New) // once
+}
