Compare gaps between events with the factor of their own band and time

Cause: a gap was taken at the band of now, but divided by the factor at the time of the choice and at its band, so that what is usual drifted where factors change or bend. Change: pick.Set.SpeedNow returns the band with the factor at it, for relay and for the model of the tests. Result: TestGapsCarryTheFactorOfNow was red with the factor of the choice and passes; TestSpeedNowHasTheFactorOfTheKnownLoad is new with the method.

--- a/pick/speed.go
+++ b/pick/speed.go
@@ -106,14 +106,15 @@
 	return n.factor.At(band), band
 }
 
-// BandNow returns the band of the known load of an endpoint whose service has a number of slots for each. The request that asks
-// is part of that load and doesn't count. ok is false if the endpoint isn't known as the same start.
-func (s *Set) BandNow(id string, born int64, slots int) (band int, ok bool) {
+// SpeedNow returns the band of the known load of an endpoint whose service has a number of slots for each, and the factor at that
+// band. The request that asks is part of that load and doesn't count. ok is false if the endpoint isn't known as the same start.
+func (s *Set) SpeedNow(id string, born int64, slots int) (band int, factor float64, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
 	if !ok || n.report.Born != born {
-		return 0, false
+		return 0, 1, false
 	}
-	return speed.Band(n.local.Requests+n.remote.Requests-1, slots), true
+	band = speed.Band(n.local.Requests+n.remote.Requests-1, slots)
+	return band, n.factor.At(band), true
 }
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -117,3 +117,20 @@
 	}
 	i.Equal(len(plain), 1) // the preference concerns the other requests
 }
+
+// Guards against samples that are compared with the factor of another band of load, or with that of the time of the choice.
+func TestSpeedNowHasTheFactorOfTheKnownLoad(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	c, _ := s.Choose(q, epoch)
+	s.SetSpeeds(map[string]speed.Factor{"e": {Born: 5, Steps: [speed.Bands]int8{0, 0, 35, 35}}}, false, epoch)
+	b, f, ok := s.SpeedNow(c.ID, c.Born, q.Slots)
+	i.True(ok && b == 0 && f == 1)
+	for range 4 {
+		_, _ = s.Choose(q, epoch)
+	}
+	b, f, ok = s.SpeedNow(c.ID, c.Born, q.Slots)
+	i.True(ok && b == 2 && f > 1.9)
+	_, _, ok = s.SpeedNow(c.ID, 6, q.Slots)
+	i.True(!ok)
+}
--- a/relay/speed.go
+++ b/relay/speed.go
@@ -45,7 +45,7 @@
 	if u.choice.Cached || e <= 0 || float64(e-u.work) > maxQueueShare*float64(e) || !u.measuresSpeed() {
 		return
 	}
-	u.observeSpeed(speed.Wait, u.choice.Band, float64(wait)/float64(e))
+	u.observeSpeed(speed.Wait, u.choice.Band, u.choice.Factor, float64(wait)/float64(e))
 }
 
 // recordGap keeps the time between two events of the answer, until there are enough for a sample.
@@ -65,17 +65,17 @@
 	if len(u.gaps) < minGaps || !u.measuresSpeed() {
 		return
 	}
-	b, ok := u.job.relay.Endpoints.BandNow(u.choice.ID, u.choice.Born, u.job.service.Slots)
+	b, f, ok := u.job.relay.Endpoints.SpeedNow(u.choice.ID, u.choice.Born, u.job.service.Slots)
 	if !ok {
 		return
 	}
 	slices.Sort(u.gaps)
-	u.observeSpeed(speed.Gap, b, u.gaps[len(u.gaps)/2].Seconds())
+	u.observeSpeed(speed.Gap, b, f, u.gaps[len(u.gaps)/2].Seconds())
 }
 
 // observeSpeed adds a sample. Only samples of the same route and model are compared.
-func (u *upstreamAttempt) observeSpeed(k speed.Kind, band int, took float64) {
+func (u *upstreamAttempt) observeSpeed(k speed.Kind, band int, factor, took float64) {
 	u.job.relay.Speeds.Observe(speed.Sample{
-		Kind: k, Work: u.job.kind(), Endpoint: u.choice.ID, Born: u.choice.Born, Band: band, Factor: u.choice.Factor, Took: took,
+		Kind: k, Work: u.job.kind(), Endpoint: u.choice.ID, Born: u.choice.Born, Band: band, Factor: factor, Took: took,
 	}, time.Now())
 }
--- a/relay/speed_test.go
+++ b/relay/speed_test.go
@@ -63,3 +63,32 @@
 		})
 	}
 }
+
+// Guards against gaps that are divided by the factor at the time of the choice: a factor that comes during an answer, or that of
+// another band, would change what counts as usual.
+func TestGapsCarryTheFactorOfNow(t *testing.T) {
+	inSynctest(t, func(t *testing.T, i *is.I) {
+		var h *harness
+		h = newHarness(1, func(_ int, _ context.Context, a relay.Attempt) relay.Reply {
+			f := map[string]speed.Factor{a.Endpoint.ID: {Born: a.Endpoint.Born, Steps: [speed.Bands]int8{35, 35, 35, 35}}}
+			h.relay.Endpoints.SetSpeeds(f, true, time.Now())
+			r := ran("")
+			r.Body = body{Reader: &pacedReader{pause: 60 * time.Millisecond, events: 80}}
+			return r
+		})
+		h.relay.Speeds = speed.NewMeter()
+		for range 2 {
+			i.Equal(h.serve(t.Context(), "/write/a", "key").status, 200)
+			h.relay.Endpoints.SetSpeeds(nil, true, time.Now()) // the next choice knows no factor
+		}
+		var n, sum int64
+		for _, s := range h.relay.Speeds.Take(time.Now()) {
+			for _, c := range s.Cells {
+				if c.Place/speed.Bands == int(speed.Gap) {
+					n, sum = n+c.Count, sum+c.Sum
+				}
+			}
+		}
+		i.True(n > 0 && sum > n*6/10) // twice the usual time: 0.69
+	})
+}
--- a/speed/model_test.go
+++ b/speed/model_test.go
@@ -258,7 +258,7 @@
 	r.set.AnswerStarted(r.choice.ID, r.request.Work)
 	r.set.RecordSuccess(r.choice.ID, pick.Direct, w, r.choice.Wait)
 	if m.shared && r.choice.Expected < 3*r.request.Work/2 {
-		r.observe(speed.Wait, r.choice.Band, float64(w)/float64(r.choice.Expected))
+		r.observe(speed.Wait, r.choice.Band, r.choice.Factor, float64(w)/float64(r.choice.Expected))
 	}
 	r.since = m.now
 	m.after(r.step(), func() { r.next(r.work.events / 4) })
@@ -293,14 +293,14 @@
 
 // observeGap adds a sample of the time between events.
 func (r *modelRequest) observeGap() {
-	if b, ok := r.set.BandNow(r.choice.ID, r.choice.Born, modelSlots); ok && r.model.shared && r.steps > 0 {
-		r.observe(speed.Gap, b, (r.model.now-r.since).Seconds()/float64(4*r.steps))
+	if b, f, ok := r.set.SpeedNow(r.choice.ID, r.choice.Born, modelSlots); ok && r.model.shared && r.steps > 0 {
+		r.observe(speed.Gap, b, f, (r.model.now-r.since).Seconds()/float64(4*r.steps))
 	}
 	r.since, r.steps = r.model.now, 0
 }
 
-func (r *modelRequest) observe(k speed.Kind, band int, took float64) {
-	r.meter.Observe(speed.Sample{Kind: k, Work: r.work.name, Endpoint: r.choice.ID, Born: r.choice.Born, Band: band, Factor: r.choice.Factor, Took: took}, r.model.at())
+func (r *modelRequest) observe(k speed.Kind, band int, factor, took float64) {
+	r.meter.Observe(speed.Sample{Kind: k, Work: r.work.name, Endpoint: r.choice.ID, Born: r.choice.Born, Band: band, Factor: factor, Took: took}, r.model.at())
 }
 
 // exchange is an exchange of a host with a control host.
