Learn slowdowns against the shared factor of now

Cause: answers under way when a factor comes were compared with Choice.Wait, which lacks it, so that the same slowness was learned again as the slowdown of this host. Change: pick.Set.RecordStart compares the wait with Choice.Expected x factor x slowdown of now. Where hosts share no speeds it takes Choice.Wait as before. Result: TestAnswersUnderWayLearnAgainstTheFactorOfNow was red with Choice.Wait and passes.

--- a/pick/health.go
+++ b/pick/health.go
@@ -74,10 +74,29 @@
 func (s *Set) RecordSuccess(id string, way Way, wait, estimated time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	n, ok := s.endpoints[id]
+	if n, ok := s.endpoints[id]; ok {
+		n.recordSuccess(way, wait, estimated)
+	}
+}
+
+// RecordStart is RecordSuccess for the endpoint of a choice. Where hosts share speeds, the wait is compared with what the endpoint's
+// factor and slowdown of now let expect: they may have changed since the choice.
+func (s *Set) RecordStart(c Choice, way Way, wait time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	n, ok := s.endpoints[c.ID]
 	if !ok {
 		return
 	}
+	e := c.Wait
+	if !s.slowdownsFadedAt.IsZero() && n.report.Born == c.Born {
+		e = time.Duration(float64(c.Expected) * n.factor.At(c.Band) * n.slowdown)
+	}
+	n.recordSuccess(way, wait, e)
+}
+
+// recordSuccess is RecordSuccess for a caller that holds the lock.
+func (n *endpoint) recordSuccess(way Way, wait, estimated time.Duration) {
 	n.paths[way] = pathHealth{}
 	n.faultRate *= 1 - faultWeight
 	if estimated > 0 {
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -134,3 +134,17 @@
 	_, _, ok = s.SpeedNow(c.ID, 6, q.Slots)
 	i.True(!ok)
 }
+
+// Guards against answers under way when a factor comes, whose estimates lack it: they would teach the same slowness again.
+func TestAnswersUnderWayLearnAgainstTheFactorOfNow(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	s.SetSpeeds(nil, false, epoch)
+	c := waitOf(s, q, epoch)
+	s.SetSpeeds(map[string]speed.Factor{"e": double(5)}, false, epoch)
+	for range 20 {
+		s.RecordStart(c, pick.Direct, 200*time.Millisecond)
+	}
+	w := waitOf(s, q, epoch).Wait
+	i.True(w > 190*time.Millisecond && w < 210*time.Millisecond)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -248,7 +248,7 @@
 // recordStart records that the endpoint began a usable answer after wait. For a stream, the wait also updates the
 // measured prefill time of the model.
 func (u *upstreamAttempt) recordStart(wait time.Duration) {
-	u.job.relay.Endpoints.RecordSuccess(u.choice.ID, u.way, wait, u.choice.Wait)
+	u.job.relay.Endpoints.RecordStart(u.choice, u.way, wait)
 	u.tallyAnswer(false, wait)
 	u.recordWaitSpeed(wait)
 	u.job.relay.demands.addWait(u.job.service.Name, wait, u.choice.Wait)
--- a/speed/model_test.go
+++ b/speed/model_test.go
@@ -256,7 +256,7 @@
 	m.answers = append(m.answers, modelAnswer{r.sent, w, w > r.work.objective})
 	r.set.RecordActivity(r.choice.ID, pick.Direct, m.at())
 	r.set.AnswerStarted(r.choice.ID, r.request.Work)
-	r.set.RecordSuccess(r.choice.ID, pick.Direct, w, r.choice.Wait)
+	r.set.RecordStart(r.choice, pick.Direct, w)
 	if m.shared && r.choice.Expected < 3*r.request.Work/2 {
 		r.observe(speed.Wait, r.choice.Band, r.choice.Factor, float64(w)/float64(r.choice.Expected))
 	}
