Take back slowdowns by the change of the factor at the known load

Cause: setFactor compared only the factors of the idle band, so that slowness counted twice where only upper bands rise. Change: it compares the factors at the band of the known load, for which an endpoint keeps the slots of its last choice. Result: TestSlownessUnderLoadCountsOnce, red before, passes.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -127,6 +127,8 @@
 	// what this host has seen beyond that.
 	slowdown float64
 	factor   speed.Factor
+	// slots is Request.Slots of the last choice of the endpoint.
+	slots int
 	// preference is by how much this host prefers the endpoint to other hosts, below 1 if it does, or 0 where hosts don't share
 	// speeds.
 	preference float64
@@ -205,6 +207,7 @@
 	c.Factor, c.Band = b.speedFactor(q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.local.Plus(b.remote), len(l)
 	c.Cached = q.CacheSaving > 0 && s.hasAffinity(b, q)
+	b.slots = q.Slots
 	b.local.Requests++
 	if b.limit.Rate > 0 {
 		b.bucket = b.bucket.WithRequest()
--- a/pick/speed.go
+++ b/pick/speed.go
@@ -87,11 +87,11 @@
 	return time.Duration(float64(estimate) * (n.preference - 1))
 }
 
-// setFactor sets the factor and returns the one before. As far as the slowdown explains the same, it is taken back, so that the
-// same slowness doesn't count twice.
+// setFactor sets the factor and returns the one before. As far as the slowdown explains the same at the known load, it is taken back,
+// so that the same slowness doesn't count twice.
 func (n *endpoint) setFactor(f speed.Factor) speed.Factor {
-	o := n.factor
-	if x := f.At(0) / o.At(0); n.slowdown > 1 && x > 1 {
+	o, b := n.factor, speed.Band(n.local.Requests+n.remote.Requests, n.slots)
+	if x := f.At(b) / o.At(b); n.slowdown > 1 && x > 1 {
 		n.slowdown = max(1, n.slowdown/x)
 	} else if n.slowdown < 1 && x < 1 {
 		n.slowdown = min(1, n.slowdown/x)
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -148,3 +148,21 @@
 	w := waitOf(s, q, epoch).Wait
 	i.True(w > 190*time.Millisecond && w < 210*time.Millisecond)
 }
+
+// Guards against slowness that counts twice at an endpoint that is slow only under load: the factor of the idle band doesn't change.
+func TestSlownessUnderLoadCountsOnce(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	s.SetSpeeds(nil, false, epoch)
+	for range 4 {
+		_, _ = s.Choose(q, epoch)
+	}
+	for range 60 {
+		c := waitOf(s, q, epoch)
+		s.RecordStart(c, pick.Direct, 2*c.Expected)
+	}
+	s.SetSpeeds(map[string]speed.Factor{"e": {Born: 5, Steps: [speed.Bands]int8{0, 0, 35, 35}}}, false, epoch)
+	c := waitOf(s, q, epoch)
+	x := float64(c.Wait) / float64(c.Expected)
+	i.True(x > 1.9 && x < 2.1)
+}
