Report fresh speeds before those that are sent again

Cause: after a new connection all endpoints were queued at once, so that fresh sums waited for up to 14 s behind them at 610 endpoints, and faded ones were sent too. Change: a meter keeps what is to be sent again in a queue of its own, which is taken after the changes; faded sums are left out. Result: TestChangesComeBeforeWhatIsSentAgain, red before, passes.

--- a/speed/meter.go
+++ b/speed/meter.go
@@ -73,6 +73,9 @@
 	// same as a set.
 	queue  []string
 	queued map[string]bool
+	// resends holds the endpoints whose sums are to be sent again, and toResend those of them that haven't been taken since.
+	resends  []string
+	toResend map[string]bool
 	// sweptAt is when endpoints whose samples have faded were last forgotten.
 	sweptAt time.Time
 }
@@ -110,37 +113,56 @@
 }
 
 func (m *Meter) enqueue(endpoint string) {
+	delete(m.toResend, endpoint)
 	if !m.queued[endpoint] {
 		m.queued[endpoint] = true
 		m.queue = append(m.queue, endpoint)
 	}
 }
 
-// Take returns the sums of up to MaxChanges endpoints that have changed since they were last taken, as they count now.
+// Take returns the sums of up to MaxChanges endpoints as they count now: first those that have changed since they were last taken,
+// then those to be sent again. Faded ones are left out.
 func (m *Meter) Take(now time.Time) map[string]Sums {
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.sweep(now)
-	n := min(MaxChanges, len(m.queue))
-	if n == 0 {
+	r := map[string]Sums{}
+	m.queue = m.take(r, m.queue, m.queued, now)
+	m.resends = m.take(r, m.resends, m.toResend, now)
+	if len(r) == 0 {
 		return nil
 	}
-	r := make(map[string]Sums, n)
-	for _, e := range m.queue[:n] {
-		delete(m.queued, e)
+	return r
+}
+
+// take adds the sums of endpoints of a queue that are in wanted, which they leave, until there are MaxChanges. It returns the rest of
+// the queue.
+func (m *Meter) take(r map[string]Sums, queue []string, wanted map[string]bool, now time.Time) []string {
+	for k, e := range queue {
+		if len(r) >= MaxChanges {
+			return slices.Clone(queue[k:])
+		}
+		if !wanted[e] {
+			continue
+		}
+		delete(wanted, e)
 		x := m.endpoints[e]
-		r[e] = x.sums.faded(now.Sub(x.at)).message(x.born)
+		if s := x.sums.faded(now.Sub(x.at)).message(x.born); len(s.Cells) > 0 {
+			r[e] = s
+		}
 	}
-	m.queue = slices.Clone(m.queue[n:])
-	return r
+	return nil
 }
 
 // Resend makes the next calls of Take return the sums of all endpoints, for a control host that may lack some of them.
 func (m *Meter) Resend() {
 	m.lock.Lock()
 	defer m.lock.Unlock()
+	m.resends, m.toResend = nil, map[string]bool{}
 	for _, e := range slices.Sorted(maps.Keys(m.endpoints)) {
-		m.enqueue(e)
+		if !m.queued[e] {
+			m.resends, m.toResend[e] = append(m.resends, e), true
+		}
 	}
 }
 
--- a/speed/state_test.go
+++ b/speed/state_test.go
@@ -190,3 +190,44 @@
 	i.Equal(o["gone"].At(0), 1.0)
 	i.True(slices.Contains(slices.Collect(maps.Keys(o)), "e89"))
 }
+
+// Guards against fresh measurements that wait behind all that is sent again after a new connection, and against messages with
+// endpoints whose samples have faded.
+func TestChangesComeBeforeWhatIsSentAgain(t *testing.T) {
+	i := is.New(t)
+	b := time.Unix(1000, 0)
+	m := speed.NewMeter()
+	observe := func(e string, born int64, now time.Time) {
+		m.Observe(speed.Sample{Kind: speed.Gap, Work: "w", Endpoint: e, Born: born, Factor: 1, Took: 0.03}, now)
+	}
+	for n := range 610 {
+		observe(fmt.Sprintf("e%03d", n), 1, b)
+	}
+	observe("old", 1, b.Add(-time.Hour))
+	takeAll(m, b)
+	m.Resend()
+	observe("e600", 1, b)
+	_, ok := m.Take(b)["e600"]
+	i.True(ok)
+	for _, l := range takeAll(m, b) {
+		for e, s := range l {
+			i.True(len(s.Cells) > 0)
+			i.True(e != "old" && e != "e600")
+		}
+	}
+	m.Resend()
+	i.Equal(len(takeAll(m, b.Add(time.Minute))), 0) // faded while they waited
+}
+
+// Guards against a late sample of an earlier start of an endpoint that wipes the sums of the later one.
+func TestLateSampleOfEarlierStartIsIgnored(t *testing.T) {
+	i := is.New(t)
+	b := time.Unix(1000, 0)
+	m := meterOf(b)
+	for _, n := range []int64{2, 2, 2, 1} {
+		m.Observe(speed.Sample{Kind: speed.Gap, Work: "w", Endpoint: "slow", Born: n, Factor: 1, Took: 0.06}, b)
+	}
+	s := takeAll(m, b)[0]["slow"]
+	i.Equal(s.Born, int64(2))
+	i.Equal(s.Cells[0].Count, int64(3000))
+}
