Ignore late samples of an earlier start of an endpoint

Cause: any sample of another start wiped the sums of the meter, also a late one of an earlier start. Change: samples of an earlier start than the known one are left out. Result: TestLateSampleOfEarlierStartIsIgnored, red before, passes.

--- a/speed/meter.go
+++ b/speed/meter.go
@@ -101,6 +101,9 @@
 		return
 	}
 	e := m.endpoints[s.Endpoint]
+	if s.Born < e.born {
+		return
+	}
 	if e.born != s.Born {
 		e = measured{born: s.Born}
 	}
