--- a/ctrl/speed.go
+++ b/ctrl/speed.go
@@ -12,7 +12,7 @@
 const (
 	// maxSpeedAge is how long factors of speed are reused.
 	maxSpeedAge = 250 * time.Millisecond
-	// speedSweepInterval is the interval at which faded samples are removed.
+	// speedSweepInterval is the least interval at which sweeps of faded samples begin.
 	speedSweepInterval = 10 * time.Second
 	// speedLearnTime is how long after its start a control host doesn't know all that entry hosts have measured.
 	speedLearnTime = 10 * time.Second
@@ -28,11 +28,13 @@
 	return r
 }
 
-// sweepSpeeds removes faded samples if it is due.
+// sweepSpeeds begins to remove faded samples if it is due, or goes on with that.
 func (t *transition) sweepSpeeds() {
-	if t.Now-t.speedsSweptAt >= speedSweepInterval {
-		t.speeds, t.speedsSweptAt = t.speeds.WithoutFaded(t.Now), t.Now
+	if t.Now-t.speedsSweptAt >= speedSweepInterval && !t.speeds.IsSweeping() {
+		t.speeds, t.speedsSweptAt = t.speeds.WithSweepBegun(t.Now), t.Now
+		return
 	}
+	t.speeds = t.speeds.WithSweepStep(t.Now)
 }
 
 // Speeds returns the factors of speed of the endpoints that were measured lately. Those that differ little from previous ones
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -116,7 +116,7 @@
 	Poison poison.State
 	// speeds is what entry hosts have measured of the speed of endpoints.
 	speeds speed.State
-	// speedsSweptAt is when faded samples were last removed from it.
+	// speedsSweptAt is when a sweep of faded samples last began.
 	speedsSweptAt  time.Duration
 	poisonRevision uint64
 	// poisonInbox holds the reports of it that aren't merged yet.
--- a/speed/meter.go
+++ b/speed/meter.go
@@ -176,6 +176,6 @@
 	}
 	m.sweptAt = now
 	maps.DeleteFunc(m.endpoints, func(e string, x measured) bool {
-		return !m.queued[e] && x.sums.faded(now.Sub(x.at)).count() < forgottenCount
+		return !m.queued[e] && x.sums.isFaded(now.Sub(x.at))
 	})
 }
--- a/speed/state_test.go
+++ b/speed/state_test.go
@@ -112,7 +112,7 @@
 	s := speed.NewState().WithReport("h", 1, takeAll(meterOf(b), b)[0], 0)
 	f := s.Estimate(0, endpointsOf(1), nil)["slow"].At(0)
 	i.True(s.Estimate(30*time.Second, endpointsOf(1), nil)["slow"].At(0) < f)
-	i.Equal(len(s.WithoutFaded(time.Minute).Estimate(time.Minute, endpointsOf(1), nil)), 0)
+	i.Equal(len(s.WithSweepBegun(time.Minute).Estimate(time.Minute, endpointsOf(1), nil)), 0)
 }
 
 // Guards against a message of another build or a damaged one that makes the estimate useless.
@@ -231,3 +231,46 @@
 	i.Equal(s.Born, int64(2))
 	i.Equal(s.Cells[0].Count, int64(3000))
 }
+
+// Guards against a sweep that holds up a control host's events, at a part of the target size, and against parts that stay.
+func TestSweepIsBoundedAtEachStep(t *testing.T) {
+	i := is.New(t)
+	const hosts, endpoints = 20, 270
+	b := time.Unix(1000, 0)
+	l := takeAll(meterOf(b), b)[0]["e1"]
+	r := map[string]speed.Sums{}
+	for _, e := range names(endpoints) {
+		r[e] = l
+	}
+	s := speed.NewState()
+	for h := range hosts {
+		s = s.WithReport(fmt.Sprint("h", h), 1, r, 0)
+	}
+	s = s.WithSweepBegun(time.Minute)
+	n := 0
+	for ; s.IsSweeping(); n++ {
+		s = s.WithSweepStep(time.Minute)
+	}
+	i.True(n >= hosts*endpoints/1000)
+	i.True(!s.WithSweepBegun(time.Minute).IsSweeping()) // nothing is left
+}
+
+// BenchmarkSweepStep measures what a step of a sweep costs a control host at the target size.
+func BenchmarkSweepStep(b *testing.B) {
+	now := time.Unix(1000, 0)
+	l := takeAll(meterOf(now), now)[0]["e1"]
+	r := map[string]speed.Sums{}
+	for _, e := range names(270) {
+		r[e] = l
+	}
+	s := speed.NewState()
+	for h := range 360 {
+		s = s.WithReport(fmt.Sprint("h", h), 1, r, 0)
+	}
+	x := s.WithSweepBegun(time.Minute)
+	for b.Loop() {
+		if x = x.WithSweepStep(time.Minute); !x.IsSweeping() {
+			x = s.WithSweepBegun(time.Minute)
+		}
+	}
+}
--- a/speed/sums.go
+++ b/speed/sums.go
@@ -65,6 +65,9 @@
 	return n
 }
 
+// isFaded reports whether the samples count so little some time later that they may be dropped.
+func (s sums) isFaded(d time.Duration) bool { return s.count()*fading(d) < forgottenCount }
+
 // Cell is a cell in a message, in thousandths.
 type Cell struct {
 	// Place is the number of the kind times Bands plus the band.
