Let factors fade where no control host that shares speeds is heard

Cause: factors on entry hosts had no age, so that a cut or a control host of an older build left them for ever. Change: SpeedUpdate.Shared says that a control host shares speeds. Factors count in full for 10 s after the last such reply and not at all 10 s later. They are kept, since the control host sends only changes when it is heard again. Result: TestFactorsFadeWithoutControlHostThatSharesThem, red without the fading, passes.

--- a/ctrl/speed.go
+++ b/ctrl/speed.go
@@ -79,9 +79,9 @@
 	c.update(s)
 	k := s.Now > speedLearnTime && s.Current()
 	if first || k && !sent.complete {
-		return ctlrpc.SpeedUpdate{New: k, Factors: c.factors}, sentSpeeds{c.factors, k}
+		return ctlrpc.SpeedUpdate{Shared: true, New: k, Factors: c.factors}, sentSpeeds{c.factors, k}
 	}
-	u := ctlrpc.SpeedUpdate{Factors: speed.Changes(sent.factors, c.factors, speed.MaxChanges)}
+	u := ctlrpc.SpeedUpdate{Shared: true, Factors: speed.Changes(sent.factors, c.factors, speed.MaxChanges)}
 	if len(u.Factors) == 0 {
 		return u, sent
 	}
--- a/ctrl/speed_test.go
+++ b/ctrl/speed_test.go
@@ -50,9 +50,10 @@
 	b = ctrl.NewReplyBuilder()
 	u := c.askSpeeds(b, a, ctlrpc.EntryState{SharesSpeeds: true})
 	i.True(u.Factors["slow"].At(0) > 1.3)
-	i.True(!u.New) // the control host has just started
+	i.True(u.Shared && !u.New) // the control host has just started
 	c.run(100 * time.Millisecond)
 	u = c.askSpeeds(b, a, ctlrpc.EntryState{SharesSpeeds: true, Control: c.hosts[a].state.StartID})
+	i.True(u.Shared)
 	i.Equal(len(u.Factors), 0)
 }
 
--- a/entry/speed.go
+++ b/entry/speed.go
@@ -31,6 +31,9 @@
 	if e.Relay.Speeds == nil {
 		return
 	}
+	if u.Shared {
+		e.Set.ConfirmSpeeds(time.Now())
+	}
 	h := e.Metrics.GetOrCreateHistogram("endpoint_speed_factor")
 	for _, c := range e.Set.SetSpeeds(u.Factors, u.New, time.Now()) {
 		h.Update(c.After.At(0))
--- a/pick/health.go
+++ b/pick/health.go
@@ -90,7 +90,7 @@
 	}
 	e := c.Wait
 	if !s.slowdownsFadedAt.IsZero() && n.report.Born == c.Born {
-		e = time.Duration(float64(c.Expected) * n.factor.At(c.Band) * n.slowdown)
+		e = time.Duration(float64(c.Expected) * s.factorAt(n, c.Band) * n.slowdown)
 	}
 	n.recordSuccess(way, wait, e)
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -179,6 +179,10 @@
 	hosts      hostList
 	// slowdownsFadedAt is when the slowdowns last faded, or the zero time where hosts don't share speeds.
 	slowdownsFadedAt time.Time
+	// speedsHeardAt is when a control host that shares speeds was last heard, or the zero time if none was. factorWeight is the
+	// exponent with which factors count since then, from 1 to 0.
+	speedsHeardAt time.Time
+	factorWeight  float64
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
 	departed map[string]departure
@@ -188,7 +192,7 @@
 
 // NewSet returns an empty set for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[ctlrpc.Pool]reach.Link{}, answeredAt: map[ctlrpc.Pool]time.Time{}, departed: map[string]departure{}}
+	return &Set{dataCentre: dataCentre, factorWeight: 1, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[ctlrpc.Pool]reach.Link{}, answeredAt: map[ctlrpc.Pool]time.Time{}, departed: map[string]departure{}}
 }
 
 // Choose returns the endpoint with the lowest cost, and counts the request as in flight there until RequestEnded.
@@ -204,7 +208,7 @@
 	s.usePermit(b, now, &c)
 	s.countChoice(b)
 	c.Wait, c.Expected = s.estimate(b, q), s.expected(b, q)
-	c.Factor, c.Band = b.speedFactor(q)
+	c.Factor, c.Band = s.speedFactor(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.local.Plus(b.remote), len(l)
 	c.Cached = q.CacheSaving > 0 && s.hasAffinity(b, q)
 	b.slots = q.Slots
@@ -222,6 +226,7 @@
 // best returns the endpoint with the lowest cost, or nil, and the endpoints compared. This host's preference decides only if the
 // endpoint with the lowest cost isn't the one that has what the request shares with others in its cache.
 func (s *Set) best(q Request, now time.Time) (*endpoint, []*endpoint) {
+	s.ageFactors(now)
 	l := s.candidates(q, now)
 	f := usualFaultRate(l, now)
 	var b, p *endpoint
@@ -350,7 +355,7 @@
 
 // estimate returns the estimated time to the start of the answer.
 func (s *Set) estimate(n *endpoint, q Request) time.Duration {
-	f, _ := n.speedFactor(q)
+	f, _ := s.speedFactor(n, q)
 	return time.Duration(float64(s.expected(n, q)) * f * n.slowdown)
 }
 
--- a/pick/speed.go
+++ b/pick/speed.go
@@ -16,6 +16,10 @@
 	// preferenceShare is the share of its estimate by which an endpoint counts as faster or slower at most for one host than
 	// for another. Hosts that know the same of endpoints would choose the same one until they hear of each other's requests.
 	preferenceShare = 0.3
+	// maxFactorAge is how long factors count in full after a control host that shares speeds was last heard, which is as long as
+	// samples tell anything. They are back at 1 factorFadeTime later.
+	maxFactorAge   = 10 * time.Second
+	factorFadeTime = 10 * time.Second
 )
 
 // SpeedChange is a factor of an endpoint that differs from the one before.
@@ -52,6 +56,32 @@
 	return r
 }
 
+// ConfirmSpeeds records that a control host that shares speeds was heard, so that the factors count in full.
+func (s *Set) ConfirmSpeeds(now time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.speedsHeardAt = now
+	s.ageFactors(now)
+}
+
+// ageFactors sets how much factors count at a time.
+func (s *Set) ageFactors(now time.Time) {
+	s.factorWeight = 1
+	if !s.speedsHeardAt.IsZero() {
+		d := now.Sub(s.speedsHeardAt) - maxFactorAge
+		s.factorWeight = 1 - min(1, max(0, d.Seconds()/factorFadeTime.Seconds()))
+	}
+}
+
+// factorAt returns the factor of an endpoint at a band of load, as far as it counts.
+func (s *Set) factorAt(n *endpoint, band int) float64 {
+	f := n.factor.At(band)
+	if s.factorWeight == 1 || f == 1 {
+		return f
+	}
+	return math.Pow(f, s.factorWeight)
+}
+
 // fadeSlowdowns lets slowdowns fade by the time since the last call.
 func (s *Set) fadeSlowdowns(now time.Time) {
 	if d := now.Sub(s.slowdownsFadedAt); !s.slowdownsFadedAt.IsZero() {
@@ -100,10 +130,10 @@
 	return o
 }
 
-// speedFactor returns the factor of the endpoint for another request at its known load, and the band of that load.
-func (n *endpoint) speedFactor(q Request) (factor float64, band int) {
+// speedFactor returns the factor of an endpoint for another request at its known load, and the band of that load.
+func (s *Set) speedFactor(n *endpoint, q Request) (factor float64, band int) {
 	band = speed.Band(n.local.Requests+n.remote.Requests, q.Slots)
-	return n.factor.At(band), band
+	return s.factorAt(n, band), band
 }
 
 // SpeedNow returns the band of the known load of an endpoint whose service has a number of slots for each, and the factor at that
@@ -116,5 +146,5 @@
 		return 0, 1, false
 	}
 	band = speed.Band(n.local.Requests+n.remote.Requests-1, slots)
-	return band, n.factor.At(band), true
+	return band, s.factorAt(n, band), true
 }
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -166,3 +166,17 @@
 	x := float64(c.Wait) / float64(c.Expected)
 	i.True(x > 1.9 && x < 2.1)
 }
+
+// Guards against factors that stay for ever at a host that is cut off, or whose control host is of a build that shares no speeds.
+func TestFactorsFadeWithoutControlHostThatSharesThem(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	s.SetSpeeds(map[string]speed.Factor{"e": double(5)}, true, epoch)
+	s.ConfirmSpeeds(epoch)
+	i.True(waitOf(s, q, epoch.Add(10*time.Second)).Factor > 1.9)
+	x := waitOf(s, q, epoch.Add(15*time.Second)).Factor
+	i.True(x > 1.3 && x < 1.5)
+	i.Equal(waitOf(s, q, epoch.Add(time.Minute)).Factor, 1.0)
+	s.ConfirmSpeeds(epoch.Add(time.Minute)) // the control host goes on with changes
+	i.True(waitOf(s, q, epoch.Add(time.Minute)).Factor > 1.9)
+}
--- a/pick/state.go
+++ b/pick/state.go
@@ -231,6 +231,7 @@
 func (s *Set) Queue(q Request, now time.Time) Queue {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.ageFactors(now)
 	q.Work, q.CacheSaving = 0, 0
 	l := s.candidates(q, now)
 	if len(l) == 0 {
