Keep the factor of an endpoint that comes back as the same start

Cause: a new address, or gone and back, made a new record without the factor, which the control host doesn't send again. Change: pick.Set keeps what control hosts last sent, and a record takes it over if the start (Born) is the same. Result: TestFactorStaysWithTheSameStart, red before, passes.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -179,6 +179,8 @@
 	hosts      hostList
 	// slowdownsFadedAt is when the slowdowns last faded, or the zero time where hosts don't share speeds.
 	slowdownsFadedAt time.Time
+	// factors holds what the control hosts last sent of factors of speed other than 1, by endpoint ID.
+	factors map[string]speed.Factor
 	// speedsHeardAt is when a control host that shares speeds was last heard, or the zero time if none was. factorWeight is the
 	// exponent with which factors count since then, from 1 to 0.
 	speedsHeardAt time.Time
--- a/pick/speed.go
+++ b/pick/speed.go
@@ -36,6 +36,7 @@
 	defer s.lock.Unlock()
 	s.fadeSlowdowns(now)
 	s.setPreferences()
+	s.keepFactors(factors, complete)
 	var r []SpeedChange
 	if complete {
 		for i, n := range s.endpoints {
@@ -56,6 +57,30 @@
 	return r
 }
 
+// keepFactors stores factors for endpoints that come back, or that this host doesn't know yet.
+func (s *Set) keepFactors(factors map[string]speed.Factor, complete bool) {
+	if complete || s.factors == nil {
+		s.factors = map[string]speed.Factor{}
+	}
+	for i, f := range factors {
+		switch o := s.factors[i]; {
+		case f.Born < o.Born:
+		case f == speed.Factor{Born: f.Born}:
+			delete(s.factors, i)
+		default:
+			s.factors[i] = f
+		}
+	}
+}
+
+// keptFactor returns the factor of a start of an endpoint as the control hosts last sent it.
+func (s *Set) keptFactor(id string, born int64) speed.Factor {
+	if f := s.factors[id]; f.Born == born {
+		return f
+	}
+	return speed.Factor{}
+}
+
 // ConfirmSpeeds records that a control host that shares speeds was heard, so that the factors count in full.
 func (s *Set) ConfirmSpeeds(now time.Time) {
 	s.lock.Lock()
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -180,3 +180,20 @@
 	s.ConfirmSpeeds(epoch.Add(time.Minute)) // the control host goes on with changes
 	i.True(waitOf(s, q, epoch.Add(time.Minute)).Factor > 1.9)
 }
+
+// Guards against a factor that is lost though the endpoint runs on: the control host sends only changes.
+func TestFactorStaysWithTheSameStart(t *testing.T) {
+	i := is.New(t)
+	s, q := speedSet()
+	s.SetSpeeds(map[string]speed.Factor{"e": double(5)}, false, epoch)
+	r := fleet.Report{ID: "e", Born: 5, Service: "s", DataCentre: "c", Address: "another", Sequence: 2}
+	s.Merge([]fleet.Report{r}, nil)
+	i.True(waitOf(s, q, epoch).Factor > 1.9)
+	s.Merge(nil, []string{"e"})
+	s.Merge([]fleet.Report{r}, nil)
+	i.True(waitOf(s, q, epoch).Factor > 1.9)
+	s.Merge(nil, []string{"e"})
+	s.SetSpeeds(map[string]speed.Factor{"e": {Born: 5}}, false, epoch)
+	s.Merge([]fleet.Report{r}, nil)
+	i.Equal(waitOf(s, q, epoch).Factor, 1.0)
+}
--- a/pick/state.go
+++ b/pick/state.go
@@ -81,7 +81,7 @@
 	s.cold.note(r, ok && !n.removed)
 	if !ok || n.report.Born != r.Born || n.report.Address != r.Address {
 		o := n
-		n = &endpoint{slowdown: 1}
+		n = &endpoint{slowdown: 1, factor: s.keptFactor(r.ID, r.Born)}
 		if ok {
 			n.local = o.local
 		}
