--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
 
@@ -74,6 +75,8 @@
 	sequence uint64
 	// hosts holds the names of the entry hosts that a control host last sent.
 	hosts []string
+	// loggedSpeeds holds the factors of speed that were last logged, by endpoint ID.
+	loggedSpeeds map[string]speed.Factor
 	// overdue holds the endpoints that the control host has no reports of.
 	overdue []string
 	// controls lists the peer addresses of the control hosts.
