Leave failures out of what tells the speed of endpoints

Cause: 4xx answers count as runs, so that an endpoint that refuses at once looked fast. Change: where hosts share speeds, answers with a status of 400 or more are no samples and change no slowdown. They end an ejection and lower the fault rate as before. Result: TestFailuresTellNoSpeed, red before for 404, passes.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -145,7 +145,7 @@
 	}
 	j.runs++
 	j.mayHaveRun, u.answering = true, true
-	u.recordStart(wait)
+	u.recordStart(wait, r.Status)
 	if u.isEvents(r) {
 		return u.relayStream(r)
 	}
@@ -249,10 +249,9 @@
 
 // recordStart records that the endpoint began a usable answer after wait. For a stream, the wait also updates the
 // measured prefill time of the model.
-func (u *upstreamAttempt) recordStart(wait time.Duration) {
-	u.job.relay.Endpoints.RecordStart(u.choice, u.way, wait)
+func (u *upstreamAttempt) recordStart(wait time.Duration, status int) {
+	u.recordSpeed(wait, status)
 	u.tallyAnswer(false, wait)
-	u.recordWaitSpeed(wait)
 	u.job.relay.demands.addWait(u.job.service.Name, wait, u.choice.Wait)
 	if u.job.route.Kind == table.Stream && !u.onTrial() {
 		u.job.relay.Prefill.Observe(u.job.model(), u.job.modelCost(u.job.model()), u.job.request.Prompt.Tokens, u.usualWait(wait), time.Duration(u.choice.Load.Backlog)*time.Millisecond)
--- a/relay/speed.go
+++ b/relay/speed.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/hickoryshelf/hickoryshelf/pick"
@@ -37,6 +38,17 @@
 	return u.job.relay.Speeds != nil && u.way == pick.Direct && !u.onTrial()
 }
 
+// recordSpeed records what the wait for the answer tells of the endpoint. Where hosts share speeds, that of a failure tells nothing of
+// its speed: it may refuse at once.
+func (u *upstreamAttempt) recordSpeed(wait time.Duration, status int) {
+	if u.job.relay.Speeds != nil && status >= http.StatusBadRequest {
+		u.job.relay.Endpoints.RecordSuccess(u.choice.ID, u.way, wait, 0)
+		return
+	}
+	u.job.relay.Endpoints.RecordStart(u.choice, u.way, wait)
+	u.recordWaitSpeed(wait)
+}
+
 // recordWaitSpeed adds the wait for the answer to the samples of the endpoint's speed, unless it was queued there or may have
 // been shortened by a cache.
 func (u *upstreamAttempt) recordWaitSpeed(wait time.Duration) {
--- a/relay/speed_test.go
+++ b/relay/speed_test.go
@@ -112,3 +112,25 @@
 		}
 	})
 }
+
+// Guards against an endpoint that looks fast because it refuses at once: failures tell nothing of its speed.
+func TestFailuresTellNoSpeed(t *testing.T) {
+	for _, status := range []int{200, 404} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			inSynctest(t, func(t *testing.T, i *is.I) {
+				h := newHarness(1, func(_ int, _ context.Context, _ relay.Attempt) relay.Reply {
+					r := ran("x")
+					r.Status = status
+					time.Sleep(30 * time.Millisecond)
+					return r
+				})
+				h.relay.Speeds = speed.NewMeter()
+				h.set.SetSpeeds(nil, true, time.Now())
+				for range 20 {
+					i.Equal(h.serve(t.Context(), "/look/a", "key").status, status)
+				}
+				i.Equal(len(h.relay.Speeds.Take(time.Now())) > 0, status == 200)
+			})
+		})
+	}
+}
