Cap the step by which slowdowns fade after a cut

Cause: the first exchange after a cut faded the slowdowns by the whole cut at once. Result: TestSlowdownOfAvoidedEndpointFades fades over 180 exchanges of a second now instead of one of three minutes, after which the slowdown has to remain; red before, passes.

--- a/pick/speed.go
+++ b/pick/speed.go
@@ -13,6 +13,9 @@
 	// slowdownMemory is the time in which a slowdown fades to 1/e of its logarithm where hosts share what they know of speeds.
 	// It is long against the time between two answers of an endpoint that is in use, so that it concerns avoided ones.
 	slowdownMemory = time.Minute
+	// maxSlowdownStep is the time by which slowdowns fade at most between two calls of SetSpeeds, so that a host that was cut off from
+	// the control hosts doesn't lose them all at once.
+	maxSlowdownStep = time.Second
 	// preferenceShare is the share of its estimate by which an endpoint counts as faster or slower at most for one host than
 	// for another. Hosts that know the same of endpoints would choose the same one until they hear of each other's requests.
 	preferenceShare = 0.3
@@ -107,10 +110,10 @@
 	return math.Pow(f, s.factorWeight)
 }
 
-// fadeSlowdowns lets slowdowns fade by the time since the last call.
+// fadeSlowdowns lets slowdowns fade by the time since the last call, up to maxSlowdownStep.
 func (s *Set) fadeSlowdowns(now time.Time) {
 	if d := now.Sub(s.slowdownsFadedAt); !s.slowdownsFadedAt.IsZero() {
-		x := math.Exp(-max(0, d).Seconds() / slowdownMemory.Seconds())
+		x := math.Exp(-min(maxSlowdownStep, max(0, d)).Seconds() / slowdownMemory.Seconds())
 		for _, n := range s.endpoints {
 			if n.slowdown != 1 {
 				n.slowdown = math.Pow(n.slowdown, x)
--- a/pick/speed_test.go
+++ b/pick/speed_test.go
@@ -65,7 +65,8 @@
 	i.Equal(waitOf(s, q, epoch).Factor, 1.0)
 }
 
-// Guards against a host that avoids an endpoint for good after momentary trouble, since an avoided endpoint gives no answers.
+// Guards against a host that avoids an endpoint for good after momentary trouble, since an avoided endpoint gives no answers, and
+// against one that forgets all at once after a cut.
 func TestSlowdownOfAvoidedEndpointFades(t *testing.T) {
 	i := is.New(t)
 	s, q := speedSet()
@@ -75,6 +76,10 @@
 	b := waitOf(s, q, epoch).Wait
 	s.SetSpeeds(nil, false, epoch.Add(3*time.Minute))
 	i.True(b > 150*time.Millisecond)
+	i.True(waitOf(s, q, epoch).Wait > b*9/10) // no host saw it during a cut
+	for k := range 180 {
+		s.SetSpeeds(nil, false, epoch.Add(3*time.Minute+time.Duration(k)*time.Second))
+	}
 	i.True(waitOf(s, q, epoch).Wait < 110*time.Millisecond)
 }
 
