--- a/ctrl/speed_test.go
+++ b/ctrl/speed_test.go
@@ -50,9 +50,10 @@
 	b = ctrl.NewReplyBuilder()
 	u := c.askSpeeds(b, a, ctlrpc.EntryState{SharesSpeeds: true})
 	i.True(u.Factors["slow"].At(0) > 1.3)
-	i.True(!u.New) // the control host has just started
+	i.True(u.Shared && !u.New) // the control host has just started
 	c.run(100 * time.Millisecond)
 	u = c.askSpeeds(b, a, ctlrpc.EntryState{SharesSpeeds: true, Control: c.hosts[a].state.StartID})
+	i.True(u.Shared)
 	i.Equal(len(u.Factors), 0)
 }
 
@@ -89,3 +90,26 @@
 	i.True(ok)
 	i.Equal(e.(ctrl.HostReported).Report.Speeds, ctlrpc.SpeedReport{"e1": l["e1"], "e2": l["e2"]})
 }
+
+// Guards against factors that stay at hosts that connected before the control host knew all: they get the complete ones once it does,
+// and not before it is current.
+func TestHostThatConnectsEarlyGetsCompleteSpeedsLater(t *testing.T) {
+	i := is.New(t)
+	c := newCluster(t, 3)
+	a, b := address(1), ctrl.NewReplyBuilder()
+	c.run(2 * time.Second)
+	i.True(!c.askSpeeds(b, a, ctlrpc.EntryState{SharesSpeeds: true}).New)
+	k := ctlrpc.EntryState{SharesSpeeds: true, Control: c.hosts[a].state.StartID}
+	c.run(9 * time.Second)
+	c.kill(address(0))
+	c.kill(address(2))
+	c.run(10 * time.Second)
+	i.True(!c.hosts[a].state.Current())
+	i.True(!c.askSpeeds(b, a, k).New)
+	c.start(address(0))
+	c.start(address(2))
+	c.run(3 * time.Second)
+	i.True(c.askSpeeds(b, a, k).New)
+	c.run(time.Second)
+	i.True(!c.askSpeeds(b, a, k).New) // once
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -127,6 +127,8 @@
 	// what this host has seen beyond that.
 	slowdown float64
 	factor   speed.Factor
+	// slots is Request.Slots of the last choice of the endpoint.
+	slots int
 	// preference is by how much this host prefers the endpoint to other hosts, below 1 if it does, or 0 where hosts don't share
 	// speeds.
 	preference float64
@@ -177,6 +179,12 @@
 	hosts      hostList
 	// slowdownsFadedAt is when the slowdowns last faded, or the zero time where hosts don't share speeds.
 	slowdownsFadedAt time.Time
+	// factors holds what the control hosts last sent of factors of speed other than 1, by endpoint ID.
+	factors map[string]speed.Factor
+	// speedsHeardAt is when a control host that shares speeds was last heard, or the zero time if none was. factorWeight is the
+	// exponent with which factors count since then, from 1 to 0.
+	speedsHeardAt time.Time
+	factorWeight  float64
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
 	departed map[string]departure
@@ -186,7 +194,7 @@
 
 // NewSet returns an empty set for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[ctlrpc.Pool]reach.Link{}, answeredAt: map[ctlrpc.Pool]time.Time{}, departed: map[string]departure{}}
+	return &Set{dataCentre: dataCentre, factorWeight: 1, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[ctlrpc.Pool]reach.Link{}, answeredAt: map[ctlrpc.Pool]time.Time{}, departed: map[string]departure{}}
 }
 
 // Choose returns the endpoint with the lowest cost, and counts the request as in flight there until RequestEnded.
@@ -202,9 +210,10 @@
 	s.usePermit(b, now, &c)
 	s.countChoice(b)
 	c.Wait, c.Expected = s.estimate(b, q), s.expected(b, q)
-	c.Factor, c.Band = b.speedFactor(q)
+	c.Factor, c.Band = s.speedFactor(b, q)
 	c.Endpoint.Report, c.Load, c.Candidates = b.report, b.local.Plus(b.remote), len(l)
 	c.Cached = q.CacheSaving > 0 && s.hasAffinity(b, q)
+	b.slots = q.Slots
 	b.local.Requests++
 	if b.limit.Rate > 0 {
 		b.bucket = b.bucket.WithRequest()
@@ -216,19 +225,28 @@
 	return c, true
 }
 
-// best returns the endpoint with the lowest cost, or nil, and the endpoints compared.
+// best returns the endpoint with the lowest cost, or nil, and the endpoints compared. This host's preference decides only if the
+// endpoint with the lowest cost isn't the one that has what the request shares with others in its cache.
 func (s *Set) best(q Request, now time.Time) (*endpoint, []*endpoint) {
+	s.ageFactors(now)
 	l := s.candidates(q, now)
 	f := usualFaultRate(l, now)
-	var b *endpoint
-	var m time.Duration
+	var b, p *endpoint
+	var m, o time.Duration
 	for _, n := range l {
 		e := s.estimate(n, q)
-		if k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, e) + n.preferencePenalty(e); b == nil || k < m {
+		k := s.cost(n, q, n.currentFaultRate(now)-f) + n.silencePenalty(now, e)
+		if b == nil || k < m {
 			b, m = n, k
 		}
+		if k += n.preferencePenalty(e); p == nil || k < o {
+			p, o = n, k
+		}
+	}
+	if p != b && q.CacheSaving > 0 && s.hasAffinity(b, q) {
+		return b, l
 	}
-	return b, l
+	return p, l
 }
 
 // Wait returns the estimated time to the start of the answer at the endpoint that Choose would return. ok is false if there
@@ -339,7 +357,7 @@
 
 // estimate returns the estimated time to the start of the answer.
 func (s *Set) estimate(n *endpoint, q Request) time.Duration {
-	f, _ := n.speedFactor(q)
+	f, _ := s.speedFactor(n, q)
 	return time.Duration(float64(s.expected(n, q)) * f * n.slowdown)
 }
 
--- a/pick/speed.go
+++ b/pick/speed.go
@@ -13,9 +13,16 @@
 	// slowdownMemory is the time in which a slowdown fades to 1/e of its logarithm where hosts share what they know of speeds.
 	// It is long against the time between two answers of an endpoint that is in use, so that it concerns avoided ones.
 	slowdownMemory = time.Minute
+	// maxSlowdownStep is the time by which slowdowns fade at most between two calls of SetSpeeds, so that a host that was cut off from
+	// the control hosts doesn't lose them all at once.
+	maxSlowdownStep = time.Second
 	// preferenceShare is the share of its estimate by which an endpoint counts as faster or slower at most for one host than
 	// for another. Hosts that know the same of endpoints would choose the same one until they hear of each other's requests.
 	preferenceShare = 0.3
+	// maxFactorAge is how long factors count in full after a control host that shares speeds was last heard, which is as long as
+	// samples tell anything. They are back at 1 factorFadeTime later.
+	maxFactorAge   = 10 * time.Second
+	factorFadeTime = 10 * time.Second
 )
 
 // SpeedChange is a factor of an endpoint that differs from the one before.
@@ -32,6 +39,7 @@
 	defer s.lock.Unlock()
 	s.fadeSlowdowns(now)
 	s.setPreferences()
+	s.keepFactors(factors, complete)
 	var r []SpeedChange
 	if complete {
 		for i, n := range s.endpoints {
@@ -52,10 +60,60 @@
 	return r
 }
 
-// fadeSlowdowns lets slowdowns fade by the time since the last call.
+// keepFactors stores factors for endpoints that come back, or that this host doesn't know yet.
+func (s *Set) keepFactors(factors map[string]speed.Factor, complete bool) {
+	if complete || s.factors == nil {
+		s.factors = map[string]speed.Factor{}
+	}
+	for i, f := range factors {
+		switch o := s.factors[i]; {
+		case f.Born < o.Born:
+		case f == speed.Factor{Born: f.Born}:
+			delete(s.factors, i)
+		default:
+			s.factors[i] = f
+		}
+	}
+}
+
+// keptFactor returns the factor of a start of an endpoint as the control hosts last sent it.
+func (s *Set) keptFactor(id string, born int64) speed.Factor {
+	if f := s.factors[id]; f.Born == born {
+		return f
+	}
+	return speed.Factor{}
+}
+
+// ConfirmSpeeds records that a control host that shares speeds was heard, so that the factors count in full.
+func (s *Set) ConfirmSpeeds(now time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.speedsHeardAt = now
+	s.ageFactors(now)
+}
+
+// ageFactors sets how much factors count at a time.
+func (s *Set) ageFactors(now time.Time) {
+	s.factorWeight = 1
+	if !s.speedsHeardAt.IsZero() {
+		d := now.Sub(s.speedsHeardAt) - maxFactorAge
+		s.factorWeight = 1 - min(1, max(0, d.Seconds()/factorFadeTime.Seconds()))
+	}
+}
+
+// factorAt returns the factor of an endpoint at a band of load, as far as it counts.
+func (s *Set) factorAt(n *endpoint, band int) float64 {
+	f := n.factor.At(band)
+	if s.factorWeight == 1 || f == 1 {
+		return f
+	}
+	return math.Pow(f, s.factorWeight)
+}
+
+// fadeSlowdowns lets slowdowns fade by the time since the last call, up to maxSlowdownStep.
 func (s *Set) fadeSlowdowns(now time.Time) {
 	if d := now.Sub(s.slowdownsFadedAt); !s.slowdownsFadedAt.IsZero() {
-		x := math.Exp(-max(0, d).Seconds() / slowdownMemory.Seconds())
+		x := math.Exp(-min(maxSlowdownStep, max(0, d)).Seconds() / slowdownMemory.Seconds())
 		for _, n := range s.endpoints {
 			if n.slowdown != 1 {
 				n.slowdown = math.Pow(n.slowdown, x)
@@ -87,11 +145,11 @@
 	return time.Duration(float64(estimate) * (n.preference - 1))
 }
 
-// setFactor sets the factor and returns the one before. As far as the slowdown explains the same, it is taken back, so that the
-// same slowness doesn't count twice.
+// setFactor sets the factor and returns the one before. As far as the slowdown explains the same at the known load, it is taken back,
+// so that the same slowness doesn't count twice.
 func (n *endpoint) setFactor(f speed.Factor) speed.Factor {
-	o := n.factor
-	if x := f.At(0) / o.At(0); n.slowdown > 1 && x > 1 {
+	o, b := n.factor, speed.Band(n.local.Requests+n.remote.Requests, n.slots)
+	if x := f.At(b) / o.At(b); n.slowdown > 1 && x > 1 {
 		n.slowdown = max(1, n.slowdown/x)
 	} else if n.slowdown < 1 && x < 1 {
 		n.slowdown = min(1, n.slowdown/x)
@@ -100,20 +158,21 @@
 	return o
 }
 
-// speedFactor returns the factor of the endpoint for another request at its known load, and the band of that load.
-func (n *endpoint) speedFactor(q Request) (factor float64, band int) {
+// speedFactor returns the factor of an endpoint for another request at its known load, and the band of that load.
+func (s *Set) speedFactor(n *endpoint, q Request) (factor float64, band int) {
 	band = speed.Band(n.local.Requests+n.remote.Requests, q.Slots)
-	return n.factor.At(band), band
+	return s.factorAt(n, band), band
 }
 
-// BandNow returns the band of the known load of an endpoint whose service has a number of slots for each. The request that asks
-// is part of that load and doesn't count. ok is false if the endpoint isn't known as the same start.
-func (s *Set) BandNow(id string, born int64, slots int) (band int, ok bool) {
+// SpeedNow returns the band of the known load of an endpoint whose service has a number of slots for each, and the factor at that
+// band. The request that asks is part of that load and doesn't count. ok is false if the endpoint isn't known as the same start.
+func (s *Set) SpeedNow(id string, born int64, slots int) (band int, factor float64, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
 	if !ok || n.report.Born != born {
-		return 0, false
+		return 0, 1, false
 	}
-	return speed.Band(n.local.Requests+n.remote.Requests-1, slots), true
+	band = speed.Band(n.local.Requests+n.remote.Requests-1, slots)
+	return band, s.factorAt(n, band), true
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -46,8 +46,10 @@
 	// was counted as slow.
 	tally canary.Tally
 	slow  bool
-	// gaps holds the times between events since the last sample of the endpoint's speed, where hosts share that.
-	gaps []time.Duration
+	// gaps is the number of times between events since the last sample of the endpoint's speed, where hosts share that.
+	// firstArrival and lastArrival are when the first and the last of these events came.
+	gaps                      int
+	firstArrival, lastArrival time.Time
 	// context is the context of the call of Sender.Send and of reading its reply.
 	context context.Context
 	// cancel cancels the call of Sender.Send and the reading of its reply, which stops the run at the endpoint.
@@ -143,7 +145,7 @@
 	}
 	j.runs++
 	j.mayHaveRun, u.answering = true, true
-	u.recordStart(wait)
+	u.recordStart(wait, r.Status)
 	if u.isEvents(r) {
 		return u.relayStream(r)
 	}
@@ -247,10 +249,9 @@
 
 // recordStart records that the endpoint began a usable answer after wait. For a stream, the wait also updates the
 // measured prefill time of the model.
-func (u *upstreamAttempt) recordStart(wait time.Duration) {
-	u.job.relay.Endpoints.RecordSuccess(u.choice.ID, u.way, wait, u.choice.Wait)
+func (u *upstreamAttempt) recordStart(wait time.Duration, status int) {
+	u.recordSpeed(wait, status)
 	u.tallyAnswer(false, wait)
-	u.recordWaitSpeed(wait)
 	u.job.relay.demands.addWait(u.job.service.Name, wait, u.choice.Wait)
 	if u.job.route.Kind == table.Stream && !u.onTrial() {
 		u.job.relay.Prefill.Observe(u.job.model(), u.job.modelCost(u.job.model()), u.job.request.Prompt.Tokens, u.usualWait(wait), time.Duration(u.choice.Load.Backlog)*time.Millisecond)
--- a/speed/state_test.go
+++ b/speed/state_test.go
@@ -112,7 +112,7 @@
 	s := speed.NewState().WithReport("h", 1, takeAll(meterOf(b), b)[0], 0)
 	f := s.Estimate(0, endpointsOf(1), nil)["slow"].At(0)
 	i.True(s.Estimate(30*time.Second, endpointsOf(1), nil)["slow"].At(0) < f)
-	i.Equal(len(s.WithoutFaded(time.Minute).Estimate(time.Minute, endpointsOf(1), nil)), 0)
+	i.Equal(len(s.WithSweepBegun(time.Minute).Estimate(time.Minute, endpointsOf(1), nil)), 0)
 }
 
 // Guards against a message of another build or a damaged one that makes the estimate useless.
@@ -190,3 +190,87 @@
 	i.Equal(o["gone"].At(0), 1.0)
 	i.True(slices.Contains(slices.Collect(maps.Keys(o)), "e89"))
 }
+
+// Guards against fresh measurements that wait behind all that is sent again after a new connection, and against messages with
+// endpoints whose samples have faded.
+func TestChangesComeBeforeWhatIsSentAgain(t *testing.T) {
+	i := is.New(t)
+	b := time.Unix(1000, 0)
+	m := speed.NewMeter()
+	observe := func(e string, born int64, now time.Time) {
+		m.Observe(speed.Sample{Kind: speed.Gap, Work: "w", Endpoint: e, Born: born, Factor: 1, Took: 0.03}, now)
+	}
+	for n := range 610 {
+		observe(fmt.Sprintf("e%03d", n), 1, b)
+	}
+	observe("old", 1, b.Add(-time.Hour))
+	takeAll(m, b)
+	m.Resend()
+	observe("e600", 1, b)
+	_, ok := m.Take(b)["e600"]
+	i.True(ok)
+	for _, l := range takeAll(m, b) {
+		for e, s := range l {
+			i.True(len(s.Cells) > 0)
+			i.True(e != "old" && e != "e600")
+		}
+	}
+	m.Resend()
+	i.Equal(len(takeAll(m, b.Add(time.Minute))), 0) // faded while they waited
+}
+
+// Guards against a late sample of an earlier start of an endpoint that wipes the sums of the later one.
+func TestLateSampleOfEarlierStartIsIgnored(t *testing.T) {
+	i := is.New(t)
+	b := time.Unix(1000, 0)
+	m := meterOf(b)
+	for _, n := range []int64{2, 2, 2, 1} {
+		m.Observe(speed.Sample{Kind: speed.Gap, Work: "w", Endpoint: "slow", Born: n, Factor: 1, Took: 0.06}, b)
+	}
+	s := takeAll(m, b)[0]["slow"]
+	i.Equal(s.Born, int64(2))
+	i.Equal(s.Cells[0].Count, int64(3000))
+}
+
+// Guards against a sweep that holds up a control host's events, at a part of the target size, and against parts that stay.
+func TestSweepIsBoundedAtEachStep(t *testing.T) {
+	i := is.New(t)
+	const hosts, endpoints = 20, 270
+	b := time.Unix(1000, 0)
+	l := takeAll(meterOf(b), b)[0]["e1"]
+	r := map[string]speed.Sums{}
+	for _, e := range names(endpoints) {
+		r[e] = l
+	}
+	s := speed.NewState()
+	for h := range hosts {
+		s = s.WithReport(fmt.Sprint("h", h), 1, r, 0)
+	}
+	s = s.WithSweepBegun(time.Minute)
+	n := 0
+	for ; s.IsSweeping(); n++ {
+		s = s.WithSweepStep(time.Minute)
+	}
+	i.True(n >= hosts*endpoints/1000)
+	i.True(!s.WithSweepBegun(time.Minute).IsSweeping()) // nothing is left
+}
+
+// BenchmarkSweepStep measures what a step of a sweep costs a control host at the target size.
+func BenchmarkSweepStep(b *testing.B) {
+	now := time.Unix(1000, 0)
+	l := takeAll(meterOf(now), now)[0]["e1"]
+	r := map[string]speed.Sums{}
+	for _, e := range names(270) {
+		r[e] = l
+	}
+	s := speed.NewState()
+	for h := range 360 {
+		s = s.WithReport(fmt.Sprint("h", h), 1, r, 0)
+	}
+	x := s.WithSweepBegun(time.Minute)
+	for b.Loop() {
+		if x = x.WithSweepStep(time.Minute); !x.IsSweeping() {
+			x = s.WithSweepBegun(time.Minute)
+		}
+	}
+}
