Ask once per choice which endpoints are cold

Cause: each choice read the clock of leases, two system calls, up to three times for each endpoint under the lock, and looked for permits among all of the host. Without use for it, usePermit read a later time than lacksPermit had. Change: the clock is read once per call; an endpoint's state is computed once per call; permits are kept by endpoint; wishes are looked for only if a cold endpoint was found.

--- a/pick/asks.go
+++ b/pick/asks.go
@@ -83,6 +83,7 @@
 func (s *Set) AsksWait(q Request, now time.Time) (w AsksWait, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.cold.begin()
 	var t limit.Rate
 	cold := false
 	for _, n := range s.endpoints {
@@ -116,6 +117,7 @@
 func (s *Set) BeginRelay(r fleet.Report, now time.Time) (rest time.Duration, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.cold.begin()
 	n, ok := s.endpoints[r.ID]
 	if !ok || !n.serves(r.Service) || n.report.Address != r.Address || n.report.Born != r.Born || s.links[n.pool()].State() == reach.Cut {
 		return 0, false
--- a/pick/links.go
+++ b/pick/links.go
@@ -160,6 +160,7 @@
 func (s *Set) DueProbes(now time.Time) []fleet.Report {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.cold.begin()
 	var r []fleet.Report
 	for p := range s.links {
 		s.setLink(p, s.links[p].At(now))
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -156,6 +156,8 @@
 	// cold is set if the endpoint counted as cold when that was last asked, and warmAt is when it last ceased to.
 	cold   bool
 	warmAt time.Time
+	// coldAsked is the number of the call in which that was last asked.
+	coldAsked uint64
 	// chosenAt is the number of the last choice of the endpoint among those of its service.
 	chosenAt uint64
 }
@@ -194,6 +196,7 @@
 func (s *Set) Choose(q Request, now time.Time) (c Choice, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.cold.begin()
 	b, l := s.best(q, now)
 	s.wish(q, b, now)
 	if b == nil {
@@ -236,6 +239,7 @@
 func (s *Set) Wait(q Request, now time.Time) (wait time.Duration, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.cold.begin()
 	b, _ := s.best(q, now)
 	if b == nil || s.ejected(b, q, now) {
 		return 0, false
@@ -283,7 +287,7 @@
 func (s *Set) preferUsable(endpoints []*endpoint, q Request, now time.Time) []*endpoint {
 	var usable, linked, all []*endpoint
 	for _, n := range endpoints {
-		if s.limited(n, now) || n.mustRest(q.Way, now) || s.lacksPermit(n, q.Way, now) {
+		if s.lacksPermit(n, q.Way, now) || s.limited(n, now) || n.mustRest(q.Way, now) {
 			continue
 		}
 		all = append(all, n)
--- a/pick/state.go
+++ b/pick/state.go
@@ -232,6 +232,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	q.Work, q.CacheSaving = 0, 0
+	s.cold.begin()
 	l := s.candidates(q, now)
 	if len(l) == 0 {
 		return Queue{}
--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -56,9 +56,14 @@
 // coldState is what a Set knows of cold endpoints. Without a clock the limits are off.
 type coldState struct {
 	// now is the clock of leases, which goes on while the machine is suspended.
-	now    func() time.Duration
-	limits map[string]ColdLimit
-	holder *warmup.Holder
+	now func() time.Duration
+	// at is the time of that clock, and asked the number, of the call that asks now which endpoints are cold. anyCold is set if it has
+	// found one.
+	at      time.Duration
+	asked   uint64
+	anyCold bool
+	limits  map[string]ColdLimit
+	holder  *warmup.Holder
 	// starts holds the newest start of each endpoint, by ID.
 	starts map[string]*start
 	// centres holds until when the endpoints of a data centre count as cold.
@@ -102,6 +107,15 @@
 	s.cold.limits = maps.Clone(limits)
 }
 
+// begin begins a call that asks which endpoints are cold. All that it asks holds for one time: the clock costs a system call.
+func (c *coldState) begin() {
+	if c.now != nil {
+		c.at = c.now()
+		c.asked++
+		c.anyCold = false
+	}
+}
+
 // TreatAsCold makes the endpoints of a data centre count as cold until a time, whatever they report.
 func (s *Set) TreatAsCold(dataCentre string, until time.Time) {
 	s.lock.Lock()
@@ -138,7 +152,7 @@
 	if c.now == nil {
 		return
 	}
-	n := c.now()
+	n := c.at
 	for i, o := range c.starts {
 		if endpoints[i] != nil {
 			o.knownAt = n
@@ -150,17 +164,23 @@
 	maps.DeleteFunc(c.wishes, func(_ string, t time.Duration) bool { return n-t > coldWishTime })
 }
 
-// isCold reports whether an endpoint counts as cold, so that requests to it need a permit. It records changes.
+// isCold reports whether an endpoint counts as cold, so that requests to it need a permit. It records changes. Within a call that begin
+// has begun, it decides once for each endpoint.
 func (s *Set) isCold(n *endpoint, now time.Time) bool {
 	c := &s.cold
 	if c.now == nil {
 		return false
 	}
+	if n.coldAsked == c.asked {
+		return n.cold
+	}
 	l, ok := c.limits[n.report.Service]
 	if !ok {
 		return false
 	}
 	v := now.Before(c.centres[n.report.DataCentre]) || s.startIsCold(n, l)
+	n.coldAsked = c.asked
+	c.anyCold = c.anyCold || v
 	if v != n.cold {
 		n.cold = v
 		if !v {
@@ -179,7 +199,7 @@
 	if !ok {
 		return true
 	}
-	t := s.cold.now()
+	t := s.cold.at
 	switch {
 	case o.left > 0, t < o.toldUntil:
 		return true
@@ -187,14 +207,17 @@
 		return true
 	}
 	// A refused connection may be the end of the start. Where the link is cut it tells nothing about the endpoint.
+	if o.refusedAt == 0 || t >= o.refusedAt+restartTime+l.Time {
+		return false
+	}
 	k := s.links[n.pool()].State()
-	return o.refusedAt > 0 && t < o.refusedAt+restartTime+l.Time && k != reach.Cut && k != reach.Returning
+	return k != reach.Cut && k != reach.Returning
 }
 
 // lacksPermit reports whether an endpoint is cold and this host may not send to it now. Requests that go through other hosts never
 // use a permit: the time between the choice and the sending isn't bounded for them.
 func (s *Set) lacksPermit(n *endpoint, way Way, now time.Time) bool {
-	return s.isCold(n, now) && (way != Direct || !s.cold.holder.Ready(n.report.ID, s.cold.now()))
+	return s.isCold(n, now) && (way != Direct || !s.cold.holder.Ready(n.report.ID, s.cold.at))
 }
 
 // usePermit uses a permit if the endpoint is cold. It is called right after lacksPermit was false.
@@ -202,16 +225,16 @@
 	if !s.isCold(n, now) {
 		return
 	}
-	c.permit, c.Cold = s.cold.holder.Use(n.report.ID, s.cold.now())
+	c.permit, c.Cold = s.cold.holder.Use(n.report.ID, s.cold.at)
 	s.cold.counts.Used++
 }
 
 // wish records the cold endpoints that a request would have gone to by their cost, or has gone to.
 func (s *Set) wish(q Request, chosen *endpoint, now time.Time) {
-	if _, ok := s.cold.limits[q.Service]; !ok || s.cold.now == nil || q.Way != Direct {
+	if !s.cold.anyCold || q.Way != Direct {
 		return
 	}
-	t, missed := s.cold.now(), false
+	t, missed := s.cold.at, false
 	var most time.Duration // the cost of the chosen one
 	if chosen != nil {
 		most = s.cost(chosen, q, 0)
@@ -267,7 +290,7 @@
 // endpoint became cold, and finds that one idle by the loads that it knows: it must not send all there.
 func (s *Set) spread(endpoints []*endpoint, q Request) []*endpoint {
 	c := &s.cold
-	if _, ok := c.limits[q.Service]; !ok || c.now == nil || c.now() < c.touchedAt+touchTime {
+	if _, ok := c.limits[q.Service]; !ok || c.now == nil || c.at < c.touchedAt+touchTime {
 		return endpoints
 	}
 	least, k := uint64(float64(len(endpoints))*restShare), c.choices[q.Service]
@@ -320,8 +343,9 @@
 	if c.now == nil {
 		return nil
 	}
+	c.begin()
 	c.forget(s.endpoints)
-	t := c.now()
+	t := c.at
 	var r []warmup.Wish
 	for i := range c.wishes {
 		n, ok := s.endpoints[i]
@@ -374,6 +398,7 @@
 		return s.cold.now() <= c.permit.SendBy()
 	}
 	n, ok := s.endpoints[c.ID]
+	s.cold.begin()
 	return !ok || !s.isCold(n, now)
 }
 
@@ -382,10 +407,11 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n, ok := s.endpoints[id]
+	s.cold.begin()
 	if !ok || !s.isCold(n, now) {
 		return true
 	}
-	_, ok = s.cold.holder.Use(id, s.cold.now())
+	_, ok = s.cold.holder.Use(id, s.cold.at)
 	return ok
 }
 
--- a/warmup/holder.go
+++ b/warmup/holder.go
@@ -6,7 +6,10 @@
 )
 
 // Holder holds the permits of one entry host. It isn't safe for concurrent use. Create it with NewHolder.
-type Holder struct{ grants map[grantKey]grant }
+type Holder struct {
+	// grants holds the permits by endpoint and control host.
+	grants map[string]map[string]grant
+}
 
 // grantKey names the part of a control host in the limit of an endpoint. control identifies the process of the control host.
 type grantKey struct{ control, endpoint string }
@@ -21,25 +24,37 @@
 }
 
 // NewHolder returns a holder without permits.
-func NewHolder() *Holder { return &Holder{grants: map[grantKey]grant{}} }
+func NewHolder() *Holder { return &Holder{grants: map[string]map[string]grant{}} }
 
 // Accept takes over what a control host has lent in reply to what this host asked at askedAt. control identifies its process. A permit
 // that isn't lent again ends with its lease.
 func (h *Holder) Accept(control string, permits []Permit, askedAt, now time.Duration) {
-	maps.DeleteFunc(h.grants, func(_ grantKey, g grant) bool { return g.isOver(now) })
+	for e, l := range h.grants {
+		maps.DeleteFunc(l, func(_ string, g grant) bool { return g.isOver(now) })
+		if len(l) == 0 {
+			delete(h.grants, e)
+		}
+	}
 	for _, p := range permits {
-		k := grantKey{control, p.Endpoint}
-		g, ok := h.grants[k]
+		g, ok := h.grants[p.Endpoint][control]
 		if !ok {
 			g.from = askedAt + p.Delay
 		}
 		if u := askedAt + p.Lease; u > g.until {
 			g.until, g.interval = u, max(p.Interval, 1)
-			h.grants[k] = g
+			h.store(grantKey{control, p.Endpoint}, g)
 		}
 	}
 }
 
+// store stores a grant.
+func (h *Holder) store(k grantKey, g grant) {
+	if h.grants[k.endpoint] == nil {
+		h.grants[k.endpoint] = map[string]grant{}
+	}
+	h.grants[k.endpoint][k.control] = g
+}
+
 // isOver reports whether nothing follows from a grant any more. The last use counts for an interval: the same control host may lend
 // the permit again at once.
 func (g grant) isOver(now time.Duration) bool {
@@ -62,9 +77,9 @@
 
 // ready returns the grant under which a request may be sent.
 func (h *Holder) ready(endpoint string, now time.Duration) (grantKey, bool) {
-	for k, g := range h.grants {
-		if k.endpoint == endpoint && now < g.until && now >= g.readyAt() {
-			return k, true
+	for c, g := range h.grants[endpoint] {
+		if now < g.until && now >= g.readyAt() {
+			return grantKey{c, endpoint}, true
 		}
 	}
 	return grantKey{}, false
@@ -72,8 +87,8 @@
 
 // Has reports whether the host holds a permit for an endpoint, whether a request may be sent now or not.
 func (h *Holder) Has(endpoint string, now time.Duration) bool {
-	for k, g := range h.grants {
-		if k.endpoint == endpoint && now < g.until {
+	for _, g := range h.grants[endpoint] {
+		if now < g.until {
 			return true
 		}
 	}
@@ -83,9 +98,11 @@
 // Held returns the number of permits that the host holds.
 func (h *Holder) Held(now time.Duration) int {
 	n := 0
-	for _, g := range h.grants {
-		if now < g.until {
-			n++
+	for _, l := range h.grants {
+		for _, g := range l {
+			if now < g.until {
+				n++
+			}
 		}
 	}
 	return n
@@ -108,18 +125,18 @@
 	if !ok {
 		return Use{}, false
 	}
-	g := h.grants[k]
+	g := h.grants[k.endpoint][k.control]
 	u = Use{key: k, at: now, before: g}
 	g.used, g.usedAt = true, now
-	h.grants[k] = g
+	h.store(k, g)
 	return u, true
 }
 
 // Return takes back the use of a permit whose request wasn't sent and never will be.
 func (h *Holder) Return(u Use) {
-	g, ok := h.grants[u.key]
+	g, ok := h.grants[u.key.endpoint][u.key.control]
 	if ok && g.used && g.usedAt == u.at {
 		g.used, g.usedAt = u.before.used, u.before.usedAt
-		h.grants[u.key] = g
+		h.store(u.key, g)
 	}
 }
