Take reports without cold-left-ms for warm ones where cold endpoints have no limit

Cause: control hosts set ColdLeft to -1 for heartbeats without cold-left-ms also without the settings, where it was 0 before. That goes into messages, the memory file and the fingerprints of the fleet, so that control hosts of two builds disagreed on each such endpoint. Change: -1 only where the control host has a limit of cold endpoints.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	a := &http.Server{Handler: platform.NewAdmin(h, platform.AdminOptions{DataCentres: n.settings.DrainableCentres()}), ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	a := &http.Server{Handler: platform.NewAdmin(h, platform.AdminOptions{DataCentres: n.settings.DrainableCentres(), LimitsCold: n.settings.Bounds.ColdLimits().On()}), ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	s := n.newServer(a, l[1], "endpoints-and-operators")
 	go s.run()
 	n.stop = func() {
