Believe a control host that an endpoint is warm once the cold report is stale

Cause: a host that had heard only from one control host that an endpoint is cold kept it cold for good once that control host ended: the next one held an older report that says warm, and passes on no later report that says the same. Change: once the time that the newest report named, cold-s and 3 s have passed, the report in force counts, if a current control host replied within the last second. Result: the test, in which no request ever reached the endpoint before, passes.

--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -130,6 +130,20 @@
 	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"c": 100})
 }
 
+// Guards against an endpoint that stays cold for good at a host whose control host ended after it alone had heard of the warm-up: the
+// others know an older report that says warm, and send none of the later ones that say the same.
+func TestColdReportThatNoOtherControlHostKnowsEnds(t *testing.T) {
+	i := is.New(t)
+	s, d := coldSet(0)
+	s.Merge([]fleet.Report{coldReport("c", 1, 9, time.Second)}, nil)
+	s.Replace([]fleet.Report{coldReport("c", 1, 7, 0), coldReport("w", 1, 1, 0)})
+	i.Equal(chosen(s, d, onlyCold, time.Second+coldTime), map[string]int{"none": 400}) // a report that it is cold again may be under way
+	*d += time.Minute
+	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"none": 100}) // no control host tells the newest state
+	s.Touch()
+	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"c": 100})
+}
+
 // Guards against hosts that send all to the endpoints of a data centre whose drain has just ended, of which nobody knows whether they are
 // cold.
 func TestEndpointsOfCentreCountAsColdForATime(t *testing.T) {
--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -27,6 +27,9 @@
 	restShare = 0.75
 	// restartTime is how long after a refused connection an endpoint may have started again without this host's notice.
 	restartTime = 2 * time.Second
+	// staleTime is how long, beyond cold-s, a host waits for a later report after the time that the newest one named as left, before it
+	// believes its control host that the endpoint is warm. Endpoints report about each second.
+	staleTime = 3 * time.Second
 	// maxColdChanges bounds the changes that are kept until they are taken.
 	maxColdChanges = 64
 )
@@ -82,6 +85,8 @@
 type start struct {
 	born, sequence int64
 	left           time.Duration
+	// reportedAt is when the newest report was heard.
+	reportedAt time.Duration
 	// heardAt is when the start was heard of first, and knownAt when its endpoint was known last.
 	heardAt, knownAt time.Duration
 	// refusedAt is when the endpoint's host last refused a connection, which may be the end of this start, or 0.
@@ -134,9 +139,9 @@
 	o, ok := c.starts[r.ID]
 	switch {
 	case !ok, r.Born > o.born, r.Born == 0 && o.born == 0 && !known && r.Sequence < o.sequence:
-		c.starts[r.ID] = &start{born: r.Born, sequence: r.Sequence, left: r.ColdLeft, heardAt: c.now(), knownAt: c.now()}
+		c.starts[r.ID] = &start{born: r.Born, sequence: r.Sequence, left: r.ColdLeft, reportedAt: c.now(), heardAt: c.now(), knownAt: c.now()}
 	case r.Born == o.born && r.Sequence > o.sequence:
-		o.sequence, o.left, o.refusedAt = r.Sequence, r.ColdLeft, 0
+		o.sequence, o.left, o.reportedAt, o.refusedAt = r.Sequence, r.ColdLeft, c.now(), 0
 	}
 }
 
@@ -200,6 +205,9 @@
 		return true
 	}
 	t := s.cold.at
+	if s.isStale(o, n, l) {
+		o.left = 0
+	}
 	switch {
 	case o.left > 0, t < o.toldUntil:
 		return true
@@ -214,6 +222,13 @@
 	return k != reach.Cut && k != reach.Returning
 }
 
+// isStale reports whether the newest report of a start says that the endpoint is cold, and is known to none of the control hosts any more:
+// the one that had it has ended. The others hold an older one that says warm, and pass on later ones only if they say something else.
+func (s *Set) isStale(o *start, n *endpoint, l ColdLimit) bool {
+	c := &s.cold
+	return o.left > 0 && n.report.ColdLeft == 0 && n.report.Born == o.born && c.at < c.touchedAt+touchTime && c.at >= o.reportedAt+o.left+l.Time+staleTime
+}
+
 // lacksPermit reports whether an endpoint is cold and this host may not send to it now. Requests that go through other hosts never
 // use a permit: the time between the choice and the sending isn't bounded for them.
 func (s *Set) lacksPermit(n *endpoint, way Way, now time.Time) bool {
