Ask again whether an endpoint is cold before a request of another host is sent

An endpoint that turned cold while the body came, or while the connection opened, still got the request. Result: two tests, red before: the call is declined, or reaches the origin as one that has not run, without a status.

--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -417,6 +417,15 @@
 	return !ok || !s.isCold(n, now)
 }
 
+// IsCold reports whether an endpoint is cold, so that a request of another host must not be sent to it.
+func (s *Set) IsCold(id string, now time.Time) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.cold.begin()
+	n, ok := s.endpoints[id]
+	return ok && s.isCold(n, now)
+}
+
 // MayProbe reports whether a probe may be sent to an endpoint, and uses a permit if it is cold.
 func (s *Set) MayProbe(id string, now time.Time) bool {
 	s.lock.Lock()
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -23,6 +23,7 @@
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/proxy"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 // endpoint is the one that attempts of the tests go to.
@@ -79,15 +80,33 @@
 	return startHelpingOn(t, l, answer)
 }
 
+// startColdHelping is like startHelping with a limit of cold endpoints.
+func startColdHelping(t testing.TB, answer func(context.Context) relay.Reply) *helping {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := startLimitedHelping(t, l, answer, warmup.Limits{Overage: 1.5, Slack: 5})
+	h.set.SetColdLimits(map[string]pick.ColdLimit{"s": {Rate: 10, Time: time.Second}})
+	return h
+}
+
 // startHelpingOn is like startHelping on a listener of the test's own.
 func startHelpingOn(t testing.TB, l net.Listener, answer func(context.Context) relay.Reply) *helping {
+	t.Helper()
+	return startLimitedHelping(t, l, answer, warmup.Limits{})
+}
+
+// startLimitedHelping is like startHelpingOn with limits of cold endpoints.
+func startLimitedHelping(t testing.TB, l net.Listener, answer func(context.Context) relay.Reply, cold warmup.Limits) *helping {
 	t.Helper()
 	g, k := logtest.NewNullLogger()
 	h := &helping{sender: &sender{answer: answer}, bound: assist.NewBound(0, 0), log: k}
 	p := pick.NewSet("c")
-	p.Replace([]fleet.Report{endpoint})
 	h.set = p
-	r := relay.New(relay.Options{Sender: h.sender, Endpoints: p, Log: g, Metrics: metrics.NewSet(), Budget: budget.NewHost(budget.Limits{Ratio: 1, Slack: 1, Window: time.Second})})
+	r := relay.New(relay.Options{Cold: cold, Sender: h.sender, Endpoints: p, Log: g, Metrics: metrics.NewSet(), Budget: budget.NewHost(budget.Limits{Ratio: 1, Slack: 1, Window: time.Second})})
+	p.Replace([]fleet.Report{endpoint})
 	h.address = l.Addr().String()
 	s := proxy.NewServer(proxy.Options{Token: "secret", Relay: r, Bound: h.bound, Stopping: func() bool { return h.stopping }, Log: g, Metrics: metrics.NewSet()})
 	h.server = s
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -232,6 +232,9 @@
 	if s.Relay.Endpoints.InDrainedCentre(v.Endpoint) { // since the call came
 		return c.decline(refusalOfDrained(), 0, l)
 	}
+	if s.Relay.Endpoints.IsCold(v.Endpoint.ID, time.Now()) {
+		return c.decline(refusal{Reason: "endpoint cold", RetryAfterMS: unreachablePause.Milliseconds()}, 0, l)
+	}
 	if !s.calls.begin(v.ID, n) {
 		return c.decline(refusal{Reason: "revoked"}, 0, l)
 	}
@@ -290,7 +293,9 @@
 	w := leaveWatch{c, f, c.watched}
 	go w.run()
 	t := time.Now()
-	r := c.server.Relay.Sender.Send(ctx, v.attempt(b, c.server.Bound.Origins(t)))
+	a := v.attempt(b, c.server.Bound.Origins(t))
+	a.MaySend = c.server.Relay.RelayedLimit(v.Endpoint.ID)
+	r := c.server.Relay.Sender.Send(ctx, a)
 	c.server.Relay.RecordOpening(v.Endpoint.ID, t, r)
 	if r.Status != 0 {
 		c.server.Relay.Endpoints.RecordAsks(v.Endpoint.ID, pick.Direct, r.Asks, time.Now())
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -50,3 +50,12 @@
 		u.order.MaySend = func() bool { return r.Endpoints.MayStillSend(c, time.Now()) }
 	}
 }
+
+// RelayedLimit returns what keeps a request of another host from being sent to an endpoint that has become cold, or nil without limits of cold
+// endpoints.
+func (r *Relay) RelayedLimit(endpoint string) func() bool {
+	if !r.Cold.On() {
+		return nil
+	}
+	return func() bool { return !r.Endpoints.IsCold(endpoint, time.Now()) }
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -91,7 +91,7 @@
 	MaxConnections int
 	// Repeated is set if the request was sent to this endpoint before, so that the ID doesn't tell the answers apart.
 	Repeated bool
-	// MaySend reports whether the request may still be sent. It is asked immediately before, on attempts that are sent directly, and nil
+	// MaySend reports whether the request may still be sent. It is asked immediately before, by the host that sends to the endpoint, and nil
 	// if the request may be sent at any time.
 	MaySend func() bool
 	// Unheard is called, from any goroutine and again while that lasts, when the host between doesn't say in time whether it has begun;
