Don't make an endpoint cold that refuses connections beyond its limit

Cause: one refused connection made a warm endpoint cold for cold-s + 2 s. Later reports of the same say nothing new and aren't passed on, so that nothing ended this: endpoints at their limit of connections would be cut to the rate of cold ones under overload. Change: two refusals are needed, one after the other. An answer to a request that was sent after the refusal on a connection from before it ends the state. One on a newer connection doesn't, as the next start may give it.

--- a/dial/pool.go
+++ b/dial/pool.go
@@ -33,6 +33,8 @@
 	Reader *bufio.Reader
 	// Reused is true when the connection comes from the pool and has served an earlier request.
 	Reused bool
+	// Opened is when the connection had been opened.
+	Opened time.Time
 	// source is what Reader reads from.
 	source  *boundedReader
 	address string
@@ -106,7 +108,7 @@
 		}
 	}
 	s := &boundedReader{conn: n, left: math.MaxInt64}
-	return &Conn{Conn: n, Reader: bufio.NewReaderSize(s, readBufferBytes), source: s, address: address}, nil
+	return &Conn{Conn: n, Reader: bufio.NewReaderSize(s, readBufferBytes), source: s, address: address, Opened: time.Now()}, nil
 }
 
 // ErrTooLong is returned by reads of a connection that has sent more than it may.
--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/reach"
 	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
@@ -144,6 +145,32 @@
 	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"c": 100})
 }
 
+// Guards against an endpoint that refuses connections beyond its limit and is cut to the rate of cold ones for that, and against requests to
+// the next start of one that has ended: only answers on connections from before the refusals tell that it still runs.
+func TestRefusedConnectionsMakeEndpointColdUnlessItStillRuns(t *testing.T) {
+	i := is.New(t)
+	s, d := coldSet(0)
+	at := func() time.Time { return epoch.Add(*d) }
+	refuse := func() {
+		*d += 100 * time.Millisecond
+		s.RecordOpening(reach.Opening{Endpoint: "c", Began: at(), Ended: at(), Outcome: reach.Refused})
+		s.RecordOpening(reach.Opening{Endpoint: "c", Began: at(), Ended: at(), Outcome: reach.Refused}) // at the same time
+	}
+	runs := func(opened, sent time.Duration) { s.ConfirmStart("c", epoch.Add(opened), epoch.Add(sent)) }
+	refuse()
+	i.True(!s.IsCold("c", at()))
+	runs(*d-time.Millisecond, *d+time.Millisecond)
+	refuse()
+	i.True(!s.IsCold("c", at()))
+	refuse()
+	i.True(s.IsCold("c", at()))
+	runs(*d-time.Millisecond, *d-time.Millisecond) // may have been answered before the end
+	runs(*d+time.Millisecond, *d+time.Millisecond) // may be the next start
+	i.True(s.IsCold("c", at()))
+	runs(0, *d+time.Millisecond)
+	i.True(!s.IsCold("c", at()))
+}
+
 // Guards against hosts that send all to the endpoints of a data centre whose drain has just ended, of which nobody knows whether they are
 // cold.
 func TestEndpointsOfCentreCountAsColdForATime(t *testing.T) {
--- a/pick/links.go
+++ b/pick/links.go
@@ -49,7 +49,7 @@
 		n.openFailingSince, n.openFailedAt, n.probedAt = time.Time{}, time.Time{}, o.Ended
 	case reach.Refused, reach.Silent:
 		if k := s.cold.starts[o.Endpoint]; k != nil && o.Outcome == reach.Refused {
-			k.refusedAt = s.cold.now()
+			k.refused(o.Began, o.Ended, s.cold.now())
 		}
 		if n.openFailingSince.IsZero() {
 			n.openFailingSince = o.Began
@@ -113,7 +113,7 @@
 			n.paths[Direct] = pathHealth{}
 			n.openFailingSince, n.openFailedAt = time.Time{}, time.Time{}
 			if k := s.cold.starts[n.report.ID]; k != nil {
-				k.refusedAt = 0 // the link was cut
+				k.runs() // the link was cut
 			}
 		}
 	}
--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -27,6 +27,9 @@
 	restShare = 0.75
 	// restartTime is how long after a refused connection an endpoint may have started again without this host's notice.
 	restartTime = 2 * time.Second
+	// restartRefusals is the number of connections, each tried after the refusal of the one before, whose refusal makes an endpoint count as
+	// ended. One that refuses connections beyond its limit answers on others in between.
+	restartRefusals = 2
 	// staleTime is how long, beyond cold-s, a host waits for a later report after the time that the newest one named as left, before it
 	// believes its control host that the endpoint is warm. Endpoints report about each second.
 	staleTime = 3 * time.Second
@@ -89,7 +92,11 @@
 	reportedAt time.Duration
 	// heardAt is when the start was heard of first, and knownAt when its endpoint was known last.
 	heardAt, knownAt time.Duration
-	// refusedAt is when the endpoint's host last refused a connection, which may be the end of this start, or 0.
+	// refusals counts the connections that the endpoint's host refused one after the other, up to restartRefusals, since the start was
+	// last known to run. The last of them was tried from refusalBegan to refusalEnded.
+	refusals                   int
+	refusalBegan, refusalEnded time.Time
+	// refusedAt is when the last one was refused since there are that many, or 0: the start has probably ended.
 	refusedAt time.Duration
 	// toldUntil is until when an answer of the endpoint has said that it is cold, or 0.
 	toldUntil time.Duration
@@ -141,7 +148,32 @@
 	case !ok, r.Born > o.born, r.Born == 0 && o.born == 0 && !known && r.Sequence < o.sequence:
 		c.starts[r.ID] = &start{born: r.Born, sequence: r.Sequence, left: r.ColdLeft, reportedAt: c.now(), heardAt: c.now(), knownAt: c.now()}
 	case r.Born == o.born && r.Sequence > o.sequence:
-		o.sequence, o.left, o.reportedAt, o.refusedAt = r.Sequence, r.ColdLeft, c.now(), 0
+		o.sequence, o.left, o.reportedAt = r.Sequence, r.ColdLeft, c.now()
+		o.runs()
+	}
+}
+
+// refused records that the endpoint's host refused a connection.
+func (o *start) refused(began, ended time.Time, now time.Duration) {
+	if o.refusals > 0 && !began.After(o.refusalEnded) {
+		return // tried at the same time as the one before
+	}
+	o.refusals, o.refusalBegan, o.refusalEnded = min(o.refusals+1, restartRefusals), began, ended
+	if o.refusals == restartRefusals {
+		o.refusedAt = now
+	}
+}
+
+// runs records that the start hasn't ended.
+func (o *start) runs() { o.refusals, o.refusedAt = 0, 0 }
+
+// ConfirmStart records that an endpoint has answered a request that was sent at a time on a connection that opened at another one. If
+// it opened before a connection was refused, and the request was sent after that, the refusal wasn't the end of the start.
+func (s *Set) ConfirmStart(id string, opened, sent time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if o := s.cold.starts[id]; o != nil && o.refusals > 0 && opened.Before(o.refusalBegan) && sent.After(o.refusalEnded) {
+		o.runs()
 	}
 }
 
--- a/relay/links.go
+++ b/relay/links.go
@@ -174,6 +174,9 @@
 // none opened, or 0.
 func (r *Relay) RecordOpening(endpoint string, sent time.Time, p Reply) time.Duration {
 	n := time.Now()
+	if p.Status != 0 && !p.ConnectedAt.IsZero() {
+		r.Endpoints.ConfirmStart(endpoint, p.ConnectedAt, sent)
+	}
 	o := reach.Opening{Endpoint: endpoint, Began: sent, Ended: n}
 	switch {
 	case p.Connected && p.Status != 0:
--- a/relay/request.go
+++ b/relay/request.go
@@ -138,6 +138,8 @@
 	Refused bool
 	// Connected is set if a connection was opened for the attempt, rather than one used again.
 	Connected bool
+	// ConnectedAt is when the connection of the answer had been opened, if a host sends it directly.
+	ConnectedAt time.Time
 	// Unreachable is set if no connection to the endpoint could be made, so that no byte of the request reached it.
 	Unreachable bool
 }
