Keep permits within the limit while the number of control hosts changes

Cause: while some control hosts know n of them and others n+1, the permits of n let more through: 9 of 11 and 3 of 12 let 21 requests through where 20 are allowed. A control host that isn't in the list lent as the first of it, and one that isn't current by an old list. Change: the lenders of n are bounded by those of n-1 and what these leave of the limit. Control hosts that aren't in the list, or aren't current, lend nothing.

--- a/ctrl/permits.go
+++ b/ctrl/permits.go
@@ -11,10 +11,14 @@
 )
 
 // permitRequest returns what the lender of permits has to know of what an entry host asks. The rank of this control host is the place
-// of its address among those in the control log.
-func (s State) permitRequest(host string, start int64, w ctlrpc.WarmUp) warmup.Request {
-	q := warmup.Request{Host: host, Start: start, Wishes: w.Wishes, Limits: s.ColdLimits, Controls: s.lenders()}
-	q.Rank = max(0, slices.Index(s.ControlAddresses(), Address(s.Node)))
+// of its address among those in the control log. One that isn't among them lends nothing, and neither does one that isn't current at now: it may
+// know an old number of control hosts.
+func (s State) permitRequest(host string, start int64, w ctlrpc.WarmUp, now time.Duration) warmup.Request {
+	q := warmup.Request{Host: host, Start: start, Wishes: w.Wishes, Limits: s.ColdLimits, Rank: -1}
+	if len(w.Wishes) == 0 || !s.At(now).Current() {
+		return q
+	}
+	q.Controls, q.Rank = s.lenders(), slices.Index(s.ControlAddresses(), Address(s.Node))
 	return q
 }
 
@@ -23,7 +27,7 @@
 func (t *ReplyBuilder) LendPermits(s State, q ctlrpc.PermitRequest, now time.Duration) ctlrpc.PermitReply {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	return ctlrpc.PermitReply{Control: s.StartID, Permits: t.permits.Lend(s.permitRequest(q.Host, q.Start, q.WarmUp), now)}
+	return ctlrpc.PermitReply{Control: s.StartID, Permits: t.permits.Lend(s.permitRequest(q.Host, q.Start, q.WarmUp, now), now)}
 }
 
 // PermitsLent returns the number of permits that are lent.
--- a/ctrl/permits_test.go
+++ b/ctrl/permits_test.go
@@ -33,6 +33,8 @@
 	r := b.LendPermits(s, ctlrpc.PermitRequest{Host: "h", Start: 1, WarmUp: w}, c.sinceStart(a))
 	i.Equal(r.Control, s.StartID)
 	i.Equal(len(r.Permits), 1)
-	s.Node = "other#1" // not in the control log
+	r = b.LendPermits(s, ctlrpc.PermitRequest{Host: "h", Start: 1, WarmUp: w}, c.sinceStart(a)+time.Minute)
+	i.Equal(len(r.Permits), 0) // it may know an old number of control hosts
+	s.Node = "other#1"         // not in the control log
 	i.Equal(len(ask("h")), 0)
 }
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -146,7 +146,7 @@
 		o = sentState{}
 	}
 	n.Loan, n.Grants = t.budgets.Exchange(s.budgetRequest(r, first), now)
-	n.Permits = t.permits.Lend(s.permitRequest(r.Host, r.Start, r.WarmUp), now)
+	n.Permits = t.permits.Lend(s.permitRequest(r.Host, r.Start, r.WarmUp, now), now)
 	n.Watch = s.watch.ChangesFrom(o.watch)
 	n.Watch.New = first
 	var v map[string]speed.Factor
--- a/warmup/lender.go
+++ b/warmup/lender.go
@@ -46,7 +46,7 @@
 	Wishes []Wish
 	Limits Limits
 	// Controls is the number of control hosts in the control log, or 0 if this one isn't among them. Rank is its place among them,
-	// from 0.
+	// from 0, or negative if it isn't among them.
 	Controls, Rank int
 }
 
@@ -65,7 +65,7 @@
 	var p []Permit
 	held := l.held(now)
 	for _, w := range r.Wishes[:min(len(r.Wishes), MaxWishes)] {
-		if r.Rank >= r.Limits.lenders(w.Rate, r.Controls) {
+		if r.Rank < 0 || r.Rank >= r.Limits.lenders(w.Rate, r.Controls) {
 			continue
 		}
 		i := interval(w.Rate, r.Controls)
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -47,17 +47,32 @@
 // maxInterval bounds the interval of very low rates, so that sums of times don't overflow.
 const maxInterval = time.Hour
 
-// lenders returns how many of n control hosts may lend a rate. One more may lend without their knowledge, unless there is only one.
+// perPermit returns how many requests the permit of one of n control hosts lets through at most in a window.
+func perPermit(rate float64, controls int) float64 {
+	return math.Floor(float64(window+SendTime)/float64(interval(rate, controls))) + 1
+}
+
+// lenders returns how many of n control hosts may lend a rate. One more may lend without their knowledge, unless there is only one, and the
+// others may know n-1 control hosts, whose permits let more through: then those beyond the lenders of n-1 have to keep within what is left.
 func (l Limits) lenders(rate float64, controls int) int {
 	if !l.On() || rate <= 0 || controls <= 0 {
 		return 0
 	}
-	perPermit := math.Floor(float64(window+SendTime)/float64(interval(rate, controls))) + 1
-	m := int(min((l.Overage*rate+l.Slack)/perPermit, float64(controls+1)))
-	if controls > 1 {
-		m--
+	limit := l.Overage*rate + l.Slack
+	if controls == 1 {
+		return int(min(limit/perPermit(rate, 1), 1))
+	}
+	m, left := 0, 0.0
+	for n := 2; n <= controls; n++ {
+		p := perPermit(rate, n)
+		k := int(min(limit/p-1, float64(n)))
+		if m > 0 { // with n-1 some lend
+			k = int(min(float64(k), float64(m+1)+left/p))
+		}
+		m = max(0, k)
+		left = limit - float64(m+1)*p
 	}
-	return min(m, controls)
+	return m
 }
 
 // Wish is a cold endpoint that a host would use now.
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -50,6 +50,36 @@
 	}
 }
 
+// lent returns how many of n control hosts lend, and how many requests each permit lets through in a second.
+func lent(l warmup.Limits, rate float64, n int) (lenders, each int) {
+	for k := range n {
+		r := warmup.Request{Host: "h", Limits: l, Controls: n, Rank: k, Wishes: []warmup.Wish{{Endpoint: "e", Rate: rate}}}
+		if p := warmup.NewLender(-time.Hour).Lend(r, time.Hour); len(p) > 0 {
+			lenders, each = lenders+1, int((time.Second+warmup.SendTime)/p[0].Interval)+1
+		}
+	}
+	return lenders, each
+}
+
+// Guards against a change of the number of control hosts during which some divide the limit by the old number and others by the new one, so that
+// together they let more requests through than it allows.
+func TestPermitsKeepWithinLimitWhileNumberOfControlHostsChanges(t *testing.T) {
+	for _, l := range []warmup.Limits{limits, {Overage: 1, Slack: 5}, {Overage: 2, Slack: 1}} {
+		for _, rate := range []float64{0.3, 1, 2.5, 7, 10, 33.3, 200} {
+			for n := 2; n <= 40; n++ {
+				a, x := lent(l, rate, n)
+				b, y := lent(l, rate, n+1)
+				for old := range a + 1 { // the others are those of the new view, of which at most one more than these lends
+					k := min(b, max(a+1, b)-old)
+					if s := float64(old*x + k*y); s > rate*l.Overage+l.Slack {
+						t.Fatalf("%v, %v/s: %d of %d and %d of %d control hosts let %v requests through", l, rate, old, n, k, n+1, s)
+					}
+				}
+			}
+		}
+	}
+}
+
 // Guards against two requests under the part of one control host within an interval, across changes of the holder, restarts of hosts and
 // replies that are late or lost.
 func TestIntervalHoldsAcrossChangeOfHolder(t *testing.T) {
@@ -88,6 +118,9 @@
 	i.Equal(len(l.Lend(ask("h", 1, 8, "e"), 1900*time.Millisecond)), 0)
 	i.Equal(len(l.Lend(ask("h", 1, 8, "e"), 2100*time.Millisecond)), 1)
 	i.Equal(len(l.Lend(ask("h", 1, 0, "f"), time.Minute)), 0)
+	r := ask("h", 1, 8, "f")
+	r.Rank = -1
+	i.Equal(len(l.Lend(r, time.Minute)), 0)
 }
 
 // Guards against hosts that get all permits while others get none, and against a holder that keeps a permit for good.
