Bound the replies that tell at once that endpoints have become cold

Cause: each endpoint that turned cold gave each entry host a reply 20 ms after the one before, up to 50 a second while a data centre comes back, also from a control host that is behind its work. Change: at most one such reply in 100 ms to each host, and none before others while the interval of replies is lengthened by half.

--- a/ctrl/cold_test.go
+++ b/ctrl/cold_test.go
@@ -11,6 +11,18 @@
 	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
+// Guards against a reply after 20 ms for each endpoint of a data centre that turns cold, 50 a second to each host, also from a control host that
+// is behind its work.
+func TestUrgentRepliesAreFewWhileManyEndpointsTurnCold(t *testing.T) {
+	i := is.New(t)
+	const ms = time.Millisecond
+	i.Equal(ctrl.Strain{}.UrgentReplyAt(1000*ms, 0), 1020*ms)
+	i.Equal(ctrl.Strain{}.UrgentReplyAt(1020*ms, 1020*ms), 1120*ms)
+	i.Equal(ctrl.Strain{TickLate: ms}.UrgentReplyAt(1120*ms, 1020*ms), 1140*ms+600*time.Microsecond)
+	s := ctrl.Strain{TickLate: 50 * ms}
+	i.Equal(s.UrgentReplyAt(1000*ms, 0), 1000*ms+s.ReplyInterval())
+}
+
 // Guards against a start of an endpoint that other control hosts hear of late, while entry hosts find the endpoint idle and send it more
 // than it takes.
 func TestStartOfColdEndpointIsPassedOnAtOnce(t *testing.T) {
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -62,19 +62,25 @@
 	for _, r := range q.Leaving {
 		h.reports.AddEndpoint(Direct, r)
 	}
-	v := h.strain.recent(h.sinceStart()).ReplyInterval()
+	b := h.strain.recent(h.sinceStart())
+	v := b.ReplyInterval()
 	p := time.NewTimer(max(0, h.replies.SentAt(q.Report.Host)+v-h.now())) // from then on changes are sent
 	defer p.Stop()
 	t := time.NewTimer(max(min(q.Wait, maxExchangeWait), v-leastReplyInterval))
 	defer t.Stop()
-	u := time.NewTimer(max(0, h.replies.SentAt(q.Report.Host)+v/urgentReplyPart-h.now())) // from then on, that an endpoint became cold is sent
+	u := time.NewTimer(max(0, b.UrgentReplyAt(h.replies.SentAt(q.Report.Host), h.replies.urgentAt(q.Report.Host))-h.now())) // from then on, that an endpoint became cold is sent
 	defer u.Stop()
 	w, y := true, true // changes wait, and that an endpoint became cold
 	for {
 		s, c := h.stateAndChange()
-		if isUrgent(s, q.Known) || !w && hasChanges(s, q.Known) || !y && s.coldRevision > q.Known.FleetRevision {
+		if isUrgent(s, q.Known) || !w && hasChanges(s, q.Known) {
 			return h.reply(s, q), nil
 		}
+		if !y && s.coldRevision > q.Known.FleetRevision {
+			r := h.reply(s, q)
+			h.replies.noteUrgent(q.Report.Host, h.now())
+			return r, nil
+		}
 		select {
 		case <-c:
 		case <-p.C:
--- a/ctrl/pace.go
+++ b/ctrl/pace.go
@@ -9,6 +9,8 @@
 	// urgentReplyPart divides that time for a reply that tells that an endpoint has become cold: until then hosts find it idle and send
 	// more than it takes.
 	urgentReplyPart = 5
+	// urgentReplyLimit is the time between replies from which on this host is too far behind its work for such replies.
+	urgentReplyLimit = 3 * leastReplyInterval / 2
 	// mostReplyInterval bounds that time while this host is behind its work. It leaves an entry host time before it takes this
 	// host for lost.
 	mostReplyInterval = 450 * time.Millisecond
@@ -26,6 +28,17 @@
 	return min(mostReplyInterval, leastReplyInterval+replyDelayFactor*s.delay())
 }
 
+// UrgentReplyAt returns from when on an entry host is told that an endpoint has become cold. The last reply to it was sent at sent, and the last
+// one for that reason at urgent. Hosts get at most one for that reason in leastReplyInterval, and none before others while this host is behind
+// its work.
+func (s Strain) UrgentReplyAt(sent, urgent time.Duration) time.Duration {
+	v := s.ReplyInterval()
+	if v > urgentReplyLimit {
+		return sent + v
+	}
+	return max(sent+v/urgentReplyPart, urgent+leastReplyInterval)
+}
+
 // GossipInterval returns the time between two messages of gossip that isn't urgent.
 func (s Strain) GossipInterval() time.Duration {
 	return min(mostGossipInterval, gossipInterval+gossipDelayFactor*s.delay())
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -47,6 +47,8 @@
 	// speeds holds the factors of speed that the host has.
 	speeds map[string]speed.Factor
 	sentAt time.Duration
+	// urgentAt is when the host was last told at once that an endpoint has become cold.
+	urgentAt time.Duration
 	// demandAt is when the demand of the fleet was sent, or 0.
 	demandAt time.Duration
 }
@@ -111,6 +113,23 @@
 	return t.sent[host].sentAt
 }
 
+// urgentAt returns when the last reply to an entry host was built that told at once that an endpoint has become cold, or 0.
+func (t *ReplyBuilder) urgentAt(host string) time.Duration {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.sent[host].urgentAt
+}
+
+// noteUrgent records that such a reply was built.
+func (t *ReplyBuilder) noteUrgent(host string, now time.Duration) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if v, ok := t.sent[host]; ok {
+		v.urgentAt = now
+		t.sent[host] = v
+	}
+}
+
 // addFleetChanges adds the fleet changes since the revision that the entry host holds. It adds the full fleet when the
 // changes since that revision aren't known any more, or when the entry host's fleet comes from another start of a
 // control host and has another checksum.
@@ -161,7 +180,7 @@
 	if d, ok := t.demandFor(s, r.Host, o.demandAt); ok {
 		n.Demand, o.demandAt = d, s.Now
 	}
-	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), speeds: v, sentAt: s.Now, demandAt: o.demandAt}, s)
+	t.recordSent(r.Host, sentState{start: r.Start, sequence: r.Sequence, loads: l, watch: o.watch.With(n.Watch), speeds: v, sentAt: s.Now, urgentAt: o.urgentAt, demandAt: o.demandAt}, s)
 }
 
 // budgetRequest returns what the pool of retry budgets has to know of an entry host's report. Nothing is lent by a control host that
