--- a/dial/pool.go
+++ b/dial/pool.go
@@ -175,6 +175,15 @@
 	}
 }
 
+// PutUnused returns a connection to the pool on which nothing was sent since it came from Get. The endpoint counts its idle time from before.
+func (p *Pool) PutUnused(c *Conn) {
+	if c.expires.IsZero() {
+		p.Put(c, 0)
+		return
+	}
+	p.Put(c, max(1, time.Until(c.expires)+idleMargin))
+}
+
 // Drop closes a connection and no longer counts it as open.
 func (p *Pool) Drop(c *Conn) {
 	p.release(c.address)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -204,6 +204,7 @@
 	if r.Status == 0 {
 		j.sends--
 		j.undelivered++
+		j.relay.Endpoints.ReturnPermit(u.choice) // nothing was written
 		return undelivered
 	}
 	return resend
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -69,5 +69,7 @@
 		time.Sleep(300 * time.Millisecond)
 		late = true
 		i.True(h.serve(context.Background(), "/look/3", "key").body.String() == "")
+		late = false
+		i.Equal(h.serve(context.Background(), "/look/4", "key").body.String(), "ok") // the permit wasn't used
 	})
 }
