Read X-Cold-Ms in the answers to probes

Cause: a probe read one byte, so that what an endpoint's health answer says of its warm-up was lost. For a host that is cut off from the control hosts, answers are the only news.

--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -167,6 +167,13 @@
 // runs records that the start hasn't ended.
 func (o *start) runs() { o.refusals, o.refusedAt = 0, 0 }
 
+// RecordCold records that an endpoint has said how much longer it stays cold, or nothing for 0.
+func (s *Set) RecordCold(id string, left time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.cold.told(id, left)
+}
+
 // ConfirmStart records that an endpoint has answered a request that was sent at a time on a connection that opened at another one. If
 // it opened before a connection was refused, and the request was sent after that, the refusal wasn't the end of the start.
 func (s *Set) ConfirmStart(id string, opened, sent time.Time) {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -36,7 +36,9 @@
 	answer   func(ctx context.Context) relay.Reply
 }
 
-func (s *sender) Probe(context.Context, string, string) relay.Liveness { return relay.Alive }
+func (s *sender) Probe(context.Context, string, string) (relay.Liveness, time.Duration) {
+	return relay.Alive, 0
+}
 
 func (s *sender) Send(ctx context.Context, a relay.Attempt) relay.Reply {
 	s.lock.Lock()
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -73,3 +75,22 @@
 		i.Equal(h.serve(context.Background(), "/look/4", "key").body.String(), "ok") // the permit wasn't used
 	})
 }
+
+// Guards against a host that goes on sending to an endpoint whose answer to a probe says that it is cold.
+func TestEndpointIsColdAfterAnswerToProbeSaysSo(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		h := newColdHarness(func(int, context.Context, relay.Attempt) relay.Reply {
+			return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: io.EOF}
+		})
+		r := reports(1)
+		for k := range r {
+			r[k].Sequence++
+		}
+		h.set.Replace(r)
+		h.sender.liveness, h.sender.coldLeft = relay.Alive, time.Second
+		h.serve(context.Background(), "/look/1", "key")
+		synctest.Wait()
+		i.True(h.sender.probed() > 0)
+		i.True(h.set.IsCold("desk0", time.Now()))
+	})
+}
--- a/relay/detour_test.go
+++ b/relay/detour_test.go
@@ -48,8 +48,8 @@
 	probe func(ctx context.Context, address string) relay.Liveness
 }
 
-func (p probing) Probe(ctx context.Context, address, _ string) relay.Liveness {
-	return p.probe(ctx, address)
+func (p probing) Probe(ctx context.Context, address, _ string) (relay.Liveness, time.Duration) {
+	return p.probe(ctx, address), 0
 }
 
 // unanswered is the probe of an endpoint that doesn't answer.
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -33,6 +33,8 @@
 	answer   func(n int, ctx context.Context, a relay.Attempt) relay.Reply
 	// liveness is what Probe returns.
 	liveness relay.Liveness
+	// coldLeft is how much longer endpoints stay cold by their answers to probes.
+	coldLeft time.Duration
 	// gone holds the addresses for which Probe returns relay.Ended.
 	gone map[string]bool
 	// probes counts the calls of Probe, each of which takes probeTime.
@@ -40,15 +42,15 @@
 	probeTime time.Duration
 }
 
-func (s *sender) Probe(_ context.Context, address, _ string) relay.Liveness {
+func (s *sender) Probe(_ context.Context, address, _ string) (relay.Liveness, time.Duration) {
 	time.Sleep(s.probeTime)
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.probes++
 	if s.gone[address] {
-		return relay.Ended
+		return relay.Ended, 0
 	}
-	return s.liveness
+	return s.liveness, s.coldLeft
 }
 
 // probed returns the number of calls of Probe.
--- a/relay/links.go
+++ b/relay/links.go
@@ -104,7 +104,8 @@
 	if !r.Endpoints.MayProbe(e.ID, b) {
 		return Unclear // it counts as a request
 	}
-	l := r.Sender.Probe(ctx, e.Address, r.healthPath(e.Service))
+	l, k := r.Sender.Probe(ctx, e.Address, r.healthPath(e.Service))
+	r.Endpoints.RecordCold(e.ID, k)
 	o := reach.Opening{Endpoint: e.ID, Began: b, Ended: time.Now(), Outcome: l.outcome(), Probe: decides}
 	if o.Outcome == reach.Answered || o.Outcome == reach.Refused || o.Ended.Sub(b) < linkProbeTimeout+maxProberLag {
 		r.Endpoints.RecordOpening(o)
--- a/relay/request.go
+++ b/relay/request.go
@@ -150,8 +150,9 @@
 	// ctx stops the run.
 	Send(ctx context.Context, a Attempt) Reply
 	// Probe asks the endpoint at address whether it runs, with a request for path on a new connection, and returns what that
-	// tells. Without a path it sends nothing, and takes an open connection for an answer.
-	Probe(ctx context.Context, address, path string) Liveness
+	// tells, and how much longer it stays cold by its answer, or 0. Without a path it sends nothing, and takes an open connection for an
+	// answer.
+	Probe(ctx context.Context, address, path string) (l Liveness, coldLeft time.Duration)
 }
 
 // Detour sends requests to endpoints through other hosts.
