Ask for a permit when a request asks only for the wait

Cause: a request for a larger model or a second attempt asks for the wait first and isn't made if there is no endpoint, so that nobody asked for permits of a service whose endpoints are all cold. Change: Wait records the wish if it finds no endpoint. Result: the test, red before, passes.

--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -205,6 +205,15 @@
 	i.True(ok)
 }
 
+// Guards against larger models whose endpoints are all cold and which nobody asks a permit for, since no request is sent without one.
+func TestQuestionForWaitAsksForPermit(t *testing.T) {
+	i := is.New(t)
+	s, _ := coldSet(time.Second)
+	_, ok := s.Wait(onlyCold, epoch)
+	i.True(!ok)
+	i.Equal(len(s.ColdWishes(epoch)), 1)
+}
+
 // Guards against requests that were under way to an endpoint when it became cold.
 func TestRequestIsNotSentToEndpointThatBecameCold(t *testing.T) {
 	i := is.New(t)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -241,6 +241,9 @@
 	defer s.lock.Unlock()
 	s.cold.begin()
 	b, _ := s.best(q, now)
+	if b == nil {
+		s.wish(q, nil, now) // no choice follows
+	}
 	if b == nil || s.ejected(b, q, now) {
 		return 0, false
 	}
