Set the limits of cold endpoints before the table that holds them is in force

Cause: between the swap of the table and the setting of the limits, requests by the new table were sent to cold endpoints without a permit. Change: the limits are set first, and those of the table in force again if another one was put in force meanwhile. Result: no test: the time between can't be hit on purpose. The tests of package relay run as before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -167,18 +167,21 @@
 
 // SetTable puts t in force and reports true, or reports false if the table in force has the same or a higher version.
 func (r *Relay) SetTable(t table.Table) bool {
-	for {
+	for limited := false; ; limited = true {
 		o := r.table.Load()
 		if o != nil && o.table.Version >= t.Version {
+			if limited {
+				r.setColdLimits(o.table) // another one was put in force meanwhile
+			}
 			return false
 		}
+		r.setColdLimits(t) // before requests are sent by the table
 		v := &tableInForce{table: t, since: time.Now()}
 		if o != nil {
 			v.confirmed.Store(o.confirmed.Load())
 		}
 		if r.table.CompareAndSwap(o, v) {
 			r.expectServices(t)
-			r.setColdLimits(t)
 			return true
 		}
 	}
