Say what a refusal with cold=true means

Cause: comments and OPERATIONS said that all endpoints are cold, while the field is set if some are and no other one takes the request. Change: the wording. Result: no change of behaviour.

--- a/pick/asks.go
+++ b/pick/asks.go
@@ -74,7 +74,8 @@
 	Time time.Duration
 	// Resting is set if endpoints rest, so that the request must not come back sooner.
 	Resting bool
-	// Cold is set if all that could take the request are cold and this host has no permit for them.
+	// Cold is set if nothing but cold endpoints, for which this host has no permit, asks for a wait. Others may be out of question, such as
+	// those of another version.
 	Cold bool
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -189,7 +189,7 @@
 	f := logrus.Fields{}
 	maps.Copy(f, j.choiceFields())
 	if j.asksWait.Cold {
-		f["cold"] = true // all that could take it are cold, and there is no permit
+		f["cold"] = true // endpoints that could take it are cold, and there is no permit
 	}
 	j.refuseWith(reason, after, f)
 }
