Plan no permits without limits of cold endpoints

Cause: each reply of a control host sorted the list of control hosts for permits, also with the setting off; each question looked for wishes before it knew whether any control host is to be asked. Change: both return at once. Result: no change of what is sent.

--- a/entry/permits.go
+++ b/entry/permits.go
@@ -25,6 +25,9 @@
 // planPermits chooses the control hosts that are asked for permits beside the current one. Where there are many entry hosts there are
 // none: then each control host exchanges messages with some.
 func (e *Entry) planPermits(entries int) {
+	if !e.Settings.Bounds.ColdLimits().On() {
+		return
+	}
 	n := (hostsPerControl*len(e.controls)+entries-1)/max(1, entries) - 1
 	l := slices.DeleteFunc(slices.Clone(e.controls), e.isConnected)
 	slices.SortFunc(l, func(a, b string) int { return cmp.Compare(e.weight(a), e.weight(b)) })
@@ -60,8 +63,11 @@
 // askAll asks each of the planned control hosts once, at the same time.
 func (a permitAsker) askAll() {
 	l := a.entry.askFirst.Load()
+	if l == nil || len(*l) == 0 {
+		return
+	}
 	w := a.entry.Set.ColdWishes(time.Now())
-	if l == nil || len(*l) == 0 || len(w) == 0 {
+	if len(w) == 0 {
 		return
 	}
 	a.keep(*l)
