Take a cold-slack without cold-overage for a limit

Cause: Limits.On looked at the overage only, so that a slack alone was ignored without a word. Change: either turns the limit on. Result: the test, red before, passes.

--- a/conf/node.go
+++ b/conf/node.go
@@ -86,7 +86,7 @@
 	// soon as it hears of it.
 	CentreDrain Duration `json:"centre-drain"`
 	// ColdOverage and ColdSlack bound the requests of all hosts together to an endpoint that is still cold after its start: in each
-	// second at most the rate of its service times ColdOverage, plus ColdSlack. A ColdOverage of 0 means no bound.
+	// second at most the rate of its service times ColdOverage, plus ColdSlack. Both 0 mean no bound.
 	ColdOverage float64 `json:"cold-overage"`
 	ColdSlack   float64 `json:"cold-slack"`
 }
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -36,7 +36,7 @@
 type Limits struct{ Overage, Slack float64 }
 
 // On reports whether cold endpoints have a limit.
-func (l Limits) On() bool { return l.Overage > 0 }
+func (l Limits) On() bool { return l.Overage > 0 || l.Slack > 0 }
 
 // interval returns the time between two requests under the permit of one of n control hosts.
 func interval(rate float64, controls int) time.Duration {
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -157,3 +157,12 @@
 	i.True(!h.Ready("e", 3*time.Second))
 	i.Equal(h.Held(3*time.Second), 0)
 }
+
+// Guards against a limit of which only the fixed part is set, and which is ignored.
+func TestSlackAloneIsALimit(t *testing.T) {
+	i := is.New(t)
+	i.True(warmup.Limits{Slack: 5}.On())
+	i.True(!warmup.Limits{}.On())
+	n, _ := lent(warmup.Limits{Slack: 5}, 1, 3)
+	i.Equal(n, 3)
+}
