--- a/proxy/cold_test.go
+++ b/proxy/cold_test.go
@@ -10,9 +10,23 @@
 	"github.com/matryer/is"
 
 	"github.com/hickoryshelf/hickoryshelf/fleet"
+	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
+// startColdHelping is like startHelping with a limit of cold endpoints.
+func startColdHelping(t testing.TB, answer func(context.Context) relay.Reply) *helping {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := startLimitedHelping(t, l, answer, warmup.Limits{Overage: 1.5, Slack: 5})
+	h.set.SetColdLimits(map[string]pick.ColdLimit{"s": {Rate: 10, Time: time.Second}})
+	return h
+}
+
 // turnCold lets the host hear that the endpoint is cold.
 func (h *helping) turnCold() {
 	r := endpoint
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -82,18 +82,6 @@
 	return startHelpingOn(t, l, answer)
 }
 
-// startColdHelping is like startHelping with a limit of cold endpoints.
-func startColdHelping(t testing.TB, answer func(context.Context) relay.Reply) *helping {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := startLimitedHelping(t, l, answer, warmup.Limits{Overage: 1.5, Slack: 5})
-	h.set.SetColdLimits(map[string]pick.ColdLimit{"s": {Rate: 10, Time: time.Second}})
-	return h
-}
-
 // startHelpingOn is like startHelping on a listener of the test's own.
 func startHelpingOn(t testing.TB, l net.Listener, answer func(context.Context) relay.Reply) *helping {
 	t.Helper()
