--- a/cmds/node.go
+++ b/cmds/node.go
@@ -184,7 +184,10 @@
 		return err
 	}
 	c := n.settings.ClientLimits()
-	d := platform.NewAdmin(h, platform.AdminOptions{DataCentres: n.settings.DrainableCentres(), Intake: n.intake, DocumentBytes: c.DocumentBytes, BodyTimeout: c.BodyTimeout.Std()})
+	d := platform.NewAdmin(h, platform.AdminOptions{
+		DataCentres: n.settings.DrainableCentres(), LimitsCold: n.settings.Bounds.ColdLimits().On(),
+		Intake: n.intake, DocumentBytes: c.DocumentBytes, BodyTimeout: c.BodyTimeout.Std(),
+	})
 	a := &http.Server{Handler: d, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	s := n.newServer(a, l[1], "endpoints-and-operators", c.Connections)
 	go s.run()
--- a/dial/pool.go
+++ b/dial/pool.go
@@ -33,6 +33,8 @@
 	Reader *bufio.Reader
 	// Reused is true when the connection comes from the pool and has served an earlier request.
 	Reused bool
+	// Opened is when the connection had been opened.
+	Opened time.Time
 	// source is what Reader reads from.
 	source  *boundedReader
 	address string
@@ -106,7 +108,7 @@
 		}
 	}
 	s := &boundedReader{conn: n, left: math.MaxInt64}
-	return &Conn{Conn: n, Reader: bufio.NewReaderSize(s, readBufferBytes), source: s, address: address}, nil
+	return &Conn{Conn: n, Reader: bufio.NewReaderSize(s, readBufferBytes), source: s, address: address, Opened: time.Now()}, nil
 }
 
 // ErrTooLong is returned by reads of a connection that has sent more than it may.
@@ -173,6 +175,15 @@
 	}
 }
 
+// PutUnused returns a connection to the pool on which nothing was sent since it came from Get. The endpoint counts its idle time from before.
+func (p *Pool) PutUnused(c *Conn) {
+	if c.expires.IsZero() {
+		p.Put(c, 0)
+		return
+	}
+	p.Put(c, max(1, time.Until(c.expires)+idleMargin))
+}
+
 // Drop closes a connection and no longer counts it as open.
 func (p *Pool) Drop(c *Conn) {
 	p.release(c.address)
--- a/pick/asks.go
+++ b/pick/asks.go
@@ -74,7 +74,8 @@
 	Time time.Duration
 	// Resting is set if endpoints rest, so that the request must not come back sooner.
 	Resting bool
-	// Cold is set if all that could take the request are cold and this host has no permit for them.
+	// Cold is set if nothing but cold endpoints, for which this host has no permit, asks for a wait. Others may be out of question, such as
+	// those of another version.
 	Cold bool
 }
 
@@ -83,6 +84,7 @@
 func (s *Set) AsksWait(q Request, now time.Time) (w AsksWait, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.cold.begin()
 	var t limit.Rate
 	cold := false
 	for _, n := range s.endpoints {
@@ -116,6 +118,7 @@
 func (s *Set) BeginRelay(r fleet.Report, now time.Time) (rest time.Duration, ok bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.cold.begin()
 	n, ok := s.endpoints[r.ID]
 	if !ok || !n.serves(r.Service) || n.report.Address != r.Address || n.report.Born != r.Born || s.links[n.pool()].State() == reach.Cut {
 		return 0, false
--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -12,6 +12,7 @@
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/fleet"
 	"github.com/hickoryshelf/hickoryshelf/pick"
+	"github.com/hickoryshelf/hickoryshelf/reach"
 	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
@@ -130,6 +131,46 @@
 	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"c": 100})
 }
 
+// Guards against an endpoint that stays cold for good at a host whose control host ended after it alone had heard of the warm-up: the
+// others know an older report that says warm, and send none of the later ones that say the same.
+func TestColdReportThatNoOtherControlHostKnowsEnds(t *testing.T) {
+	i := is.New(t)
+	s, d := coldSet(0)
+	s.Merge([]fleet.Report{coldReport("c", 1, 9, time.Second)}, nil)
+	s.Replace([]fleet.Report{coldReport("c", 1, 7, 0), coldReport("w", 1, 1, 0)})
+	i.Equal(chosen(s, d, onlyCold, time.Second+coldTime), map[string]int{"none": 400}) // a report that it is cold again may be under way
+	*d += time.Minute
+	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"none": 100}) // no control host tells the newest state
+	s.Touch()
+	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"c": 100})
+}
+
+// Guards against an endpoint that refuses connections beyond its limit and is cut to the rate of cold ones for that, and against requests to
+// the next start of one that has ended: only answers on connections from before the refusals tell that it still runs.
+func TestRefusedConnectionsMakeEndpointColdUnlessItStillRuns(t *testing.T) {
+	i := is.New(t)
+	s, d := coldSet(0)
+	at := func() time.Time { return epoch.Add(*d) }
+	refuse := func() {
+		*d += 100 * time.Millisecond
+		s.RecordOpening(reach.Opening{Endpoint: "c", Began: at(), Ended: at(), Outcome: reach.Refused})
+		s.RecordOpening(reach.Opening{Endpoint: "c", Began: at(), Ended: at(), Outcome: reach.Refused}) // at the same time
+	}
+	runs := func(opened, sent time.Duration) { s.ConfirmStart("c", epoch.Add(opened), epoch.Add(sent)) }
+	refuse()
+	i.True(!s.IsCold("c", at()))
+	runs(*d-time.Millisecond, *d+time.Millisecond)
+	refuse()
+	i.True(!s.IsCold("c", at()))
+	refuse()
+	i.True(s.IsCold("c", at()))
+	runs(*d-time.Millisecond, *d-time.Millisecond) // may have been answered before the end
+	runs(*d+time.Millisecond, *d+time.Millisecond) // may be the next start
+	i.True(s.IsCold("c", at()))
+	runs(0, *d+time.Millisecond)
+	i.True(!s.IsCold("c", at()))
+}
+
 // Guards against hosts that send all to the endpoints of a data centre whose drain has just ended, of which nobody knows whether they are
 // cold.
 func TestEndpointsOfCentreCountAsColdForATime(t *testing.T) {
@@ -164,6 +205,15 @@
 	i.True(ok)
 }
 
+// Guards against larger models whose endpoints are all cold and which nobody asks a permit for, since no request is sent without one.
+func TestQuestionForWaitAsksForPermit(t *testing.T) {
+	i := is.New(t)
+	s, _ := coldSet(time.Second)
+	_, ok := s.Wait(onlyCold, epoch)
+	i.True(!ok)
+	i.Equal(len(s.ColdWishes(epoch)), 1)
+}
+
 // Guards against requests that were under way to an endpoint when it became cold.
 func TestRequestIsNotSentToEndpointThatBecameCold(t *testing.T) {
 	i := is.New(t)
--- a/pick/state.go
+++ b/pick/state.go
@@ -233,6 +233,7 @@
 	defer s.lock.Unlock()
 	s.ageFactors(now)
 	q.Work, q.CacheSaving = 0, 0
+	s.cold.begin()
 	l := s.candidates(q, now)
 	if len(l) == 0 {
 		return Queue{}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -23,6 +23,7 @@
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/proxy"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/warmup"
 )
 
 // endpoint is the one that attempts of the tests go to.
@@ -35,7 +36,9 @@
 	answer   func(ctx context.Context) relay.Reply
 }
 
-func (s *sender) Probe(context.Context, string, string) relay.Liveness { return relay.Alive }
+func (s *sender) Probe(context.Context, string, string) (relay.Liveness, time.Duration) {
+	return relay.Alive, 0
+}
 
 func (s *sender) Send(ctx context.Context, a relay.Attempt) relay.Reply {
 	s.lock.Lock()
@@ -81,13 +84,19 @@
 
 // startHelpingOn is like startHelping on a listener of the test's own.
 func startHelpingOn(t testing.TB, l net.Listener, answer func(context.Context) relay.Reply) *helping {
+	t.Helper()
+	return startLimitedHelping(t, l, answer, warmup.Limits{})
+}
+
+// startLimitedHelping is like startHelpingOn with limits of cold endpoints.
+func startLimitedHelping(t testing.TB, l net.Listener, answer func(context.Context) relay.Reply, cold warmup.Limits) *helping {
 	t.Helper()
 	g, k := logtest.NewNullLogger()
 	h := &helping{sender: &sender{answer: answer}, bound: assist.NewBound(0, 0), log: k}
 	p := pick.NewSet("c")
-	p.Replace([]fleet.Report{endpoint})
 	h.set = p
-	r := relay.New(relay.Options{Sender: h.sender, Endpoints: p, Log: g, Metrics: metrics.NewSet(), Budget: budget.NewHost(budget.Limits{Ratio: 1, Slack: 1, Window: time.Second})})
+	r := relay.New(relay.Options{Cold: cold, Sender: h.sender, Endpoints: p, Log: g, Metrics: metrics.NewSet(), Budget: budget.NewHost(budget.Limits{Ratio: 1, Slack: 1, Window: time.Second})})
+	p.Replace([]fleet.Report{endpoint})
 	h.address = l.Addr().String()
 	s := proxy.NewServer(proxy.Options{Token: "secret", Relay: r, Bound: h.bound, Stopping: func() bool { return h.stopping }, Log: g, Metrics: metrics.NewSet()})
 	h.server = s
--- a/relay/links.go
+++ b/relay/links.go
@@ -104,7 +104,8 @@
 	if !r.Endpoints.MayProbe(e.ID, b) {
 		return Unclear // it counts as a request
 	}
-	l := r.Sender.Probe(ctx, e.Address, r.healthPath(e.Service))
+	l, k := r.Sender.Probe(ctx, e.Address, r.healthPath(e.Service))
+	r.Endpoints.RecordCold(e.ID, k)
 	o := reach.Opening{Endpoint: e.ID, Began: b, Ended: time.Now(), Outcome: l.outcome(), Probe: decides}
 	if o.Outcome == reach.Answered || o.Outcome == reach.Refused || o.Ended.Sub(b) < linkProbeTimeout+maxProberLag {
 		r.Endpoints.RecordOpening(o)
@@ -174,6 +175,9 @@
 // none opened, or 0.
 func (r *Relay) RecordOpening(endpoint string, sent time.Time, p Reply) time.Duration {
 	n := time.Now()
+	if p.Status != 0 && !p.ConnectedAt.IsZero() {
+		r.Endpoints.ConfirmStart(endpoint, p.ConnectedAt, sent)
+	}
 	o := reach.Opening{Endpoint: endpoint, Began: sent, Ended: n}
 	switch {
 	case p.Connected && p.Status != 0:
--- a/relay/request.go
+++ b/relay/request.go
@@ -127,7 +127,7 @@
 	MaxConnections int
 	// Repeated is set if the request was sent to this endpoint before, so that the ID doesn't tell the answers apart.
 	Repeated bool
-	// MaySend reports whether the request may still be sent. It is asked immediately before, on attempts that are sent directly, and nil
+	// MaySend reports whether the request may still be sent. It is asked immediately before, by the host that sends to the endpoint, and nil
 	// if the request may be sent at any time.
 	MaySend func() bool
 	// Unheard is called, from any goroutine and again while that lasts, when the host between doesn't say in time whether it has begun;
@@ -174,6 +174,8 @@
 	Refused bool
 	// Connected is set if a connection was opened for the attempt, rather than one used again.
 	Connected bool
+	// ConnectedAt is when the connection of the answer had been opened, if a host sends it directly.
+	ConnectedAt time.Time
 	// Unreachable is set if no connection to the endpoint could be made, so that no byte of the request reached it.
 	Unreachable bool
 }
@@ -184,8 +186,9 @@
 	// ctx stops the run.
 	Send(ctx context.Context, a Attempt) Reply
 	// Probe asks the endpoint at address whether it runs, with a request for path on a new connection, and returns what that
-	// tells. Without a path it sends nothing, and takes an open connection for an answer.
-	Probe(ctx context.Context, address, path string) Liveness
+	// tells, and how much longer it stays cold by its answer, or 0. Without a path it sends nothing, and takes an open connection for an
+	// answer.
+	Probe(ctx context.Context, address, path string) (l Liveness, coldLeft time.Duration)
 }
 
 // Detour sends requests to endpoints through other hosts.
