Use no deposit beyond the balance cap of its host

Deposits could be used beyond the cap for 250 ms. Where requests come in pulses a little more than a window apart, the retries of one pulse and those of the next counted in one window: 867 of 730 allowed with 75 hosts and 600 requests. Deposits count up to the cap again, windowShare is 0.19, and the first process of a control host lends shares at once. Pieces on demand stay. TestRetriesOfPulsesStayWithinBound is green, red before.

TestOptionalRetriesAreLentAmongHostsThatStart is red again at 300 hosts (176 of 4,040 and 201 of 15,887 refused), and TestFewFaultsOnQuietServiceOfLargeFleetAreRetried at 60. TestLentRetriesOfPulsesStayWithinBound shows that what is lent of a pulse breaks the bound too (846 of 730; 867 before this change): KNOWN-RED.txt.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -3,21 +3,21 @@
 // which a control host lends to it. What one host doesn't need is lent to others by the control host with which they exchange
 // messages. The package uses no network and no clock: times are durations since an origin that the caller chooses.
 //
-// The retries in a window are at most the balances at its begin, the deposits in it, what is used or lent then of deposits shortly
-// before it, the starting balances granted in it, and the pieces that are granted in it or may still be used at its begin. With r requests
-// in the window and b in the one before it, s the sum of the shares lent at its begin, and g that of those pieces, that is
+// The retries in a window are at most the balances at its begin, the deposits in it, what is lent then of deposits shortly before it, the
+// starting balances granted in it, and the pieces that are granted in it or may still be used at its begin. With r requests in the window and
+// b in the one before it, s the sum of the shares lent at its begin, and g that of those pieces, that is
 //
-//	slackShare * s * Slack + g + windowShare * Ratio * b + depositShare * Ratio * r + unkept + s' * startShare * Slack
+//	slackShare * s * Slack + g + windowShare * Ratio * b + depositShare * Ratio * r + lent + s' * startShare * Slack
 //
 // where s' is the sum of the parts of which starting balances are granted. A control host lends 1/(n+1) at most if n control
 // hosts are in the control log as it knows it, so that s and s' don't exceed 1 even if one that was added or removed counts
 // another n. It grants pieces only of what it has lent to nobody as a share within the last window, and lends shares only of what no piece
 // in use takes, so that slackShare * s * Slack + g doesn't exceed slackShare * Slack. No number of entry hosts is part of it: a host that
-// knows of no other, or that just started, has no share of the slack. unkept is what the deposits before the window have left beyond the
-// caps: it is used within freshTime, or lent within spareTime and lendTime after that, so that it is at most
-// depositShare * Ratio * b * (freshTime + spareTime + lendTime) / Window where requests come evenly. Hence, for a window of 10 s,
+// knows of no other, or that just started, has no share of the slack. No deposit is used beyond the balance cap of its host: deposits of
+// one pulse of requests, used after it, would else count in the window of the next pulse. Where
+// requests come evenly, lent is at most depositShare * Ratio * r * lendTime / Window; it isn't bounded for pulses (KNOWN-RED.txt). Hence
 //
-//	slackShare + startShare <= 1 and depositShare + windowShare + unkept / (Ratio * b) <= 1
+//	slackShare + startShare <= 1 and depositShare + windowShare + lent / (Ratio * r) <= 1
 package budget
 
 import (
@@ -30,7 +30,7 @@
 	// up to windowShare of the retries that the ratio allows for the requests of a window, plus the share of the slack.
 	// Both together, with what is lent for a part of the window, stay below 1.
 	depositShare = 0.76
-	windowShare  = 0.16
+	windowShare  = 0.19
 	// slackShare is the part of the slack that is lent to the hosts as shares, and startShare that granted as starting balances.
 	slackShare = 0.75
 	startShare = 1 - slackShare
@@ -68,8 +68,6 @@
 type account struct {
 	// balance is the number of retries that may be made now, at most the balance cap when the account was updated.
 	balance float64
-	// fresh holds the deposits of the last freshTime, by which the balance may exceed its cap.
-	fresh deposits
 	// pieces holds what may be used beyond the balance, the oldest first.
 	pieces pieces
 	// requests holds those of the last window when the account was updated.
@@ -104,9 +102,14 @@
 	a := h.account(service, now)
 	a.requests.add()
 	a.askedAt = now
-	d := h.limits.Ratio * depositShare
-	a.fresh.add(d, now)
-	a.balance += d
+	h.add(a, h.limits.Ratio*depositShare)
+}
+
+// add raises the balance of an account that is up to date to its cap at most. What is above it is spare.
+func (h *Host) add(a *account, retries float64) {
+	n := a.balance + retries
+	a.balance = min(h.balanceCap(a, a.updated), n)
+	a.spare += max(0, n-a.balance)
 }
 
 // Expect makes a service known, so that a starting balance is asked for before its first request.
@@ -127,17 +130,16 @@
 	return a
 }
 
-// update advances an account to a time: it lowers the balance to its cap and what is fresh, which falls as requests become old and as the
-// share ends. What the age of the requests and deposits took within lendTime is spare.
+// update advances an account to a time: it lowers the balance to its cap, which falls as requests become old and as the share ends.
+// What the age of the requests took within lendTime is spare.
 func (h *Host) update(a *account, now time.Duration) {
 	e, o := max(0, now-a.updated), a.requests.sum()
 	a.updated += e
 	a.requests.advance(a.updated, h.limits.Window)
-	u := a.fresh.expire(a.updated, h.limits.Window)
-	n := max(0, a.balance-h.balanceCap(a, a.updated)-a.fresh.sum)
+	n := max(0, a.balance-h.balanceCap(a, a.updated))
 	a.balance -= n
 	if e <= lendTime {
-		a.spare += min(n, u+(o-a.requests.sum())*h.limits.Ratio*windowShare)
+		a.spare += min(n, (o-a.requests.sum())*h.limits.Ratio*windowShare)
 	}
 	h.fill(a, a.pieces.takeEnding(a.updated))
 }
--- a/budget/demand_test.go
+++ b/budget/demand_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -46,6 +47,30 @@
 	}
 }
 
+// Guards against deposits that are used beyond the balance caps: requests come in pulses more than a window apart, and the retries of one are made
+// shortly after it, those of the next at once, so that one window holds the retries of both.
+func TestRetriesOfPulsesStayWithinBound(t *testing.T) { checkPulses(t, step) }
+
+// Guards against the same with what others can't keep of a pulse, which is lent within some 100 ms after it.
+func TestLentRetriesOfPulsesStayWithinBound(t *testing.T) { checkPulses(t, time.Second) }
+
+// checkPulses checks the bound where the retries of a pulse are made for a time.
+func checkPulses(t *testing.T, last time.Duration) {
+	const first, next = 20 * time.Second, 30050 * time.Millisecond
+	for _, c := range []struct {
+		hosts, requests int
+		slack           float64
+	}{{75, 600, 190}, {75, 1500, 190}, {9, 200, 58}} {
+		f := fleet{hosts: c.hosts, controls: 3, length: 32 * time.Second}
+		f.Limits = budget.Limits{Ratio: 0.9, Slack: c.slack, Window: window}
+		from := first + 200*time.Millisecond
+		f.pulses = []pulse{{c.requests, first, from, from + last}, {c.requests, next, next, next + time.Second}}
+		m := f.run(1)
+		t.Logf("%d hosts, %d requests: %d retries", c.hosts, c.requests, len(m.uses.retries))
+		t.Run(fmt.Sprintf("%d hosts, %d requests", c.hosts, c.requests), func(t *testing.T) { m.uses.check(t, f.Limits, 1) })
+	}
+}
+
 // checkDemand checks the bound and the sum of the shares for hosts that make all retries that they may.
 func (f fleet) checkDemand(t *testing.T) {
 	t.Helper()
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -43,6 +43,8 @@
 	// mixed is set if every other host, and every other control host, is of a build that doesn't lend on demand.
 	mixed  bool
 	length time.Duration
+	// pulses are requests that come at the same time at all hosts, beside the others.
+	pulses []pulse
 	// granted is set if all hosts got their whole starting balance before the first request.
 	granted bool
 }
@@ -115,10 +117,36 @@
 			}
 		}
 		m.makeDue(now)
+		m.pulse(now)
 	}
 	return m
 }
 
+// pulse is a number of requests at all hosts that come within pulseTime, with the time from which on all retries are made that are allowed.
+type pulse struct {
+	requests        int
+	at, from, until time.Duration
+}
+
+const pulseTime = 50 * time.Millisecond
+
+// pulse lets hosts take the requests of pulses and make their retries.
+func (m *model) pulse(now time.Duration) {
+	for _, p := range m.pulses {
+		for k := range p.requests {
+			if now == p.at+time.Duration(k)*pulseTime/time.Duration(p.requests)/step*step {
+				m.members[k%m.hosts].Deposit("s", now)
+				m.uses.requests = append(m.uses.requests, now)
+			}
+		}
+		for _, h := range m.members {
+			for now >= p.from && now < p.until && h.Withdraw("s", now) {
+				m.uses.retries = append(m.uses.retries, now)
+			}
+		}
+	}
+}
+
 // rate returns the number of requests a second for each host at a time.
 func (f fleet) rate(now time.Duration) float64 {
 	if now < f.burstEnd {
--- a/budget/lender.go
+++ b/budget/lender.go
@@ -82,13 +82,9 @@
 	return n
 }
 
-// lendable returns the sum of the shares that may be lent: what pieces that may be in use leave. The first process of a control host comes
-// to it little by little in the first leaseTime. Hosts that start with it have no balances to keep yet, and get pieces in place of shares.
+// lendable returns the sum of the shares that may be lent: what pieces that may be in use leave.
 func (l *lender) lendable(r Request, now time.Duration) float64 {
 	n := r.part()
-	if r.New {
-		n *= min(1, (now-l.began).Seconds()/leaseTime.Seconds())
-	}
 	for s := range l.pieces {
 		n = min(n, r.part()-sum(since(l.pieces[s], now-holdTime))/slackShare)
 	}
--- a/budget/pieces.go
+++ b/budget/pieces.go
@@ -2,46 +2,9 @@
 
 import "time"
 
-const (
-	// freshTime is how long a deposit may be used beyond the balance cap, at most a freshSlots-th of a window. A host whose cap is below
-	// one retry makes one for the request that has just come.
-	freshTime  = 250 * time.Millisecond
-	freshSlots = 40
-	// keepTime is how long before its end what is left of a piece is kept as far as the balance cap allows it. Hosts exchange messages
-	// more often.
-	keepTime = 200 * time.Millisecond
-)
-
-// deposit is what a request has added to a balance.
-type deposit struct {
-	retries float64
-	at      time.Duration
-}
-
-// deposits holds the fresh deposits, the oldest first, with their sum.
-type deposits struct {
-	list []deposit
-	sum  float64
-}
-
-// add adds a deposit.
-func (d *deposits) add(retries float64, now time.Duration) {
-	d.list = append(d.list, deposit{retries, now})
-	d.sum += retries
-}
-
-// expire leaves out the deposits that aren't fresh any more, and returns their sum.
-func (d *deposits) expire(now, window time.Duration) (n float64) {
-	f := min(freshTime, window/freshSlots)
-	for len(d.list) > 0 && d.list[0].at+f <= now {
-		n += d.list[0].retries
-		d.list = d.list[1:]
-	}
-	if d.sum -= n; len(d.list) == 0 {
-		d.sum = 0 // without what was rounded
-	}
-	return n
-}
+// keepTime is how long before its end what is left of a piece is kept as far as the balance cap allows it. Hosts exchange messages
+// more often.
+const keepTime = 200 * time.Millisecond
 
 // piece is a number of retries that may be made beyond a balance until a time.
 type piece struct {
