Spread the times to come back below what callers honour

The spread was added to the wait first and the sum then cut to a third of the time left. With a long wait or a short deadline all refused callers came back at that same time. The upper end is computed first, and the time drawn between the wait, or half of what callers honour, and that end. TestTimesToComeBackAreSpreadWithinDeadline is green, red before.

--- a/shed/shed.go
+++ b/shed/shed.go
@@ -149,10 +149,12 @@
 	return min(1, max(leastShare, a*p)*mean)
 }
 
-// retryAfter returns the time after which the endpoints are expected to have room, spread over as long again as requests may wait, so that
-// callers don't return together. It doesn't exceed what callers honour.
+// retryAfter returns the time after which the endpoints are expected to have room, spread over as long again or as requests may wait, so that
+// callers don't return together. It doesn't exceed what callers honour, and is spread over half of that at least.
 func (r Request) retryAfter() time.Duration {
 	n := max(leastReturn, r.Wait-time.Duration(freeShare*float64(r.Allowed)))
-	n += time.Duration(r.ReturnDraw * float64(max(n, r.Allowed)))
-	return max(leastReturn, min(n, time.Duration(returnShare*float64(r.Left))))
+	honoured := time.Duration(returnShare * float64(r.Left))
+	end := min(n+max(n, r.Allowed), honoured)
+	begin := min(n, honoured/2)
+	return max(leastReturn, begin+time.Duration(r.ReturnDraw*float64(end-begin)))
 }
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -113,3 +113,20 @@
 	i.True(ok)
 	i.True(g > 0.8*f && g < 1.2*f)
 }
+
+// Guards against refused callers that come back together where the deadline is short or the wait long.
+func TestTimesToComeBackAreSpreadWithinDeadline(t *testing.T) {
+	i := is.New(t)
+	for _, c := range []struct{ wait, left time.Duration }{{time.Second, 1500 * time.Millisecond}, {20 * time.Second, 15 * time.Second}, {20 * time.Second, 40 * time.Second}} {
+		q := refused()
+		q.Wait, q.Left = c.wait, c.left
+		at := map[time.Duration]int{}
+		for k := range 100 {
+			q.ReturnDraw = float64(k) / 100
+			n := chooser().First(q).RetryAfter
+			i.True(n >= 100*time.Millisecond && n <= q.Left/3)
+			at[n/(q.Left/60)]++
+		}
+		i.True(len(at) >= 10) // of 20 parts of the time that callers honour
+	}
+}
