Leave kinds without an objective out of the wait that is allowed

A kind without an objective had a slack of 0, which also stood for no kind at all, so that the wait that is allowed depended on the order of a map. Such kinds are left out and a flag tells whether any kind bounds the wait. TestKindsWithoutObjectiveAllowAnyWait is green, red before.

--- a/shed/ledger.go
+++ b/shed/ledger.go
@@ -34,7 +34,7 @@
 // View is what a host knows of the demand for a service.
 type View struct {
 	Demand Demand
-	// Allowed is the longest wait by which all kinds of late are in time, or 0 if there were none.
+	// Allowed is the longest wait by which all kinds of late are in time, or 0 if there were none with an objective.
 	Allowed time.Duration
 	// SlotTime is the mean time that requests occupy a slot. What waits at an endpoint is of any kind.
 	SlotTime time.Duration
@@ -85,6 +85,9 @@
 	r.own.Accounts[u.Account] += w
 	r.own.Priorities[u.Priority] += w
 	r.requests++
+	if u.Objective <= 0 { // it doesn't bound the wait
+		return
+	}
 	s := max(u.Objective-u.Work, time.Duration(leastSlackShare*float64(u.Objective)))
 	r.kinds[u.Kind] = kind{s, now}
 }
@@ -121,13 +124,14 @@
 		return v
 	}
 	r.advance(now)
+	bounded := false
 	for n, k := range r.kinds {
 		if k.at+kindTime < now {
 			delete(r.kinds, n)
 			continue
 		}
-		if v.Allowed == 0 || k.slack < v.Allowed {
-			v.Allowed = k.slack
+		if !bounded || k.slack < v.Allowed {
+			v.Allowed, bounded = k.slack, true
 		}
 	}
 	if r.requests > 0 {
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -130,3 +130,14 @@
 		i.True(len(at) >= 10) // of 20 parts of the time that callers honour
 	}
 }
+
+// Guards against a wait that is allowed by chance where a kind has no objective.
+func TestKindsWithoutObjectiveAllowAnyWait(t *testing.T) {
+	i := is.New(t)
+	for range 50 {
+		l := shed.NewLedger()
+		l.Add("s", shed.Use{Kind: "k", SlotTime: time.Second, Objective: time.Second}, time.Second)
+		l.Add("s", shed.Use{Kind: "without", SlotTime: time.Second, Work: time.Second}, time.Second)
+		i.Equal(l.View("s", time.Second).Allowed, time.Second)
+	}
+}
