Take no starting balance or piece of a late reply

A host accepted starting balances and pieces of any reply: of one that came after its lease, when the lender doesn't count them any more, and of one that came twice. Such replies grant nothing now, and an older loan doesn't replace a newer one. Lenders count starting balances for the window and holdTime, in which a reply may be under way. Pieces are kept by their end. TestLateRepliesGrantNothing and TestStartingBalancesCountUntilTheirRepliesAreTooLate are green, red before.

TestControlHostThatStartsGrantsNoStartingBalances wanted a starting balance a window after the start of a control host. That is too early for replies of the process before: it wants none now until holdTime later.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -21,6 +21,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -62,6 +63,8 @@
 	// control identifies the process of the control host that lends to this host, or is empty before its first reply on a
 	// connection.
 	control string
+	// acceptedAt is when the last loan that was taken over was asked for.
+	acceptedAt time.Duration
 }
 
 // account is the budget of one service on this host.
@@ -92,7 +95,7 @@
 // count as 1 s.
 func NewHost(l Limits) *Host {
 	l.Window = max(l.Window, time.Second)
-	return &Host{limits: l, services: map[string]*account{}}
+	return &Host{limits: l, services: map[string]*account{}, acceptedAt: math.MinInt64}
 }
 
 // Deposit counts a request to a service and adds its share of a retry to the balance.
--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -105,12 +105,26 @@
 	return max(0, min(n, balanceCap)-a.balance) / h.limits.Slack
 }
 
+// withoutLate returns what of a loan may be taken over: nothing of one that has ended or was asked for before the last one, and no starting balances
+// and pieces of one that was taken over already, as the control host counts them once.
+func (h *Host) withoutLate(l Loan, now time.Duration) Loan {
+	if now >= l.AskedAt+l.Lease || l.AskedAt < h.acceptedAt {
+		return Loan{}
+	}
+	if l.AskedAt == h.acceptedAt {
+		l.Starts, l.Pieces = nil, nil
+	}
+	h.acceptedAt = l.AskedAt
+	return l
+}
+
 // Accept takes over what a control host has lent. control identifies its process: sums of another one begin anew. What was
 // lent with a reply that was lost comes with the next one.
 func (h *Host) Accept(control string, l Loan, grants map[string]Grant, now time.Duration) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	h.updateAll(now) // the share before may have ended
+	l = h.withoutLate(l, now)
 	if l.Lease > 0 { // else the control host goes on to count the loan before
 		h.loan = l
 	}
@@ -128,7 +142,7 @@
 		// What is above the cap isn't lent once more: it would last longer than lendTime.
 		h.fill(a, l.Starts[s]*h.limits.Slack+n)
 		if v := l.Pieces[s] * h.limits.Slack; v > 0 {
-			a.pieces = append(a.pieces, piece{v, l.AskedAt + l.Lease})
+			a.pieces.add(piece{v, l.AskedAt + l.Lease})
 		}
 		a.granted = max(a.granted, g)
 	}
--- a/budget/lender.go
+++ b/budget/lender.go
@@ -168,13 +168,13 @@
 	return n
 }
 
-// grantStart grants a starting balance out of what is left of this control host's part in the last window. A host that says what it lacks
-// gets that or nothing: a part of a retry is of no use.
+// grantStart grants a starting balance out of what is left of this control host's part in the last window. Each one counts for holdTime longer, in which
+// its reply may be under way. A host that says what it lacks gets that or nothing: a part of a retry is of no use.
 func (l *lender) grantStart(service string, v Statement, r Request, now time.Duration) float64 {
-	if v.Start <= 0 || !r.New && now < l.began+r.Window {
+	if v.Start <= 0 || !r.New && now < l.began+r.Window+holdTime {
 		return 0
 	}
-	g := since(l.starts[service], now-r.Window)
+	g := since(l.starts[service], now-r.Window-holdTime)
 	f := startShare*r.part() - sum(g)
 	n := min(f, v.Start)
 	if v.OnDemand {
--- a/budget/pieces.go
+++ b/budget/pieces.go
@@ -1,6 +1,9 @@
 package budget
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // keepTime is how long before its end what is left of a piece is kept as far as the balance cap allows it. Hosts exchange messages
 // more often.
@@ -12,9 +15,18 @@
 	until   time.Duration
 }
 
-// pieces holds pieces, the oldest first.
+// pieces holds pieces, the one that ends first in front.
 type pieces []piece
 
+// add adds a piece.
+func (p *pieces) add(v piece) {
+	k := len(*p)
+	for k > 0 && (*p)[k-1].until > v.until {
+		k--
+	}
+	*p = slices.Insert(*p, k, v)
+}
+
 // sum returns the retries that may be made.
 func (p pieces) sum() (n float64) {
 	for _, v := range p {
@@ -23,7 +35,7 @@
 	return n
 }
 
-// take takes up to a number of retries and returns how many. The oldest pieces are used first since they end.
+// take takes up to a number of retries and returns how many. The pieces that end first are used first.
 func (p *pieces) take(retries float64) (n float64) {
 	l := *p
 	for len(l) > 0 && n < retries {
