--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -238,10 +238,10 @@
 // lend lends a host a share of the slack of the retry budgets for the length of a test, and grants it its starting balances.
 func lend(r *relay.Relay, share float64) {
 	_, k := r.ReportBudget()
-	l := budget.Loan{Share: share, AskedAt: k.AskedAt, Lease: time.Hour}
+	l := budget.Loan{Share: share, AskedAt: k.AskedAt - time.Millisecond, Lease: time.Hour}
 	r.AcceptBudget("c", l, nil)
 	s, _ := r.ReportBudget()
-	l.Starts = map[string]float64{}
+	l.AskedAt, l.Starts = k.AskedAt, map[string]float64{}
 	for n, v := range s {
 		l.Starts[n] = v.Start
 	}
