Shed no load by loads of other hosts that are older than 3 s

Loads that other hosts put on endpoints never faded. A host that lost its control hosts during a shortage refused all requests by the last loads until it was connected again, also on idle endpoints. The set keeps when it received loads last; beyond 3 s package shed is asked with the host's own loads only. TestRequestIsNotShedByLoadsThatAreOld is green, red before.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -81,6 +81,8 @@
 	Avoided map[string]bool
 	// LinkDraw is a random number from 0 to 1, by which the request uses a link that returns after a cut.
 	LinkDraw float64
+	// MaxLoadAge is the age up to which the loads of other hosts count, or 0 if they always do.
+	MaxLoadAge time.Duration
 	// Tried holds the IDs of the endpoints that earlier attempts of the request went to.
 	Tried map[string]bool
 }
@@ -165,7 +167,9 @@
 	dataCentre string
 	lock       sync.Mutex
 	endpoints  map[string]*endpoint
-	rollouts   map[string]canary.View
+	// loadsAt is when the loads of other hosts were last received.
+	loadsAt  time.Time
+	rollouts map[string]canary.View
 	// startTimes holds the time at which each running rollout was ordered, by serial.
 	startTimes map[uint64]time.Time
 	// links holds this host's links to the endpoints of each service in each data centre.
@@ -343,9 +347,17 @@
 	return time.Duration(float64(s.expected(n, q)) * f * n.slowdown)
 }
 
+// load returns the load of an endpoint that counts for a request.
+func (s *Set) load(n *endpoint, q Request) ctlrpc.Load {
+	if q.MaxLoadAge > 0 && time.Since(s.loadsAt) > q.MaxLoadAge {
+		return n.local
+	}
+	return n.local.Plus(n.remote)
+}
+
 // expected returns the same estimate for an endpoint that is exactly as fast as its model should be.
 func (s *Set) expected(n *endpoint, q Request) time.Duration {
-	l := n.local.Plus(n.remote)
+	l := s.load(n, q)
 	w := q.Work + time.Duration(l.Backlog)*time.Millisecond + time.Duration(l.Requests)*perRequestCost
 	if q.CacheSaving > 0 && s.hasAffinity(n, q) {
 		w -= q.CacheSaving
--- a/pick/state.go
+++ b/pick/state.go
@@ -108,6 +108,7 @@
 	for i, n := range s.endpoints {
 		n.remote = loads[i]
 	}
+	s.loadsAt = time.Now()
 }
 
 // ReadyCounts returns the number of endpoints that take requests, by service.
@@ -146,6 +147,7 @@
 			n.remote = l
 		}
 	}
+	s.loadsAt = time.Now()
 }
 
 // SetRollouts takes over the newest rollout of each service. The view held of a service stays if none is given, as by a control
@@ -243,7 +245,7 @@
 			r.Least = w
 		}
 		r.Mean += w
-		if q.Slots > 0 && e.local.Plus(e.remote).Requests >= q.Slots {
+		if q.Slots > 0 && s.load(e, q).Requests >= q.Slots {
 			r.Full++
 		}
 	}
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -59,11 +59,14 @@
 	return ttft.BaseLatency + j.relay.Prefill.PrefillTime(m, j.modelCost(m), j.request.Prompt.Tokens)
 }
 
+// maxLoadAge is the age up to which loads of other hosts count for a refusal. A host that is cut off would else go on to refuse requests by the last ones.
+const maxLoadAge = 3 * time.Second
+
 // shedRequest returns the properties of the request by which package shed decides.
 func (j *job) shedRequest() (shed.Request, shed.View) {
 	v := j.relay.Shed.View(j.service.Name, j.relay.Now())
 	n := j.endpointRequest()
-	n.SlotTime = v.SlotTime
+	n.SlotTime, n.MaxLoadAge = v.SlotTime, maxLoadAge
 	q := j.relay.Endpoints.Queue(n, time.Now())
 	r := shed.Request{
 		Wait: q.Least, Full: q.Full >= 1, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
--- a/relay/shed_test.go
+++ b/relay/shed_test.go
@@ -62,6 +62,18 @@
 	})
 }
 
+// Guards against a host that hears no loads any more and refuses all requests by the last ones, though the endpoints are idle since.
+func TestRequestIsNotShedByLoadsThatAreOld(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		w := shedding(99)
+		w.load(90, 4*time.Second)
+		time.Sleep(2 * time.Second)
+		i.True(w.serve(context.Background(), "/write/1", "key").refusal != nil)
+		time.Sleep(2 * time.Second)
+		i.Equal(w.serve(context.Background(), "/write/1", "key").status, 200)
+	})
+}
+
 // Guards against a larger model that is asked while others are refused for its work.
 func TestLargerModelIsNotAskedInShortage(t *testing.T) {
 	inSynctest(t, func(_ *testing.T, i *is.I) {
