Shed nothing while nothing waits for a slot

A request was weighed against others as soon as all slots were taken, since the estimated wait is never 0 then. Package shed gets the least number of requests beyond the slots of an endpoint, and serves all while that is 0. TestRequestIsNotShedWithoutShortage with all slots taken and nothing waiting is green, red before.

--- a/pick/state.go
+++ b/pick/state.go
@@ -227,6 +227,8 @@
 	Least, Mean time.Duration
 	// Full is the share of endpoints, from 0 to 1, whose slots are all taken.
 	Full float64
+	// Waiting is the least number of requests beyond the slots of an endpoint.
+	Waiting int
 }
 
 // Queue returns the queue at the endpoints that may take a request. It is empty if there are none.
@@ -245,9 +247,16 @@
 			r.Least = w
 		}
 		r.Mean += w
-		if q.Slots > 0 && s.load(e, q).Requests >= q.Slots {
+		if q.Slots == 0 {
+			continue
+		}
+		b := s.load(e, q).Requests - q.Slots
+		if b >= 0 {
 			r.Full++
 		}
+		if k == 0 || b < r.Waiting {
+			r.Waiting = max(0, b)
+		}
 	}
 	r.Mean /= time.Duration(len(l))
 	r.Full /= float64(len(l))
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -69,7 +69,7 @@
 	n.SlotTime, n.MaxLoadAge = v.SlotTime, maxLoadAge
 	q := j.relay.Endpoints.Queue(n, time.Now())
 	r := shed.Request{
-		Wait: q.Least, Full: q.Full >= 1, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
+		Wait: q.Least, Full: q.Full >= 1, Waiting: q.Waiting, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
 		Account: j.account, Priority: j.priority, Demand: v.Demand, Draw: j.draw, ReturnDraw: j.returnDraw,
 	}
 	if len(j.route.Tiers) > 0 {
--- a/relay/shed_test.go
+++ b/relay/shed_test.go
@@ -55,6 +55,8 @@
 		w := shedding(99)
 		w.load(20, 4*time.Second)
 		i.Equal(w.serve(context.Background(), "/write/1", "key").status, 200)
+		w.load(64, 4*time.Second) // all slots are taken, and nothing waits
+		i.Equal(w.serve(context.Background(), "/write/1", "key").status, 200)
 		i.Equal(w.serve(context.Background(), "/look/1", "key").status, 200)
 		w.relay.Shed = nil
 		w.load(90, 4*time.Second)
--- a/shed/shed.go
+++ b/shed/shed.go
@@ -34,6 +34,8 @@
 	// them has a free slot.
 	Wait time.Duration
 	Full bool
+	// Waiting is the least number of requests that wait at one of those endpoints beyond its slots.
+	Waiting int
 	// Allowed is the longest wait by which all kinds of requests that share the endpoints are in time.
 	Allowed time.Duration
 	// Work is the time from then on to the start of the answer, and Left the time until the deadline.
@@ -81,7 +83,7 @@
 // First decides on a request that no endpoint has run.
 func (c Chooser) First(r Request) Decision {
 	d := Decision{Tier: c.tier(r), Mean: 1, Share: 1}
-	if !r.Full || r.Wait <= 0 {
+	if !r.isShort() {
 		return d
 	}
 	d.Mean = r.meanShare()
@@ -102,7 +104,7 @@
 // wait, the surer it is that one for which there is no room is refused for the time that a larger model takes.
 func (c Chooser) tier(r Request) int {
 	n := c.tiers.First(r.Tiers)
-	if !r.Full || r.Wait <= 0 || r.Allowed <= 0 || r.MeanSlotTime <= 0 || r.Tiers.AttemptsLeft <= 0 {
+	if !r.isShort() || r.Allowed <= 0 || r.MeanSlotTime <= 0 || r.Tiers.AttemptsLeft <= 0 {
 		return n
 	}
 	p := r.scarcity() * r.Tiers.Demand.Value() / r.MeanSlotTime.Seconds()
@@ -126,9 +128,12 @@
 // MayEscalate reports whether a larger model may be asked for a request that has an answer: the request loses less by keeping that one
 // than those lose that would be refused for its work.
 func (c Chooser) MayEscalate(r Request) bool {
-	return !r.Full || r.Wait <= 0 || r.Draw < r.share(r.meanShare())
+	return !r.isShort() || r.Draw < r.share(r.meanShare())
 }
 
+// isShort reports whether requests have to wait for a slot: no endpoint has a free one, and some wait at each.
+func (r Request) isShort() bool { return r.Full && r.Waiting > 0 && r.Wait > 0 }
+
 // meanShare returns the share of all work that may be admitted at the wait: where all wait for longer than allowed, none is, since each
 // request that is admitted makes those late that come after it.
 func (r Request) meanShare() float64 {
