Weigh plain answers by the requests that wait for a slot

The backlog of an endpoint holds the whole time in a slot of running plain answers. On a service with slots it counted as the wait of the next one, which was shed although hardly anything waited. For routes without streams the wait is the mean slot time of the requests beyond the slots. TestPlainAnswerIsNotShedForWorkThatRuns is green, red before.

--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -222,6 +222,7 @@
 				Name: "write", Host: "h", Prefix: "/write/", Kind: table.Stream, Resumable: true, Timeout: 25 * time.Second, Objective: 3 * time.Second,
 				Attempts: 3, Tiers: []string{"small", "middle", "large"}, Shares: share("draft"),
 			},
+			{Name: "ask", Host: "h", Prefix: "/ask/", Kind: table.Repeatable, Timeout: 25 * time.Second, Objective: 3 * time.Second, Attempts: 3, Shares: share("draft")},
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: table.Repeatable, Public: true, Timeout: time.Second, Attempts: 2, Shares: share("desk")},
 		},
 		Accounts: []table.Account{{Name: "one", Keys: []string{"key"}}},
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/shed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
@@ -69,7 +70,7 @@
 	n.SlotTime, n.MaxLoadAge = v.SlotTime, maxLoadAge
 	q := j.relay.Endpoints.Queue(n, time.Now())
 	r := shed.Request{
-		Wait: q.Least, Full: q.Full >= 1, Waiting: q.Waiting, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
+		Wait: j.slotWait(q, v.SlotTime), Full: q.Full >= 1, Waiting: q.Waiting, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
 		Account: j.account, Priority: j.priority, Demand: v.Demand, Draw: j.draw, ReturnDraw: j.returnDraw,
 	}
 	if len(j.route.Tiers) > 0 {
@@ -81,6 +82,14 @@
 	return r, v
 }
 
+// slotWait returns the least wait for a slot. The backlog of plain answers holds the whole time in a slot of requests that run, which is no wait for the next one.
+func (j *job) slotWait(q pick.Queue, slotTime time.Duration) time.Duration {
+	if j.route.Kind == table.Stream {
+		return q.Least
+	}
+	return time.Duration(float64(slotTime) * float64(q.Waiting) / float64(j.service.Slots))
+}
+
 // isShed decides on a request that no endpoint has run, and refuses it if that loses least. It chooses the model unless the caller has.
 func (j *job) isShed() bool {
 	if !j.mayShed() || j.mayHaveRun || j.runs > 0 || j.answerBegun {
--- a/relay/shed_test.go
+++ b/relay/shed_test.go
@@ -64,6 +64,18 @@
 	})
 }
 
+// Guards against plain answers that are refused for the work that runs, as if it waited: their whole time in a slot is in the backlog.
+func TestPlainAnswerIsNotShedForWorkThatRuns(t *testing.T) {
+	inSynctest(t, func(_ *testing.T, i *is.I) {
+		w := shedding(99)
+		w.load(66, 20*time.Second)
+		i.True(w.serve(context.Background(), "/write/1", "key").refusal != nil)
+		i.Equal(w.serve(context.Background(), "/ask/1", "key").status, 200)
+		w.load(64*64, 20*time.Second)
+		i.True(w.serve(context.Background(), "/ask/1", "key").refusal != nil)
+	})
+}
+
 // Guards against a host that hears no loads any more and refuses all requests by the last ones, though the endpoints are idle since.
 func TestRequestIsNotShedByLoadsThatAreOld(t *testing.T) {
 	inSynctest(t, func(_ *testing.T, i *is.I) {
