Raise a control host's part only once removed ones' loans have ended

A lender took the number of control hosts from each request. Where two were removed within a window and holdTime, the others raised their parts at once beside what the removed ones had lent, so that the sum exceeded the slack. A lender counts the greatest number of the last window and holdTime now. TestPartIsRaisedOnlyOnceLoansOfRemovedControlHostsHaveEnded is green, red before.

A control host that starts again within that time knows the lower number only.

--- a/budget/lender.go
+++ b/budget/lender.go
@@ -46,6 +46,8 @@
 	starts, pieces map[string][]start
 	// peaks holds the sum of all shares.
 	peaks peaks
+	// controls holds the number of control hosts.
+	controls peaks
 }
 
 func newLender(now time.Duration) lender {
@@ -56,6 +58,7 @@
 // knows of them: a host gets no more than what the others can't hold any more.
 func (l *lender) lend(r Request, now time.Duration) Loan {
 	l.expire(now)
+	r.Controls = l.countControls(r, now)
 	b, ok := l.borrowers[r.Host]
 	if !ok {
 		b = &borrower{start: r.Start}
@@ -82,6 +85,16 @@
 	return n
 }
 
+// countControls returns the greatest number of control hosts of late, or 0 if this one isn't among them: a window and holdTime after others were
+// removed, nothing that those have lent counts in a window any more.
+func (l *lender) countControls(r Request, now time.Duration) int {
+	if r.Controls == 0 {
+		return 0
+	}
+	l.controls.add(float64(r.Controls), now)
+	return int(l.controls.max(r.Window+holdTime, now))
+}
+
 // lendable returns the sum of the shares that may be lent: what pieces that may be in use leave.
 func (l *lender) lendable(r Request, now time.Duration) float64 {
 	n := r.part()
