Read the queue for model tiers only where a model is chosen

Each decision of package shed computed the model tiers, and the queue of the endpoints for them, also before a retry and before a larger model is asked, where nothing uses them. They are computed only where the first model is chosen. The tests of relay are as before; no figure was measured.

--- a/relay/shed.go
+++ b/relay/shed.go
@@ -73,15 +73,21 @@
 		Wait: j.slotWait(q, v.SlotTime), Full: q.Full >= 1, Waiting: q.Waiting, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
 		Account: j.account, Priority: j.priority, Demand: v.Demand, Draw: j.draw, ReturnDraw: j.returnDraw,
 	}
-	if len(j.route.Tiers) > 0 {
-		r.Tiers = j.tierRequest()
-	}
+	return r, v
+}
+
+// withTiers adds the models among which a request may still choose. Only that decision needs them, and reads the queue for them once more.
+func (j *job) withTiers(r shed.Request) shed.Request {
+	r.Tiers = j.tierRequest()
 	for _, m := range j.route.Tiers {
 		r.SlotTimes = append(r.SlotTimes, j.modelHoldTime(m))
 	}
-	return r, v
+	return r
 }
 
+// choosesTier reports whether the model that answers first is still to be chosen.
+func (j *job) choosesTier() bool { return j.sends == 0 && len(j.route.Tiers) > 0 && !j.tierAsked }
+
 // slotWait returns the least wait for a slot. The backlog of plain answers holds the whole time in a slot of requests that run, which is no wait for the next one.
 func (j *job) slotWait(q pick.Queue, slotTime time.Duration) time.Duration {
 	if j.route.Kind == table.Stream {
@@ -96,8 +102,12 @@
 		return false
 	}
 	r, v := j.shedRequest()
+	chooses := j.choosesTier()
+	if chooses {
+		r = j.withTiers(r)
+	}
 	d := j.relay.shedder.First(r)
-	if j.sends == 0 && len(j.route.Tiers) > 0 && !j.tierAsked {
+	if chooses {
 		j.tier = d.Tier
 	}
 	j.countShed(d.Outcome.String())
