--- a/relay/request.go
+++ b/relay/request.go
@@ -246,7 +246,8 @@
 	BodyTooLarge // body-too-large
 	// NoEndpoint means that no endpoint can take the request now. The request has not run.
 	NoEndpoint // no-endpoint
-	// Overloaded means that no endpoint can answer before the deadline. The request has not run.
+	// Overloaded means that no endpoint can answer before the deadline, or that the request was shed since others lose more by its wait. It
+	// has not run.
 	Overloaded // overloaded
 	// AnswerLost means that the request may have run but its answer was not received.
 	AnswerLost // answer-lost
