Order sums of the fleet's demand by when they were made

A host ordered sums by the age of their oldest part, and ignored a newer sum with an older part. Messages state the age of the sum besides; sums of older control hosts are ordered as before. Whether a sum is fresh goes by its oldest part. TestNewerSumIsAdoptedThoughItsOldestPartIsOlder is green, red with the order before.

--- a/ctrl/demand.go
+++ b/ctrl/demand.go
@@ -47,6 +47,7 @@
 		t.demand = demandSum{s.Demand(), s.Now, true}
 	}
 	d = t.demand.demand
-	d.Age += s.Now - t.demand.summedAt
+	d.SumAge, d.Summed = s.Now-t.demand.summedAt, true
+	d.Age += d.SumAge
 	return d, true
 }
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -166,6 +166,6 @@
 // AdoptDemand takes over the demand of the fleet that a control host has sent.
 func (r *Relay) AdoptDemand(d ctlrpc.Demand) {
 	if r.Shed != nil && d.HasServices() {
-		r.Shed.Adopt(d.Services, d.Age, r.Now())
+		r.Shed.Adopt(d.Services, d.Order(), d.Age, r.Now())
 	}
 }
--- a/shed/ledger.go
+++ b/shed/ledger.go
@@ -38,7 +38,7 @@
 	Allowed time.Duration
 	// SlotTime is the mean time that requests occupy a slot. What waits at an endpoint is of any kind.
 	SlotTime time.Duration
-	// Fleet is set if the demand is that of the fleet, and Age the time since it was summed.
+	// Fleet is set if the demand is that of the fleet, and Age the time since its oldest part was counted.
 	Fleet bool
 	Age   time.Duration
 }
@@ -51,6 +51,8 @@
 	// fleet is the demand of the fleet, and summedAt when it was summed on this host's clock.
 	fleet    map[string]Demand
 	summedAt time.Duration
+	// oldestAt is when its oldest part was counted.
+	oldestAt time.Duration
 	reported time.Duration
 }
 
@@ -137,7 +139,7 @@
 	if r.requests > 0 {
 		v.SlotTime = time.Duration(r.own.Total() / r.requests * float64(rateTime))
 	}
-	v.Age = now - l.summedAt
+	v.Age = now - l.oldestAt
 	if d, ok := l.fleet[service]; ok && v.Age <= freshTime {
 		v.Demand, v.Fleet = d, true
 		return v
@@ -164,11 +166,11 @@
 	return n
 }
 
-// Adopt takes over the demand of the fleet that was summed some time ago.
-func (l *Ledger) Adopt(fleet map[string]Demand, age, now time.Duration) {
+// Adopt takes over the demand of the fleet that was summed a time age ago, unless a newer sum is known. oldest is the age of its oldest part.
+func (l *Ledger) Adopt(fleet map[string]Demand, age, oldest, now time.Duration) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if at := now - age; l.fleet == nil || at > l.summedAt {
-		l.fleet, l.summedAt = fleet, at
+		l.fleet, l.summedAt, l.oldestAt = fleet, at, now-oldest
 	}
 }
--- a/shed/model_test.go
+++ b/shed/model_test.go
@@ -243,7 +243,7 @@
 		}
 		h.set.SetRemoteLoads(o)
 		if n := len(r.history) - 1 - int(r.stale/r.exchange); r.demand && n >= 0 {
-			h.ledger.Adopt(r.history[n], r.stale, r.now)
+			h.ledger.Adopt(r.history[n], r.stale, r.stale, r.now)
 		}
 	}
 	if r.now < r.length+10*time.Second {
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -86,7 +86,7 @@
 	l := shed.NewLedger()
 	u := shed.Use{Kind: "k", Account: "a", SlotTime: time.Second, Work: 100 * time.Millisecond, Objective: time.Second}
 	l.Add("s", u, time.Second)
-	l.Adopt(map[string]shed.Demand{"s": {Accounts: map[string]float64{"b": 9}}}, 500*time.Millisecond, time.Second)
+	l.Adopt(map[string]shed.Demand{"s": {Accounts: map[string]float64{"b": 9}}}, 0, 500*time.Millisecond, time.Second)
 	v := l.View("s", 2*time.Second)
 	i.True(v.Fleet)
 	i.Equal(v.Age, 1500*time.Millisecond)
@@ -96,6 +96,22 @@
 	i.Equal(len(v.Demand.Accounts), 0) // one request tells no shares
 }
 
+// Guards against a newer sum of the fleet's demand that isn't taken over since one of its parts is older.
+func TestNewerSumIsAdoptedThoughItsOldestPartIsOlder(t *testing.T) {
+	i := is.New(t)
+	l := shed.NewLedger()
+	l.Add("s", shed.Use{Kind: "k", SlotTime: time.Second, Objective: time.Second}, time.Second)
+	sum := func(account string) map[string]shed.Demand {
+		return map[string]shed.Demand{"s": {Accounts: map[string]float64{account: 9}}}
+	}
+	l.Adopt(sum("a"), 0, 100*time.Millisecond, 2*time.Second)
+	l.Adopt(sum("b"), 0, 2*time.Second, 3*time.Second)
+	l.Adopt(sum("a"), 1500*time.Millisecond, 1500*time.Millisecond, 3*time.Second) // an older sum comes late
+	v := l.View("s", 3*time.Second)
+	i.Equal(v.Demand.Accounts["b"], 9.0)
+	i.Equal(v.Age, 2*time.Second)
+}
+
 // Guards against messages that name all of many accounts, and work that is lost since they don't.
 func TestBoundedDemandNamesAccountsWithMostWork(t *testing.T) {
 	i := is.New(t)
