Find fair shares without a loop over unnamed accounts

FairShare made a list entry for each account that a message counts but doesn't name, and nothing bounds that number. These accounts are one group now. TestFairShareOfAnyNumberOfAccountsIsFoundAtOnce is green; it wasn't run before the change, where it would have taken all memory.

--- a/shed/demand.go
+++ b/shed/demand.go
@@ -1,6 +1,7 @@
 package shed
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -78,26 +79,44 @@
 // FairShare returns the work of a client account up to which all of it is admitted if the share mean of all work is: accounts that ask for
 // less get all that they ask for, and the others an equal amount of what is left. ok is false if no account asks for more.
 func (d Demand) FairShare(mean float64) (work float64, ok bool) {
-	l := slices.Collect(maps.Values(d.Accounts))
-	for range d.RestAccounts {
-		l = append(l, d.Rest/float64(d.RestAccounts))
-	}
-	slices.Sort(l)
+	l := d.groups()
 	var t float64
-	for _, v := range l {
-		t += v
+	n := 0
+	for _, g := range l {
+		t += g.work * float64(g.accounts)
+		n += g.accounts
 	}
 	left := mean * t
-	for k, v := range l {
-		f := left / float64(len(l)-k)
-		if v > f {
+	for _, g := range l {
+		f := left / float64(n)
+		if g.work > f {
 			return f, true
 		}
-		left -= v
+		left -= g.work * float64(g.accounts)
+		n -= g.accounts
 	}
 	return 0, false
 }
 
+// group is a number of accounts with the same work each.
+type group struct {
+	work     float64
+	accounts int
+}
+
+// groups returns the accounts, those with least work first. Further accounts are one group, since a message may name any number of them.
+func (d Demand) groups() []group {
+	l := make([]group, 0, len(d.Accounts)+1)
+	for _, v := range d.Accounts {
+		l = append(l, group{v, 1})
+	}
+	if d.RestAccounts > 0 {
+		l = append(l, group{d.Rest / float64(d.RestAccounts), d.RestAccounts})
+	}
+	slices.SortFunc(l, func(a, b group) int { return cmp.Compare(a.work, b.work) })
+	return l
+}
+
 // accountShare returns the share of an account's work that is admitted if that of all work is mean.
 func (d Demand) accountShare(account string, mean float64) float64 {
 	if len(d.Accounts)+d.RestAccounts < 2 {
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -157,3 +157,11 @@
 		i.Equal(l.View("s", time.Second).Allowed, time.Second)
 	}
 }
+
+// Guards against a message that keeps a host busy by the number of accounts that it doesn't name.
+func TestFairShareOfAnyNumberOfAccountsIsFoundAtOnce(t *testing.T) {
+	i := is.New(t)
+	f, ok := shed.Demand{Accounts: map[string]float64{"a": 6}, Rest: 4, RestAccounts: 1 << 40}.FairShare(0.5)
+	i.True(ok)
+	i.True(f > 0.999 && f < 1.001) // the others ask for less than an equal part and get all of their 4, of 5
+}
