--- a/budget/lender.go
+++ b/budget/lender.go
@@ -46,6 +46,8 @@
 	starts, pieces map[string][]start
 	// peaks holds the sum of all shares.
 	peaks peaks
+	// controls holds the number of control hosts.
+	controls peaks
 }
 
 func newLender(now time.Duration) lender {
@@ -56,6 +58,7 @@
 // knows of them: a host gets no more than what the others can't hold any more.
 func (l *lender) lend(r Request, now time.Duration) Loan {
 	l.expire(now)
+	r.Controls = l.countControls(r, now)
 	b, ok := l.borrowers[r.Host]
 	if !ok {
 		b = &borrower{start: r.Start}
@@ -82,13 +85,19 @@
 	return n
 }
 
-// lendable returns the sum of the shares that may be lent: what pieces that may be in use leave. The first process of a control host comes
-// to it little by little in the first leaseTime. Hosts that start with it have no balances to keep yet, and get pieces in place of shares.
+// countControls returns the greatest number of control hosts of late, or 0 if this one isn't among them: a window and holdTime after others were
+// removed, nothing that those have lent counts in a window any more.
+func (l *lender) countControls(r Request, now time.Duration) int {
+	if r.Controls == 0 {
+		return 0
+	}
+	l.controls.add(float64(r.Controls), now)
+	return int(l.controls.max(r.Window+holdTime, now))
+}
+
+// lendable returns the sum of the shares that may be lent: what pieces that may be in use leave.
 func (l *lender) lendable(r Request, now time.Duration) float64 {
 	n := r.part()
-	if r.New {
-		n *= min(1, (now-l.began).Seconds()/leaseTime.Seconds())
-	}
 	for s := range l.pieces {
 		n = min(n, r.part()-sum(since(l.pieces[s], now-holdTime))/slackShare)
 	}
@@ -172,13 +181,13 @@
 	return n
 }
 
-// grantStart grants a starting balance out of what is left of this control host's part in the last window. A host that says what it lacks
-// gets that or nothing: a part of a retry is of no use.
+// grantStart grants a starting balance out of what is left of this control host's part in the last window. Each one counts for holdTime longer, in which
+// its reply may be under way. A host that says what it lacks gets that or nothing: a part of a retry is of no use.
 func (l *lender) grantStart(service string, v Statement, r Request, now time.Duration) float64 {
-	if v.Start <= 0 || !r.New && now < l.began+r.Window {
+	if v.Start <= 0 || !r.New && now < l.began+r.Window+holdTime {
 		return 0
 	}
-	g := since(l.starts[service], now-r.Window)
+	g := since(l.starts[service], now-r.Window-holdTime)
 	f := startShare*r.part() - sum(g)
 	n := min(f, v.Start)
 	if v.OnDemand {
--- a/pick/state.go
+++ b/pick/state.go
@@ -108,6 +108,7 @@
 	for i, n := range s.endpoints {
 		n.remote = loads[i]
 	}
+	s.loadsAt = time.Now()
 }
 
 // ReadyCounts returns the number of endpoints that take requests, by service.
@@ -146,6 +147,7 @@
 			n.remote = l
 		}
 	}
+	s.loadsAt = time.Now()
 }
 
 // SetRollouts takes over the newest rollout of each service. The view held of a service stays if none is given, as by a control
@@ -225,6 +227,8 @@
 	Least, Mean time.Duration
 	// Full is the share of endpoints, from 0 to 1, whose slots are all taken.
 	Full float64
+	// Waiting is the least number of requests beyond the slots of an endpoint.
+	Waiting int
 }
 
 // Queue returns the queue at the endpoints that may take a request. It is empty if there are none.
@@ -245,9 +249,16 @@
 			r.Least = w
 		}
 		r.Mean += w
-		if q.Slots > 0 && e.local.Plus(e.remote).Requests >= q.Slots {
+		if q.Slots == 0 {
+			continue
+		}
+		b := s.load(e, q).Requests - q.Slots
+		if b >= 0 {
 			r.Full++
 		}
+		if k == 0 || b < r.Waiting {
+			r.Waiting = max(0, b)
+		}
 	}
 	r.Mean /= time.Duration(len(l))
 	r.Full /= float64(len(l))
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -224,6 +224,7 @@
 				Name: "write", Host: "h", Prefix: "/write/", Kind: table.Stream, Resumable: true, Timeout: 25 * time.Second, Objective: 3 * time.Second,
 				Attempts: 3, Tiers: []string{"small", "middle", "large"}, Shares: share("draft"),
 			},
+			{Name: "ask", Host: "h", Prefix: "/ask/", Kind: table.Repeatable, Timeout: 25 * time.Second, Objective: 3 * time.Second, Attempts: 3, Shares: share("draft")},
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: table.Repeatable, Public: true, Timeout: time.Second, Attempts: 2, Shares: share("desk")},
 		},
 		Accounts: []table.Account{{Name: "one", Keys: []string{"key"}}},
@@ -240,10 +241,10 @@
 // lend lends a host a share of the slack of the retry budgets for the length of a test, and grants it its starting balances.
 func lend(r *relay.Relay, share float64) {
 	_, k := r.ReportBudget()
-	l := budget.Loan{Share: share, AskedAt: k.AskedAt, Lease: time.Hour}
+	l := budget.Loan{Share: share, AskedAt: k.AskedAt - time.Millisecond, Lease: time.Hour}
 	r.AcceptBudget("c", l, nil)
 	s, _ := r.ReportBudget()
-	l.Starts = map[string]float64{}
+	l.AskedAt, l.Starts = k.AskedAt, map[string]float64{}
 	for n, v := range s {
 		l.Starts[n] = v.Start
 	}
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/shed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 	"github.com/hickoryshelf/hickoryshelf/ttft"
@@ -59,23 +60,40 @@
 	return ttft.BaseLatency + j.relay.Prefill.PrefillTime(m, j.modelCost(m), j.request.Prompt.Tokens)
 }
 
+// maxLoadAge is the age up to which loads of other hosts count for a refusal. A host that is cut off would else go on to refuse requests by the last ones.
+const maxLoadAge = 3 * time.Second
+
 // shedRequest returns the properties of the request by which package shed decides.
 func (j *job) shedRequest() (shed.Request, shed.View) {
 	v := j.relay.Shed.View(j.service.Name, j.relay.Now())
 	n := j.endpointRequest()
-	n.SlotTime = v.SlotTime
+	n.SlotTime, n.MaxLoadAge = v.SlotTime, maxLoadAge
 	q := j.relay.Endpoints.Queue(n, time.Now())
 	r := shed.Request{
-		Wait: q.Least, Full: q.Full >= 1, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
+		Wait: j.slotWait(q, v.SlotTime), Full: q.Full >= 1, Waiting: q.Waiting, Allowed: v.Allowed, Work: j.leastWork(), Left: time.Until(j.deadline), MeanSlotTime: v.SlotTime,
 		Account: j.account, Priority: j.priority, Demand: v.Demand, Draw: j.draw, ReturnDraw: j.returnDraw,
 	}
-	if len(j.route.Tiers) > 0 {
-		r.Tiers = j.tierRequest()
-	}
+	return r, v
+}
+
+// withTiers adds the models among which a request may still choose. Only that decision needs them, and reads the queue for them once more.
+func (j *job) withTiers(r shed.Request) shed.Request {
+	r.Tiers = j.tierRequest()
 	for _, m := range j.route.Tiers {
 		r.SlotTimes = append(r.SlotTimes, j.modelHoldTime(m))
 	}
-	return r, v
+	return r
+}
+
+// choosesTier reports whether the model that answers first is still to be chosen.
+func (j *job) choosesTier() bool { return j.sends == 0 && len(j.route.Tiers) > 0 && !j.tierAsked }
+
+// slotWait returns the least wait for a slot. The backlog of plain answers holds the whole time in a slot of requests that run, which is no wait for the next one.
+func (j *job) slotWait(q pick.Queue, slotTime time.Duration) time.Duration {
+	if j.route.Kind == table.Stream {
+		return q.Least
+	}
+	return time.Duration(float64(slotTime) * float64(q.Waiting) / float64(j.service.Slots))
 }
 
 // isShed decides on a request that no endpoint has run, and refuses it if that loses least. It chooses the model unless the caller has.
@@ -84,8 +102,12 @@
 		return false
 	}
 	r, v := j.shedRequest()
+	chooses := j.choosesTier()
+	if chooses {
+		r = j.withTiers(r)
+	}
 	d := j.relay.shedder.First(r)
-	if j.sends == 0 && len(j.route.Tiers) > 0 && !j.tierAsked {
+	if chooses {
 		j.tier = d.Tier
 	}
 	j.countShed(d.Outcome.String())
@@ -144,6 +166,6 @@
 // AdoptDemand takes over the demand of the fleet that a control host has sent.
 func (r *Relay) AdoptDemand(d ctlrpc.Demand) {
 	if r.Shed != nil && d.HasServices() {
-		r.Shed.Adopt(d.Services, d.Age, r.Now())
+		r.Shed.Adopt(d.Services, d.Order(), d.Age, r.Now())
 	}
 }
