--- a/cmds/node.go
+++ b/cmds/node.go
@@ -140,7 +140,7 @@
 		if err != nil {
 			return fmt.Errorf("listen for metrics: %w; choose a free metrics-port", err)
 		}
-		h := &http.Server{Handler: metricsHandler{n.metrics}, ReadHeaderTimeout: nodeHeaderTimeout}
+		h := newSideServer(metricsHandler{n.metrics})
 		s := n.newServer(h, l, "metrics", sideConnections)
 		go s.run()
 	}
@@ -164,6 +164,12 @@
 	return newServer(h, accept.Options{Listener: g, Name: name, Log: n.log, Metrics: n.metrics})
 }
 
+// newSideServer returns an HTTP server for small requests without a body. What comes nevertheless is read on by net/http, and must not
+// hold one of the few connections.
+func newSideServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: nodeHeaderTimeout, ReadTimeout: nodeHeaderTimeout, WriteTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+}
+
 // metricsHandler serves a set of metrics and the metrics of the process.
 type metricsHandler struct{ set *metrics.Set }
 
@@ -230,7 +236,7 @@
 		Handler: i.Guard(b), ReadHeaderTimeout: nodeHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: i.Track, ConnContext: i.ConnContext,
 	}
-	d := &http.Server{Handler: readinessHandler{e}, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	d := newSideServer(readinessHandler{e})
 	y := proxy.NewServer(proxy.Options{Token: k, Relay: r, Bound: a.Bound, Stopping: e.Stopping, Intake: n.intake, Connections: c.Connections / peerPart, Log: n.log, Metrics: n.metrics})
 	u, v, w := n.newServer(s, l[0], "callers", c.Connections), n.newServer(d, l[1], "readiness", sideConnections), proxyServer{y, l[2]}
 	go u.run()
