Drop no request for a connection that is then refused

The gate dropped a request before it checked whether the part kept for newcomers had room, so that each refused newcomer cost another request, and with fewer than eight connections that part was empty. The place is now reserved first, and there is at least one. The new test was red (4 open connections, 5 wanted) and is green.

--- a/caller/gate.go
+++ b/caller/gate.go
@@ -15,7 +15,7 @@
 const (
 	// settledTime is how long a connection may take for a head before it is closed in place of idle ones.
 	settledTime = time.Second
-	// reservePart is the part of the connections that is kept for newcomers while others are closed: an eighth.
+	// reservePart is the part of the connections that is kept for newcomers while others are closed: an eighth, and one at least.
 	reservePart = 8
 )
 
@@ -113,12 +113,21 @@
 
 // admitBeyond admits a connection in place of a request that has stalled or is slow, if there is one. Its connection ends soon.
 func (g *Gate) admitBeyond(c *gateConn) bool {
+	if !g.reserve(c) {
+		return false
+	}
 	if !g.options.Intake.DropWorst() {
+		g.remove(c)
 		return false
 	}
+	return true
+}
+
+// reserve counts a connection as open if the part for newcomers has room.
+func (g *Gate) reserve(c *gateConn) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if len(g.conns) >= g.options.Connections+g.options.Connections/reservePart {
+	if len(g.conns) >= g.options.Connections+max(1, g.options.Connections/reservePart) {
 		return false
 	}
 	g.conns[c] = struct{}{}
--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -133,3 +133,22 @@
 	i.True(isServed(send(t, d, "GET / HTTP/1.1\r\nHost: h\r\nX-A: "+strings.Repeat("a", 20<<10)+"\r\n\r\n")))
 	i.Equal(a.Taken(), int64(0))
 }
+
+// Guards against requests that are dropped although the newcomer is then refused, and against a small limit that keeps all newcomers out.
+func TestCrowdOfNewcomersDropsNoMoreThanItReplaces(t *testing.T) {
+	i := is.New(t)
+	a := intake.NewAccount(intake.Limits{Bytes: 1 << 20})
+	s, d := startGate(t, a)
+	dropped := make(chan struct{}, gateConnections)
+	for range gateConnections {
+		send(t, d, request("/wait"))
+		defer a.Open(intake.Options{Drop: func() { dropped <- struct{}{} }}).Close()
+	}
+	time.Sleep(1200 * time.Millisecond) // until the requests count as stalled
+	send(t, d, request("/wait"))
+	time.Sleep(50 * time.Millisecond) // until it is served
+	i.True(!isServed(send(t, d, request("/"))))
+	i.Equal(s.gate.Open(), gateConnections+1)
+	i.Equal(len(dropped), 1)
+	close(s.release)
+}
