Count heads from 512 bytes on

Heads were counted from 4 KiB on, but a stalled one of just less takes 65 KB of heap by its many short fields, and a crowd of them took memory without a bound. The count now begins at 512 bytes, in steps of 512. The case added to the test was red and is green.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -11,10 +11,10 @@
 const (
 	// freeHeadBytes is how much of a head isn't counted, and headWeight the memory, in bytes, that a byte of a longer head takes at most
 	// while it is read: a field of a few bytes is two strings, a slice and an entry of a map.
-	freeHeadBytes = 4 << 10
+	freeHeadBytes = 512
 	headWeight    = 20
 	// headStepBytes is how many bytes of a head are counted at a time.
-	headStepBytes = 4 << 10
+	headStepBytes = 512
 )
 
 // gateConn is a connection that a Gate has accepted.
@@ -76,13 +76,12 @@
 		}
 	}
 	s.Receive(n)
-	for c.counted < c.head {
-		if err := s.Take(headStepBytes * headWeight); err != nil {
-			return err
-		}
-		c.counted += headStepBytes
+	k := (c.head - c.counted + headStepBytes - 1) / headStepBytes
+	if k <= 0 {
+		return nil
 	}
-	return nil
+	c.counted += k * headStepBytes
+	return s.Take(k * headStepBytes * headWeight)
 }
 
 // endHead gives back what the head took, as its request is in flight.
--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -128,6 +128,12 @@
 	i.NoErr(c.Close())
 	time.Sleep(50 * time.Millisecond) // until the server has noticed
 	i.Equal(a.Taken(), int64(0))
+	c = send(t, d, "GET / HTTP/1.1\r\n"+strings.Repeat("a: b\r\n", 600)) // takes about 65 KB
+	time.Sleep(50 * time.Millisecond)                                    // until it was read
+	i.True(a.Taken() >= 65<<10)
+	i.NoErr(c.Close())
+	time.Sleep(50 * time.Millisecond) // until the server has noticed
+	i.Equal(a.Taken(), int64(0))
 	i.True(!isServed(send(t, d, "GET / HTTP/1.1\r\nHost: h\r\nX-A: "+strings.Repeat("a", 100<<10)+"\r\n\r\n"))) // more than all heads may take
 	i.Equal(a.Taken(), int64(0))
 	i.True(isServed(send(t, d, "GET / HTTP/1.1\r\nHost: h\r\nX-A: "+strings.Repeat("a", 20<<10)+"\r\n\r\n")))
