Give memory back before the rest of a refused body is skipped

A call between hosts that was refused for want of memory, and a caller's body over the limit, kept what they had taken while the rest of the body came. It is now released first. The new test of calls was red and is green; the caller's path has no test of its own.

--- a/proxy/crowd_test.go
+++ b/proxy/crowd_test.go
@@ -69,3 +69,20 @@
 		})
 	}
 }
+
+// Guards against a call that is refused for want of memory, and that keeps what it had taken from others while the rest of its body comes.
+func TestCallWithoutMemoryGivesItBackAtOnce(t *testing.T) {
+	i := is.New(t)
+	h := startHelping(t, answering(bytes.NewBufferString("answer")))
+	h.server.Intake = intake.NewAccount(intake.Limits{Bytes: 100 << 10})
+	c, err := net.Dial("tcp", h.address)
+	i.NoErr(err)
+	defer c.Close() //nolint:errcheck // the test ends
+	j, err := json.Marshal(map[string]any{"id": "e", "token": "secret", "origin": "e", "method": "POST", "target": "/", "endpoint": endpoint, "remaining-ms": 5000, "max-connections": 4})
+	i.NoErr(err)
+	b := frame(1, bytes.Repeat([]byte("x"), 400<<10))
+	_, err = c.Write(append(frame(callKind, j), b[:len(b)-10]...))
+	i.NoErr(err)
+	time.Sleep(200 * time.Millisecond) // until all that comes was read
+	i.Equal(h.server.Intake.Taken(), int64(0))
+}
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -59,6 +59,7 @@
 	b, err = c.share.ReadBody(r, int64(bodyBytes))
 	var d *intake.DroppedError
 	if errors.As(err, &d) {
+		c.share.Release()
 		_, err = io.CopyN(io.Discard, r, r.N) // fails if another call has dropped this one, which closed the connection
 		return nil, err == nil, err
 	}
