Close stalled heads before idle connections

The gate compared addresses before states, so that idle connections of an address with many callers were closed in place of stalled heads from many other addresses. The new test was red and is green.

--- a/caller/gate.go
+++ b/caller/gate.go
@@ -33,7 +33,7 @@
 }
 
 // Gate is a listener that bounds the number of open connections and what their heads take. Once there are too many, it closes one
-// without a request in flight for each new one, of the address that has most of them. It is safe for concurrent use.
+// without a request in flight for each new one: one whose head has stalled, else one of the address that has most of them. It is safe for concurrent use.
 type Gate struct {
 	net.Listener
 	options GateOptions
@@ -134,8 +134,8 @@
 	return true
 }
 
-// victim returns the connection that is closed for a new one, or nil if all have a request in flight: of the address with most
-// connections, one whose head has been coming for longest, else the one idle for longest, else a new one.
+// victim returns the connection that is closed for a new one, or nil if all have a request in flight: one whose head takes long, else one
+// of the address with most connections, there the one idle for longest, else a new one.
 func (g *Gate) victim(now time.Time) *gateConn {
 	l := map[string]int{}
 	for c := range g.conns {
@@ -154,11 +154,15 @@
 
 // isBefore reports whether a connection is closed before another one.
 func (c *gateConn) isBefore(o *gateConn, byAddress map[string]int, now time.Time) bool {
+	r, q := c.rank(now), o.rank(now)
+	if (r == 0) != (q == 0) {
+		return r == 0
+	}
 	if a, b := byAddress[c.address], byAddress[o.address]; a != b {
 		return a > b
 	}
-	if a, b := c.rank(now), o.rank(now); a != b {
-		return a < b
+	if r != q {
+		return r < q
 	}
 	return c.since.Before(o.since)
 }
--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -158,3 +158,28 @@
 	i.Equal(len(dropped), 1)
 	close(s.release)
 }
+
+// Guards against idle connections of an address with many callers that are closed in place of heads that have stalled.
+func TestCrowdOfStalledHeadsIsClosedBeforeIdleConnections(t *testing.T) {
+	i := is.New(t)
+	_, a := startGate(t, nil)
+	var l []net.Conn
+	for range gateConnections - 1 {
+		c := send(t, a, request("/"))
+		i.True(isServed(c))
+		l = append(l, c)
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	s, err := d.Dial("tcp", a)
+	i.NoErr(err)
+	defer s.Close() //nolint:errcheck // the test ends
+	_, err = io.WriteString(s, "GET / HTTP/1.1\r\n")
+	i.NoErr(err)
+	time.Sleep(1200 * time.Millisecond) // until the head counts as stalled
+	i.True(isServed(send(t, a, request("/"))))
+	for _, c := range l {
+		_, err := io.WriteString(c, request("/"))
+		i.NoErr(err)
+		i.True(isServed(c))
+	}
+}
