Close connections between hosts that never showed the token

Anything may connect to the peer port, and an idle connection without a call stayed for ever and was never replaced: as many as are allowed shut out the other hosts. A connection now has the 5 s of a call to show the token.

--- a/proxy/crowd_test.go
+++ b/proxy/crowd_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -86,3 +88,24 @@
 	time.Sleep(200 * time.Millisecond) // until all that comes was read
 	i.Equal(h.server.Intake.Taken(), int64(0))
 }
+
+// Guards against idle connections without a token that keep other hosts out, and against those of other hosts that are closed too.
+func TestCrowdOfIdleConnectionsWithoutTokenIsClosed(t *testing.T) {
+	const wait = 7 * time.Second // more than a connection may take for its first call
+	i := is.New(t)
+	h := startHelping(t, answering(bytes.NewBufferString("answer")))
+	for _, token := range []string{"", "other", "secret"} {
+		c, err := net.Dial("tcp", h.address)
+		i.NoErr(err)
+		defer c.Close() //nolint:errcheck // the test ends
+		if token != "" {
+			j, err := json.Marshal(map[string]any{"id": "e" + token, "token": token, "origin": "e", "method": "POST", "target": "/", "endpoint": endpoint, "remaining-ms": 5000, "max-connections": 4})
+			i.NoErr(err)
+			_, err = c.Write(append(frame(callKind, j), frame(1, []byte("x"))...))
+			i.NoErr(err)
+		}
+		i.NoErr(c.SetReadDeadline(time.Now().Add(wait)))
+		_, err = io.Copy(io.Discard, c)
+		i.Equal(errors.Is(err, os.ErrDeadlineExceeded), token == "secret") // otherwise the host closes the connection
+	}
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -133,6 +133,8 @@
 	reader *bufio.Reader
 	// share is what the call that is served takes, or nil.
 	share *intake.Share
+	// trusted is set once a call held the token. Others may not stay without a call: anything may connect, and takes one of the connections.
+	trusted bool
 	// watched is closed once the leaveWatch of the last call no longer reads, or nil.
 	watched chan struct{}
 }
@@ -149,9 +151,13 @@
 	}
 }
 
-// awaitCall waits for the first byte of a call, and bounds the time that the rest may take.
+// awaitCall waits for the first byte of a call, and bounds the time that the rest may take. Hosts connect only to call at once.
 func (c *connection) awaitCall() error {
-	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+	var d time.Time // none
+	if !c.trusted {
+		d = time.Now().Add(callTimeout)
+	}
+	if err := c.conn.SetReadDeadline(d); err != nil {
 		return err
 	}
 	if _, err := c.reader.Peek(1); err != nil {
@@ -172,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	c.trusted = c.trusted || v.Token == c.server.Token
 	if k == revokeFrame {
 		return c.revoke(v)
 	}
