Refuse a memory-mb of clients above the process's

Such a limit bounds nothing, and the process ends. Its case of the test was red and is green. Negative times were refused before, by the field "duration"; the test covers them now.

--- a/conf/clients.go
+++ b/conf/clients.go
@@ -47,14 +47,14 @@
 	DocumentBytes int64 `json:"document-bytes"`
 }
 
-// check returns a *Fault for the first invalid value, or nil.
-func (c Clients) check() error {
+// check returns a *Fault for the first value that is invalid for a process with an amount of memory, or nil.
+func (c Clients) check(memoryMB int64) error {
 	for _, v := range []struct {
 		field string
 		value float64
 		most  float64
 	}{
-		{"memory-mb", float64(c.MemoryMB), 0},
+		{"memory-mb", float64(c.MemoryMB), float64(memoryMB)},
 		{"address-share", c.AddressShare, 1},
 		{"account-share", c.AccountShare, 1},
 		{"connections", float64(c.Connections), 0},
@@ -62,7 +62,7 @@
 		{"document-bytes", float64(c.DocumentBytes), 0},
 	} {
 		if v.value < 0 || v.most > 0 && v.value > v.most {
-			return &Fault{Field: "clients." + v.field, What: fmt.Sprintf("is %v", v.value), Remedy: "write a number that isn't negative, a share up to 1, or leave it out"}
+			return &Fault{Field: "clients." + v.field, What: fmt.Sprintf("is %v", v.value), Remedy: "write a value that isn't negative, a share up to 1, no more memory than the process has, or leave it out"}
 		}
 	}
 	return nil
--- a/conf/clients_test.go
+++ b/conf/clients_test.go
@@ -41,6 +41,8 @@
 	for section, field := range map[string]string{
 		`{"memory-mb":-1}`: "clients.memory-mb", `{"address-share":1.5}`: "clients.address-share", `{"account-share":-0.1}`: "clients.account-share",
 		`{"connections":-1}`: "clients.connections", `{"discard-bytes":-1}`: "clients.discard-bytes", `{"document-bytes":-1}`: "clients.document-bytes",
+		`{"body-timeout":"-1s"}`: "duration", `{"answer-timeout":"-1s"}`: "duration", `{"discard-time":"-1s"}`: "duration",
+		`{"memory-mb":281}`: "clients.memory-mb",
 	} {
 		i := is.New(t)
 		_, err := loadNode(t, withClients(section))
--- a/conf/node.go
+++ b/conf/node.go
@@ -215,7 +215,7 @@
 	if err := n.checkDecisions(); err != nil {
 		return err
 	}
-	if err := n.Clients.check(); err != nil {
+	if err := n.Clients.check(n.MemoryMB); err != nil {
 		return err
 	}
 	return n.checkPart()
