--- a/intake/intake.go
+++ b/intake/intake.go
@@ -88,13 +88,13 @@
 	// taken is what all shares take, and byAddress and byOwner those of one address and of one owner.
 	taken              int64
 	byAddress, byOwner map[string]int64
-	// changed is closed and replaced when memory was given back or a share was dropped.
+	// changed is closed when memory was given back or a share was dropped. It is nil if nothing waits for that.
 	changed chan struct{}
 }
 
 // NewAccount returns an account of which nothing is taken.
 func NewAccount(l Limits) *Account {
-	return &Account{limits: l, shares: map[*Share]struct{}{}, byAddress: map[string]int64{}, byOwner: map[string]int64{}, changed: make(chan struct{})}
+	return &Account{limits: l, shares: map[*Share]struct{}{}, byAddress: map[string]int64{}, byOwner: map[string]int64{}}
 }
 
 // Taken returns the bytes that all requests take.
@@ -153,8 +153,10 @@
 
 // notify wakes what waits for a change.
 func (a *Account) notify() {
-	close(a.changed)
-	a.changed = make(chan struct{})
+	if a.changed != nil {
+		close(a.changed)
+		a.changed = nil
+	}
 }
 
 // limit returns the limit of a scope.
--- a/intake/share.go
+++ b/intake/share.go
@@ -104,6 +104,9 @@
 
 // await drops connections without the lock, and waits for a change if one may come. It returns false if t came first.
 func (s *Share) await(victims []*Share, mayCome bool, t <-chan time.Time) bool {
+	if s.account.changed == nil {
+		s.account.changed = make(chan struct{})
+	}
 	c := s.account.changed
 	s.waiting = true
 	s.account.lock.Unlock()
