--- a/intake/body.go
+++ b/intake/body.go
@@ -11,7 +11,8 @@
 	firstBytes = 4 << 10
 	nextBytes  = 16 << 10
 	restBytes  = 64 << 10
-	// probeBytes is how much of a body is read before another piece is made for it, so that none is made for a body that ends or stalls.
+	// probeBytes is how much of a body is read at most before another piece is made for it, so that none is made for a body that ends or
+	// stalls.
 	probeBytes = 64
 )
 
