Bound an answer by the deadline of the configuration in force

The deadline for writing the answer came from the first admission, though the request is admitted again if another configuration was put in force while its body came: an answer could be cut.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -360,18 +360,25 @@
 	a.job.refuseWith(reason, t, f)
 }
 
+// Renew returns the admission by the table in force, if that was replaced. It refuses the request and returns false if that table doesn't
+// allow it.
+func (a Admission) Renew() (Admission, bool) {
+	r := a.job.relay
+	if a.table == r.table.Load() {
+		return a, true
+	}
+	return r.Admit(a.job.callerContext, a.job.request, a.job.sink)
+}
+
 // Serve sends the request, whose body is whole, to endpoints and writes the answer or a refusal. It returns when the request has ended. If
 // another table was put in force while the body came, the request is admitted by that.
 func (a Admission) Serve() {
+	a, ok := a.Renew()
+	if !ok {
+		return
+	}
 	j := a.job
 	r := j.relay
-	if a.table != r.table.Load() {
-		n, ok := r.Admit(j.callerContext, j.request, j.sink)
-		if !ok {
-			return
-		}
-		j = n.job
-	}
 	c, f := context.WithDeadline(j.callerContext, j.deadline)
 	defer f()
 	r.awaitEndpoint(c, j.service.Name)
