--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -128,8 +128,58 @@
 	i.NoErr(c.Close())
 	time.Sleep(50 * time.Millisecond) // until the server has noticed
 	i.Equal(a.Taken(), int64(0))
+	c = send(t, d, "GET / HTTP/1.1\r\n"+strings.Repeat("a: b\r\n", 600)) // takes about 65 KB
+	time.Sleep(50 * time.Millisecond)                                    // until it was read
+	i.True(a.Taken() >= 65<<10)
+	i.NoErr(c.Close())
+	time.Sleep(50 * time.Millisecond) // until the server has noticed
+	i.Equal(a.Taken(), int64(0))
 	i.True(!isServed(send(t, d, "GET / HTTP/1.1\r\nHost: h\r\nX-A: "+strings.Repeat("a", 100<<10)+"\r\n\r\n"))) // more than all heads may take
 	i.Equal(a.Taken(), int64(0))
 	i.True(isServed(send(t, d, "GET / HTTP/1.1\r\nHost: h\r\nX-A: "+strings.Repeat("a", 20<<10)+"\r\n\r\n")))
 	i.Equal(a.Taken(), int64(0))
 }
+
+// Guards against requests that are dropped although the newcomer is then refused, and against a small limit that keeps all newcomers out.
+func TestCrowdOfNewcomersDropsNoMoreThanItReplaces(t *testing.T) {
+	i := is.New(t)
+	a := intake.NewAccount(intake.Limits{Bytes: 1 << 20})
+	s, d := startGate(t, a)
+	dropped := make(chan struct{}, gateConnections)
+	for range gateConnections {
+		send(t, d, request("/wait"))
+		defer a.Open(intake.Options{Drop: func() { dropped <- struct{}{} }}).Close()
+	}
+	time.Sleep(1200 * time.Millisecond) // until the requests count as stalled
+	send(t, d, request("/wait"))
+	time.Sleep(50 * time.Millisecond) // until it is served
+	i.True(!isServed(send(t, d, request("/"))))
+	i.Equal(s.gate.Open(), gateConnections+1)
+	i.Equal(len(dropped), 1)
+	close(s.release)
+}
+
+// Guards against idle connections of an address with many callers that are closed in place of heads that have stalled.
+func TestCrowdOfStalledHeadsIsClosedBeforeIdleConnections(t *testing.T) {
+	i := is.New(t)
+	_, a := startGate(t, nil)
+	var l []net.Conn
+	for range gateConnections - 1 {
+		c := send(t, a, request("/"))
+		i.True(isServed(c))
+		l = append(l, c)
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	s, err := d.Dial("tcp", a)
+	i.NoErr(err)
+	defer s.Close() //nolint:errcheck // the test ends
+	_, err = io.WriteString(s, "GET / HTTP/1.1\r\n")
+	i.NoErr(err)
+	time.Sleep(1200 * time.Millisecond) // until the head counts as stalled
+	i.True(isServed(send(t, a, request("/"))))
+	for _, c := range l {
+		_, err := io.WriteString(c, request("/"))
+		i.NoErr(err)
+		i.True(isServed(c))
+	}
+}
