--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -105,9 +105,9 @@
 	return max(0, min(n, balanceCap)-a.balance) / h.limits.Slack
 }
 
-// withoutLate returns what of a loan may be taken over: nothing of one that has ended or was asked for before the last one, and no starting balances
+// acceptOnce records a loan and returns what of it may be taken over: nothing of one that has ended or was asked for before the last one, and no starting balances
 // and pieces of one that was taken over already, as the control host counts them once.
-func (h *Host) withoutLate(l Loan, now time.Duration) Loan {
+func (h *Host) acceptOnce(l Loan, now time.Duration) Loan {
 	if now >= l.AskedAt+l.Lease || l.AskedAt < h.acceptedAt {
 		return Loan{}
 	}
@@ -124,7 +124,7 @@
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	h.updateAll(now) // the share before may have ended
-	l = h.withoutLate(l, now)
+	l = h.acceptOnce(l, now)
 	if l.Lease > 0 { // else the control host goes on to count the loan before
 		h.loan = l
 	}
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -15,8 +15,8 @@
 const (
 	// settledTime is how long a connection may take for a head before it is closed in place of idle ones.
 	settledTime = time.Second
-	// reservePart is the part of the connections that is kept for newcomers while others are closed: an eighth, and one at least.
-	reservePart = 8
+	// An eighth more connections than GateOptions.Connections, and one at least, may be open while dropped requests close theirs.
+	overcommitDivisor = 8
 )
 
 // GateOptions holds what a Gate depends on.
@@ -24,7 +24,8 @@
 	Listener net.Listener
 	// Name says in logs and metrics who connects.
 	Name string
-	// Connections is the number of connections that may be open, or 0 for any number.
+	// Connections is the number of connections from which others are closed for new ones, or 0 for any number. For a moment an eighth more may be
+	// open.
 	Connections int
 	// Intake bounds what heads take. Nil means no bound.
 	Intake  *intake.Account
@@ -123,11 +124,11 @@
 	return true
 }
 
-// reserve counts a connection as open if the part for newcomers has room.
+// reserve counts a connection as open beyond Connections, while dropped requests close theirs, and reports false if there is no room for that.
 func (g *Gate) reserve(c *gateConn) bool {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if len(g.conns) >= g.options.Connections+max(1, g.options.Connections/reservePart) {
+	if len(g.conns) >= g.options.Connections+max(1, g.options.Connections/overcommitDivisor) {
 		return false
 	}
 	g.conns[c] = struct{}{}
--- a/ctrl/drain.go
+++ b/ctrl/drain.go
@@ -14,32 +14,32 @@
 // resendTime is the longest time for which operators resend an order that got no clear answer.
 const resendTime = 5 * time.Second
 
-// drainSeen records when this host learned of a change of a data centre.
-type drainSeen struct {
+// drainLearned records when this host learned of a change of a data centre.
+type drainLearned struct {
 	index  uint64
 	seenAt time.Duration
 	// live is set if the host was synced already, so that it learned of the change when that was committed.
 	live bool
 }
 
-// withDrainsSeen records that this host learns of the changes now that it didn't hold before. What a host holds at its start it learns then.
-func (s State) withDrainsSeen() State {
+// withDrainsLearned records that this host learns of the changes now that it didn't hold before. What a host holds at its start it learns then.
+func (s State) withDrainsLearned() State {
 	for k, c := range s.StateMachine.Drains {
-		if s.drainsSeen[k].index == c.Index {
+		if s.drainsLearned[k].index == c.Index {
 			continue
 		}
-		s.drainsSeen = maps.Clone(s.drainsSeen)
-		if s.drainsSeen == nil {
-			s.drainsSeen = map[string]drainSeen{}
+		s.drainsLearned = maps.Clone(s.drainsLearned)
+		if s.drainsLearned == nil {
+			s.drainsLearned = map[string]drainLearned{}
 		}
-		s.drainsSeen[k] = drainSeen{index: c.Index, seenAt: s.Now, live: s.Synced}
+		s.drainsLearned[k] = drainLearned{index: c.Index, seenAt: s.Now, live: s.Synced}
 	}
 	return s
 }
 
 // drainAge returns the least time since the last change of a data centre.
 func (s State) drainAge(dataCentre string) time.Duration {
-	return s.Now - s.drainsSeen[dataCentre].seenAt
+	return s.Now - s.drainsLearned[dataCentre].seenAt
 }
 
 // hasNewerDrains reports whether this host may tell an entry host of drains that it doesn't hold. A host that may lack committed entries
@@ -119,7 +119,7 @@
 		return ctlrpc.Accepted, c
 	case t.StateMachine.Drains.IsLate(d):
 		return ctlrpc.Unavailable, drain.Change{} // sent again it is taken with the newer change
-	case t.drainsSeen[d.DataCentre].live && t.drainAge(d.DataCentre) < resendTime:
+	case t.drainsLearned[d.DataCentre].live && t.drainAge(d.DataCentre) < resendTime:
 		return ctlrpc.Unavailable, drain.Change{}
 	}
 	return ctlrpc.Conflict, drain.Change{}
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -96,7 +96,7 @@
 	}
 	t.StateMachine = m
 	t.trackRollouts()
-	t.State = t.withDrainsSeen()
+	t.State = t.withDrainsLearned()
 	t.retireLeavers(0)
 }
 
@@ -108,7 +108,7 @@
 	}
 	t.StateMachine = m
 	t.trackRollouts()
-	t.State = t.withDrainsSeen()
+	t.State = t.withDrainsLearned()
 	t.retireLeavers(e.Index)
 	t.pending = slices.DeleteFunc(slices.Clone(t.pending), func(w pendingOrder) bool {
 		if w.index != e.Index || w.term != e.Term {
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -145,8 +145,8 @@
 
 	entryHosts    *immutable.Map[string, entryHost]
 	rolloutStarts map[string]rolloutStart
-	// drainsSeen records when this host learned of the last change of each data centre.
-	drainsSeen map[string]drainSeen
+	// drainsLearned records when this host learned of the last change of each data centre.
+	drainsLearned map[string]drainLearned
 	// assessments holds the newest assessment of each running rollout by serial. nextAssessment is when they are due again.
 	assessments    map[uint64]canary.Assessment
 	nextAssessment time.Duration
@@ -170,7 +170,7 @@
 	s := State{Options: o, FirstStart: o.Log.LastIndex() == bootstrapIndex, Fleet: fleet.New(), entryHosts: immutable.NewMap[string, entryHost](nil), rolloutStarts: map[string]rolloutStart{}, speeds: speed.NewState()}
 	m, err := StateMachine{}.WithSnapshot(o.Log.Snapshot)
 	s.StateMachine = m
-	return s.withDrainsSeen(), err
+	return s.withDrainsLearned(), err
 }
 
 // Address returns the peer address of a node.
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -46,7 +46,7 @@
 	e.Relay.Poison.AdoptWatch(r.Watch)
 	e.Relay.AcceptBudget(r.Control, r.Loan, r.Grants)
 	if r.Current {
-		e.Set.Touch()
+		e.Set.RecordControlReply()
 	}
 	e.Set.AcceptPermits(r.Control, r.Permits, sent)
 	e.Relay.LogCold()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,8 +91,8 @@
 	leads bool
 	// current is the same connection for other goroutines than run, or nil.
 	current atomic.Pointer[rpc.Client]
-	// askFirst holds the control hosts to ask for permits beside the current one. It is nil before the first reply.
-	askFirst atomic.Pointer[[]string]
+	// permitControls holds the control hosts to ask for permits beside the current one. It is nil before the first reply.
+	permitControls atomic.Pointer[[]string]
 	// retryPause is the pause after the next failed exchange, and besidePause that before the next one beside it.
 	retryPause, besidePause pause
 	// search looks for a control host with a leader, from a failed exchange until a reply of a control host that is current. It is nil
@@ -145,7 +145,7 @@
 	p.Start()
 	go f.run()
 	if o.Settings.Bounds.ColdLimits().On() {
-		a := permitAsker{entry: e, clients: map[string]*rpc.Client{}}
+		a := permitPoller{entry: e, clients: map[string]*rpc.Client{}}
 		go a.run()
 	}
 	return e
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -32,7 +32,7 @@
 	l := slices.DeleteFunc(slices.Clone(e.controls), e.isConnected)
 	slices.SortFunc(l, func(a, b string) int { return cmp.Compare(e.weight(a), e.weight(b)) })
 	l = l[:max(0, min(n, len(l)))]
-	e.askFirst.Store(&l)
+	e.permitControls.Store(&l)
 }
 
 // weight orders the control hosts differently on each entry host.
@@ -40,13 +40,13 @@
 	return xxhash.Sum64String(e.Settings.Name + "\x00" + control)
 }
 
-// permitAsker asks further control hosts for permits while this host wants some.
-type permitAsker struct {
+// permitPoller asks further control hosts for permits while this host wants some.
+type permitPoller struct {
 	entry   *Entry
 	clients map[string]*rpc.Client
 }
 
-func (a permitAsker) run() {
+func (a permitPoller) run() {
 	t := time.NewTicker(permitInterval)
 	defer t.Stop()
 	for {
@@ -61,8 +61,8 @@
 }
 
 // askAll asks each of the planned control hosts once, at the same time.
-func (a permitAsker) askAll() {
-	l := a.entry.askFirst.Load()
+func (a permitPoller) askAll() {
+	l := a.entry.permitControls.Load()
 	if l == nil || len(*l) == 0 {
 		return
 	}
@@ -84,7 +84,7 @@
 }
 
 // keep closes the connections to all but some control hosts.
-func (a permitAsker) keep(controls []string) {
+func (a permitPoller) keep(controls []string) {
 	for k, c := range a.clients {
 		if !slices.Contains(controls, k) {
 			if c != nil {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -46,7 +46,7 @@
 	Kept Cause = iota // kept
 	// Stalled means that no byte had come for stallTime.
 	Stalled // stalled
-	// Slow means that its bytes came slower than those of all others.
+	// Slow means that its bytes came slowest of those that may be dropped.
 	Slow // slow
 	// Large means that it had taken most, among requests that began a moment ago.
 	Large // large
--- a/intake/rank.go
+++ b/intake/rank.go
@@ -5,13 +5,13 @@
 const (
 	// stallTime is how long no byte of a request may come until it counts as stalled.
 	stallTime = time.Second
-	// youngTime is how long after its beginning a request isn't judged by its speed: a newcomer has none yet.
+	// youngTime is how long after its beginning a request isn't judged by its speed, which isn't known yet.
 	youngTime = 250 * time.Millisecond
 	// smallBytes is what a request may take without being dropped before larger ones: dropping it frees little.
 	smallBytes = 16 << 10
 )
 
-// standing is what decides which of several requests is dropped first.
+// standing is what decides which of several requests is dropped first: by cause, in the order of the values of Cause, and then by the rest.
 type standing struct {
 	cause Cause
 	small bool
--- a/pick/cold_test.go
+++ b/pick/cold_test.go
@@ -141,7 +141,7 @@
 	i.Equal(chosen(s, d, onlyCold, time.Second+coldTime), map[string]int{"none": 400}) // a report that it is cold again may be under way
 	*d += time.Minute
 	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"none": 100}) // no control host tells the newest state
-	s.Touch()
+	s.RecordControlReply()
 	i.Equal(chosen(s, d, onlyCold, time.Second), map[string]int{"c": 100})
 }
 
@@ -236,7 +236,7 @@
 	s.Merge([]fleet.Report{coldReport("c", 1, 2, 0)}, nil)
 	n := map[string]int{}
 	for range 20 {
-		s.Touch()
+		s.RecordControlReply()
 		for e, k := range chosen(s, d, q, 100*time.Millisecond) {
 			n[e] += k
 		}
@@ -277,12 +277,12 @@
 	}
 	s.Replace(r)
 	s.SetRemoteLoads(loads)
-	s.Touch()
+	s.RecordControlReply()
 	q := pick.Request{Service: "s", Work: time.Millisecond}
 	i.Equal(chosen(s, d, q, time.Second), map[string]int{"e0": 100})
 	n := chosen(s, d, q, time.Second)
 	i.True(n["e0"] <= 18) // each eighth at most, of 8, and what came first
 	i.True(n["e5"] > 0)
-	s.Touch()
+	s.RecordControlReply()
 	i.Equal(chosen(s, d, q, time.Second), map[string]int{"e0": 100})
 }
--- a/pick/coldmodel_test.go
+++ b/pick/coldmodel_test.go
@@ -286,7 +286,7 @@
 			h.set.AcceptPermits(id, p, asked)
 			h.set.SetRemoteLoads(remote)
 			if current {
-				h.set.Touch()
+				h.set.RecordControlReply()
 			}
 			next()
 		})
--- a/pick/coldstart.go
+++ b/pick/coldstart.go
@@ -21,8 +21,8 @@
 	refusalBegan, refusalEnded time.Time
 	// refusedAt is when the last one was refused since there are that many, or 0: the start has probably ended.
 	refusedAt time.Duration
-	// toldUntil is until when an answer of the endpoint has said that it is cold, or 0.
-	toldUntil time.Duration
+	// coldUntil is until when an answer of the endpoint has said that it is cold, or 0.
+	coldUntil time.Duration
 }
 
 // note takes over what a report says about the warm-up of an endpoint. A report that is older than one before says nothing. known is
@@ -75,7 +75,7 @@
 // told records that an answer of an endpoint says that it stays cold for a time.
 func (c *coldState) told(id string, left time.Duration) {
 	if o := c.starts[id]; o != nil && left > 0 {
-		o.toldUntil = max(o.toldUntil, c.now()+left)
+		o.coldUntil = max(o.coldUntil, c.now()+left)
 	}
 }
 
@@ -90,7 +90,7 @@
 		o.left = 0
 	}
 	switch {
-	case o.left > 0, t < o.toldUntil:
+	case o.left > 0, t < o.coldUntil:
 		return true
 	case o.left == fleet.ColdUnknown && t < o.heardAt+l.Time:
 		return true
@@ -107,5 +107,5 @@
 // the one that had it has ended. The others hold an older one that says warm, and pass on later ones only if they say something else.
 func (s *Set) isStale(o *start, n *endpoint, l ColdLimit) bool {
 	c := &s.cold
-	return o.left > 0 && n.report.ColdLeft == 0 && n.report.Born == o.born && c.at < c.touchedAt+touchTime && c.at >= o.reportedAt+o.left+l.Time+staleTime
+	return o.left > 0 && n.report.ColdLeft == 0 && n.report.Born == o.born && c.at < c.controlRepliedAt+maxControlSilence && c.at >= o.reportedAt+o.left+l.Time+staleTime
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -415,7 +415,7 @@
 	if n.report.DataCentre != s.dataCentre {
 		w += s.crossCentrePenalty(q)
 	}
-	if n.report.ColdLeft > 0 && !s.isTrickle(n, q) {
+	if n.report.ColdLeft > 0 && !s.ignoresWarmUpCost(n, q) {
 		w += warmUpCost
 	}
 	return w
--- a/pick/warmup.go
+++ b/pick/warmup.go
@@ -18,12 +18,12 @@
 	rampTime = 2 * time.Second
 	// coldWait is when a request may come back if all endpoints that could take it are cold and this host has no permit.
 	coldWait = 250 * time.Millisecond
-	// trickleShare is the share of requests that may go to a cold endpoint though warm ones are faster.
-	trickleShare = 0.1
-	// touchTime is how long after the last reply of a control host this host counts as out of touch. Replies come some times a second.
-	touchTime = time.Second
-	// restShare is the part of a service's endpoints that a host which is out of touch uses before it uses one of them again.
-	restShare = 0.75
+	// coldTrialShare is the share of requests that may go to a cold endpoint though warm ones are faster.
+	coldTrialShare = 0.1
+	// maxControlSilence is how long after the last reply of a control host this host counts as out of touch. Replies come some times a second.
+	maxControlSilence = time.Second
+	// reuseAfterShare is the part of a service's endpoints that a host which is out of touch uses before it uses one of them again.
+	reuseAfterShare = 0.75
 	// restartTime is how long after a refused connection an endpoint may have started again without this host's notice.
 	restartTime = 2 * time.Second
 	// restartRefusals is the number of connections, each tried after the refusal of the one before, whose refusal makes an endpoint count as
@@ -77,8 +77,8 @@
 	wishes  map[string]time.Duration
 	changes []ColdChange
 	counts  ColdCounts
-	// touchedAt is when a control host replied last that could tell the newest state.
-	touchedAt time.Duration
+	// controlRepliedAt is when a control host replied last that could tell the newest state.
+	controlRepliedAt time.Duration
 	// choices counts the choices of endpoints by service.
 	choices map[string]uint64
 }
@@ -203,11 +203,11 @@
 	}
 }
 
-// isTrickle reports whether a request may go to a cold endpoint though warm ones are faster, so that cold ones get few requests but not
+// ignoresWarmUpCost reports whether a request may go to a cold endpoint though warm ones are faster, so that cold ones get few requests but not
 // none.
-func (s *Set) isTrickle(n *endpoint, q Request) bool {
+func (s *Set) ignoresWarmUpCost(n *endpoint, q Request) bool {
 	_, ok := s.cold.limits[n.report.Service]
-	return ok && s.cold.now != nil && q.LinkDraw < trickleShare
+	return ok && s.cold.now != nil && q.LinkDraw < coldTrialShare
 }
 
 // eligibleNow returns the endpoints of the request's version that weren't tried.
@@ -219,12 +219,12 @@
 	return s.untried(q, ofVersion(v, s.goesToTarget(v, q)))
 }
 
-// Touch records that a control host has replied that can tell the newest state.
-func (s *Set) Touch() {
+// RecordControlReply records that a control host has replied that can tell the newest state.
+func (s *Set) RecordControlReply() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.cold.now != nil {
-		s.cold.touchedAt = s.cold.now()
+		s.cold.controlRepliedAt = s.cold.now()
 	}
 }
 
@@ -240,10 +240,10 @@
 // endpoint became cold, and finds that one idle by the loads that it knows: it must not send all there.
 func (s *Set) spread(endpoints []*endpoint, q Request) []*endpoint {
 	c := &s.cold
-	if _, ok := c.limits[q.Service]; !ok || c.now == nil || c.at < c.touchedAt+touchTime {
+	if _, ok := c.limits[q.Service]; !ok || c.now == nil || c.at < c.controlRepliedAt+maxControlSilence {
 		return endpoints
 	}
-	least, k := uint64(float64(len(endpoints))*restShare), c.choices[q.Service]
+	least, k := uint64(float64(len(endpoints))*reuseAfterShare), c.choices[q.Service]
 	var r []*endpoint
 	for _, n := range endpoints {
 		if n.chosenAt == 0 || k-n.chosenAt >= least {
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -10,7 +10,7 @@
 )
 
 // freeCallBytes is the longest frame of a call that isn't counted, and callCopies how often the bytes of a longer one are in memory
-// besides the pieces in which it comes: joined, and as the fields of the call.
+// besides the pieces in which it comes: joined, as the fields of the call, and as garbage of decoding it.
 const (
 	freeCallBytes = 4 << 10
 	callCopies    = 3
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -18,7 +18,7 @@
 	r.Metrics.GetOrCreateGauge("cold_passed_over_total", func() float64 { return float64(e.ColdCounts().PassedOver) })
 }
 
-// setColdLimits makes the limits of cold endpoints known that a table has.
+// setColdLimits passes the limits of a table for cold endpoints on to the set of endpoints.
 func (r *Relay) setColdLimits(t table.Table) {
 	l := map[string]pick.ColdLimit{}
 	for _, s := range t.Services {
--- a/relay/job.go
+++ b/relay/job.go
@@ -245,7 +245,7 @@
 		case !j.mayRetry(v):
 			j.giveUp(v)
 			return
-		case j.isShed():
+		case j.refuseIfShed():
 			return
 		}
 	}
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -20,7 +20,7 @@
 		return true
 	}
 	j.noteDemand()
-	if j.isShed() {
+	if j.refuseIfShed() {
 		return false
 	}
 	j.relay.Budget.Deposit(j.service.Name, j.relay.Now())
@@ -96,8 +96,9 @@
 	return time.Duration(float64(slotTime) * float64(q.Waiting) / float64(j.service.Slots))
 }
 
-// isShed decides on a request that no endpoint has run, and refuses it if that loses least. It chooses the model unless the caller has.
-func (j *job) isShed() bool {
+// refuseIfShed decides on a request that no endpoint has run, refuses it if that loses least, and reports whether it did. It chooses the model unless
+// the caller has.
+func (j *job) refuseIfShed() bool {
 	if !j.mayShed() || j.mayHaveRun || j.runs > 0 || j.answerBegun {
 		return false
 	}
--- a/warmup/holder.go
+++ b/warmup/holder.go
@@ -111,7 +111,7 @@
 // Use is the use of a permit for one request.
 type Use struct {
 	key grantKey
-	// At is when the permit was used, and Before the grant before that.
+	// at is when the permit was used, and before the state of the permit before that.
 	at     time.Duration
 	before grant
 }
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -52,8 +52,9 @@
 	return math.Floor(float64(window+SendTime)/float64(interval(rate, controls))) + 1
 }
 
-// lenders returns how many of n control hosts may lend a rate. One more may lend without their knowledge, unless there is only one, and the
-// others may know n-1 control hosts, whose permits let more through: then those beyond the lenders of n-1 have to keep within what is left.
+// lenders returns how many of a number of control hosts may lend a rate. They, and one more that was added or removed without their knowledge, keep within
+// the limit. While control hosts change from n-1 to n, permits of both numbers are in use, and those of n-1 let more through: so there are at most one
+// more lenders than for n-1, and what the others leave of the limit.
 func (l Limits) lenders(rate float64, controls int) int {
 	if !l.On() || rate <= 0 || controls <= 0 {
 		return 0
