Let tests replace control hosts by others at new addresses

A deployment of real processes starts a control host with an empty disk in the place of another one. Its list of control hosts is read under a lock where goroutines run beside that.

--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -67,8 +68,12 @@
 	folder      string
 	proxyServer *toxiproxy.ApiServer
 	subnet      string
-	Control     []*Process
-	Entry       []*Process
+	// Control holds the control hosts in force. Tests that replace some while other goroutines run read it by Controls.
+	Control []*Process
+	Entry   []*Process
+	// former holds the control hosts that were replaced, and lock guards both lists.
+	former []*Process
+	lock   sync.Mutex
 	// Mesh carries the connections to control hosts, for fault injection on the link of any two processes. It is nil in a
 	// deployment whose control hosts have a Proxy each.
 	Mesh *Mesh
@@ -204,7 +209,7 @@
 // settings returns the settings file of p as a map with the same keys as the template of a deployment.
 func (d *Deployment) settings(p *Process) map[string]any {
 	var s []string
-	for _, c := range d.Control {
+	for _, c := range d.Controls() {
 		s = append(s, fmt.Sprintf("%s:%d", c.IP, adminPort))
 	}
 	m := map[string]any{
@@ -244,8 +249,8 @@
 // EndpointIP returns the loopback IP on which stand-ins for endpoints listen.
 func (d *Deployment) EndpointIP() string { return d.subnet + ".200" }
 
-// Start writes the settings of p and starts its process.
-func (d *Deployment) Start(p *Process) {
+// WriteSettings writes the settings of p as they are now, and returns the path of the file.
+func (d *Deployment) WriteSettings(p *Process) string {
 	d.t.Helper()
 	b, err := json.Marshal(d.settings(p))
 	if err != nil {
@@ -255,6 +260,13 @@
 	if err := os.WriteFile(f, b, 0o600); err != nil {
 		d.t.Fatal(err)
 	}
+	return f
+}
+
+// Start writes the settings of p and starts its process.
+func (d *Deployment) Start(p *Process) {
+	d.t.Helper()
+	f := d.WriteSettings(p)
 	l, err := os.OpenFile(d.LogPath(p), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		d.t.Fatal(err)
@@ -275,7 +287,7 @@
 	if err != nil {
 		return err.Error()
 	}
-	for _, p := range append(d.Control, d.Entry...) {
+	for _, p := range d.processes() {
 		b, err := os.ReadFile(d.LogPath(p))
 		if err == nil {
 			err = os.WriteFile(filepath.Join(f, p.Name+".log"), b, 0o600)
@@ -436,7 +448,7 @@
 
 // stop ends all processes and proxies.
 func (d *Deployment) stop() {
-	for _, p := range append(d.Control, d.Entry...) {
+	for _, p := range d.processes() {
 		if c := p.cmd.Load(); c != nil && c.ProcessState == nil {
 			d.Signal(p, syscall.SIGCONT)
 			d.Kill(p)
--- a/itest/dialer.go
+++ b/itest/dialer.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil
 	}
-	for _, p := range slices.Concat(d.Control, d.Entry) {
+	for _, p := range d.processes() {
 		if c := p.cmd.Load(); c != nil && holdsSocket(c.Process.Pid, i) {
 			return p
 		}
