--- a/ctrl/logging.go
+++ b/ctrl/logging.go
@@ -102,6 +102,12 @@
 		}
 		return 0
 	})
+	g("control_voter", func(s State) float64 {
+		if s.Log.Peers.IsVoter(s.Node) {
+			return 1
+		}
+		return 0
+	})
 	g("control_table_version", func(s State) float64 { return float64(s.StateMachine.Document.Version) })
 	g("drained_data_centres", func(s State) float64 { return float64(len(s.StateMachine.Drains.Drained())) })
 	g("control_poison_rules", func(s State) float64 { return float64(len(s.Poison.Rules())) })
