Log by which configuration an answer was allowed, and how long a host has found no control host

A served request named the version of its routing table, not how old the knowledge was that it is the newest; that stood in refusals only. A host that looks for a control host wrote one line at the loss and none after it, whatever it asked: a host that is lost for good looked like one that works. Now request: served has confirmed-age; a line every 3 s of a search has its time, the addresses asked and the table in force; a configuration in force tells whether the control host that sent it was current. Metric control_current_age_seconds.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -12,8 +12,11 @@
 // apply applies the reply of a control host to a request that this host sent at a time as of Relay.Now.
 func (e *Entry) apply(r ctlrpc.ExchangeReply, sent time.Duration) {
 	if e.search != nil && r.Current {
+		e.Log.WithFields(logrus.Fields{"control": e.address, "after": time.Since(e.search.since).Milliseconds()}).Info("entry: dependency regained, a control host answers")
 		e.endSearch()
-		e.Log.WithField("control", e.address).Info("entry: dependency regained, a control host answers")
+	}
+	if r.Current {
+		e.lastCurrent.Store(time.Now().UnixNano())
 	}
 	e.lastExchange.Store(time.Now().UnixNano())
 	e.Relay.SetSource(relay.TableSource{Control: e.address, Current: r.Current, Position: r.Position, HeardAt: time.Now()})
@@ -107,7 +110,7 @@
 	o := e.state.TableVersion
 	e.state.TableVersion = max(o, t.Version)
 	if e.Relay.SetTable(t) {
-		e.Log.WithFields(logrus.Fields{"version": t.Version, "before": o, "control": e.address, "routes": len(t.Routes)}).Info("entry: configuration in force")
+		e.Log.WithFields(logrus.Fields{"version": t.Version, "before": o, "control": e.address, "current": r.Current, "applied": r.Position.Applied, "routes": len(t.Routes)}).Info("entry: configuration in force")
 	}
 	return true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,7 +101,9 @@
 	stopping atomic.Bool
 	// lastExchange is the time of the last reply in Unix nanoseconds, or of the start before the first reply.
 	lastExchange atomic.Int64
-	stop         chan struct{}
+	// lastCurrent is the same for replies of control hosts that were current.
+	lastCurrent atomic.Int64
+	stop        chan struct{}
 }
 
 // ErrTimeout is the error of an exchange without a reply within exchangeTimeout.
@@ -122,7 +124,9 @@
 		retryPause: pause{least: leastRetryPause, most: mostRetryPause}, besidePause: pause{least: leastRetryPause, most: mostBesidePause},
 	}
 	e.lastExchange.Store(e.start)
+	e.lastCurrent.Store(e.start)
 	o.Metrics.NewGauge("control_age_seconds", func() float64 { return time.Since(time.Unix(0, e.lastExchange.Load())).Seconds() })
+	o.Metrics.NewGauge("control_current_age_seconds", func() float64 { return e.currentAge().Seconds() })
 	o.Metrics.NewGauge("table_version", func() float64 {
 		if t := o.Relay.Table(); t != nil {
 			return float64(t.Version)
@@ -294,7 +298,7 @@
 		case <-e.stop:
 			return
 		case <-e.search.dueC():
-			e.search.ask(e.controls, e.isConnected)
+			e.seek(e.isConnected)
 		case a := <-c:
 			if e.useAnswer(a) {
 				return
@@ -326,6 +330,19 @@
 // isConnected reports whether the current connection is to a control host.
 func (e *Entry) isConnected(address string) bool { return e.client != nil && address == e.address }
 
+// seek asks the known control hosts for one with a leader, and tells from time to time how long there has been none.
+func (e *Entry) seek(leaveOut func(address string) bool) {
+	e.search.ask(e.controls, leaveOut)
+	if !e.search.isLogDue() {
+		return
+	}
+	f := logrus.Fields{"since": time.Since(e.search.since).Milliseconds(), "current-age": e.currentAge().Milliseconds(), "asked": e.controls, "table": e.state.TableVersion}
+	e.Log.WithFields(f).Warn("entry: no control host with a leader is found; what is served may be out of date")
+}
+
+// currentAge returns the time since the last reply of a control host that was current, or since the start before the first one.
+func (e *Entry) currentAge() time.Duration { return time.Since(time.Unix(0, e.lastCurrent.Load())) }
+
 // endSearch ends the search, if there is one.
 func (e *Entry) endSearch() {
 	if e.search != nil {
--- a/entry/search.go
+++ b/entry/search.go
@@ -15,12 +15,16 @@
 	mostSearchPause  = 500 * time.Millisecond
 	// questionTimeout bounds the wait for the answer whether a control host has a leader.
 	questionTimeout = 700 * time.Millisecond
+	// searchLogInterval is the interval of the lines about a search that goes on.
+	searchLogInterval = 3 * time.Second
 )
 
 // search asks control hosts whether they have a leader, from the loss of a current one until there is one again. Each is asked over a
 // connection that is kept open meanwhile, and gets its next question only after the end of the one before: the questions don't become
 // more because control hosts answer them late. They are small, since hundreds of hosts ask them when a leader is lost.
 type search struct {
+	// since is when the search began, and logged when its last line was written.
+	since, logged time.Time
 	// due is signalled when the next round of questions is.
 	due   *time.Timer
 	pause pause
@@ -35,12 +39,21 @@
 func newSearch() *search {
 	s := &search{
 		pause: pause{least: leastSearchPause, most: mostSearchPause}, asked: map[string]bool{}, kept: map[string]*rpc.Client{},
-		answers: make(chan answer), over: make(chan struct{}),
+		answers: make(chan answer), over: make(chan struct{}), since: time.Now(), logged: time.Now(),
 	}
 	s.due = time.NewTimer(s.pause.next())
 	return s
 }
 
+// isLogDue reports whether the search has gone on for searchLogInterval since its last line, and records that another one is written.
+func (s *search) isLogDue() bool {
+	if time.Since(s.logged) < searchLogInterval {
+		return false
+	}
+	s.logged = time.Now()
+	return true
+}
+
 // dueC returns the channel of due. A nil search is never due.
 func (s *search) dueC() <-chan time.Time {
 	if s == nil {
--- a/entry/talk.go
+++ b/entry/talk.go
@@ -104,7 +104,7 @@
 				return nil, err
 			}
 		case <-e.search.dueC():
-			e.search.ask(e.controls, t.asks)
+			e.seek(t.asks)
 		case a := <-o:
 			t.beginWithLeader(a)
 		case <-p.C:
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -283,7 +283,7 @@
 	u.recordComplete(status)
 	j.count("served")
 	j.relay.Metrics.GetOrCreateHistogram(fmt.Sprintf("request_seconds{route=%q}", j.route.Name)).Update(d.Seconds())
-	u.log().WithFields(logrus.Fields{
+	u.log().WithFields(j.confirmedFields()).WithFields(logrus.Fields{
 		"outcome": "served", "status": status, "runs": j.runs, "spent": j.noRetryReason,
 		"first": j.ttft.Milliseconds(), "pause": j.longestGap.Milliseconds(), "wait": u.wait.Milliseconds(),
 		"prompt": j.request.Prompt.Tokens, "size": j.request.Prompt.size(), "confidence": j.confidence,
--- a/relay/ending.go
+++ b/relay/ending.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// confirmedFields returns how long before the request was admitted its routing table was known to be the newest, in ms, as a field of a
+// log line. It is left out if that wasn't known.
+func (j *job) confirmedFields() logrus.Fields {
+	if j.confirmedAge < 0 {
+		return nil
+	}
+	return logrus.Fields{"confirmed-age": j.confirmedAge.Milliseconds()}
+}
+
 // eventFields returns what the caller has received of a stream, as fields of a log line. event-age is in ms.
 func (j *job) eventFields() logrus.Fields {
 	f := logrus.Fields{"last-event": j.lastEventID, "events": j.passed}
--- a/relay/job.go
+++ b/relay/job.go
@@ -52,8 +52,10 @@
 	version int64
 	// tableSince is when this host put that table in force.
 	tableSince time.Time
-	account    string
-	priority   int
+	// confirmedAge is how long ago that table was known to be the newest when the request was admitted, or negative if that wasn't known.
+	confirmedAge time.Duration
+	account      string
+	priority     int
 	// deadline is the zero time until the route is known.
 	deadline time.Time
 	// callerContext is cancelled when the caller disconnects. Unlike the context of run, it has no deadline.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -155,6 +155,14 @@
 	return Refusal{Reason: Unconfirmed, RetryAfter: unconfirmedRetryAfter}
 }
 
+// confirmedAge returns how long ago the table is last known to have been the newest, or a negative value if that isn't known.
+func (v *tableInForce) confirmedAge(now time.Duration) time.Duration {
+	if c := v.confirmed.Load(); c != nil {
+		return now - *c
+	}
+	return -1
+}
+
 // denialFields returns what was denied now, and how long ago the table is last known to have been the newest, as fields of a log line.
 // confirmed-age is in ms, and left out if that isn't known.
 func (v *tableInForce) denialFields(reason Reason, now time.Duration) logrus.Fields {
@@ -313,7 +321,7 @@
 		return Admission{}, false
 	}
 	t := &v.table
-	j.version, j.tableSince = t.Version, v.since
+	j.version, j.tableSince, j.confirmedAge = t.Version, v.since, v.confirmedAge(r.Now())
 	o, ok := t.Route(q.Host, q.Path)
 	if !ok {
 		j.deny(NoRoute, v)
