Keep the addresses of control hosts, read seeds again, and ask other entry hosts for them

What callers saw: an entry host served routes that had been dropped long before, while its neighbours answered 404. Cause: it knew only the control hosts that the last reply named. Each reply replaced that list whole, one of a control host that isn't current too; the seeds were forgotten with the first reply, and newer seeds in the settings file weren't taken over, with SIGHUP or without. A host that was suspended or cut off while those were replaced asked gone addresses for good. Without a control host it allows what its table allows. Change: package roster keeps each address that was named, bounded; members only by a current control host, what others name beside them. A search that outlasts an election asks all of them, and some other entry hosts, whose addresses control hosts name every 10 s. The settings file is looked at every 2 s; entry hosts and control hosts take over its seeds. Why it works: no list makes a host forget others, and a host that reaches any entry host that knows a control host, or whose settings name one, finds it. Hosts of earlier builds close the connection on the question.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -37,6 +38,8 @@
 )
 
 const (
+	// settingsInterval is the interval at which the settings file is looked at: it may change without a signal.
+	settingsInterval = 2 * time.Second
 	// heapShare is the fraction of the process's memory (memory-mb) that is set as the Go runtime's memory limit.
 	heapShare = 0.6
 	// maxHeaderBytes limits the size of a request's header before the limit in the configuration is known.
@@ -74,6 +77,10 @@
 	// intake bounds what requests of clients take in memory.
 	intake *intake.Account
 	stop   func() // ends the host; set by startControl or startEntry
+	// setSeeds passes on the seeds of newer settings, as peer addresses; set by startControl or startEntry.
+	setSeeds func(peers []string)
+	// file is the content of the settings file that was read last, or nil if it couldn't be read.
+	file []byte
 }
 
 // runNode runs the process that the settings file describes until ctx ends or a SIGTERM or an interrupt arrives.
@@ -81,12 +88,16 @@
 func runNode(ctx context.Context, path string) error {
 	g := make(chan os.Signal, 8)
 	signal.Notify(g, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP, syscall.SIGPIPE)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("settings: %w; name a file that can be read", err)
+	}
 	s, err := conf.LoadNode(path)
 	if err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * heapShare))
-	n := &node{settings: s, metrics: metrics.NewSet(), logWriter: logger.NewWriter(os.Stdout), intake: intake.NewAccount(s.IntakeLimits())}
+	n := &node{settings: s, metrics: metrics.NewSet(), logWriter: logger.NewWriter(os.Stdout), intake: intake.NewAccount(s.IntakeLimits()), file: b}
 	n.metrics.NewGauge("intake_bytes", func() float64 { return float64(n.intake.Taken()) })
 	defer n.logWriter.Flush()
 	n.log = logger.NewLogger(n.logWriter, s.LogLevel, s.Name, n.metrics)
@@ -102,12 +113,18 @@
 	return nil
 }
 
-// wait returns when ctx ends or a SIGTERM or an interrupt arrives. On SIGHUP it reloads the settings.
+// wait returns when ctx ends or a SIGTERM or an interrupt arrives. On SIGHUP, and when the settings file has changed, it reloads the settings.
 func (n *node) wait(ctx context.Context, signals chan os.Signal, path string) {
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.C:
+			if n.hasChanged(path) {
+				n.reload(path)
+			}
 		case v := <-signals:
 			if v == syscall.SIGTERM || v == os.Interrupt {
 				return
@@ -119,7 +136,18 @@
 	}
 }
 
-// reload reads the settings file again and applies the log level, which is the only setting that can change while the
+// hasChanged reports whether the settings file has another content than when it was read last.
+func (n *node) hasChanged(path string) bool {
+	b, err := os.ReadFile(path)
+	if err != nil && n.file != nil {
+		n.log.WithError(err).Warn("host: the settings file can't be read, the previous settings stay in force")
+	}
+	c := err == nil && !bytes.Equal(b, n.file)
+	n.file = b
+	return c
+}
+
+// reload reads the settings file again and applies the log level and the seeds, which are the only settings that can change while the
 // process runs. Invalid settings are refused.
 func (n *node) reload(path string) {
 	s, err := conf.LoadNode(path)
@@ -130,6 +158,9 @@
 	if v, err := logrus.ParseLevel(s.LogLevel); err == nil {
 		n.log.SetLevel(v)
 	}
+	c := n.settings
+	c.Seeds = s.Seeds
+	n.setSeeds(c.SeedPeers())
 	n.log.WithField("seeds", s.Seeds).Info("host: settings reloaded")
 }
 
@@ -197,6 +228,7 @@
 	a := &http.Server{Handler: d, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	s := n.newServer(a, l[1], "endpoints-and-operators", c.Connections)
 	go s.run()
+	n.setSeeds = h.SetSeeds
 	n.stop = func() {
 		h.Leave()
 		c, f := context.WithTimeout(context.Background(), time.Second)
@@ -229,7 +261,7 @@
 		Budget: budget.NewHost(budget.Limits{Ratio: n.settings.Bounds.RetryRatio, Slack: n.settings.Bounds.RetrySlack, Window: n.settings.Bounds.RetryWindow.Std()}),
 	})
 	a := entry.Assisting{Address: n.settings.PeerAddress(), Token: k, Bound: assist.NewBound(n.settings.Descriptors, n.settings.MemoryMB)}
-	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pools: []*dial.Pool{o, h}, Assisting: a, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
+	e := entry.New(entry.Options{Settings: n.settings, Relay: r, Set: p, Pools: []*dial.Pool{o, h}, Assisting: a, AskDirectory: proxy.AskDirectory, Decode: platform.DecodeTable, Log: n.log, Metrics: n.metrics})
 	i := caller.NewTracker(func() time.Duration { return idleTimeout(r.Table()) })
 	c := n.settings.ClientLimits()
 	b := &platform.CallerHandler{
@@ -240,11 +272,12 @@
 		ConnState: i.Track, ConnContext: i.ConnContext,
 	}
 	d := newSideServer(readinessHandler{e})
-	y := proxy.NewServer(proxy.Options{Token: k, Relay: r, Bound: a.Bound, Stopping: e.Stopping, Intake: n.intake, Connections: c.Connections / peerPart, Log: n.log, Metrics: n.metrics})
+	y := proxy.NewServer(proxy.Options{Token: k, Relay: r, Bound: a.Bound, Stopping: e.Stopping, Directory: e.Directory, Intake: n.intake, Connections: c.Connections / peerPart, Log: n.log, Metrics: n.metrics})
 	u, v, w := n.newServer(s, l[0], "callers", c.Connections), n.newServer(d, l[1], "readiness", sideConnections), proxyServer{y, l[2]}
 	go u.run()
 	go v.run()
 	go w.run()
+	n.setSeeds = e.SetSeeds
 	n.stop = func() {
 		c := busyCounter{i, a.Bound}
 		n.stopEntry(e, r, c, s)
--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -168,6 +168,8 @@
 	DrainIndex uint64
 	// SharesSpeeds is set if the host uses ExchangeReply.Speeds.
 	SharesSpeeds bool
+	// WantsNeighbours is set if the host asks for ExchangeReply.Neighbours.
+	WantsNeighbours bool
 }
 
 // ExchangeRequest is sent by an entry host.
@@ -247,6 +249,18 @@
 	Permits []warmup.Permit
 	// Speeds holds the speeds of endpoints, for a host that uses them.
 	Speeds SpeedUpdate
+	// Neighbours holds the peer addresses of some other entry hosts, for a host that asks for them. Older builds leave it empty.
+	Neighbours []string
+}
+
+// Directory is what an entry host knows of control hosts. It tells that to other entry hosts that find none.
+type Directory struct {
+	// Controls holds the peer addresses of the control hosts that it knows, the members of the control log first.
+	Controls []string `json:"controls"`
+	// Table is the version of the configuration in force.
+	Table int64 `json:"table"`
+	// CurrentAgeMS is the time since a control host that was current replied to it, in milliseconds.
+	CurrentAgeMS int64 `json:"current-age-ms"`
 }
 
 // HostsSum returns the hash of the names of entry hosts.
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -66,6 +66,17 @@
 	f.host.calls.complete(Respond{CallID: f.effect.CallID, Reply: r})
 }
 
+// SetSeeds adopts the seeds of newer settings, as peer addresses.
+func (h *Host) SetSeeds(peers []string) { h.seeds.Store(&peers) }
+
+// seedPeers returns the peer addresses of the seeds of the newest settings.
+func (h *Host) seedPeers() []string {
+	if l := h.seeds.Load(); l != nil {
+		return *l
+	}
+	return h.settings.SeedPeers()
+}
+
 // joiner sends join orders while this host isn't in the control log or hears no leader.
 type joiner struct{ host *Host }
 
@@ -88,7 +99,7 @@
 
 // join sends a join order to one of the control hosts and seeds; the i-th call picks them in turn.
 func (j joiner) join(s *State, i int) {
-	a := append(s.ControlAddresses(), j.host.settings.SeedPeers()...)
+	a := append(s.ControlAddresses(), j.host.seedPeers()...)
 	p := a[i%len(a)]
 	if p == Address(s.Node) {
 		return
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -58,7 +58,9 @@
 // Host runs a control host: it feeds events to Reduce, performs the effects and serves the Control RPC service.
 type Host struct {
 	settings conf.Node
-	log      *logrus.Logger
+	// seeds holds the peer addresses of the seeds of newer settings, or nil while there are none.
+	seeds atomic.Pointer[[]string]
+	log   *logrus.Logger
 	// start is when the Host was created, and clock shows the time since then, also that in suspension.
 	start time.Time
 	clock clock.Clock
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -100,6 +100,9 @@
 	if q.Known.HostsSum != t.aggregate.hostsSum {
 		n.Hosts = t.aggregate.hosts
 	}
+	if q.Known.WantsNeighbours {
+		n.Neighbours = s.neighbours(q.Report.Host)
+	}
 	addFleetChanges(&n, s, q)
 	t.addHostChanges(&n, s, q, now)
 	return n
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -62,9 +62,7 @@
 	e.Set.SetHosts(e.Settings.Name, e.hosts, time.Now())
 	e.applySpeeds(r.Speeds)
 	e.Relay.SetEntryHosts(r.Entries)
-	if len(r.Controls) > 0 {
-		e.controls = r.Controls
-	}
+	e.learnFromReply(r)
 	e.planPermits(r.Entries)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/hickoryshelf/hickoryshelf/pick"
 	"github.com/hickoryshelf/hickoryshelf/poison"
 	"github.com/hickoryshelf/hickoryshelf/relay"
+	"github.com/hickoryshelf/hickoryshelf/roster"
 	"github.com/hickoryshelf/hickoryshelf/speed"
 	"github.com/hickoryshelf/hickoryshelf/table"
 )
@@ -52,7 +53,7 @@
 	sweepEvery = time.Second
 )
 
-// Options holds the settings and components of an entry host. All fields are required.
+// Options holds the settings and components of an entry host. All fields but AskDirectory are required.
 type Options struct {
 	Settings conf.Node
 	Relay    *relay.Relay
@@ -61,6 +62,8 @@
 	Pools []*dial.Pool
 	// Assisting says how this host sends requests for others.
 	Assisting Assisting
+	// AskDirectory asks another entry host at a peer address which control hosts it knows. Nil means that none is asked.
+	AskDirectory func(address string) (ctlrpc.Directory, error)
 	// Decode parses a configuration document in the form in which the operator wrote it.
 	Decode  func(document []byte) (table.Table, error)
 	Log     *logrus.Logger
@@ -79,8 +82,14 @@
 	loggedSpeeds map[string]speed.Factor
 	// overdue holds the endpoints that the control host has no reports of.
 	overdue []string
-	// controls lists the peer addresses of the control hosts.
-	controls []string
+	// roster holds the peer addresses of control hosts.
+	roster roster.Roster
+	// directory is what other entry hosts are told of it, and seeds are those of newer settings, or nil once they are in roster.
+	directory atomic.Pointer[ctlrpc.Directory]
+	seeds     atomic.Pointer[[]string]
+	// neighbours holds the peer addresses of other entry hosts, and neighboursAt is when a control host last named some.
+	neighbours   []string
+	neighboursAt time.Time
 	// state says which configuration and fleet state this host has received. It is sent with each exchange, so that
 	// control hosts reply with changes only.
 	state ctlrpc.EntryState
@@ -120,7 +129,7 @@
 // New registers the metrics and starts to exchange state with the control hosts of the settings.
 func New(o Options) *Entry {
 	e := &Entry{
-		Options: o, start: time.Now().UnixNano(), controls: o.Settings.SeedPeers(), stop: make(chan struct{}),
+		Options: o, start: time.Now().UnixNano(), roster: roster.Roster{}.WithSeeds(o.Settings.SeedPeers()), stop: make(chan struct{}),
 		retryPause: pause{least: leastRetryPause, most: mostRetryPause}, besidePause: pause{least: leastRetryPause, most: mostBesidePause},
 	}
 	e.lastExchange.Store(e.start)
@@ -251,6 +260,7 @@
 	}
 	q.Report.Demand = e.Relay.ReportDemand()
 	q.Known.HostsSum = ctlrpc.HostsSum(e.hosts)
+	q.Known.WantsNeighbours = time.Since(e.neighboursAt) > neighboursInterval
 	if first {
 		q.Known.Control = ""
 		q.Leaving, q.Known.FleetSum = e.Set.Leaving(), e.Set.FingerprintSum()
@@ -299,6 +309,8 @@
 			return
 		case <-e.search.dueC():
 			e.seek(e.isConnected)
+		case d := <-e.search.toldC():
+			e.learn(d)
 		case a := <-c:
 			if e.useAnswer(a) {
 				return
@@ -330,16 +342,6 @@
 // isConnected reports whether the current connection is to a control host.
 func (e *Entry) isConnected(address string) bool { return e.client != nil && address == e.address }
 
-// seek asks the known control hosts for one with a leader, and tells from time to time how long there has been none.
-func (e *Entry) seek(leaveOut func(address string) bool) {
-	e.search.ask(e.controls, leaveOut)
-	if !e.search.isLogDue() {
-		return
-	}
-	f := logrus.Fields{"since": time.Since(e.search.since).Milliseconds(), "current-age": e.currentAge().Milliseconds(), "asked": e.controls, "table": e.state.TableVersion}
-	e.Log.WithFields(f).Warn("entry: no control host with a leader is found; what is served may be out of date")
-}
-
 // currentAge returns the time since the last reply of a control host that was current, or since the start before the first one.
 func (e *Entry) currentAge() time.Duration { return time.Since(time.Unix(0, e.lastCurrent.Load())) }
 
@@ -377,11 +379,13 @@
 }
 
 // isLast reports whether a control host is the one connected to before, unless that is the only one.
-func (e *Entry) isLast(address string) bool { return address == e.address && len(e.controls) > 1 }
+func (e *Entry) isLast(address string) bool {
+	return address == e.address && len(e.roster.Members()) > 1
+}
 
 // candidates returns the control hosts to connect to: up to maxCandidates random ones of those that aren't to be left out.
 func (e *Entry) candidates(leaveOut func(address string) bool) []string {
-	l := slices.DeleteFunc(slices.Clone(e.controls), leaveOut)
+	l := slices.DeleteFunc(slices.Clone(e.places()), leaveOut)
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	return l[:min(len(l), maxCandidates)]
 }
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -28,8 +28,8 @@
 	if !e.Settings.Bounds.ColdLimits().On() {
 		return
 	}
-	n := (hostsPerControl*len(e.controls)+entries-1)/max(1, entries) - 1
-	l := slices.DeleteFunc(slices.Clone(e.controls), e.isConnected)
+	n := (hostsPerControl*len(e.roster.Members())+entries-1)/max(1, entries) - 1
+	l := slices.DeleteFunc(slices.Clone(e.roster.Members()), e.isConnected)
 	slices.SortFunc(l, func(a, b string) int { return cmp.Compare(e.weight(a), e.weight(b)) })
 	l = l[:max(0, min(n, len(l)))]
 	e.permitControls.Store(&l)
--- a/entry/search.go
+++ b/entry/search.go
@@ -15,6 +15,8 @@
 	mostSearchPause  = 500 * time.Millisecond
 	// questionTimeout bounds the wait for the answer whether a control host has a leader.
 	questionTimeout = 700 * time.Millisecond
+	// electionTime is how long control hosts may take to elect a leader. Until then the members of the control log are asked alone.
+	electionTime = time.Second
 	// searchLogInterval is the interval of the lines about a search that goes on.
 	searchLogInterval = 3 * time.Second
 )
@@ -33,13 +35,17 @@
 	kept  map[string]*rpc.Client
 	// answers gets the ends of questions, until over is closed.
 	answers chan answer
-	over    chan struct{}
+	// told gets what other entry hosts know of control hosts, until over is closed. asking counts those that were asked and haven't
+	// answered yet.
+	told   chan directoryAnswer
+	asking int
+	over   chan struct{}
 }
 
 func newSearch() *search {
 	s := &search{
 		pause: pause{least: leastSearchPause, most: mostSearchPause}, asked: map[string]bool{}, kept: map[string]*rpc.Client{},
-		answers: make(chan answer), over: make(chan struct{}), since: time.Now(), logged: time.Now(),
+		answers: make(chan answer), told: make(chan directoryAnswer), over: make(chan struct{}), since: time.Now(), logged: time.Now(),
 	}
 	s.due = time.NewTimer(s.pause.next())
 	return s
@@ -70,6 +76,20 @@
 	return s.answers
 }
 
+// toldC returns the channel of what other entry hosts know. A nil search gets nothing.
+func (s *search) toldC() <-chan directoryAnswer {
+	if s == nil {
+		return nil
+	}
+	return s.told
+}
+
+// isLong reports whether the search goes on for longer than an election takes.
+func (s *search) isLong() bool { return s != nil && time.Since(s.since) > electionTime }
+
+// hurry makes the next round of questions due at once.
+func (s *search) hurry() { s.due.Reset(0) }
+
 // ask asks all control hosts at the same time, but those whose answer is awaited and those to leave out.
 func (s *search) ask(controls []string, leaveOut func(address string) bool) {
 	for _, a := range controls {
--- a/entry/talk.go
+++ b/entry/talk.go
@@ -105,6 +105,8 @@
 			}
 		case <-e.search.dueC():
 			e.seek(t.asks)
+		case d := <-e.search.toldC():
+			e.learn(d)
 		case a := <-o:
 			t.beginWithLeader(a)
 		case <-p.C:
--- a/proxy/enum_string.go
+++ b/proxy/enum_string.go
@@ -18,11 +18,12 @@
 	_ = x[endFrame-7]
 	_ = x[wideCallFrame-8]
 	_ = x[wideHeadFrame-9]
+	_ = x[directoryFrame-10]
 }
 
-const _kind_name = "callbodyrevokebegundeclinedheaddataendwide callwide head"
+const _kind_name = "callbodyrevokebegundeclinedheaddataendwide callwide headdirectory"
 
-var _kind_index = [...]uint8{0, 4, 8, 14, 19, 27, 31, 35, 38, 47, 56}
+var _kind_index = [...]uint8{0, 4, 8, 14, 19, 27, 31, 35, 38, 47, 56, 65}
 
 func (i kind) String() string {
 	idx := int(i) - 0
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -44,6 +44,8 @@
 	// don't know them: they close the connection, and send no request.
 	wideCallFrame // wide call
 	wideHeadFrame // wide head
+	// directoryFrame asks which control hosts the other host knows, and holds its answer as JSON. Hosts of earlier builds close the connection.
+	directoryFrame // directory
 )
 
 const (
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/accept"
 	"github.com/hickoryshelf/hickoryshelf/assist"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/intake"
 	"github.com/hickoryshelf/hickoryshelf/pick"
@@ -34,7 +35,7 @@
 	stoppingPause = 10 * time.Second
 )
 
-// Options holds what a Server depends on. All fields but Intake and Connections are required.
+// Options holds what a Server depends on. All fields but Directory, Intake and Connections are required.
 type Options struct {
 	// Token is what calls have to hold. It differs between starts.
 	Token string
@@ -47,8 +48,10 @@
 	Connections int
 	// Stopping reports whether this host is about to stop.
 	Stopping func() bool
-	Log      *logrus.Logger
-	Metrics  *metrics.Set
+	// Directory returns what this host knows of control hosts. Nil means that it doesn't tell.
+	Directory func() ctlrpc.Directory
+	Log       *logrus.Logger
+	Metrics   *metrics.Set
 }
 
 // Server sends requests of other hosts to endpoints.
@@ -174,6 +177,9 @@
 	if err != nil {
 		return err
 	}
+	if k == directoryFrame {
+		return c.tellDirectory()
+	}
 	v, err := decodeCall(k, b)
 	if err != nil {
 		return err
