Test that an entry host finds control hosts which the last list didn't name

With stand-ins for control hosts: one that isn't current, or a current one, names gone control hosts and goes, and another one can be reached that the seeds, newer seeds or another entry host name.

--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -10,6 +10,7 @@
 	"github.com/hickoryshelf/hickoryshelf/budget"
 	"github.com/hickoryshelf/hickoryshelf/clock"
 	"github.com/hickoryshelf/hickoryshelf/conf"
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/dial"
 	"github.com/hickoryshelf/hickoryshelf/entry"
 	"github.com/hickoryshelf/hickoryshelf/pick"
@@ -31,6 +32,8 @@
 	suspended clock.Source
 	// centreDrain is the setting of that name.
 	centreDrain conf.Duration
+	// ask asks other entry hosts, or is nil.
+	ask func(address string) (ctlrpc.Directory, error)
 	// speeds is set if hosts share the speed of endpoints, and log is where the lines go, or nil.
 	speeds *speed.Meter
 	log    io.Writer
@@ -51,7 +54,7 @@
 	b := budget.NewHost(budget.Limits{Ratio: 0.9, Slack: 58, Window: time.Second})
 	r := relay.New(relay.Options{Endpoints: s, Budget: b, Log: g, Metrics: m, ApplyTime: o.applyTime, Suspended: o.suspended, Speeds: o.speeds})
 	e := entry.New(entry.Options{
-		Settings: conf.Node{Name: "e", PeerPort: o.port, Seeds: o.seeds, Bounds: conf.Bounds{CentreDrain: o.centreDrain}}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()},
+		Settings: conf.Node{Name: "e", PeerPort: o.port, Seeds: o.seeds, Bounds: conf.Bounds{CentreDrain: o.centreDrain}}, Relay: r, Set: s, Pools: []*dial.Pool{dial.NewPool()}, AskDirectory: o.ask,
 		Decode: o.decode, Log: g, Metrics: m,
 	})
 	return e, r
--- a/entry/return_test.go
+++ b/entry/return_test.go
@@ -32,6 +32,8 @@
 	current, mute atomic.Bool
 	// repliedAt is when it last replied to an exchange, and currentAt when it last did so as a current one, in Unix nanoseconds.
 	repliedAt, currentAt atomic.Int64
+	// controls and neighbours are what it names in its replies.
+	controls, neighbours []string
 
 	lock     sync.Mutex
 	listener net.Listener
@@ -47,6 +49,7 @@
 	time.Sleep(waitingReply)
 	c.control.awaitReplies()
 	n.Control, n.Current = c.control.address, c.control.current.Load()
+	n.Controls, n.Neighbours = c.control.controls, c.control.neighbours
 	c.control.repliedAt.Store(time.Now().UnixNano())
 	if n.Current {
 		c.control.currentAt.Store(time.Now().UnixNano())
