--- a/cmds/node.go
+++ b/cmds/node.go
@@ -130,6 +130,7 @@
 				return
 			}
 			if v == syscall.SIGHUP {
+				n.hasChanged(path) // so that the change is taken over once
 				n.reload(path)
 			}
 		}
