Ask others for control hosts at once where no known one is reached

A host that goes on after a suspension begins its search then, and asked only the members that it knew for the first second. If none of them can be connected to, all other addresses and other entry hosts are asked at once.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -361,6 +361,8 @@
 	}
 	a, c, err := connectFirst(e.candidates(e.isLast))
 	if err != nil {
+		e.recordLoss(err)
+		e.search.widen()
 		e.address = ""
 		return nil, err
 	}
--- a/entry/locate.go
+++ b/entry/locate.go
@@ -39,22 +39,22 @@
 	}
 }
 
-// places returns where a control host may be found: the members of the control log, or, once the search for one of them goes on for long,
-// all addresses that are known.
+// places returns where a control host may be found: the members of the control log, or, once the search is wide, all
+// addresses that are known.
 func (e *Entry) places() []string {
 	e.adoptSeeds()
-	if e.search.isLong() {
+	if e.search.isWide() {
 		return e.roster.All()
 	}
 	return e.roster.Members()
 }
 
-// seek asks control hosts for one with a leader, and other entry hosts for control hosts once that takes long. It tells from time to time
+// seek asks control hosts for one with a leader, and other entry hosts for control hosts once the search is wide. It tells from time to time
 // how long there has been none.
 func (e *Entry) seek(leaveOut func(address string) bool) {
 	l := e.places()
 	e.search.ask(l, leaveOut)
-	if e.search.isLong() {
+	if e.search.isWide() {
 		e.askNeighbours()
 	}
 	if e.search.isLogDue() {
--- a/entry/search.go
+++ b/entry/search.go
@@ -15,7 +15,8 @@
 	mostSearchPause  = 500 * time.Millisecond
 	// questionTimeout bounds the wait for the answer whether a control host has a leader.
 	questionTimeout = 700 * time.Millisecond
-	// electionTime is how long control hosts may take to elect a leader. Until then the members of the control log are asked alone.
+	// electionTime is how long control hosts may take to elect a leader. Until then only the members of the control log are asked,
+	// if any of them can be reached.
 	electionTime = time.Second
 	// searchLogInterval is the interval of the lines about a search that goes on.
 	searchLogInterval = 3 * time.Second
@@ -27,6 +28,8 @@
 type search struct {
 	// since is when the search began, and logged when its last line was written.
 	since, logged time.Time
+	// unreached is set once no connection to members of the control log could be opened.
+	unreached bool
 	// due is signalled when the next round of questions is.
 	due   *time.Timer
 	pause pause
@@ -84,8 +87,19 @@
 	return s.told
 }
 
-// isLong reports whether the search goes on for longer than an election takes.
-func (s *search) isLong() bool { return s != nil && time.Since(s.since) > electionTime }
+// isWide reports whether the members of the control log aren't all that is asked: none was reached, or the search goes on for longer than an
+// election takes.
+func (s *search) isWide() bool {
+	return s != nil && (s.unreached || time.Since(s.since) > electionTime)
+}
+
+// widen makes the search ask others than the members of the control log from now on.
+func (s *search) widen() {
+	if !s.unreached {
+		s.unreached = true
+		s.hurry()
+	}
+}
 
 // hurry makes the next round of questions due at once.
 func (s *search) hurry() { s.due.Reset(0) }
--- a/entry/talk.go
+++ b/entry/talk.go
@@ -155,10 +155,12 @@
 	}
 	e.recordLoss(ErrTimeout)
 	a, c, err := connectFirst(e.candidates(t.asks))
-	if err == nil {
-		e.resend()
-		t.begin(a, rpc.NewClient(c), e.request(true))
+	if err != nil {
+		e.search.widen()
+		return true
 	}
+	e.resend()
+	t.begin(a, rpc.NewClient(c), e.request(true))
 	return true
 }
 
