Count no answer to a message of an earlier term as contact with the leader

A control host that was restarted and led again could stay a ready leader for good: cut off from the others, it called itself current with an age of 0, answered reads with an old configuration, and its entry hosts kept serving and confirming by it. Cause: a follower rejects an Append of an earlier term with its current term and the stamp of the Append. If the restarted host leads that term, it takes the stamp, which its earlier start wrote by another clock, for the time of its newest contact: minutes in the future. With three voters one such answer is a majority, so that the lease doesn't end and the leader doesn't step down. Why it works: the rejection bears no stamp, and a leader takes no answer whose stamp it can't have sent in its term, so that followers of older builds can't prolong its lease either. The first line alone would leave those, the second one alone stamps that happen to fall in the new term.

--- a/ctrl/current_test.go
+++ b/ctrl/current_test.go
@@ -208,3 +208,39 @@
 	c.run(step)
 	k()
 }
+
+// restartUntilItLeads restarts the leader until it leads the next term, while a follower is suspended.
+func restartUntilItLeads(t *testing.T) (c *cluster, leader, suspended string) {
+	t.Helper()
+	for range 50 {
+		c, l, f := startThree(t)
+		c.run(10 * time.Second)
+		c.hosts[f].suspended = true
+		c.run(500 * time.Millisecond) // heartbeats wait
+		c.kill(l)
+		c.start(l)
+		c.run(3 * time.Second)
+		if c.leader() == l {
+			return c, l, f
+		}
+	}
+	t.Fatal("the restarted host leads no term")
+	return nil, "", ""
+}
+
+// Guards against a leader that keeps a lease for good, and serves an old configuration as current while cut off: a follower's answer
+// to a message of an earlier start names the clock of that start.
+func TestRestartedLeaderHasNoLeaseByAnswersToItsEarlierStart(t *testing.T) {
+	i := is.New(t)
+	c, l, f := restartUntilItLeads(t)
+	slices.Reverse(c.hosts[f].waiting) // each start has its own connection, and the newer one is read first
+	c.resume(f, func() {})
+	c.run(time.Second)
+	i.Equal(c.leader(), l)
+	c.blocked = func(a, b string) bool { return a == l || b == l }
+	c.run(3 * time.Second)
+	i.Equal(c.put(f, 1).Status, ctlrpc.Accepted)
+	c.run(configApply)
+	i.True(!c.hosts[l].state.Current())
+	i.Equal(c.submit(l, ctlrpc.Order{Verb: ctlrpc.Read}).Status, ctlrpc.Unavailable)
+}
--- a/quorum/held_test.go
+++ b/quorum/held_test.go
@@ -137,3 +137,43 @@
 		})
 	}
 }
+
+// Guards against a follower that returns the stamp of an earlier term in its current one, where the leader takes it for contact.
+func TestAnswerToEarlierTermBearsNoStamp(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork(3)
+	n.runWithoutFaults(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	f := n.otherThan(l)
+	n.nodes[f].unsynced = nil
+	m := quorum.Message{Kind: quorum.Append, From: l, To: f, Term: n.nodes[f].state.Hard.Term - 1, Stamp: time.Second}
+	n.step(f, quorum.Receive{Message: m})
+	i.Equal(len(n.nodes[f].unsynced), 1)
+	r := n.nodes[f].unsynced[0].Messages
+	i.Equal(len(r), 1)
+	i.True(r[0].Reject)
+	i.True(r[0].Stamp < 0)
+}
+
+// Guards against a leader without contact that has a lease by the answer of an older build to a message of an earlier start, whose
+// stamp is in the future of this start.
+func TestLeaderHasNoLeaseByStampsItHasntSent(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork(3)
+	n.runWithoutFaults(3 * time.Second)
+	l := n.leaders[slices.Max(terms(n))]
+	m := quorum.Message{Kind: quorum.AppendReply, From: n.otherThan(l), To: l, Term: n.nodes[l].state.Hard.Term, Reject: true, Index: 1, Stamp: time.Hour}
+	n.step(l, quorum.Receive{Message: m})
+	n.now += timing.Election
+	i.True(!n.nodes[l].state.HasLease(n.now))
+}
+
+// otherThan returns a node other than the given one.
+func (n *network) otherThan(id quorum.NodeID) quorum.NodeID {
+	for _, i := range n.ids {
+		if i != id {
+			return i
+		}
+	}
+	return ""
+}
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -8,6 +8,9 @@
 // snapshotRetryInterval is the minimum time between two snapshots that a leader sends to the same node.
 const snapshotRetryInterval = 2 * time.Second
 
+// noStamp is the Stamp of the reply to a message of an earlier term, which promises the leader of the current one nothing.
+const noStamp = -time.Nanosecond
+
 // Step processes an input and returns the next state and the actions to carry out. now is the time on the node's
 // monotonic clock.
 func Step(state State, now time.Duration, input Input) (State, Output) {
@@ -143,7 +146,7 @@
 // previous entry isn't in the log.
 func (t *step) receiveEntries(m Message) {
 	if m.Term < t.Hard.Term {
-		t.send(Message{Kind: AppendReply, To: m.From, Reject: true, Index: t.LastIndex(), Stamp: m.Stamp})
+		t.send(Message{Kind: AppendReply, To: m.From, Reject: true, Index: t.LastIndex(), Stamp: noStamp})
 		return
 	}
 	t.becomeFollower(m.Term, m.From)
@@ -210,7 +213,7 @@
 		t.becomeFollower(m.Term, "")
 		return
 	}
-	if t.Role != Leader || m.Term != t.Hard.Term || !t.Peers.Has(m.From) {
+	if t.Role != Leader || m.Term != t.Hard.Term || !t.Peers.Has(m.From) || !t.sentInTerm(m.Stamp) {
 		return
 	}
 	o := t.progressOf(m.From)
@@ -242,6 +245,10 @@
 	}
 }
 
+// sentInTerm reports whether this leader may have sent a message with the stamp in its current term. Builds that return the stamps
+// of earlier terms may return one of an earlier start of this node, which counts from another origin.
+func (t *step) sentInTerm(stamp time.Duration) bool { return stamp >= t.electedAt && stamp <= t.now }
+
 // advanceCommit commits the entries that a majority has synced, provided that the last of them is of this term.
 func (t *step) advanceCommit() {
 	c := majorityReached(t.Peers.Voters, t.Match)
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -135,7 +135,8 @@
 	Unready bool
 	// Reject is set on a reply that refuses the vote or the entries.
 	Reject bool
-	// Stamp is the leader's clock when it sent the Append or InstallSnapshot. The reply returns it unchanged.
+	// Stamp is the leader's clock when it sent the Append or InstallSnapshot. The reply returns it unchanged, or noStamp if the
+	// message is of an earlier term.
 	Stamp time.Duration
 	// ReplyStamp is, in an AppendReply, the sender's clock when it sent the reply, counted from a secret origin. Later messages
 	// of the leader return the newest one unchanged, or noReply if there is none. Older builds leave it out.
