--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -171,11 +171,15 @@
 	}
 }
 
-// withPersisted returns the content of a disk after a write.
+// withPersisted returns the content of a disk after a write, by the rules of package store.
 func withPersisted(h store.QuorumState, p quorum.Persist) store.QuorumState {
 	if p.Snapshot != nil {
 		h.Snapshot = *p.Snapshot
-		h.Entries = slices.DeleteFunc(slices.Clone(h.Entries), func(e quorum.Entry) bool { return e.Index <= p.Snapshot.Index })
+		k := slices.IndexFunc(h.Entries, func(e quorum.Entry) bool { return e.Index == p.Snapshot.Index && e.Term == p.Snapshot.Term })
+		if k < 0 {
+			k = len(h.Entries) - 1 // they don't follow the snapshot
+		}
+		h.Entries = slices.Clone(h.Entries[k+1:])
 	}
 	if p.Hard != nil {
 		h.Hard = *p.Hard
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -192,17 +192,23 @@
 	return nil
 }
 
-// install replaces the log by the snapshot of a message, unless the snapshot is no newer than the commit index.
+// install replaces the log by the snapshot of a message, unless the snapshot is no newer than the commit index. Entries that follow
+// the snapshot's last one stay: this node may have acknowledged them.
 func (t *step) install(m Message) {
 	if m.Snapshot == nil || m.Snapshot.Index <= t.Commit {
 		t.send(Message{Kind: AppendReply, To: m.From, Index: t.Commit, Stamp: m.Stamp})
 		return
 	}
+	if e, ok := t.termAt(m.Snapshot.Index); ok && e == m.Snapshot.Term {
+		t.entries = t.entries.Slice(int(m.Snapshot.Index-t.Snapshot.Index), t.entries.Len())
+		t.Stable = max(t.Stable, m.Snapshot.Index)
+	} else {
+		t.entries = t.entries.Slice(0, 0)
+		t.Stable = m.Snapshot.Index
+	}
 	t.Snapshot = *m.Snapshot
-	t.entries = t.entries.Slice(0, 0)
 	t.Commit = m.Snapshot.Index
-	t.Stable = m.Snapshot.Index
-	t.Peers = m.Snapshot.Peers
+	t.Peers = t.latestPeers()
 	t.out.Persist.Snapshot = m.Snapshot
 	t.out.Restore = m.Snapshot
 	t.send(Message{Kind: AppendReply, To: m.From, Index: m.Snapshot.Index, Stamp: m.Stamp})
--- a/quorum/votes_test.go
+++ b/quorum/votes_test.go
@@ -151,3 +151,35 @@
 	n.nodes[i] = &node{up: true, state: quorum.New(i, timing, quorum.HardState{}, quorum.Snapshot{}, nil, uint64(len(n.ids)))}
 	return i
 }
+
+// Guards against a node that forgets entries that it has acknowledged, and votes for one that lacks them: after a restart it gets a
+// snapshot that covers less than it holds.
+func TestSnapshotOfMatchingLogKeepsLaterEntries(t *testing.T) {
+	i := is.New(t)
+	p := quorum.Peers{Voters: []quorum.NodeID{"f", "l", "c"}}
+	var e []quorum.Entry
+	for k := range uint64(9) {
+		e = append(e, quorum.Entry{Index: k + 2, Term: 1})
+	}
+	s := quorum.New("f", timing, quorum.HardState{Term: 1}, quorum.Snapshot{Index: 1, Term: 1, Peers: p}, e, 1)
+	w := quorum.Snapshot{Index: 8, Term: 1, Peers: p}
+	s, _ = quorum.Step(s, time.Second, quorum.Receive{Message: quorum.Message{Kind: quorum.InstallSnapshot, From: "l", To: "f", Term: 2, Snapshot: &w}})
+	i.Equal(s.Commit, uint64(8))
+	i.Equal(s.LastIndex(), uint64(10))
+	i.Equal(s.Stable, uint64(10))
+	_, o := quorum.Step(s, time.Second+timing.Election, quorum.Receive{Message: quorum.Message{Kind: quorum.Vote, From: "c", To: "f", Term: 3, Index: 9, LogTerm: 1}})
+	i.Equal(len(o.Messages), 1)
+	i.True(o.Messages[0].Reject)
+}
+
+// Guards against entries of an earlier term that stay after a snapshot which they don't follow.
+func TestSnapshotReplacesLogThatConflicts(t *testing.T) {
+	i := is.New(t)
+	p := quorum.Peers{Voters: []quorum.NodeID{"f", "l", "c"}}
+	e := []quorum.Entry{{Index: 2, Term: 1}, {Index: 3, Term: 1}, {Index: 4, Term: 1}}
+	s := quorum.New("f", timing, quorum.HardState{Term: 1}, quorum.Snapshot{Index: 1, Term: 1, Peers: p}, e, 1)
+	w := quorum.Snapshot{Index: 3, Term: 2, Peers: p}
+	s, _ = quorum.Step(s, time.Second, quorum.Receive{Message: quorum.Message{Kind: quorum.InstallSnapshot, From: "l", To: "f", Term: 2, Snapshot: &w}})
+	i.Equal(s.LastIndex(), uint64(3))
+	i.Equal(s.Stable, uint64(3))
+}
