Log how long writes of the control log take, also while they last

Callers saw no leader for 4.4 s in TestBuildsServeSideBySide, and the logs of the control hosts couldn't tell a disk that stands from links that do: heartbeats and votes wait for the write before them, and neither its length nor that it was under way was logged.

TestHostWhoseDiskStandsSaysSo: the line comes while the write still stands.

--- a/ctrl/logging.go
+++ b/ctrl/logging.go
@@ -69,12 +69,19 @@
 	}).Warn("control: no longer leads")
 }
 
-// logStrain logs a line each second in which this host was behind its work.
+// logStrain logs a line each second in which this host was behind its work, and one in which it waited for its disk.
 func (h *Host) logStrain(now time.Duration) {
-	if s, ok := h.strain.finished(now); ok && s.overloaded() {
+	s, ok := h.strain.finished(now)
+	if !ok {
+		return
+	}
+	if s.overloaded() {
 		w, _ := h.reports.Load()
 		h.log.WithFields(s.fields()).WithField("reports-waiting", w).Warn("control: is behind its work")
 	}
+	if s.awaitsDisk() {
+		h.log.WithField("write-time", s.WriteTime.Milliseconds()).Warn("control: a write to the data folder takes long, messages of the log wait for it")
+	}
 }
 
 func sameNodes(a, b []quorum.NodeID) bool {
--- a/ctrl/strain.go
+++ b/ctrl/strain.go
@@ -30,6 +30,8 @@
 	ReplyTime time.Duration
 	// CallTime is how long another control host took to acknowledge messages of the control log.
 	CallTime time.Duration
+	// WriteTime is how long a write of the control log to the data folder took, or has taken so far.
+	WriteTime time.Duration
 	// Exchanges counts the exchanges of entry hosts, and FirstExchanges those that were the first of their connection.
 	Exchanges      int
 	FirstExchanges int
@@ -45,6 +47,7 @@
 	}
 	return Strain{
 		EventWait: max(s.EventWait, o.EventWait), TickLate: max(s.TickLate, o.TickLate), CallTime: max(s.CallTime, o.CallTime),
+		WriteTime: max(s.WriteTime, o.WriteTime),
 		EventTime: e.EventTime, SlowestEvent: e.SlowestEvent, ReplyTime: max(s.ReplyTime, o.ReplyTime),
 		Exchanges: s.Exchanges + o.Exchanges, FirstExchanges: s.FirstExchanges + o.FirstExchanges, LateVotes: s.LateVotes + o.LateVotes,
 	}
@@ -53,18 +56,22 @@
 // overloaded reports whether the host was behind its work for longer than longDelay.
 func (s Strain) overloaded() bool { return s.delay() > longDelay }
 
+// awaitsDisk reports whether a write took longer than longDelay, or has taken longer so far.
+func (s Strain) awaitsDisk() bool { return s.WriteTime > longDelay }
+
 // fields returns the strain as fields of a log line, with durations in ms.
 func (s Strain) fields() logrus.Fields {
 	return logrus.Fields{
 		"event-wait": s.EventWait.Milliseconds(), "tick-late": s.TickLate.Milliseconds(), "call-time": s.CallTime.Milliseconds(), "exchanges": s.Exchanges, "first-exchanges": s.FirstExchanges,
 		"late-votes": s.LateVotes, "event-time": s.EventTime.Milliseconds(), "slowest-event": s.SlowestEvent, "reply-time": s.ReplyTime.Milliseconds(),
+		"write-time": s.WriteTime.Milliseconds(),
 	}
 }
 
 // strainMeter measures the strain of a host and keeps histograms of it. It is safe for concurrent use.
 type strainMeter struct {
-	eventWait, eventTime, tickLate, callTime, replyTime *metrics.Histogram
-	lateVotes, firstExchanges                           *metrics.Counter
+	eventWait, eventTime, tickLate, callTime, replyTime, writeTime *metrics.Histogram
+	lateVotes, firstExchanges                                      *metrics.Counter
 
 	lock sync.Mutex
 	// began is when the current window began. before is the strain in the window before it.
@@ -72,12 +79,16 @@
 	current, before Strain
 	// unread is set while the window before hasn't been returned by finished.
 	unread bool
+	// writing is set while a write is under way, and writeBegan is when it began.
+	writing    bool
+	writeBegan time.Duration
 }
 
 func newStrainMeter(m *metrics.Set) *strainMeter {
 	return &strainMeter{
 		eventWait: m.NewHistogram("control_event_wait_seconds"), eventTime: m.NewHistogram("control_event_seconds"), replyTime: m.NewHistogram("control_reply_seconds"),
 		tickLate: m.NewHistogram("control_tick_late_seconds"), callTime: m.NewHistogram("control_log_call_seconds"),
+		writeTime: m.NewHistogram("control_log_write_seconds"),
 		lateVotes: m.NewCounter("control_late_votes_total"), firstExchanges: m.NewCounter("control_first_exchanges_total"),
 	}
 }
@@ -95,13 +106,39 @@
 	if now < m.began+strainWindow {
 		return
 	}
-	m.before, m.current, m.unread = m.current, Strain{}, true
+	m.before, m.current, m.unread = m.current.plus(m.openWrite(now)), Strain{}, true
 	if now >= m.began+2*strainWindow {
-		m.before = Strain{}
+		m.before = m.openWrite(now)
 	}
 	m.began = now
 }
 
+// openWrite returns the strain of a write that is under way.
+func (m *strainMeter) openWrite(now time.Duration) Strain {
+	if !m.writing {
+		return Strain{}
+	}
+	return Strain{WriteTime: now - m.writeBegan}
+}
+
+// writeBegins records that a write begins. There is one at a time.
+func (m *strainMeter) writeBegins(now time.Duration) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.writing, m.writeBegan = true, now
+}
+
+// writeEnds records that the write that is under way ends.
+func (m *strainMeter) writeEnds(now time.Duration) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	s := m.openWrite(now)
+	m.writing = false
+	m.writeTime.Update(s.WriteTime.Seconds())
+	m.advance(now)
+	m.current = m.current.plus(s)
+}
+
 // eventTaken records that an event that came at a time is taken by the event loop.
 func (m *strainMeter) eventTaken(came, now time.Duration) {
 	m.eventWait.Update((now - came).Seconds())
@@ -160,7 +197,7 @@
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	m.advance(now)
-	return m.before.plus(m.current)
+	return m.before.plus(m.current).plus(m.openWrite(now))
 }
 
 // finished returns the strain of a window that is over, once for each window.
--- a/ctrl/strain_test.go
+++ b/ctrl/strain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -10,6 +11,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+
+	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/itest"
 )
 
 // lockedBuffer is a buffer for concurrent use.
@@ -59,3 +63,26 @@
 	m.WritePrometheus(&w)
 	i.True(strings.Contains(w.String(), "control_tick_late_seconds_bucket"))
 }
+
+// Guards against a control host whose disk stands and that doesn't say so before the write ends: a log that the disk holds up looks
+// like one whose other hosts are silent.
+func TestHostWhoseDiskStandsSaysSo(t *testing.T) {
+	i := is.New(t)
+	var b lockedBuffer
+	m, d := metrics.NewSet(), t.TempDir()
+	h := startLeader(t, startOptions{Output: &b, Folder: d, Metrics: m})
+	f := itest.NewStandingFile(t, filepath.Join(d, "quorum.log"))
+	h.Do(ctlrpc.Order{Verb: ctlrpc.Put, Version: 2, Document: []byte("{}")})
+	for range 60 {
+		if strings.Contains(b.String(), "a write to the data folder takes long") {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	s := b.String()
+	f.Release()
+	i.True(strings.Contains(s, "a write to the data folder takes long"))
+	var w bytes.Buffer
+	m.WritePrometheus(&w)
+	i.True(strings.Contains(w.String(), "control_log_write_seconds_bucket"))
+}
--- a/ctrl/writer.go
+++ b/ctrl/writer.go
@@ -74,10 +74,7 @@
 		s.Snapshot = o.Persist.Snapshot
 	}
 	for _, v := range []quorum.Persist{p, s} {
-		if v.Empty() {
-			continue
-		}
-		if err := w.disk.Persist(v); err != nil {
+		if err := w.persist(v); err != nil {
 			return err
 		}
 	}
@@ -91,6 +88,17 @@
 	return nil
 }
 
+// persist syncs what has to be written, if there is anything.
+func (w *writer) persist(p quorum.Persist) error {
+	if p.Empty() {
+		return nil
+	}
+	h := w.host
+	h.strain.writeBegins(h.sinceStart())
+	defer func() { h.strain.writeEnds(h.sinceStart()) }()
+	return w.disk.Persist(p)
+}
+
 // reopen closes the disk and tries to open it until it accepts writes again. It then posts DiskReopened, with which the
 // generation begins.
 func (w *writer) reopen(generation uint64) {
