Hold back a first configuration of a control host that isn't current

What callers saw: an entry host that had just started served a route that had been dropped over two seconds before, until it found another control host. Cause: a control host that has once caught up hands out its configuration for as long as it runs, also when it is cut off, suspended or replaced. An entry host put the first one that came in force and was ready, whether or not the sender said that it was current. Change: a host without a configuration holds such a one back, isn't ready and refuses as before the first reply. It uses it once a current control host has nothing newer, or once none was found in 2 s; while one that says that it has a leader is asked, in 5 s. Why it works: a search asks all known addresses several times in that time, so that a host that reaches a current control host has its configuration first.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -24,6 +24,7 @@
 	if len(r.Document) == 0 || e.applyTable(r) {
 		e.confirmTable(r, sent)
 	}
+	e.useOverdueFirst(false)
 	if r.Control != e.state.Control || r.FleetRevision != e.state.FleetRevision {
 		if r.FleetNew {
 			e.Set.Replace(r.Reports)
@@ -97,27 +98,31 @@
 	}
 }
 
-// applyTable decodes the configuration of a reply and puts it in force. A configuration that can't be decoded is
-// logged and ignored, and applyTable returns false.
+// applyTable decodes the configuration of a reply and puts it in force, or holds it back if this host has none and the control host isn't
+// current. A configuration that can't be decoded is logged and ignored, and applyTable returns false.
 func (e *Entry) applyTable(r ctlrpc.ExchangeReply) bool {
 	t, err := e.Decode(r.Document)
 	if err != nil {
 		e.Log.WithError(err).WithField("version", r.TableVersion).Error("entry: the configuration can't be decoded")
 		return false
 	}
-	o := e.state.TableVersion
-	e.state.TableVersion = max(o, t.Version)
-	if e.Relay.SetTable(t) {
-		e.Log.WithFields(logrus.Fields{"version": t.Version, "before": o, "control": e.address, "current": r.Current, "applied": r.Position.Applied, "routes": len(t.Routes)}).Info("entry: configuration in force")
+	e.state.TableVersion = max(e.state.TableVersion, t.Version)
+	o := offer{table: t, control: e.address, current: r.Current, applied: r.Position.Applied}
+	if !r.Current && e.Relay.Table() == nil {
+		e.holdBack(o)
+		return true
 	}
+	e.putInForce(o)
 	return true
 }
 
 // confirmTable records that the configuration in force was the newest, if the reply comes from a control host that is current and has
-// caught up with the log, before which it sends no configuration. That holds for when this host sent the request, less the age of what the
-// control host knew: the reply may have been under way, or this process held up, for any time since.
+// caught up with the log, before which it sends no configuration. One that was held back is then in force: that control host has none that
+// is newer. The confirmation holds for when this host sent the request, less the age of what the control host knew: the reply may have been
+// under way, or this process held up, for any time since.
 func (e *Entry) confirmTable(r ctlrpc.ExchangeReply, sent time.Duration) {
 	if r.Current && r.Sure {
+		e.useFirst()
 		e.Relay.Confirm(sent - r.Position.Age)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,8 @@
 	// state says which configuration and fleet state this host has received. It is sent with each exchange, so that
 	// control hosts reply with changes only.
 	state ctlrpc.EntryState
+	// first is the table that this host holds back while it has none in force, or nil.
+	first *firstOffer
 	// client is the connection to the control host at address, or nil.
 	client  *rpc.Client
 	address string
@@ -136,12 +138,7 @@
 	e.lastCurrent.Store(e.start)
 	o.Metrics.NewGauge("control_age_seconds", func() float64 { return time.Since(time.Unix(0, e.lastExchange.Load())).Seconds() })
 	o.Metrics.NewGauge("control_current_age_seconds", func() float64 { return e.currentAge().Seconds() })
-	o.Metrics.NewGauge("table_version", func() float64 {
-		if t := o.Relay.Table(); t != nil {
-			return float64(t.Version)
-		}
-		return 0
-	})
+	o.Metrics.NewGauge("table_version", func() float64 { return float64(e.tableVersion()) })
 	if o.Settings.Bounds.CentreDrain > 0 {
 		e.state.DrainIndex = ctlrpc.HoldsNoDrains
 	}
@@ -309,6 +306,7 @@
 			return
 		case <-e.search.dueC():
 			e.seek(e.isConnected)
+			e.useOverdueFirst(false)
 		case d := <-e.search.toldC():
 			e.learn(d)
 		case a := <-c:
--- a/entry/locate.go
+++ b/entry/locate.go
@@ -26,9 +26,7 @@
 	if p := e.directory.Load(); p != nil {
 		d.Controls = p.Controls
 	}
-	if t := e.Relay.Table(); t != nil {
-		d.Table = t.Version
-	}
+	d.Table = e.tableVersion()
 	return d
 }
 
@@ -59,7 +57,7 @@
 	}
 	if e.search.isLogDue() {
 		e.Log.WithFields(logrus.Fields{
-			"since": time.Since(e.search.since).Milliseconds(), "current-age": e.currentAge().Milliseconds(), "asked": l, "neighbours": len(e.neighbours), "table": e.state.TableVersion,
+			"since": time.Since(e.search.since).Milliseconds(), "current-age": e.currentAge().Milliseconds(), "asked": l, "neighbours": len(e.neighbours), "table": e.tableVersion(),
 		}).Warn("entry: no control host with a leader is found; what is served may be out of date")
 	}
 }
@@ -105,7 +103,7 @@
 	}
 	e.roster = e.roster.WithHeard(d.directory.Controls)
 	e.Log.WithFields(logrus.Fields{
-		"neighbour": d.address, "controls": l, "its-table": d.directory.Table, "its-current-age": d.directory.CurrentAgeMS, "table": e.state.TableVersion,
+		"neighbour": d.address, "controls": l, "its-table": d.directory.Table, "its-current-age": d.directory.CurrentAgeMS, "table": e.tableVersion(),
 	}).Warn("entry: another entry host names control hosts that this one didn't know")
 	e.search.hurry()
 }
--- a/entry/talk.go
+++ b/entry/talk.go
@@ -105,6 +105,7 @@
 			}
 		case <-e.search.dueC():
 			e.seek(t.asks)
+			e.useOverdueFirst(t.isSure(slowReplyTimeout))
 		case d := <-e.search.toldC():
 			e.learn(d)
 		case a := <-o:
