Take a configuration that can't be decoded once

What callers saw: nothing known. Change: the version counts as received. The one before it stays in force, and no reply confirms it any more, so that it denies nothing for good; what was held back from a control host that wasn't current is dropped, since a newer one is known. Why it works: a control host answers a host that holds the newest version after the usual wait.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -21,9 +21,10 @@
 	e.lastExchange.Store(time.Now().UnixNano())
 	e.Relay.SetSource(relay.TableSource{Control: e.address, Current: r.Current, Position: r.Position, HeardAt: time.Now()})
 	e.applyDrains(r.Drains) // before a configuration makes this host ready
-	if len(r.Document) == 0 || e.applyTable(r) {
-		e.confirmTable(r, sent)
+	if len(r.Document) > 0 {
+		e.applyTable(r)
 	}
+	e.confirmTable(r, sent)
 	e.useOverdueFirst(false)
 	if r.Control != e.state.Control || r.FleetRevision != e.state.FleetRevision {
 		if r.FleetNew {
@@ -99,30 +100,34 @@
 }
 
 // applyTable decodes the configuration of a reply and puts it in force, or holds it back if this host has none and the control host isn't
-// current. A configuration that can't be decoded is logged and ignored, and applyTable returns false.
-func (e *Entry) applyTable(r ctlrpc.ExchangeReply) bool {
+// current. A configuration that can't be decoded is logged and ignored. It counts as received: a control host would else send it again at
+// once for as long as it is the newest.
+func (e *Entry) applyTable(r ctlrpc.ExchangeReply) {
 	t, err := e.Decode(r.Document)
 	if err != nil {
-		e.Log.WithError(err).WithField("version", r.TableVersion).Error("entry: the configuration can't be decoded")
-		return false
+		e.state.TableVersion = max(e.state.TableVersion, r.TableVersion)
+		e.first = nil // an older one isn't begun with
+		e.Log.WithError(err).WithFields(logrus.Fields{"version": r.TableVersion, "control": e.address, "table": e.tableVersion()}).Error("entry: the configuration can't be decoded")
+		return
 	}
 	e.state.TableVersion = max(e.state.TableVersion, t.Version)
 	o := offer{table: t, control: e.address, current: r.Current, applied: r.Position.Applied}
 	if !r.Current && e.Relay.Table() == nil {
 		e.holdBack(o)
-		return true
+		return
 	}
 	e.putInForce(o)
-	return true
 }
 
 // confirmTable records that the configuration in force was the newest, if the reply comes from a control host that is current and has
 // caught up with the log, before which it sends no configuration. One that was held back is then in force: that control host has none that
 // is newer. The confirmation holds for when this host sent the request, less the age of what the control host knew: the reply may have been
-// under way, or this process held up, for any time since.
+// under way, or this process held up, for any time since. Nothing is confirmed after a newer configuration that couldn't be decoded.
 func (e *Entry) confirmTable(r ctlrpc.ExchangeReply, sent time.Duration) {
 	if r.Current && r.Sure {
 		e.useFirst()
-		e.Relay.Confirm(sent - r.Position.Age)
+		if e.tableVersion() == e.state.TableVersion {
+			e.Relay.Confirm(sent - r.Position.Age)
+		}
 	}
 }
--- a/entry/confirm_test.go
+++ b/entry/confirm_test.go
@@ -113,3 +113,41 @@
 		n.TableVersion, n.Document = 2, []byte(badDocument)
 	}
 }
+
+// badControl is a control host that hands out a configuration that can't be decoded after the first one, as soon as it is asked by a host
+// that doesn't hold it.
+type badControl struct{ exchanges *atomic.Int64 }
+
+func (c badControl) Exchange(q ctlrpc.ExchangeRequest, n *ctlrpc.ExchangeReply) error {
+	c.exchanges.Add(1)
+	n.Current, n.Sure = true, true
+	switch q.Known.TableVersion {
+	case 0:
+		n.TableVersion, n.Document = 1, []byte("1")
+	case 1:
+		n.TableVersion, n.Document = 2, []byte(badDocument)
+	default:
+		time.Sleep(waitingReply)
+	}
+	return nil
+}
+
+// Guards against entry hosts that ask for a configuration that they can't decode again and again without a pause, and against those that
+// then deny requests for good by the one before it.
+func TestConfigurationThatCantBeDecodedIsSentOnce(t *testing.T) {
+	i := is.New(t)
+	c := badControl{&atomic.Int64{}}
+	var b lockedBuffer
+	e, r := newEntry(hostOptions{port: listenService(t, c, 0, 0), seeds: []string{slowAddress(0) + ":1"}, decode: decodeUnlessBad, applyTime: denialBound, log: &b})
+	i.True(getsReady(e))
+	time.Sleep(2 * denialBound)
+	var s refusalSink
+	r.Serve(context.Background(), &relay.Request{ID: "1", Host: "h", Path: "/none", Received: time.Now()}, &s)
+	e.Stop()
+	time.Sleep(2 * waitingReply)
+	n := b.count("can't be decoded")
+	t.Logf("%d exchanges, %d lines", c.exchanges.Load(), n)
+	i.True(c.exchanges.Load() <= 2+int64(2*denialBound/waitingReply)+2)
+	i.Equal(n, 1)
+	i.Equal(s.reason, relay.Unconfirmed)
+}
