Put rollouts in force before the configuration and the fleet

What callers saw: nothing known. Evidence: TestRolloutsAreInForceBeforeConfiguration, before: the rollout isn't known when the configuration is decoded (3 of 3 red). Why it works: drains and rollouts only bound where requests go, and need no endpoint to be known.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -20,7 +20,11 @@
 	}
 	e.lastExchange.Store(time.Now().UnixNano())
 	e.Relay.SetSource(relay.TableSource{Control: e.address, Current: r.Current, Position: r.Position, HeardAt: time.Now()})
-	e.applyDrains(r.Drains) // before a configuration makes this host ready
+	// Before a configuration makes this host ready, and before endpoints of a new version are known:
+	e.applyDrains(r.Drains)
+	if r.Sure {
+		e.Set.SetRollouts(r.Rollouts)
+	}
 	if len(r.Document) > 0 {
 		e.applyTable(r)
 	}
@@ -36,9 +40,6 @@
 		e.state.Control, e.state.FleetRevision = r.Control, r.FleetRevision
 		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": r.FleetRevision, "changed": len(r.Reports), "gone": len(r.Gone), "endpoints": e.Set.ReadyCounts()}).Info("entry: endpoints changed")
 	}
-	if r.Sure {
-		e.Set.SetRollouts(r.Rollouts)
-	}
 	if r.LoadsNew {
 		e.Set.SetRemoteLoads(r.Loads)
 	} else {
