--- a/entry/first.go
+++ b/entry/first.go
@@ -22,7 +22,7 @@
 }
 
 // firstOffer is the table that a host without one holds back, since no control host that is current has sent it: one that was cut off or
-// replaced goes on to hand out the table that it had then.
+// replaced goes on to hand out the table that it had then. Control hosts are told that this host has it, and send only newer ones.
 type firstOffer struct {
 	offer
 	// since is when the first such table came.
@@ -46,8 +46,8 @@
 	}
 }
 
-// useOverdueFirst does so once no current control host was found in firstTableWait: a data centre that is cut off serves by what it has. The
-// reply of a control host that has said that it has a leader is waited for longer.
+// useOverdueFirst is useFirst once no current control host was found in firstTableWait: a data centre that is cut off serves by what it has.
+// asksLeader is set while the reply of a control host is awaited that has said that it has a leader; then it is slowReplyTimeout.
 func (e *Entry) useOverdueFirst(asksLeader bool) {
 	if e.first == nil {
 		return
