Count a leader's message as contact as of when it was sent

Callers saw no leader for 5.7 s: after a leader had stepped down since no majority answered in 1.2 s, its messages that had waited on links or in front of starved processes still arrived, up to 3 s later. Each made a follower refuse pre-votes for 0.6 s more and put its own campaign off by 0.6 to 1.2 s, when the links already delivered again.

The stamps of a leader's messages, which are its clock, against the times at which they came bound from above when each was sent: as long after an earlier one as the stamps say, and a thousandth more. That time is the contact. It is never before the message was sent, so that the promise holds which the leader's lease rests on. What stays open is a clock that stops with its machine, as for HeldAt.

TestPromiseToLeaderHoldsFromTheSending is red with a contact 20 ms earlier than that, and with one at the receipt.

--- a/quorum/held.go
+++ b/quorum/held.go
@@ -11,14 +11,16 @@
 	driftDivisor = 1000
 )
 
-// anchor says that the clock of the leader of a term showed stamp at the time at on this node's clock, or later.
+// anchor says that the clock of the leader of a term showed stamp at the time at on this node's clock, or later, or that it did so
+// then or earlier.
 type anchor struct {
 	term  uint64
 	stamp time.Duration
 	at    time.Duration
 }
 
-// timeOf returns a time on this node's clock at or before that at which the leader's clock showed stamp.
+// timeOf returns a time on this node's clock at or before that at which the leader's clock showed stamp, if it showed the stamp of
+// the anchor at its time or later.
 func (a anchor) timeOf(stamp time.Duration) time.Duration {
 	d := stamp - a.stamp
 	return a.at + d - max(d, -d)/driftDivisor
--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -248,3 +248,63 @@
 		i.Equal(n.nodes[k].Leader, l)
 	}
 }
+
+// Guards against a leader that has stepped down and whose messages, which waited on their way, hold back the next election: control
+// hosts that took them for those of a present leader refused pre-votes and put off their own campaigns.
+func TestOldMessagesOfFormerLeaderHoldBackNoElection(t *testing.T) {
+	const standTime = 3 * time.Second
+	for _, v := range []int{3, 5} {
+		t.Run(fmt.Sprint(v, " voters"), func(t *testing.T) {
+			i := is.New(t)
+			w := time.Duration(0)
+			for s := range uint64(40) {
+				n := newSlowNetwork(v, s+1)
+				n.run(3*time.Second, nil)
+				e := n.now + standTime
+				n.delay = func(quorum.Message) time.Duration { return max(time.Millisecond, e-n.now) } // links stand, then deliver all
+				n.run(standTime, nil)
+				i.Equal(n.leader(), quorum.NodeID(""))
+				n.run(ackBound, func() {
+					if n.leader() == "" {
+						w = max(w, n.now-e)
+					}
+				})
+				i.True(n.leader() != "")
+			}
+			t.Log("longest time without a leader once the links deliver again:", w)
+			i.True(w < deployedTiming.Election)
+		})
+	}
+}
+
+// Guards against a node that votes for another leader before the lease ends that its answer to a late message extends, and against
+// one that refuses its vote for longer.
+func TestPromiseToLeaderHoldsFromTheSending(t *testing.T) {
+	const (
+		first, second = 10 * time.Second, 13 * time.Second // when the leader sends
+		origin        = 4 * time.Second                    // of the leader's clock
+	)
+	p := quorum.Snapshot{Index: 1, Term: 1, Peers: quorum.Peers{Voters: []quorum.NodeID{"a", "b", "c"}}}
+	for _, d := range []time.Duration{0, time.Millisecond, 300 * time.Millisecond, 590 * time.Millisecond, 2 * time.Second} {
+		t.Run(d.String(), func(t *testing.T) {
+			i := is.New(t)
+			s := quorum.New("a", deployedTiming, quorum.HardState{Term: 1}, p, nil, 1)
+			hear := func(at, delay time.Duration) {
+				m := quorum.Message{Kind: quorum.Append, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1, Stamp: at - origin}
+				s, _ = quorum.Step(s, at+delay, quorum.Receive{Message: m})
+			}
+			grants := func(at time.Duration) bool {
+				m := quorum.Message{Kind: quorum.Vote, From: "c", To: "a", Term: 3, Index: 1, LogTerm: 1}
+				_, o := quorum.Step(s, at, quorum.Receive{Message: m})
+				return !o.Messages[0].Reject
+			}
+			hear(first, time.Millisecond)
+			hear(second, d)
+			e := max(second+deployedTiming.Election, second+d)
+			if d < deployedTiming.Election {
+				i.True(!grants(e - time.Millisecond))
+			}
+			i.True(grants(e + 5*time.Millisecond)) // the first message was late too, and clocks may differ
+		})
+	}
+}
--- a/quorum/state.go
+++ b/quorum/state.go
@@ -66,8 +66,8 @@
 	// long ago, until the campaign or the next message of a leader.
 	tickedAt time.Duration
 	resumed  bool
-	// lastContact is the time of the last message from the leader. deadline is the time at which a leader sends the
-	// next heartbeats and any other voter starts a campaign.
+	// lastContact is no earlier than the leader sent the newest message that was received, and no later than that was. deadline
+	// is the time at which a leader sends the next heartbeats and any other voter starts a campaign.
 	lastContact time.Duration
 	deadline    time.Duration
 	electedAt   time.Duration
@@ -76,9 +76,11 @@
 	held   bool
 	// origin is added to this node's clock in ReplyStamp. It is random, so that stamps of other starts of the node are told apart.
 	origin time.Duration
-	// anchor relates the clock of the leader to that of this node.
-	anchor anchor
-	seed   uint64
+	// anchor and received relate the clock of the leader to that of this node: it showed a stamp at a time or later, and at a time
+	// or earlier, which is when the message with it was received.
+	anchor   anchor
+	received anchor
+	seed     uint64
 }
 
 // New returns the state of a node from the contents of its disk, at time 0 of its clock. seed seeds the random
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -147,8 +147,10 @@
 		return
 	}
 	t.becomeFollower(m.Term, m.From)
-	t.lastContact = t.now
-	t.campaigns, t.resumed = 0, false
+	t.State = t.withContact(m, t.now)
+	if t.hasCurrentLeader() {
+		t.campaigns, t.resumed = 0, false
+	}
 	if m.Kind == InstallSnapshot {
 		t.install(m)
 		return
