Model control hosts that are replaced beside other faults, and operators that race and resend

The models so far kept the same hosts at the same addresses, delivered in order, and waited for each reply. The simulated cluster visits hosts in an order that follows from its clock, so that a seed plays the same again, and ages count as of now as Host.Current counts them: a host that goes on from a suspension was judged by the time before it.

--- a/ctrl/age_test.go
+++ b/ctrl/age_test.go
@@ -51,11 +51,12 @@
 		if !b.up || b.suspended || !b.state.Synced {
 			continue
 		}
-		v, d := b.state.StateMachine.Document.Version, b.state.Position().Age
+		s := b.state.At(a.cluster.now - b.startedAt)
+		v, d := s.StateMachine.Document.Version, s.Position().Age
 		if w := a.ackedBefore(a.cluster.now - d - timing.Election); v < w {
 			t.Fatalf("%s holds version %d of %d and states an age of %v (%v, leader %q)", n, v, w, d, b.state.Log.Role, b.state.Log.Leader)
 		}
-		if !b.state.Current() {
+		if !s.Current() {
 			continue
 		}
 		a.current++
--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -55,6 +56,11 @@
 	old map[string]bool
 	// centres holds the data centres that may be drained, at hosts that start from then on.
 	centres []string
+	// seeds returns the seeds in the settings of hosts that look for the control log. If it is nil, they know all hosts.
+	seeds func() []string
+	// delayed reports whether a message stays on its way until release, in held.
+	delayed func(from, to string) bool
+	held    []queuedMessage
 }
 
 // newCluster starts a cluster whose first hosts are the seeds of the control log.
@@ -160,9 +166,7 @@
 			if c.old[a] {
 				m.Unready, m.ReplyStamp = false, 0
 			}
-			if to := ctrl.Address(m.To); !c.blocked(a, to) && c.hosts[to] != nil {
-				c.enqueue(to, m)
-			}
+			c.send(a, m)
 		}
 		if k := len(v.Persist.Entries); k > 0 {
 			e := v.Persist.Entries[k-1]
@@ -171,6 +175,26 @@
 	}
 }
 
+// send puts a message on its way, unless its receiver is gone or cut off.
+func (c *cluster) send(from string, m quorum.Message) {
+	to := ctrl.Address(m.To)
+	switch {
+	case c.blocked(from, to) || c.hosts[to] == nil:
+	case c.delayed != nil && c.delayed(from, to):
+		c.held = append(c.held, queuedMessage{to, m})
+	default:
+		c.enqueue(to, m)
+	}
+}
+
+// release delivers the messages that were delayed, after a change of their order.
+func (c *cluster) release(reorder func([]queuedMessage)) {
+	q := c.held
+	c.delayed, c.held = nil, nil
+	reorder(q)
+	messageQueue = append(messageQueue, q...)
+}
+
 // withPersisted returns the content of a disk after a write, by the rules of package store.
 func withPersisted(h store.QuorumState, p quorum.Persist) store.QuorumState {
 	if p.Snapshot != nil {
@@ -214,12 +238,20 @@
 	}
 }
 
+// addresses returns the addresses of all hosts in an order that changes from step to step.
+func (c *cluster) addresses() []string {
+	l := slices.Sorted(maps.Keys(c.hosts))
+	k := int(c.now/step) % len(l)
+	return slices.Concat(l[k:], l[:k])
+}
+
 // run advances the clock in steps and delivers messages. Hosts that aren't in the control log or hear no leader send join
 // orders.
 func (c *cluster) run(d time.Duration) {
 	for e := c.now + d; c.now < e; {
 		c.now += step
-		for a, b := range c.hosts {
+		for _, a := range c.addresses() {
+			b := c.hosts[a]
 			c.reduce(a, ctrl.Tick{})
 			if b.up && c.now%(50*step) == 0 && (!b.state.Log.Peers.Has(b.state.Node) || b.state.LeaderSilence() > 1500*time.Millisecond) {
 				c.join(a)
@@ -236,10 +268,14 @@
 	}
 }
 
-// join sends a join order of a host to all hosts that it can reach.
+// join sends a join order of a host to all hosts that it knows and can reach.
 func (c *cluster) join(a string) {
-	for o, b := range c.hosts {
-		if o != a && b.up && !c.blocked(a, o) {
+	l := c.addresses()
+	if c.seeds != nil {
+		l = slices.Concat(c.hosts[a].state.ControlAddresses(), c.seeds())
+	}
+	for _, o := range l {
+		if b := c.hosts[o]; o != a && b != nil && b.up && !c.blocked(a, o) {
 			c.lastCall++
 			c.reduce(o, ctrl.OrderReceived{CallID: c.lastCall, Order: ctlrpc.Order{Verb: ctlrpc.Join, Node: c.hosts[a].state.Node}})
 		}
@@ -267,8 +303,8 @@
 
 // leader returns the address of a running host that leads and is ready, or an empty string.
 func (c *cluster) leader() string {
-	for a, b := range c.hosts {
-		if b.up && b.state.Log.Ready(c.now-b.startedAt) {
+	for _, a := range c.addresses() {
+		if b := c.hosts[a]; b.up && b.state.Log.Ready(c.now-b.startedAt) {
 			return a
 		}
 	}
