Let a control host that knows no other one any more ask entry hosts

What callers saw: nothing known; found by the search for the cause of elsewhere. A control host that was out of reach while the members of its log and the seeds of its settings were replaced asked gone addresses for good, and nobody asks one that was removed: it was lost without a trace but for its own lines.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: n.settings, Listener: l[0], Log: n.log, Metrics: n.metrics})
+	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: n.settings, Listener: l[0], AskDirectory: proxy.AskDirectory, Log: n.log, Metrics: n.metrics})
 	if err != nil {
 		return err
 	}
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/rpc"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -66,51 +65,6 @@
 	f.host.calls.complete(Respond{CallID: f.effect.CallID, Reply: r})
 }
 
-// SetSeeds adopts the seeds of newer settings, as peer addresses.
-func (h *Host) SetSeeds(peers []string) { h.seeds.Store(&peers) }
-
-// seedPeers returns the peer addresses of the seeds of the newest settings.
-func (h *Host) seedPeers() []string {
-	if l := h.seeds.Load(); l != nil {
-		return *l
-	}
-	return h.settings.SeedPeers()
-}
-
-// joiner sends join orders while this host isn't in the control log or hears no leader.
-type joiner struct{ host *Host }
-
-func (j joiner) run() {
-	t := time.NewTicker(joinInterval)
-	defer t.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-t.C:
-		case <-j.host.stop:
-			return
-		}
-		s := j.host.state.Load()
-		if j.host.leaving.Load() || s.Log.Peers.Has(s.Node) && s.LeaderSilence() < joinAfterSilence {
-			continue
-		}
-		j.join(s, i)
-	}
-}
-
-// join sends a join order to one of the control hosts and seeds; the i-th call picks them in turn.
-func (j joiner) join(s *State, i int) {
-	a := append(s.ControlAddresses(), j.host.seedPeers()...)
-	p := a[i%len(a)]
-	if p == Address(s.Node) {
-		return
-	}
-	var r ctlrpc.OrderReply
-	err := j.host.links.order(p, ctlrpc.Order{Verb: ctlrpc.Join, Node: s.Node}, &r, joinInterval)
-	if err != nil || r.Status != ctlrpc.Accepted {
-		j.host.log.WithError(err).WithField("control", p).Debug("control: join order failed, another host is asked next")
-	}
-}
-
 // Service implements the Control RPC service for net/rpc.
 type Service struct{ host *Host }
 
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -30,11 +30,6 @@
 	eventQueueSize = 1024
 	// orderTimeout bounds the wait for the reply of an order, and the call that forwards an order to the leader.
 	orderTimeout = 900 * time.Millisecond
-	// joinInterval is the interval of join orders from a host that isn't in the control log or hears no leader. It
-	// is also the timeout of each join call.
-	joinInterval = 250 * time.Millisecond
-	// joinAfterSilence is how long a member of the control log hears no leader before it asks to join again.
-	joinAfterSilence = 1500 * time.Millisecond
 	// gossipTimeout bounds the wait for the other control hosts to acknowledge that an endpoint is leaving.
 	gossipTimeout = 250 * time.Millisecond
 	// writersTimeout bounds the wait of Stop for what is being written: a disk may stand.
@@ -51,6 +46,8 @@
 	Listener net.Listener
 	Log      *logrus.Logger
 	Metrics  *metrics.Set
+	// AskDirectory asks an entry host at a peer address which control hosts it knows. Nil means that none is asked.
+	AskDirectory func(address string) (ctlrpc.Directory, error)
 	// Suspended is the time for which the machine was suspended. If it is nil, the system is asked.
 	Suspended clock.Source
 }
@@ -59,8 +56,9 @@
 type Host struct {
 	settings conf.Node
 	// seeds holds the peer addresses of the seeds of newer settings, or nil while there are none.
-	seeds atomic.Pointer[[]string]
-	log   *logrus.Logger
+	seeds        atomic.Pointer[[]string]
+	askDirectory func(address string) (ctlrpc.Directory, error)
+	log          *logrus.Logger
 	// start is when the Host was created, and clock shows the time since then, also that in suspension.
 	start time.Time
 	clock clock.Clock
@@ -112,7 +110,7 @@
 	s = s.WithMemory(m)
 	h := &Host{
 		replies:  NewReplyBuilder(),
-		settings: o.Settings, log: o.Log, start: time.Now(), clock: clock.New(o.Suspended), events: make(chan queuedEvent, eventQueueSize),
+		settings: o.Settings, askDirectory: o.AskDirectory, log: o.Log, start: time.Now(), clock: clock.New(o.Suspended), events: make(chan queuedEvent, eventQueueSize),
 		stop: make(chan struct{}), written: make(chan struct{}), changed: make(chan struct{}),
 	}
 	h.reports = NewReportQueue(h.now)
@@ -131,7 +129,7 @@
 		return nil, fmt.Errorf("register the control service: %w; report this as a bug", err)
 	}
 	l := accept.NewListener(accept.Options{Listener: o.Listener, Name: "hosts", Log: o.Log, Metrics: o.Metrics})
-	a, j, v, e := acceptor{listener: l, server: r}, joiner{h}, memorySaver{h}, writersEnd{h}
+	a, j, v, e := acceptor{listener: l, server: r}, &joiner{host: h}, memorySaver{h}, writersEnd{h}
 	h.writers.Go(h.writer.run)
 	h.writers.Go(v.run)
 	go e.run()
--- a/ctrl/start_test.go
+++ b/ctrl/start_test.go
@@ -34,6 +34,8 @@
 	// IP and Port are where the host listens. They are 127.0.0.1 and a port that is free on all seeds if Port is 0.
 	IP   string
 	Port int
+	// AskDirectory asks entry hosts, or is nil.
+	AskDirectory func(address string) (ctlrpc.Directory, error)
 	// Suspended is the time for which the machine was suspended, or nil for that of the system.
 	Suspended clock.Source
 	// DataCentres holds the data centres that may be drained.
@@ -79,7 +81,7 @@
 	for _, a := range o.Seeds {
 		s.Seeds = append(s.Seeds, fmt.Sprint(a, ":1"))
 	}
-	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: o.Metrics, Suspended: o.Suspended})
+	h, err := ctrl.NewHost(ctrl.HostOptions{Settings: s, Listener: l, Log: g, Metrics: o.Metrics, AskDirectory: o.AskDirectory, Suspended: o.Suspended})
 	i.NoErr(err)
 	return h, p
 }
