--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -256,17 +256,27 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	f := filepath.Join(d.folder, p.Name+".json")
-	if err := os.WriteFile(f, b, 0o600); err != nil {
+	f := d.settingsPath(p)
+	if err := errors.Join(os.WriteFile(f+".new", b, 0o600), os.Rename(f+".new", f)); err != nil {
 		d.t.Fatal(err)
 	}
 	return f
 }
 
+// settingsPath returns the path of the settings file of p.
+func (d *Deployment) settingsPath(p *Process) string { return filepath.Join(d.folder, p.Name+".json") }
+
 // Start writes the settings of p and starts its process.
 func (d *Deployment) Start(p *Process) {
 	d.t.Helper()
-	f := d.WriteSettings(p)
+	d.WriteSettings(p)
+	d.StartAgain(p)
+}
+
+// StartAgain starts the process of p with the settings that were written last, which may name control hosts that were replaced since.
+func (d *Deployment) StartAgain(p *Process) {
+	d.t.Helper()
+	f := d.settingsPath(p)
 	l, err := os.OpenFile(d.LogPath(p), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		d.t.Fatal(err)
--- a/itest/mesh.go
+++ b/itest/mesh.go
@@ -60,7 +60,9 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	m.lock.Lock()
 	m.listeners = append(m.listeners, l)
+	m.lock.Unlock()
 	a := meshAcceptor{m, p, l}
 	go a.run()
 }
