--- a/itest/mesh.go
+++ b/itest/mesh.go
@@ -40,6 +40,8 @@
 	from, to *Process
 	// near is connected to from, and far to to.
 	near, far net.Conn
+	// silent is set once the connection carries nothing any more.
+	silent bool
 }
 
 func newMesh(d *Deployment) *Mesh {
@@ -114,6 +116,18 @@
 	}
 }
 
+// Silence makes the open connections between two processes carry nothing any more, without closing them. New ones work.
+func (m *Mesh) Silence(a, b *Process) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	for c := range m.open {
+		if c.from == a && c.to == b || c.from == b && c.to == a {
+			c.silent = true
+			m.apply(c)
+		}
+	}
+}
+
 // loss returns the share of the packets that are lost from one process to another. The lock must be held.
 func (m *Mesh) loss(from, to *Process) float64 {
 	s := 0.0
@@ -134,7 +148,11 @@
 
 // apply makes a connection lose what its link loses. The lock must be held.
 func (m *Mesh) apply(c *meshConn) {
-	err := errors.Join(m.lose(c.near, m.loss(c.from, c.to)), m.lose(c.far, m.loss(c.to, c.from)))
+	u, d := m.loss(c.from, c.to), m.loss(c.to, c.from)
+	if c.silent {
+		u, d = 1, 1
+	}
+	err := errors.Join(m.lose(c.near, u), m.lose(c.far, d))
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		m.t.Logf("mesh: %s to %s: %v", c.from.Name, c.to.Name, err)
 	}
@@ -198,7 +216,7 @@
 		o.refuse()
 		return
 	}
-	c := &meshConn{p, o.to, o.near, f}
+	c := &meshConn{from: p, to: o.to, near: o.near, far: f}
 	if !o.mesh.add(c) {
 		c.reset()
 		return
