--- a/itest/mesh.go
+++ b/itest/mesh.go
@@ -30,6 +30,8 @@
 	lock   sync.Mutex
 	faults map[*LinkFault]bool
 	open   map[*meshConn]bool
+	// accepted counts the connections from one process to another.
+	accepted map[[2]*Process]int
 	// listeners are closed at the end.
 	listeners []net.Listener
 	closed    bool
@@ -45,7 +47,7 @@
 }
 
 func newMesh(d *Deployment) *Mesh {
-	return &Mesh{t: d.t, deployment: d, faults: map[*LinkFault]bool{}, open: map[*meshConn]bool{}}
+	return &Mesh{t: d.t, deployment: d, faults: map[*LinkFault]bool{}, open: map[*meshConn]bool{}, accepted: map[[2]*Process]int{}}
 }
 
 // meshKeepAlive finds connections whose process has ended while the link was cut.
@@ -105,6 +107,13 @@
 	return n
 }
 
+// Accepted returns the number of connections from one process to another that were opened so far.
+func (m *Mesh) Accepted(from, to *Process) int {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.accepted[[2]*Process{from, to}]
+}
+
 // Reset resets all connections between two processes.
 func (m *Mesh) Reset(a, b *Process) {
 	m.lock.Lock()
@@ -247,6 +256,7 @@
 		return false
 	}
 	m.open[c] = true
+	m.accepted[[2]*Process{c.from, c.to}]++
 	m.apply(c)
 	return true
 }
--- a/itest/mesh_test.go
+++ b/itest/mesh_test.go
@@ -79,3 +79,18 @@
 	_, err = io.ReadFull(b, make([]byte, 1))
 	i.NoErr(err) // a retransmission comes through
 }
+
+// Guards against plays whose connections go silent by name only: processes would never have to find that out by themselves.
+func TestSilencedConnectionsAreReplaced(t *testing.T) {
+	d := itest.StartMeshedDeployment(t, binary, 1, 1)
+	c, e := d.Control[0], d.Entry[0]
+	awaitConnections(t, d, e, true)
+	n := d.Mesh.Accepted(e, c)
+	d.Mesh.Silence(e, c)
+	itest.Eventually(t, connectTime, func() error {
+		if d.Mesh.Accepted(e, c) == n {
+			return fmt.Errorf("%s opens no new connection", e.Name)
+		}
+		return nil
+	})
+}
