--- a/itest/mesh.go
+++ b/itest/mesh.go
@@ -30,6 +30,8 @@
 	lock   sync.Mutex
 	faults map[*LinkFault]bool
 	open   map[*meshConn]bool
+	// accepted counts the connections from one process to another.
+	accepted map[[2]*Process]int
 	// listeners are closed at the end.
 	listeners []net.Listener
 	closed    bool
@@ -40,10 +42,12 @@
 	from, to *Process
 	// near is connected to from, and far to to.
 	near, far net.Conn
+	// silent is set once the connection carries nothing any more.
+	silent bool
 }
 
 func newMesh(d *Deployment) *Mesh {
-	return &Mesh{t: d.t, deployment: d, faults: map[*LinkFault]bool{}, open: map[*meshConn]bool{}}
+	return &Mesh{t: d.t, deployment: d, faults: map[*LinkFault]bool{}, open: map[*meshConn]bool{}, accepted: map[[2]*Process]int{}}
 }
 
 // meshKeepAlive finds connections whose process has ended while the link was cut.
@@ -60,7 +64,9 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	m.lock.Lock()
 	m.listeners = append(m.listeners, l)
+	m.lock.Unlock()
 	a := meshAcceptor{m, p, l}
 	go a.run()
 }
@@ -101,6 +107,13 @@
 	return n
 }
 
+// Accepted returns the number of connections from one process to another that were opened so far.
+func (m *Mesh) Accepted(from, to *Process) int {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.accepted[[2]*Process{from, to}]
+}
+
 // Reset resets all connections between two processes.
 func (m *Mesh) Reset(a, b *Process) {
 	m.lock.Lock()
@@ -112,6 +125,18 @@
 	}
 }
 
+// Silence makes the open connections between two processes carry nothing any more, without closing them. New ones work.
+func (m *Mesh) Silence(a, b *Process) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	for c := range m.open {
+		if c.from == a && c.to == b || c.from == b && c.to == a {
+			c.silent = true
+			m.apply(c)
+		}
+	}
+}
+
 // loss returns the share of the packets that are lost from one process to another. The lock must be held.
 func (m *Mesh) loss(from, to *Process) float64 {
 	s := 0.0
@@ -132,7 +157,11 @@
 
 // apply makes a connection lose what its link loses. The lock must be held.
 func (m *Mesh) apply(c *meshConn) {
-	err := errors.Join(m.lose(c.near, m.loss(c.from, c.to)), m.lose(c.far, m.loss(c.to, c.from)))
+	u, d := m.loss(c.from, c.to), m.loss(c.to, c.from)
+	if c.silent {
+		u, d = 1, 1
+	}
+	err := errors.Join(m.lose(c.near, u), m.lose(c.far, d))
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		m.t.Logf("mesh: %s to %s: %v", c.from.Name, c.to.Name, err)
 	}
@@ -196,7 +225,7 @@
 		o.refuse()
 		return
 	}
-	c := &meshConn{p, o.to, o.near, f}
+	c := &meshConn{from: p, to: o.to, near: o.near, far: f}
 	if !o.mesh.add(c) {
 		c.reset()
 		return
@@ -227,6 +256,7 @@
 		return false
 	}
 	m.open[c] = true
+	m.accepted[[2]*Process{c.from, c.to}]++
 	m.apply(c)
 	return true
 }
