Test the promise to a leader whose clock stood (red)

Since a voter reckons when a message was sent by the leader's clock alone. If that stands while the leader keeps its lead, as in a virtual machine that is held up, all later messages of its term count as too old by that time, and further times add up. Voters then grant votes within the lease.

--- a/quorum/slow_test.go
+++ b/quorum/slow_test.go
@@ -308,3 +308,35 @@
 		})
 	}
 }
+
+// Guards against a node that takes the messages of a leader for older than they are, and votes for another one within the lease that its
+// answers extend: the leader's machine was held up by its hypervisor, which no clock of that machine shows, while it kept its lead.
+func TestPromiseToLeaderHoldsThoughItsClockStood(t *testing.T) {
+	const (
+		first  = 10 * time.Second // when the first message is sent
+		pause  = 400 * time.Millisecond
+		origin = 4 * time.Second // of the leader's clock
+	)
+	i := is.New(t)
+	p := quorum.Snapshot{Index: 1, Term: 1, Peers: quorum.Peers{Voters: []quorum.NodeID{"a", "b", "c"}}}
+	s := quorum.New("a", deployedTiming, quorum.HardState{Term: 1}, p, nil, 1)
+	reply := -time.Nanosecond // the leader has none
+	hear := func(at, stamp time.Duration) {
+		m := quorum.Message{Kind: quorum.Append, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1, Stamp: stamp, ReplyStamp: reply}
+		var o quorum.Output
+		s, o = quorum.Step(s, at, quorum.Receive{Message: m})
+		reply = o.Messages[0].ReplyStamp
+	}
+	sent, stood := first, time.Duration(0)
+	for range 40 { // in 4.8 s the clock stands twice
+		hear(sent+time.Millisecond, sent-stood-origin)
+		if sent == first+10*deployedTiming.Heartbeat || sent == first+20*deployedTiming.Heartbeat {
+			sent, stood = sent+pause, stood+pause
+		}
+		sent += deployedTiming.Heartbeat
+	}
+	sent -= deployedTiming.Heartbeat // the last message
+	m := quorum.Message{Kind: quorum.Vote, From: "c", To: "a", Term: 3, Index: 1, LogTerm: 1}
+	_, o := quorum.Step(s, sent+deployedTiming.Election/2, quorum.Receive{Message: m})
+	i.True(o.Messages[0].Reject) // the leader's lease lasts for another half of Timing.Election
+}
