Take a message for sent now where the leader's clock stood

A message that returns a reply of this node was sent after it. Where the reckoned time of sending is before that, the anchor is wrong, and is taken anew. What stays open is a clock that stood for less than the time since that reply, which is a heartbeat mostly: the reckoned time is never earlier than the reply.

--- a/quorum/contact.go
+++ b/quorum/contact.go
@@ -12,12 +12,16 @@
 // withContact returns a copy with the contact with the leader that a message of it is. A message that waited on its way is contact
 // as of when it was sent, as far as quicker ones of the leader show that: the leader may have stepped down since. The time is never
 // too early, so that the promise to the leader holds, not to vote for another one within Timing.Election. The deadline leaves time
-// for newer messages that wait too.
+// for newer messages that wait too. A time before this node sent the reply that the message returns shows that the leader's clock
+// stood, as that of a virtual machine that is held up does; the message counts as sent now then.
 func (s State) withContact(m Message, now time.Duration) State {
 	c := now
 	if s.received.term == m.Term {
 		c = min(now, s.received.latestTimeOf(m.Stamp))
 	}
+	if r := m.ReplyStamp - s.origin; r > c && r <= now {
+		c = now
+	}
 	if c == now {
 		s.received = anchor{term: m.Term, stamp: m.Stamp, at: now}
 	}
