--- a/entry/locate_test.go
+++ b/entry/locate_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,3 +101,42 @@
 func controlAt(octet byte, port uint16) *switchControl {
 	return &switchControl{address: (&net.TCPAddr{IP: net.IPv4(127, 0, 0, octet), Port: int(port)}).String()}
 }
+
+// Guards against a host that asks other entry hosts, and its control hosts, without a pause: another entry host names more gone control hosts
+// than it keeps, so that there is always one that it doesn't know. While no control host has a leader, all entry hosts do so.
+func TestQuestionsDontBecomeMoreByNeighboursThatNameManyControlHosts(t *testing.T) {
+	const (
+		watched = 3 * time.Second
+		// mostAsked is two neighbours each 300 ms, and one more time for each.
+		mostAsked = 2 * (int(watched/(300*time.Millisecond)) + 1)
+	)
+	i := is.New(t)
+	p := reservePort(t, 2)
+	a := controlAt(1, p)
+	a.controls, a.neighbours = []string{"127.0.0.9:1"}, []string{"x", "y"}
+	a.current.Store(true)
+	i.NoErr(a.open())
+	t.Cleanup(a.shut)
+	var n atomic.Int64
+	e, _ := newEntry(hostOptions{port: p, seeds: []string{"127.0.0.1:1"}, ask: func(string) (ctlrpc.Directory, error) {
+		n.Add(1)
+		time.Sleep(time.Millisecond)
+		var d ctlrpc.Directory
+		for k := range 24 { // members, seeds and what a host keeps beside them
+			d.Controls = append(d.Controls, controlAt(byte(100+k), p).address)
+		}
+		return d, nil
+	}})
+	t.Cleanup(e.Stop)
+	itest.Eventually(t, touchTime, func() error {
+		if a.repliedAt.Load() == 0 {
+			return errors.New("the control host got no exchange")
+		}
+		return nil
+	})
+	time.Sleep(2 * waitingReply) // the reply is applied
+	a.shut()
+	time.Sleep(watched)
+	t.Log(n.Load(), "questions")
+	i.True(n.Load() <= int64(mostAsked))
+}
