Hold the promise to a leader for as long as its clock may take for the lease

Lease and promise were both exactly 600 ms, on two clocks. A leader whose clock is slow by a thousandth holds its lease 0.6 ms longer than the promise; since a message counts as contact as of when it was sent, no delay of it makes up for that. Found by the review, by reading.

--- a/quorum/vote.go
+++ b/quorum/vote.go
@@ -60,12 +60,12 @@
 }
 
 // hasCurrentLeader reports whether this node is a leader with a lease or has heard from a leader within the last
-// Timing.Election. Such a node doesn't vote for another leader, which keeps leases valid.
+// Timing.Election, by whichever of the two clocks is slower. Such a node doesn't vote for another leader, which keeps leases valid.
 func (t *step) hasCurrentLeader() bool {
 	if t.Role == Leader {
 		return t.HasLease(t.now)
 	}
-	return t.Leader != "" && t.now < t.lastContact+t.timing.Election
+	return t.Leader != "" && t.now < t.lastContact+t.timing.Election+t.timing.Election/driftDivisor
 }
 
 // receiveVote answers a Vote or PreVote. It grants the vote only if the sender's log is at least as up to date as the
