Tell other entry hosts all that is known, and connect to members of the control log first

From the review, by reading: what a searching host learned, or newer seeds, weren't passed on before its next reply; a wide search drew three of up to 22 addresses, mostly gone ones, to connect to; and a search became wide where all members were being asked already.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -383,10 +383,22 @@
 	return address == e.address && len(e.roster.Members()) > 1
 }
 
-// candidates returns the control hosts to connect to: up to maxCandidates random ones of those that aren't to be left out.
+// candidates returns the control hosts to connect to: up to maxCandidates random ones of those that aren't to be left out, members of the
+// control log before others.
 func (e *Entry) candidates(leaveOut func(address string) bool) []string {
-	l := slices.DeleteFunc(slices.Clone(e.places()), leaveOut)
-	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	var m, o []string
+	for _, a := range e.places() {
+		switch {
+		case leaveOut(a):
+		case slices.Contains(e.roster.Members(), a):
+			m = append(m, a)
+		default:
+			o = append(o, a)
+		}
+	}
+	rand.Shuffle(len(m), func(i, j int) { m[i], m[j] = m[j], m[i] })
+	rand.Shuffle(len(o), func(i, j int) { o[i], o[j] = o[j], o[i] })
+	l := append(m, o...)
 	return l[:min(len(l), maxCandidates)]
 }
 
--- a/entry/locate.go
+++ b/entry/locate.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
+	"github.com/hickoryshelf/hickoryshelf/roster"
 )
 
 const (
@@ -33,10 +34,16 @@
 // adoptSeeds puts seeds of newer settings in the roster.
 func (e *Entry) adoptSeeds() {
 	if l := e.seeds.Swap(nil); l != nil {
-		e.roster = e.roster.WithSeeds(*l)
+		e.setRoster(e.roster.WithSeeds(*l))
 	}
 }
 
+// setRoster replaces the roster, also in what other entry hosts are told.
+func (e *Entry) setRoster(r roster.Roster) {
+	e.roster = r
+	e.directory.Store(&ctlrpc.Directory{Controls: r.All()})
+}
+
 // places returns where a control host may be found: the members of the control log, or, once the search is wide, all
 // addresses that are known.
 func (e *Entry) places() []string {
@@ -66,14 +73,13 @@
 func (e *Entry) learnFromReply(r ctlrpc.ExchangeReply) {
 	e.adoptSeeds()
 	if r.Current {
-		e.roster = e.roster.WithMembers(r.Controls)
+		e.setRoster(e.roster.WithMembers(r.Controls))
 	} else {
-		e.roster = e.roster.WithHeard(r.Controls)
+		e.setRoster(e.roster.WithHeard(r.Controls))
 	}
 	if len(r.Neighbours) > 0 {
 		e.neighbours, e.neighboursAt = r.Neighbours, time.Now()
 	}
-	e.directory.Store(&ctlrpc.Directory{Controls: e.roster.All()})
 }
 
 // askNeighbours asks some other entry hosts for control hosts, at most maxNeighboursAsked at the same time.
@@ -98,7 +104,7 @@
 		return
 	}
 	l := slices.DeleteFunc(slices.Clone(d.directory.Controls), func(a string) bool { return e.roster.Has(a) || e.search.named[a] })
-	e.roster = e.roster.WithHeard(d.directory.Controls)
+	e.setRoster(e.roster.WithHeard(d.directory.Controls))
 	if len(l) == 0 {
 		return
 	}
--- a/entry/talk.go
+++ b/entry/talk.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net/rpc"
 	"reflect"
 	"slices"
@@ -157,7 +158,9 @@
 	e.recordLoss(ErrTimeout)
 	a, c, err := connectFirst(e.candidates(t.asks))
 	if err != nil {
-		e.search.widen()
+		if !errors.Is(err, ErrNoControl) { // otherwise all of them are asked already
+			e.search.widen()
+		}
 		return true
 	}
 	e.resend()
