--- a/cmds/node.go
+++ b/cmds/node.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w; name a file that can be read", err)
 	}
-	s, err := conf.LoadNode(path)
+	s, err := conf.ParseNode(path, b)
 	if err != nil {
 		return err
 	}
@@ -130,14 +130,14 @@
 				return
 			}
 			if v == syscall.SIGHUP {
-				n.hasChanged(path) // so that the change is taken over once
+				n.hasChanged(path)
 				n.reload(path)
 			}
 		}
 	}
 }
 
-// hasChanged reports whether the settings file has another content than when it was read last.
+// hasChanged reads the settings file and reports whether it has another content than when it was read last.
 func (n *node) hasChanged(path string) bool {
 	b, err := os.ReadFile(path)
 	if err != nil && n.file != nil {
@@ -148,10 +148,10 @@
 	return c
 }
 
-// reload reads the settings file again and applies the log level and the seeds, which are the only settings that can change while the
+// reload applies the log level and the seeds of the settings file as it was read last, which are the only settings that can change while the
 // process runs. Invalid settings are refused.
 func (n *node) reload(path string) {
-	s, err := conf.LoadNode(path)
+	s, err := conf.ParseNode(path, n.file)
 	if err != nil {
 		n.log.WithError(err).Error("host: reload refused, the previous settings stay in force")
 		return
--- a/conf/node.go
+++ b/conf/node.go
@@ -171,6 +171,11 @@
 	if err != nil {
 		return Node{}, fmt.Errorf("settings: %w; name a file that can be read", err)
 	}
+	return ParseNode(path, b)
+}
+
+// ParseNode is LoadNode for a file that was read. path is for its errors only.
+func ParseNode(path string, b []byte) (Node, error) {
 	n, err := DecodeOver(Node{Decisions: Decisions{Weights: tiers.DefaultWeights()}}, b)
 	if err != nil {
 		return n, fmt.Errorf("settings %s: %w", path, err)
