Allow two ready leaders in the model only after a host has started

The model of replaced control hosts allowed two ready leaders, and older reads, for the length of a lease at any time.

--- a/ctrl/replaced_test.go
+++ b/ctrl/replaced_test.go
@@ -133,7 +133,8 @@
 	}
 }
 
-// checkRivals fails if two leaders have been ready for longer than a lease: a voter that restarts forgets the one that it has granted.
+// checkRivals fails if two leaders are ready, but for the time of a lease after the start of a host: a voter that restarts forgets the one
+// that it has granted.
 func (m *replacements) checkRivals() {
 	var l []string
 	for _, a := range m.cluster.addresses() {
@@ -144,11 +145,21 @@
 	if len(l) < 2 {
 		m.rivalsSince = m.cluster.now
 	}
-	if d := m.cluster.now - m.rivalsSince; d > timing.Election {
+	if d := m.cluster.now - m.rivalsSince; d > m.forgotten(m.rivalsSince) {
 		m.r.Fatalf("%v are ready leaders for %v", l, d)
 	}
 }
 
+// forgotten returns for how long a lease may hold at a time that a voter has forgotten: that of a lease if a host started shortly before.
+func (m *replacements) forgotten(at time.Duration) time.Duration {
+	for _, b := range m.cluster.hosts {
+		if b.startedAt > at-2*timing.Election {
+			return timing.Election
+		}
+	}
+	return 0
+}
+
 func (m *replacements) checkContent(a string, d ctrl.Document) {
 	if o, ok := m.contents[d.Version]; ok && !bytes.Equal(o, d.Content) {
 		m.r.Fatalf("%s holds %q as version %d, others %q", a, d.Content, d.Version, o)
@@ -234,7 +245,7 @@
 			m.acks = append(m.acks, ack{m.cluster.now, max(o.version, m.ackedBefore(m.cluster.now+1))})
 		case r.Status == ctlrpc.Accepted || r.Status == ctlrpc.Missing:
 			m.reads++
-			if w := m.ackedBefore(o.sentAt - timing.Election); r.Version < w {
+			if w := m.ackedBefore(o.sentAt - m.forgotten(o.sentAt)); r.Version < w {
 				m.r.Fatalf("a read that was asked at %v returns version %d of %d", o.sentAt, r.Version, w)
 			}
 		}
