--- a/review/standins/lateorder.go
+++ b/review/standins/lateorder.go
@@ -41,10 +41,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := await("the first version serves", startTime, func() bool {
-		s, _, err := send(http.MethodGet, fmt.Sprintf("http://%s:%d/pufi791/1", d.edges[0].ip, frontPort), lateHost, "00000000000000aa", time.Second)
-		return err == nil && s == http.StatusOK
-	}); err != nil {
+	if err := d.awaitServed(); err != nil {
 		return false, err
 	}
 	c := d.startClients(lateHost, "/pufi791/1", 14*time.Millisecond, 1500*time.Millisecond)
@@ -80,6 +77,14 @@
 	return 4*t < m, nil
 }
 
+// awaitServed waits until the service answers a request.
+func (d *deployment) awaitServed() error {
+	return await("the first version serves", startTime, func() bool {
+		s, _, err := send(http.MethodGet, fmt.Sprintf("http://%s:%d/pufi791/1", d.edges[0].ip, frontPort), lateHost, "00000000000000aa", time.Second)
+		return err == nil && s == http.StatusOK
+	})
+}
+
 // playOrders plays the orders for the second and the third version of the service, and the platform that starts and stops its servers.
 func (p *play) playOrders(v1 []*server) error {
 	d := p.deployment
