--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Plays requests with a part of a prompt that crashes each server, at a quiet service. Exits with 1 if BUDGET was broken, 0 if it held and 2 if the case couldn't run.
+# TROUBLE=0 leaves these requests out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/hickoryshelf ] && [ -x target/review-standins ] || { echo "build the program and review/build-2.sh first"; exit 2; }
+exec target/review-standins bad-part review/8
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,6 +26,7 @@
 
 // cases maps the names of cases to what plays them. Each returns whether the rule was broken.
 var cases = map[string]func(*play) (bool, error){
+	"bad-part":   badPartPlay,
 	"brittle":    brittle,
 	"late-order": lateOrder,
 }
