--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves these requests out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/hickoryshelf ] && [ -x target/review-standins ] || { echo "build the program and review/build-2.sh first"; exit 2; }
-exec target/review-standins bad-part review/8
+exec target/review-standins quiet-part review/8
--- a/review/standins/badpart.go
+++ b/review/standins/platform/badpart.go
@@ -12,18 +12,11 @@
 )
 
 const (
-	// partServers is the number of servers, and backTime how long one that has crashed is down.
-	partServers = 3
-	backTime    = 3 * time.Second
+	// backTime is how long a server that has crashed is down.
+	backTime = 3 * time.Second
 	// firstPart is the part that all prompts begin with, and badPart the one that crashes servers.
 	firstPart = "5c1e07a2:800"
 	badPart   = "91bd3f06:410"
-	// soundPause and badPause are the times between two sound requests and between two with the bad part.
-	soundPause = 500 * time.Millisecond
-	badPause   = time.Second
-	// calmTime is how long only sound requests come, and badTime how long both do.
-	calmTime = 22 * time.Second
-	badTime  = 48 * time.Second
 	// enoughCrashes is the number of crashes after which such requests may reach servers for contactTime, and allowedLate how many of them
 	// may do so later.
 	enoughCrashes = 5
@@ -34,6 +27,23 @@
 	partTimeout = 4 * time.Second
 )
 
+// partDay says what comes at a service.
+type partDay struct {
+	servers int
+	// soundPause and badPause are the times between two sound requests and between two with the bad part.
+	soundPause, badPause time.Duration
+	// calmTime is how long only sound requests come, and badTime how long both do.
+	calmTime, badTime time.Duration
+	// lost is set if the day is judged by LOST in place of BUDGET.
+	lost bool
+}
+
+// Days with a bad part: a service with little to do, and one that all at once has many such requests.
+var (
+	quietPartDay = partDay{servers: 3, soundPause: 500 * time.Millisecond, badPause: time.Second, calmTime: 22 * time.Second, badTime: 48 * time.Second}
+	busyPartDay  = partDay{servers: 6, soundPause: 50 * time.Millisecond, badPause: 40 * time.Millisecond, calmTime: 15 * time.Second, badTime: 45 * time.Second, lost: true}
+)
+
 // partConfig is a configuration with one route of requests with prompts, whose streams may not be resumed.
 func partConfig() map[string]any {
 	c := lateConfig()
@@ -295,14 +305,18 @@
 	return began, sent
 }
 
-// badPartPlay plays requests with a part that crashes each server. Without trouble none come.
-func badPartPlay(p *play) (bool, error) {
+// quietPart and busyPart play the two days.
+func quietPart(p *play) (bool, error) { return p.playPart(quietPartDay) }
+func busyPart(p *play) (bool, error)  { return p.playPart(busyPartDay) }
+
+// playPart plays requests with a part that crashes each server. Without trouble none come.
+func (p *play) playPart(a partDay) (bool, error) {
 	d := p.deployment
 	if err := d.begin(partConfig()); err != nil {
 		return false, err
 	}
 	y := &partPlay{deployment: d}
-	for k := range partServers {
+	for k := range a.servers {
 		s := &partServer{play: y, address: fmt.Sprintf("%s.%d:8080", d.subnet, serverOctet+k), zone: zoneOf(k)}
 		if err := s.start(); err != nil {
 			return false, err
@@ -310,26 +324,32 @@
 	}
 	time.Sleep(3 * time.Second) // until all entry hosts know them
 	b := time.Now()
-	e := b.Add(calmTime + badTime)
-	go y.send(soundPause, false, e)
-	time.Sleep(calmTime)
+	e := b.Add(a.calmTime + a.badTime)
+	go y.send(a.soundPause, false, e)
+	time.Sleep(a.calmTime)
 	k := time.Now()
 	if p.troubled {
 		d.record.note("requests with the part %s come from now on", badPart)
-		go y.send(badPause, true, e)
+		go y.send(a.badPause, true, e)
 	}
 	time.Sleep(time.Until(e.Add(partTimeout)))
+	return y.judge(a, b, k, e)
+}
+
+// judge reports whether the rule of a day was broken that began at a time, had bad requests from another one on and ended at the last.
+func (y *partPlay) judge(a partDay, begin, bad, end time.Time) (bool, error) {
 	y.lock.Lock()
 	defer y.lock.Unlock()
 	y.ended = true
-	s, n := y.begun(b, k)
-	d.record.note("before these came %d of %d sound requests began", s, n)
+	r := y.deployment.record
+	s, n := y.begun(begin, bad)
+	r.note("before these came %d of %d sound requests began", s, n)
 	if n < fewestSound {
 		return false, fmt.Errorf("too few sound requests")
 	}
 	if len(y.crashes) < enoughCrashes {
-		t, m := y.begun(k, e)
-		d.record.note("since then %d of %d did; servers crashed %d times", t, m, len(y.crashes))
+		t, m := y.begun(bad, end)
+		r.note("since then %d of %d did; servers crashed %d times", t, m, len(y.crashes))
 		return false, nil
 	}
 	f := y.crashes[enoughCrashes-1]
@@ -339,11 +359,12 @@
 			l++
 		}
 	}
-	d.record.note("servers crashed %d times; later than contact-ms after the fifth crash %d requests with the part reached servers; %d are allowed", len(y.crashes), l, allowedLate)
-	t, m := y.begun(f.Add(2*contactTime), e)
-	d.record.note("from 2 x contact-ms after the fifth crash on %d of %d sound requests began", t, m)
-	if m >= fewestSound && 2*t*n < s*m {
-		d.record.note("that is less than half as often as before: LOST is broken too")
+	r.note("servers crashed %d times; later than contact-ms after the fifth crash %d requests with the part reached servers; %d are allowed", len(y.crashes), l, allowedLate)
+	t, m := y.begun(f.Add(2*contactTime), end)
+	o := m >= fewestSound && 2*t*n < s*m
+	r.note("from 2 x contact-ms after the fifth crash on %d of %d sound requests began; less than half as often as before: %v", t, m, o)
+	if a.lost {
+		return o, nil
 	}
 	return l > allowedLate, nil
 }
--- a/review/standins/main.go
+++ b/review/standins/platform/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -26,7 +28,8 @@
 
 // cases maps the names of cases to what plays them. Each returns whether the rule was broken.
 var cases = map[string]func(*play) (bool, error){
-	"bad-part":   badPartPlay,
+	"quiet-part": quietPart,
+	"busy-part":  busyPart,
 	"brittle":    brittle,
 	"late-order": lateOrder,
 }
@@ -61,6 +64,7 @@
 	})
 	defer g.Stop()
 	defer d.stop()
+	go p.awaitSignal()
 	r.note("the disruption is played: %v", p.troubled)
 	b, err := c(p)
 	switch {
@@ -75,5 +79,14 @@
 	return held
 }
 
+// awaitSignal ends all processes if this one is told to end.
+func (p *play) awaitSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	<-c
+	p.deployment.stop()
+	os.Exit(couldNot)
+}
+
 // playLimit bounds the time of a case.
 const playLimit = 112 * time.Second
