Take no order to start a roll-out that was given before a later one was known

What callers saw: an order for v2 that had waited in a suspended control host was applied when that host went on, in place of the acknowledged order for v3. v3 counted as rejected, and once v2 was rolled back no version might run: 503 for each request of the service.

Cause: an order to start a roll-out has no version and no serial; the leader took any target that isn't that of the newest roll-out for a new order (ctrl/order.go). Class: an order without an age.

Change: the control host that takes an order notes the newest roll-out of the service that it holds, before it queues or forwards the order; the leader takes it only if that is still the newest and none is pending, and otherwise gives no clear answer. The leader holds all that was committed when it decides, so no later acknowledged order can be overlooked. Orders of older builds carry no serial and are taken as before.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -300,9 +300,11 @@
 	// Version and Document are set for Put.
 	Version  int64
 	Document []byte
-	// Rollout is set for StartRollout, and Service for ReadRollout.
-	Rollout canary.Rollout
-	Service string
+	// Rollout is set for StartRollout, and Service for ReadRollout. RolloutSeen is the serial of the newest rollout of the service that the
+	// control host held which took the order, or NoRollout. It is 0 in orders of older builds, which may follow any rollout.
+	Rollout     canary.Rollout
+	RolloutSeen uint64
+	Service     string
 	// Node is set for Join and Leave.
 	Node quorum.NodeID
 	// Endpoint is set for Retire.
@@ -315,6 +317,10 @@
 	Hops int
 }
 
+// NoRollout is Order.RolloutSeen if the service had no rollout. No rollout has this serial, since the control log begins with a snapshot at
+// this index.
+const NoRollout uint64 = 1
+
 // Status is the result of an order.
 type Status int
 
--- a/ctrl/drain.go
+++ b/ctrl/drain.go
@@ -125,10 +125,13 @@
 	return ctlrpc.Conflict, drain.Change{}
 }
 
-// logOrder logs an order about a drain.
+// logOrder logs an order about a drain or a rollout.
 func (h *Host) logOrder(o ctlrpc.Order) {
-	if isDrainOrder(o) {
+	switch {
+	case isDrainOrder(o):
 		h.log.WithFields(logrus.Fields{"order": o.Verb.String(), "data-centre": o.DataCentre, "hops": o.Hops}).Warn("control: an operator's order about a data centre")
+	case o.Verb == ctlrpc.StartRollout:
+		h.log.WithFields(logrus.Fields{"service": o.Rollout.Service, "target": o.Rollout.Target, "seen": o.RolloutSeen, "hops": o.Hops}).Info("control: an operator's order to start a roll-out")
 	}
 }
 
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -98,6 +98,13 @@
 	Assessment canary.Assessment
 }
 
+// LateOrder logs that an order to start a rollout isn't taken, since it came before the newest rollout of its service was known where it was
+// taken. Serial is that of the newest rollout.
+type LateOrder struct {
+	Order  ctlrpc.Order
+	Serial uint64
+}
+
 // EntryFailed logs that a log entry or a snapshot could not be encoded or applied.
 type EntryFailed struct{ Err error }
 
@@ -115,4 +122,5 @@
 func (SendGossip) effect()         {}
 func (RolloutEndProposed) effect() {}
 func (RolloutAssessed) effect()    {}
+func (LateOrder) effect()          {}
 func (EntryFailed) effect()        {}
--- a/ctrl/host.go
+++ b/ctrl/host.go
@@ -266,6 +266,10 @@
 		}).Warn("control: requests end the endpoints that run them and are held back")
 	case EntriesForgotten:
 		h.log.WithFields(logrus.Fields{"control": v.Node, "acknowledged": v.Acknowledged, "held": v.Held}).Error("control: another control host holds less of the log than it has acknowledged; it gets the rest again; check its disk")
+	case LateOrder:
+		h.log.WithFields(logrus.Fields{
+			"service": v.Order.Rollout.Service, "target": v.Order.Rollout.Target, "seen": v.Order.RolloutSeen, "serial": v.Serial, "hops": v.Order.Hops,
+		}).Warn("control: an order to start a roll-out is late, another one was ordered since; it isn't taken")
 	case VoteIgnored:
 		h.strain.votedLate(h.sinceStart())
 	case EntryFailed:
@@ -277,6 +281,9 @@
 // orderTimeout, or before this host has stopped, Do returns one with the status Unavailable; the order may still take effect.
 func (h *Host) Do(o ctlrpc.Order) ctlrpc.OrderReply {
 	b := h.sinceStart()
+	if o.Hops == 0 {
+		o = h.state.Load().WithSeen(o)
+	}
 	h.logOrder(o)
 	r := h.execute(o)
 	h.logOrderReply(o, r, h.sinceStart()-b)
--- a/ctrl/order.go
+++ b/ctrl/order.go
@@ -86,14 +86,45 @@
 }
 
 // startRollout proposes a rollout. An order with the same target as the newest rollout of the service is acknowledged
-// without a proposal.
+// without a proposal. One that is late gets no clear answer: sent again it is taken with the newer rollout.
 func (t *transition) startRollout(a OrderReceived) {
 	r := a.Order.Rollout
-	if o, ok := t.StateMachine.Rollouts[r.Service]; ok && o.Target == r.Target {
+	o, ok := t.StateMachine.Rollouts[r.Service]
+	switch {
+	case ok && o.Target == r.Target:
 		t.emit(Respond{CallID: a.CallID, Reply: t.orderReply(a.Order)})
-		return
+	case t.isLateStart(a.Order):
+		t.emit(LateOrder{Order: a.Order, Serial: o.Serial})
+		t.emit(Respond{CallID: a.CallID})
+	default:
+		t.propose(a, Command{Start: &r})
+	}
+}
+
+// WithSeen returns an order that this host takes from an operator. An order to start a rollout gets the serial of the newest rollout of its
+// service, so that it replaces no later one if it is delivered late.
+func (s State) WithSeen(o ctlrpc.Order) ctlrpc.Order {
+	if o.Verb == ctlrpc.StartRollout && o.RolloutSeen == 0 {
+		o.RolloutSeen = s.rolloutSeen(o.Rollout.Service)
 	}
-	t.propose(a, Command{Start: &r})
+	return o
+}
+
+// rolloutSeen returns what an order about a service that is taken now has as Order.RolloutSeen.
+func (s State) rolloutSeen(service string) uint64 {
+	return max(ctlrpc.NoRollout, s.StateMachine.Rollouts[service].Serial)
+}
+
+// isLateStart reports whether an order to start a rollout was taken before the newest rollout of its service was known, or while another
+// one isn't committed yet.
+func (t *transition) isLateStart(o ctlrpc.Order) bool {
+	if o.RolloutSeen == 0 {
+		return false
+	}
+	return o.RolloutSeen != t.rolloutSeen(o.Rollout.Service) || slices.ContainsFunc(t.pending, func(w pendingOrder) bool {
+		p := w.order.Rollout
+		return w.order.Verb == ctlrpc.StartRollout && p.Service == o.Rollout.Service && p.Target != o.Rollout.Target
+	})
 }
 
 // propose proposes a command and keeps the order pending until its entry is committed. It answers Unavailable if the log
