Let a control host that has just started only add to the endpoints that entry hosts know

What callers saw: an entry host that loses its control host and is answered by one that has just joined, with an empty disk, replaces its endpoints by that one's, which are few or none, and refuses all requests until the reports have come there (503).

Cause: a full fleet replaces what an entry host knows, whoever sends it.

The stand-in replies once more with its fleet now to a host that holds another revision, as control hosts do.

Change: control hosts say that their fleet is partial until they have run for nine heartbeats: an endpoint that sends nothing for so long is removed at all of them, so each other one has reported by then. Entry hosts add a partial fleet to their endpoints, and ask for the whole one once it is no longer partial. Before a control host of an older build has caught up its fleet counts as partial. Endpoints that are gone, and that the new control host never knew, stay for up to nine heartbeats; requests to them fail at the opening of a connection and go elsewhere.

--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -216,7 +216,10 @@
 	FleetRevision uint64
 	Reports       []fleet.Report
 	Gone          []string
-	Rollouts      []canary.View
+	// FleetPartial is set while the control host may not have heard of all endpoints since its start: Reports then only add to the fleet.
+	// Older builds never set it.
+	FleetPartial bool
+	Rollouts     []canary.View
 	// Loads holds the load that other entry hosts put on endpoints, by endpoint ID. If LoadsNew is set it is
 	// complete, otherwise it holds some of the loads that have changed.
 	LoadsNew bool
--- a/ctrl/reply.go
+++ b/ctrl/reply.go
@@ -81,7 +81,7 @@
 		t.aggregate.hostsSum = ctlrpc.HostsSum(t.aggregate.hosts)
 	}
 	n := ctlrpc.ExchangeReply{
-		Control: s.StartID, Sure: s.Synced, Current: s.Current(), Position: s.Position(), FleetRevision: s.Fleet.Revision, Entries: len(t.aggregate.hosts), Controls: s.ControlAddresses(),
+		Control: s.StartID, Sure: s.Synced, Current: s.Current(), Position: s.Position(), FleetRevision: s.Fleet.Revision, FleetPartial: s.isFleetPartial(now), Entries: len(t.aggregate.hosts), Controls: s.ControlAddresses(),
 	}
 	if d := s.StateMachine.Document; s.Synced && d.Version > q.Known.TableVersion {
 		n.TableVersion, n.Document = d.Version, d.Content
@@ -108,6 +108,10 @@
 	return n
 }
 
+// isFleetPartial reports whether there may be endpoints that this host hasn't heard of since it has started, because they report to another
+// one. Those that have sent nothing for longer are removed at all hosts.
+func (s State) isFleetPartial(now time.Duration) bool { return now < maxMissedHeartbeats*s.Heartbeat }
+
 // SentAt returns when the last reply to an entry host was built, or 0 if there was none.
 func (t *ReplyBuilder) SentAt(host string) time.Duration {
 	t.lock.Lock()
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,15 +31,8 @@
 	}
 	e.confirmTable(r, sent)
 	e.useOverdueFirst(false)
-	if r.Control != e.state.Control || r.FleetRevision != e.state.FleetRevision {
-		if r.FleetNew {
-			e.Set.Replace(r.Reports)
-		} else {
-			e.Set.Merge(r.Reports, r.Gone)
-		}
-		e.Relay.Prefill.Adopt(r.Reads)
-		e.state.Control, e.state.FleetRevision = r.Control, r.FleetRevision
-		e.Log.WithFields(logrus.Fields{"control": e.address, "revision": r.FleetRevision, "changed": len(r.Reports), "gone": len(r.Gone), "endpoints": e.Set.ReadyCounts()}).Info("entry: endpoints changed")
+	if r.Control != e.state.Control || r.FleetRevision != e.state.FleetRevision || e.fleetPartial && !isPartial(r) {
+		e.applyFleet(r)
 	}
 	if r.LoadsNew {
 		e.Set.SetRemoteLoads(r.Loads)
@@ -69,6 +63,33 @@
 	e.planPermits(r.Entries)
 }
 
+// unknownRevision is the EntryState.FleetRevision that makes a control host send its whole fleet.
+const unknownRevision = math.MaxUint64
+
+// isPartial reports whether a control host may not have heard of all endpoints yet. One of an older build doesn't say so, but can't have
+// heard of all before it has caught up with the log.
+func isPartial(r ctlrpc.ExchangeReply) bool { return r.FleetPartial || !r.Sure }
+
+// applyFleet takes over what a reply tells of endpoints. A whole fleet replaces the endpoints that this host knows. One that may be partial
+// only adds to them; once the control host has heard of all, it is asked for the whole.
+func (e *Entry) applyFleet(r ctlrpc.ExchangeReply) {
+	p := isPartial(r)
+	if r.FleetNew && !p {
+		e.Set.Replace(r.Reports)
+	} else {
+		e.Set.Merge(r.Reports, r.Gone)
+	}
+	e.Relay.Prefill.Adopt(r.Reads)
+	e.state.Control, e.state.FleetRevision = r.Control, r.FleetRevision
+	if e.fleetPartial && !p && !r.FleetNew {
+		e.state.FleetRevision = unknownRevision
+	}
+	e.fleetPartial = p
+	e.Log.WithFields(logrus.Fields{
+		"control": e.address, "revision": r.FleetRevision, "changed": len(r.Reports), "gone": len(r.Gone), "whole": r.FleetNew && !p, "partial": p, "endpoints": e.Set.ReadyCounts(),
+	}).Info("entry: endpoints changed")
+}
+
 // applyDrains puts a state of drains in force, unless it is older than the one that is. age is the time since the newest change, as far as
 // the control host knows, in ms.
 func (e *Entry) applyDrains(d ctlrpc.Drains) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,8 @@
 	// state says which configuration and fleet state this host has received. It is sent with each exchange, so that
 	// control hosts reply with changes only.
 	state ctlrpc.EntryState
+	// fleetPartial is set if the control host that this host holds endpoints of may not have heard of all of them.
+	fleetPartial bool
 	// first is the table that this host holds back while it has none in force, or nil.
 	first *firstOffer
 	// client is the connection to the control host at address, or nil.
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -19,6 +19,8 @@
 	fleet   []fleet.Report
 	once    bool
 	replies *atomic.Int64
+	// partial is the number of replies for which the control host hasn't heard of all endpoints.
+	partial int64
 }
 
 func (c fleetControl) Exchange(q ctlrpc.ExchangeRequest, n *ctlrpc.ExchangeReply) error {
@@ -27,7 +29,8 @@
 	}
 	time.Sleep(waitingReply)
 	n.Control, n.Current, n.Sure, n.FleetRevision = c.name, c.current, c.current, uint64(len(c.fleet))
-	if q.Known.Control != c.name {
+	n.FleetPartial = c.replies.Load() < c.partial
+	if q.Known.Control != c.name || q.Known.FleetRevision != n.FleetRevision {
 		n.FleetNew, n.Reports = true, c.fleet
 	}
 	c.replies.Add(1)
@@ -48,13 +51,43 @@
 	p := listenService(t, a, 0, 0)
 	e, r := newEntry(hostOptions{port: p, seeds: []string{slowAddress(0) + ":1", slowAddress(1) + ":1"}, decode: decodeVersion})
 	t.Cleanup(e.Stop)
-	for x := time.Now(); a.replies.Load() == 0 && time.Since(x) < applyTime; {
-		time.Sleep(time.Millisecond)
-	}
+	awaitReplies(a, 1)
 	listenService(t, b, 1, p)
-	for x := time.Now(); b.replies.Load() < 3 && time.Since(x) < 2*applyTime; {
-		time.Sleep(time.Millisecond)
-	}
+	awaitReplies(b, 3)
 	i.True(b.replies.Load() >= 3)
 	i.Equal(r.Endpoints.ReadyCounts()["s"], 1)
 }
+
+// Guards against an endpoint that an entry host keeps for good, since it is gone and the control host that answers has never heard of it.
+func TestWholeFleetReplacesEndpointsOnceControlHostHasHeardOfAll(t *testing.T) {
+	for _, v := range []struct {
+		name string
+		// partial is the number of replies with a partial fleet, and want the number of endpoints after them and at the end.
+		partial           int64
+		between, wantLast int
+	}{{"after a partial one", 3, 2, 1}, {"at once", 0, 1, 1}} {
+		t.Run(v.name, func(t *testing.T) {
+			i := is.New(t)
+			a := fleetControl{name: "a", current: true, fleet: []fleet.Report{{ID: "gone", Born: 5, Service: "s", Sequence: 1}}, once: true, replies: &atomic.Int64{}}
+			b := fleetControl{name: "b", current: true, fleet: []fleet.Report{{ID: "e", Born: 5, Service: "s", Sequence: 1}}, replies: &atomic.Int64{}, partial: v.partial}
+			p := listenService(t, a, 0, 0)
+			e, r := newEntry(hostOptions{port: p, seeds: []string{slowAddress(0) + ":1", slowAddress(1) + ":1"}, decode: decodeVersion})
+			t.Cleanup(e.Stop)
+			awaitReplies(a, 1)
+			listenService(t, b, 1, p)
+			awaitReplies(b, 2)
+			if v.partial > 0 {
+				i.Equal(r.Endpoints.ReadyCounts()["s"], v.between)
+			}
+			awaitReplies(b, v.partial+3)
+			i.Equal(r.Endpoints.ReadyCounts()["s"], v.wantLast)
+		})
+	}
+}
+
+// awaitReplies waits until a control host has replied a number of times.
+func awaitReplies(c fleetControl, n int64) {
+	for x := time.Now(); c.replies.Load() < n && time.Since(x) < 2*applyTime; {
+		time.Sleep(time.Millisecond)
+	}
+}
