--- a/ctlrpc/ctlrpc.go
+++ b/ctlrpc/ctlrpc.go
@@ -216,7 +216,10 @@
 	FleetRevision uint64
 	Reports       []fleet.Report
 	Gone          []string
-	Rollouts      []canary.View
+	// FleetPartial is set while the control host may not have heard of all endpoints since its start: Reports then only add to the fleet.
+	// Older builds never set it.
+	FleetPartial bool
+	Rollouts     []canary.View
 	// Loads holds the load that other entry hosts put on endpoints, by endpoint ID. If LoadsNew is set it is
 	// complete, otherwise it holds some of the loads that have changed.
 	LoadsNew bool
@@ -300,9 +303,11 @@
 	// Version and Document are set for Put.
 	Version  int64
 	Document []byte
-	// Rollout is set for StartRollout, and Service for ReadRollout.
-	Rollout canary.Rollout
-	Service string
+	// Rollout is set for StartRollout, and Service for ReadRollout. RolloutSeen is the serial of the newest rollout of the service that the
+	// control host held which took the order, or NoRollout. It is 0 in orders of older builds, which may follow any rollout.
+	Rollout     canary.Rollout
+	RolloutSeen uint64
+	Service     string
 	// Node is set for Join and Leave.
 	Node quorum.NodeID
 	// Endpoint is set for Retire.
@@ -315,6 +320,10 @@
 	Hops int
 }
 
+// NoRollout is Order.RolloutSeen if the service had no rollout. No rollout has this serial, since the control log begins with a snapshot at
+// this index.
+const NoRollout uint64 = 1
+
 // Status is the result of an order.
 type Status int
 
