--- a/itest/path_test.go
+++ b/itest/path_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -39,7 +41,16 @@
 			b.WriteString(v.Choices[0].Delta.Content)
 		}
 	}
-	return b.String(), s.Err()
+	return b.String(), withDetails(s.Err())
+}
+
+// withDetails returns an error with the code and the message of the host that refused: the client's own text names only the status.
+func withDetails(err error) error {
+	var e *openai.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	return fmt.Errorf("%w, %s: %s", err, e.Code, e.Message)
 }
 
 // TestWholePath tests that a streamed and a plain request through different hosts are matched to their contract, answered
