Keep that an endpoint says that it leaves when a control host names it again

What callers would see: requests go to an endpoint that has said in its answers that it leaves, and break off with it.

Cause: what its answers said was kept with the endpoint, and dropped with it where a control host without its fleet had replaced this host's endpoints. Class: what is known is replaced by what was heard last.

The notes are kept for as long as departures, and count for the same start of the endpoint only.

--- a/pick/asks.go
+++ b/pick/asks.go
@@ -47,7 +47,10 @@
 	}
 	s.cold.told(id, a.ColdLeft)
 	c.Leaving = a.Leaving && !n.leaving
-	n.leaving = n.leaving || a.Leaving
+	if a.Leaving {
+		n.leaving = true
+		s.leavers[id] = leaver{born: n.report.Born, heardAt: now}
+	}
 	c.Limit = n.setLimit(n.limit.WithAnswer(a.Limit, now))
 	r := &n.rests[way]
 	b := r.Left(now)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -194,13 +194,16 @@
 	// departed holds the endpoints that are leaving or have departed, by ID, so that a control host with stale
 	// state can't restore them.
 	departed map[string]departure
-	drains   drainState
-	cold     coldState
+	// leavers holds the endpoints whose answers have said that they leave, by ID: that isn't in their reports, which may come from a control
+	// host after this host has dropped the endpoint.
+	leavers map[string]leaver
+	drains  drainState
+	cold    coldState
 }
 
 // NewSet returns an empty set for a host in a data centre.
 func NewSet(dataCentre string) *Set {
-	return &Set{dataCentre: dataCentre, factorWeight: 1, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[ctlrpc.Pool]reach.Link{}, answeredAt: map[ctlrpc.Pool]time.Time{}, departed: map[string]departure{}}
+	return &Set{dataCentre: dataCentre, factorWeight: 1, endpoints: map[string]*endpoint{}, rollouts: map[string]canary.View{}, startTimes: map[uint64]time.Time{}, links: map[ctlrpc.Pool]reach.Link{}, answeredAt: map[ctlrpc.Pool]time.Time{}, departed: map[string]departure{}, leavers: map[string]leaver{}}
 }
 
 // Choose returns the endpoint with the lowest cost, and counts the request as in flight there until RequestEnded.
--- a/pick/rest_test.go
+++ b/pick/rest_test.go
@@ -130,3 +130,19 @@
 	s.Merge([]fleet.Report{{ID: "a0", Born: 5, Service: "s", DataCentre: "a", Address: "a0", Version: "v1", Sequence: 1}}, nil) // a new start
 	i.Equal(s.ReadyCounts(), map[string]int{"s": 2})
 }
+
+// Guards against requests to an endpoint that leaves, since this host has dropped it and learns of it again from a control host. A later
+// start of the endpoint takes requests.
+func TestEndpointLearnedAgainStillLeaves(t *testing.T) {
+	i := is.New(t)
+	s := pick.NewSet("a")
+	r := fleet.Report{ID: "e", Born: 5, Service: "s", Address: "127.0.0.1:1", DataCentre: "a", Sequence: 1}
+	s.Replace([]fleet.Report{r})
+	i.True(s.RecordAsks("e", pick.Direct, pick.Asks{Leaving: true}, time.Now()).Leaving)
+	s.Replace(nil) // a control host without its fleet
+	s.Merge([]fleet.Report{r}, nil)
+	i.Equal(s.ReadyCounts()["s"], 0)
+	r.Born = 6
+	s.Merge([]fleet.Report{r}, nil)
+	i.Equal(s.ReadyCounts()["s"], 1)
+}
--- a/pick/state.go
+++ b/pick/state.go
@@ -19,6 +19,12 @@
 	heardAt time.Time
 }
 
+// leaver is the start of an endpoint whose answers have said that it leaves, and when the last one did.
+type leaver struct {
+	born    int64
+	heardAt time.Time
+}
+
 // Replace sets the endpoints to those that the control hosts know (full sync).
 func (s *Set) Replace(reports []fleet.Report) {
 	s.lock.Lock()
@@ -42,6 +48,11 @@
 			delete(s.departed, i)
 		}
 	}
+	for i, l := range s.leavers {
+		if s.endpoints[i] == nil && time.Since(l.heardAt) > departureRetention {
+			delete(s.leavers, i)
+		}
+	}
 }
 
 // Merge applies changed reports (delta). gone holds the IDs of endpoints that are removed.
@@ -87,6 +98,9 @@
 		}
 		s.endpoints[r.ID] = n
 	}
+	if l, ok := s.leavers[r.ID]; ok && l.born == r.Born {
+		n.leaving = true
+	}
 	n.report, n.removed, n.drained = r, false, s.drains.state.IsDrained(r.DataCentre)
 }
 
