Tell a request that goes to the same address again, not only to the same endpoint

A caller could get 503 for a request that ran, or the request ran twice. A request that goes to an endpoint again uses a new connection, since its ID doesn't tell an answer of the attempt before from its own. Whether it does was decided by the endpoint's ID, while connections are kept by address: of two processes that were started there one after the other, the second got the request on the connection on which it had refused it for the first.

The address decides now.

--- a/relay/job.go
+++ b/relay/job.go
@@ -67,7 +67,7 @@
 	// tried holds the IDs of the endpoints that failed or refused the request since the last retry round began, and
 	// unreached those that this host didn't reach: another host may.
 	tried, unreached map[string]bool
-	// sentTo holds the IDs of all endpoints that the request was sent to.
+	// sentTo holds the addresses of all endpoints that the request was sent to. Endpoints that were started one after the other may share one.
 	sentTo map[string]bool
 	// sends counts the attempts that reached an endpoint or may have, and runs the attempts that ran or may have run.
 	sends int
@@ -391,9 +391,9 @@
 	j.sends++
 	u.order = Attempt{
 		Request: j.request, Endpoint: u.choice.Report, Account: j.account, Remaining: time.Until(j.deadline),
-		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, MaxConnections: j.maxConnections(), Repeated: j.sentTo[u.choice.ID],
+		ResumeAfter: j.request.ResumeAfter, Priority: j.priority, MaxConnections: j.maxConnections(), Repeated: j.sentTo[u.choice.Address],
 	}
-	j.sentTo[u.choice.ID] = true
+	j.sentTo[u.choice.Address] = true
 	u.limitSending()
 	if len(j.route.Tiers) > 0 {
 		u.order.Model = j.route.Tiers[j.tier]
--- a/relay/request.go
+++ b/relay/request.go
@@ -125,7 +125,7 @@
 	Priority int
 	// MaxConnections is the number of connections that this host may open to the endpoint.
 	MaxConnections int
-	// Repeated is set if the request was sent to this endpoint before, so that the ID doesn't tell the answers apart.
+	// Repeated is set if the request was sent to the address of this endpoint before, so that the ID doesn't tell the answers apart.
 	Repeated bool
 	// MaySend reports whether the request may still be sent. It is asked immediately before, by the host that sends to the endpoint, and nil
 	// if the request may be sent at any time.
