Log who says that a refused request has not run

On-call had the refusal of a request by its ID, but not on whose word it promised that the request hasn't run, and a host between logged nothing when it confirmed that it would never begin a call, on which such a promise rests.

request: refused now has where the latest attempt went (endpoint, relayed-by) and who says that it has not run (not-run-by); the lines of the attempts have the same field.

--- a/proxy/client.go
+++ b/proxy/client.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return lost(relay.NotRun, fmt.Errorf("connect to another host: %w", err))
 	}
-	x := &exchange{client: c, conn: n, helper: h, memory: c.Memory.NewShare(a.Endpoint.ID), id: c.Host + "/" + c.Start + "/" + strconv.FormatUint(c.calls.Add(1), 10)}
+	x := &exchange{client: c, conn: n, helper: h, memory: c.Memory.NewShare(a.Endpoint.ID), requestID: a.ID, id: c.Host + "/" + c.Start + "/" + strconv.FormatUint(c.calls.Add(1), 10)}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	r, p := x.send(ctx, a)
 	if x.wide && p.Result == relay.Lost && r.Verdict == relay.NotRun {
@@ -81,7 +81,8 @@
 	client *Client
 	conn   *dial.Conn
 	helper assist.Helper
-	id     string
+	// id is that of the call, and requestID that of its request.
+	id, requestID string
 	// wide is set if the call has a wideCallFrame, which hosts of earlier builds don't know.
 	wide bool
 	// memory is what the head of the reply takes, until the exchange is finished.
@@ -242,7 +243,9 @@
 	if err := x.askRevoke(c); err != nil {
 		return lost(relay.Unknown, fmt.Errorf("%w; it is unknown whether it was begun: %w", cause, err))
 	}
-	return lost(relay.NotRun, fmt.Errorf("%w: %w", cause, errNotBegun))
+	r, h := lost(relay.NotRun, fmt.Errorf("%w: %w", cause, errNotBegun))
+	h.Confirmed = true
+	return r, h
 }
 
 // askRevoke returns nil if the host confirms that the call hasn't begun and never will.
@@ -257,7 +260,7 @@
 			return err
 		}
 	}
-	if err := writeJSON(n, revokeFrame, call{ID: x.id, Token: x.helper.Token, Origin: x.client.Host}); err != nil {
+	if err := writeJSON(n, revokeFrame, call{ID: x.id, Token: x.helper.Token, Origin: x.client.Host, RequestID: x.requestID}); err != nil {
 		return err
 	}
 	k, _, err := readFrame(newReader(n), maxHeadBytes)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -200,10 +200,14 @@
 
 // revoke answers whether a call has begun, and keeps it from beginning otherwise.
 func (c *connection) revoke(v call) error {
+	l := c.server.Log.WithFields(logrus.Fields{"id": v.RequestID, "origin": v.Origin, "call": v.ID})
 	if v.Token != c.server.Token {
+		l.Info("relay: another host asks whether an earlier start of this one has begun its request, it gets no answer")
 		return errFrame
 	}
-	if c.server.calls.revoke(v.ID, time.Now()) {
+	revoked := c.server.calls.revoke(v.ID, time.Now())
+	l.WithField("begun", !revoked).Info("relay: another host asks whether its request was begun")
+	if revoked {
 		return writeJSON(c.conn, declinedFrame, refusal{Reason: "revoked"})
 	}
 	return writeFrame(c.conn, begunFrame, nil)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -62,6 +62,8 @@
 	hostSilent bool
 	// replied is set once the outcome was taken from signals.
 	replied bool
+	// notRunBy is who states that the attempt has not run.
+	notRunBy witness
 	// received holds the signals that were taken while the attempt was a successor.
 	received []signal
 	// patience fires at due, when a successor has to be dropped. It is nil for other attempts.
@@ -105,6 +107,7 @@
 
 // handleOutcome records the outcome of the attempt, passes a usable answer on, and returns how the request continues.
 func (u *upstreamAttempt) handleOutcome(o *outcome) nextStep {
+	u.notRunBy = u.witnessOf(o.reply, o.hop)
 	if o.hop.Result != Delivered {
 		return u.handleHop(o.reply, o.hop)
 	}
@@ -202,7 +205,7 @@
 	if r.WrongEndpoint || r.Refused && u.hasEnded() {
 		u.recordEnd()
 	}
-	u.log().WithFields(logrus.Fields{"outcome": "not-run", "status": r.Status, "new-connection": r.Connected, "cause": causeText(r), "banned": ejected.Milliseconds()}).Info("attempt: the endpoint did not run the request")
+	u.log().WithFields(logrus.Fields{"outcome": "not-run", "not-run-by": u.notRunBy.String(), "status": r.Status, "new-connection": r.Connected, "cause": causeText(r), "banned": ejected.Milliseconds()}).Info("attempt: the endpoint did not run the request")
 	if r.Status == 0 {
 		j.sends--
 		j.undelivered++
--- a/relay/detour.go
+++ b/relay/detour.go
@@ -186,7 +186,7 @@
 			j.relay.Helpers.Fail(u.helper.Host, n)
 		}
 	}
-	u.log().WithError(r.Cause).WithFields(logrus.Fields{"hop": h.Result.String(), "reason": h.Reason, "outcome": r.Verdict.String()}).Info("attempt: another host didn't send the request")
+	u.log().WithError(r.Cause).WithFields(logrus.Fields{"hop": h.Result.String(), "reason": h.Reason, "outcome": r.Verdict.String(), "not-run-by": u.notRunBy.String()}).Info("attempt: another host didn't send the request")
 	if r.Verdict == NotRun {
 		j.sends--
 		if j.callerContext.Err() != nil || time.Until(j.deadline) <= 0 {
--- a/relay/job.go
+++ b/relay/job.go
@@ -201,7 +201,7 @@
 // refuseWith refuses a request with further fields in the log line.
 func (j *job) refuseWith(reason Reason, after time.Duration, f logrus.Fields) {
 	j.count(reason.String())
-	j.log().WithFields(f).WithFields(logrus.Fields{
+	j.log().WithFields(f).WithFields(j.lastAttemptFields()).WithFields(logrus.Fields{
 		"outcome": reason.String(), "retry-after": after.Milliseconds(), "sends": j.sends, "runs": j.runs, "spent": j.noRetryReason,
 	}).Warn("request: refused")
 	j.sink.Refuse(Refusal{Reason: reason, RetryAfter: after})
--- a/relay/request.go
+++ b/relay/request.go
@@ -14,7 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/pick"
 )
 
-//go:generate go tool stringer -type=Verdict,Reason,Liveness,HopResult,nextStep,side -linecomment -output=enum_string.go
+//go:generate go tool stringer -type=Verdict,Reason,Liveness,HopResult,nextStep,side,witness -linecomment -output=enum_string.go
 
 // Prompt describes the size of a request, as declared by the caller.
 type Prompt struct {
@@ -217,6 +217,8 @@
 	// Reason says why the host declined, and RetryAfter when it may be asked again.
 	Reason     string
 	RetryAfter time.Duration
+	// Confirmed is set if the host has confirmed, after it was lost, that it didn't begin and never will.
+	Confirmed bool
 	// Drained is set if the host declined since the data centre of the endpoint is drained. It may be asked for others.
 	Drained bool
 }
