Remember a begun call until its deadline

A request could run twice, or be refused though it runs, on a route with a timeout of more than 30 s: a host between forgot calls 30 to 60 s after they had begun, and confirmed to a host that asked later that it never begins them.

A call that has begun is remembered until 30 s after its deadline, which the call tells, and one that was revoked for 30 s, since it begins within callTimeout or never.

--- a/proxy/server.go
+++ b/proxy/server.go
@@ -265,7 +265,7 @@
 	if s.Relay.Endpoints.IsCold(v.Endpoint.ID, time.Now()) {
 		return c.decline(refusal{Reason: "endpoint cold", RetryAfterMS: unreachablePause.Milliseconds()}, 0, l)
 	}
-	if !s.calls.begin(v.ID, n) {
+	if !s.calls.begin(v.ID, n, n.Add(v.remaining())) {
 		return c.decline(refusal{Reason: "revoked"}, 0, l)
 	}
 	if err := writeFrame(c.conn, begunFrame, nil); err != nil {
@@ -310,7 +310,7 @@
 
 // relay sends the request to its endpoint and passes the reply on. The run ends when the other host closes the connection.
 func (c *connection) relay(v call, b [][]byte, l *logrus.Entry) error {
-	ctx, f := context.WithTimeout(context.Background(), time.Duration(v.RemainingMS)*time.Millisecond)
+	ctx, f := context.WithTimeout(context.Background(), v.remaining())
 	defer f()
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
@@ -396,6 +396,9 @@
 	}
 }
 
+// remaining returns the time left until the deadline of the request when the call was written.
+func (v call) remaining() time.Duration { return time.Duration(v.RemainingMS) * time.Millisecond }
+
 // attempt returns the attempt that a call asks for. origins is the number of hosts for which this one sends: the connections
 // that they don't use are free.
 func (v call) attempt(b [][]byte, origins int) relay.Attempt {
@@ -403,7 +406,7 @@
 	q.SetBody(b)
 	return relay.Attempt{
 		Request:  q,
-		Endpoint: v.Endpoint, Account: v.Account, Model: v.Model, Remaining: time.Duration(v.RemainingMS) * time.Millisecond, ResumeAfter: v.ResumeAfter,
+		Endpoint: v.Endpoint, Account: v.Account, Model: v.Model, Remaining: v.remaining(), ResumeAfter: v.ResumeAfter,
 		Priority: v.Priority, MaxConnections: v.MaxConnections * (1 + origins), Repeated: v.Repeated,
 	}
 }
