--- a/table/table_test.go
+++ b/table/table_test.go
@@ -89,3 +89,30 @@
 	i.Equal(n["b"], 0)
 	i.Equal(n["c"], 100)
 }
+
+// Guards against a service with the weight 0 that gets requests: the sum of the other weights is beyond the range of a float, or is
+// reached only after rounding.
+func TestServiceOfWeight0GetsNoRequest(t *testing.T) {
+	for _, w := range [][]float64{{1e308, 1.7e308, 0}, {0.1, 0.2, 0}, {5e-324, 0, 0}} {
+		i := is.New(t)
+		r := table.Route{Shares: []table.Share{{Service: "a", Weight: w[0]}, {Service: "b", Weight: w[1]}, {Service: "none", Weight: w[2]}}}
+		for _, d := range []float64{0, 0.3, 0.9999999999999999, 1} {
+			s := r.DrawService(d)
+			i.True(s == "a" || s == "b" && w[1] > 0)
+		}
+	}
+}
+
+// Guards against requests without a key that are taken for those of an account that has an empty one.
+func TestEmptyKeyIsNoKey(t *testing.T) {
+	i := is.New(t)
+	b := validTable()
+	b.Accounts[0].Keys = []string{"", "k1"}
+	n, err := table.New(b)
+	i.NoErr(err)
+	_, ok := n.Account("")
+	i.True(!ok)
+	b.Accounts[1].Keys = []string{""}
+	_, err = table.New(b)
+	i.True(err != nil) // the two accounts share it
+}
