Send no request to a service of weight 0

Where the weights of a route add up to more than a float holds, or rounding leaves a rest, the last share took it, also with the weight 0, to which the configuration allows no request. TestServiceOfWeight0GetsNoRequest was red before.

--- a/table/table.go
+++ b/table/table.go
@@ -64,19 +64,24 @@
 // Idempotent reports whether a request of the route may be sent again after it may have run.
 func (r Route) Idempotent() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
 
-// DrawService returns the service for a random number from 0 to 1, according to the weights.
+// DrawService returns the service for a random number from 0 to 1, according to the weights. One with the weight 0 is never returned.
 func (r Route) DrawService(draw float64) string {
 	var t float64
 	for _, s := range r.Shares {
 		t += s.Weight
 	}
+	var last string
 	for _, s := range r.Shares {
+		if s.Weight == 0 {
+			continue
+		}
+		last = s.Service
 		draw -= s.Weight / t
-		if draw < 0 && s.Weight > 0 {
-			return s.Service
+		if draw < 0 {
+			break
 		}
 	}
-	return r.Shares[len(r.Shares)-1].Service
+	return last // also if rounding, or a sum beyond the range of a float, leaves a rest
 }
 
 // Model is a model that the endpoints of a service serve.
