--- a/table/table.go
+++ b/table/table.go
@@ -239,10 +239,10 @@
 	return t.Services[i], true
 }
 
-// Account returns the client account that owns a key.
+// Account returns the client account that owns a key. An empty key, as requests without one have, belongs to no account.
 func (t Table) Account(key string) (Account, bool) {
 	i, ok := t.keys[key]
-	if !ok {
+	if !ok || key == "" {
 		return Account{}, false
 	}
 	return t.Accounts[i], true
