--- a/itest/deployment.go
+++ b/itest/deployment.go
@@ -433,6 +433,9 @@
 	return a.StatusCode, b, err
 }
 
+// AdminAddress returns the address at which a control host takes the orders of operators.
+func (d *Deployment) AdminAddress(p *Process) string { return fmt.Sprintf("%s:%d", p.IP, adminPort) }
+
 // AwaitConfig sends a configuration until it is acknowledged, and waits until all entry hosts are ready.
 func (d *Deployment) AwaitConfig(document []byte) {
 	d.t.Helper()
