Compare the host and prefix of a route with a map in place of all routes before it

The check of a configuration took time in proportion to the square of the routes of a host, on the control host before the acknowledgement and on each entry host after it.

--- a/table/table.go
+++ b/table/table.go
@@ -139,6 +139,9 @@
 	keys     map[string]int
 }
 
+// place is what tells routes apart.
+type place struct{ host, prefix string }
+
 // New returns the table with its indexes. It returns a *ValidationError if the table is invalid.
 func New(t Table) (Table, error) {
 	t.hosts, t.services, t.keys = map[string][]int{}, map[string]int{}, map[string]int{}
@@ -149,11 +152,17 @@
 		t.services[s.Name] = i
 	}
 	t.Routes = slices.Clone(t.Routes)
+	known := map[place]string{}
 	for i, r := range t.Routes {
 		r = r.withShares()
 		if err := t.checkRoute(r); err != nil {
 			return t, err
 		}
+		w := place{r.Host, r.Prefix}
+		if o, ok := known[w]; ok {
+			return t, &ValidationError{Subject: "route " + r.Name, Problem: "has the host and prefix of " + o, Remedy: "remove one of the two"}
+		}
+		known[w] = r.Name
 		t.Routes[i] = r
 		t.hosts[r.Host] = append(t.hosts[r.Host], i)
 	}
@@ -176,7 +185,7 @@
 	return r
 }
 
-// checkRoute returns a *ValidationError if a route with its shares is invalid beside the routes before it.
+// checkRoute returns a *ValidationError if a route with its shares is invalid by itself.
 func (t Table) checkRoute(r Route) error {
 	w := "route " + r.Name
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
@@ -185,15 +194,7 @@
 	if r.Timeout <= 0 {
 		return &ValidationError{Subject: w, Problem: "has no timeout", Remedy: "give a timeout above 0"}
 	}
-	if err := t.checkServices(r); err != nil {
-		return err
-	}
-	for _, i := range t.hosts[r.Host] {
-		if t.Routes[i].Prefix == r.Prefix {
-			return &ValidationError{Subject: w, Problem: "has the host and prefix of " + t.Routes[i].Name, Remedy: "remove one of the two"}
-		}
-	}
-	return nil
+	return t.checkServices(r)
 }
 
 // checkServices returns a *ValidationError if a route names an unknown service, or its weights are invalid.
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -116,3 +117,21 @@
 	_, err = table.New(b)
 	i.True(err != nil) // the two accounts share it
 }
+
+// Guards against a configuration with many routes of one host that is acknowledged and in force only after tens of seconds: each route is
+// compared with all others.
+func TestManyRoutesOfOneHostAreCheckedInTime(t *testing.T) {
+	i := is.New(t)
+	b := validTable()
+	b.Routes = nil
+	for k := range 100_000 {
+		b.Routes = append(b.Routes, table.Route{Host: "x", Prefix: fmt.Sprintf("/routes/%d/", k), Timeout: time.Second, Service: "desk"})
+	}
+	s := time.Now()
+	_, err := table.New(b)
+	i.NoErr(err)
+	i.True(time.Since(s) < 3*time.Second)
+	b.Routes = append(b.Routes, b.Routes[7])
+	_, err = table.New(b)
+	i.True(err != nil)
+}
