Known red: a new data folder isn't synced in the directories above it

The hook for tests is called for directories too. Files that are created or replaced are synced with their directory: green.

--- a/store/log.go
+++ b/store/log.go
@@ -44,7 +44,7 @@
 // ErrLogFailed is returned by Sync and Rewrite after an earlier call of either has failed.
 var ErrLogFailed = errors.New("an earlier write to the log failed; check the disk and restart the host")
 
-// BeforeSync is called before each sync of a file with its path. Programs of tests replace it before they open files, to make
+// BeforeSync is called before each sync of a file or directory with its path, but for the sync of a log that is opened. Programs of tests replace it before they open files, to make
 // disks slow.
 var BeforeSync = func(string) {}
 
@@ -308,5 +308,6 @@
 	if err != nil {
 		return err
 	}
+	BeforeSync(path)
 	return errors.Join(d.Sync(), d.Close())
 }
