Sync the directories above a new data folder

The folder was created by the first start and its files synced, with the folder itself, but not the entry of the folder in the directory above it. A loss of power after that may take the folder with all that was acknowledged, on all control hosts at once; they would come back as new ones. A start that finds the folder syncs nothing more: one that was killed between the two steps leaves that gap.

--- a/store/disk.go
+++ b/store/disk.go
@@ -43,7 +43,7 @@
 // OpenDisk opens a data folder, which it creates if necessary, and returns the ledger records in the folder. It
 // returns a CorruptionError when a synced record can't be read.
 func OpenDisk(folder string) (*Disk, [][]byte, error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
+	if err := makeFolder(folder); err != nil {
 		return nil, nil, fmt.Errorf("create data folder: %w; set data-folder to a writable folder", err)
 	}
 	i, err := loadIdentity(folder)
@@ -65,6 +65,23 @@
 	return &Disk{Identity: i, quorumLog: q, ledgerLog: b, state: h}, s, nil
 }
 
+// makeFolder creates a folder and the ones above it where they are missing, and syncs the directories that get an entry.
+func makeFolder(path string) error {
+	if s, err := os.Stat(path); err == nil && s.IsDir() {
+		return nil
+	}
+	p := filepath.Dir(path)
+	if p != path {
+		if err := makeFolder(p); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, 0o700); err != nil {
+		return err
+	}
+	return syncDirectory(p)
+}
+
 // loadIdentity returns the disk identity in the folder. If there is none, it generates one and writes it.
 func loadIdentity(folder string) (string, error) {
 	p := filepath.Join(folder, identityFile)
