--- a/table/table.go
+++ b/table/table.go
@@ -64,19 +64,24 @@
 // Idempotent reports whether a request of the route may be sent again after it may have run.
 func (r Route) Idempotent() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
 
-// DrawService returns the service for a random number from 0 to 1, according to the weights.
+// DrawService returns the service for a random number from 0 to 1, according to the weights. One with the weight 0 is never returned.
 func (r Route) DrawService(draw float64) string {
 	var t float64
 	for _, s := range r.Shares {
 		t += s.Weight
 	}
+	var last string
 	for _, s := range r.Shares {
+		if s.Weight == 0 {
+			continue
+		}
+		last = s.Service
 		draw -= s.Weight / t
-		if draw < 0 && s.Weight > 0 {
-			return s.Service
+		if draw < 0 {
+			break
 		}
 	}
-	return r.Shares[len(r.Shares)-1].Service
+	return last // also if rounding, or a sum beyond the range of a float, leaves a rest
 }
 
 // Model is a model that the endpoints of a service serve.
@@ -134,6 +139,9 @@
 	keys     map[string]int
 }
 
+// place is what tells routes apart.
+type place struct{ host, prefix string }
+
 // New returns the table with its indexes. It returns a *ValidationError if the table is invalid.
 func New(t Table) (Table, error) {
 	t.hosts, t.services, t.keys = map[string][]int{}, map[string]int{}, map[string]int{}
@@ -144,11 +152,17 @@
 		t.services[s.Name] = i
 	}
 	t.Routes = slices.Clone(t.Routes)
+	known := map[place]string{}
 	for i, r := range t.Routes {
 		r = r.withShares()
 		if err := t.checkRoute(r); err != nil {
 			return t, err
 		}
+		w := place{r.Host, r.Prefix}
+		if o, ok := known[w]; ok {
+			return t, &ValidationError{Subject: "route " + r.Name, Problem: "has the host and prefix of " + o, Remedy: "remove one of the two"}
+		}
+		known[w] = r.Name
 		t.Routes[i] = r
 		t.hosts[r.Host] = append(t.hosts[r.Host], i)
 	}
@@ -171,7 +185,7 @@
 	return r
 }
 
-// checkRoute returns a *ValidationError if a route with its shares is invalid beside the routes before it.
+// checkRoute returns a *ValidationError if a route with its shares is invalid by itself.
 func (t Table) checkRoute(r Route) error {
 	w := "route " + r.Name
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
@@ -180,15 +194,7 @@
 	if r.Timeout <= 0 {
 		return &ValidationError{Subject: w, Problem: "has no timeout", Remedy: "give a timeout above 0"}
 	}
-	if err := t.checkServices(r); err != nil {
-		return err
-	}
-	for _, i := range t.hosts[r.Host] {
-		if t.Routes[i].Prefix == r.Prefix {
-			return &ValidationError{Subject: w, Problem: "has the host and prefix of " + t.Routes[i].Name, Remedy: "remove one of the two"}
-		}
-	}
-	return nil
+	return t.checkServices(r)
 }
 
 // checkServices returns a *ValidationError if a route names an unknown service, or its weights are invalid.
@@ -234,10 +240,10 @@
 	return t.Services[i], true
 }
 
-// Account returns the client account that owns a key.
+// Account returns the client account that owns a key. An empty key, as requests without one have, belongs to no account.
 func (t Table) Account(key string) (Account, bool) {
 	i, ok := t.keys[key]
-	if !ok {
+	if !ok || key == "" {
 		return Account{}, false
 	}
 	return t.Accounts[i], true
