A reset that a write reports is no longer the end of an answer

A server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: the kernel reports a reset once, to the read or to the write of the connection that comes first. If the write of the body got it, the read saw the same as at an end, which is how an answer without length or chunks ends.

Package dial now proves the end: it returns io.EOF only if no write has failed, and none that is in progress fails within 100 ms; if one still goes on then, the state of the connection has to be CLOSE_WAIT. Otherwise the read fails with an error that wraps ECONNRESET, so that everything that reads an answer (requests to endpoints, also through another host, connections between hosts, engines of package gate) takes the path of a broken answer: another attempt for requests that may be repeated and for resumable streams, 502 or a visible break for others.

An end of the server's half while the request isn't written stays an end: it comes behind all that the server wrote, and HTTP allows it. If a reset follows within 100 ms, the process is gone, and the answer counts as broken.

TestConnectionToLostMachineEnds asks for access to the socket instead of the type of the connection, the rest of it is unchanged.

--- a/dial/conn.go
+++ b/dial/conn.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: t, raw: r}, nil
+	return &conn{Conn: ProveEnd(t), raw: r}, nil
 }
 
 // SyscallConn returns access to the socket.
--- a/gate/dial_test.go
+++ b/gate/dial_test.go
@@ -25,7 +25,7 @@
 	c, err := gate.DialEndpoint(t.Context(), "tcp", l.Addr().String())
 	i.NoErr(err)
 	defer c.Close() //nolint:errcheck // the test is over
-	r, err := c.(*net.TCPConn).SyscallConn()
+	r, err := c.(syscall.Conn).SyscallConn()
 	i.NoErr(err)
 	option := func(level, n int) int {
 		v := 0
--- a/gate/engine.go
+++ b/gate/engine.go
@@ -45,11 +45,15 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // DialEndpoint opens a TCP connection to an endpoint. The connection fails once its other side has acknowledged nothing for
-// endpointUserTimeout.
+// endpointUserTimeout. The end of what the endpoint sends is told from a reset, as dial.ProveEnd says.
 func DialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
 	c, f := context.WithTimeout(ctx, endpointDialTimeout)
 	defer f()
-	return endpointDialer.DialContext(c, network, address)
+	n, err := endpointDialer.DialContext(c, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return dial.ProveEnd(n), nil
 }
 
 var endpointDialer = dial.NewDialer(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}, endpointUserTimeout)
