A status that is none is a broken answer at once

An endpoint in trouble answered with status 000. Every status under 200 was skipped as an interim one, so that the request waited for an answer until its timeout and got 504; statuses from 600 on were passed on to callers as answers. In package gate an engine's 000 or 099 made the handler panic, 101 was passed on, and 600 and 999 with the header of a refusal counted as not run.

Readers of a status that need no change: ratings and the demo accept 200 only; orders to endpoints compare with 204 and 429; the operators' client is connect's; control hosts talk net/rpc, and endpoints' heartbeats are requests to them; any bytes answer a probe.

--- a/gate/engine.go
+++ b/gate/engine.go
@@ -28,6 +28,8 @@
 	endpointUserTimeout = (1 + probeCount) * probeInterval
 	// stallTimeout is how long an endpoint may send no part of a stream before another one is asked beside it.
 	stallTimeout = 10 * time.Second
+	// maxStatus is the largest status code that HTTP has a meaning for.
+	maxStatus = 599
 	// headerPriority carries the request's priority to the endpoint.
 	headerPriority = "X-Priority"
 	// headerAttemptID carries the attempt's id, "REQUEST.N", with attempts numbered from 0.
@@ -143,11 +145,14 @@
 }
 
 // classifyStatus returns the result of a call by the status of its response. Status 429 and 503 mean a failed
-// attempt, other statuses from 500 a faulty endpoint. HeaderNotRun proves that the request was not started.
+// attempt, other statuses from 500 and those that no final answer may have a faulty endpoint. HeaderNotRun proves that the request was
+// not started.
 // All other statuses, including 3xx and 4xx, are answers that the caller gets.
 func classifyStatus(r *http.Response) attemptResult {
 	err := errors.New("the endpoint answered " + r.Status)
 	switch {
+	case r.StatusCode < http.StatusOK || r.StatusCode > maxStatus:
+		return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: err}
 	case r.Header.Get(HeaderNotRun) == "true":
 		return attemptResult{ending: core.EndedFailed, err: err}
 	case r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable:
--- a/gate/head_test.go
+++ b/gate/head_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickoryshelf/hickoryshelf/core"
+	"github.com/hickoryshelf/hickoryshelf/gate"
 	"github.com/hickoryshelf/hickoryshelf/model"
 )
 
@@ -124,3 +125,30 @@
 		})
 	}
 }
+
+// Guards against statuses that no answer may have: 101, which nobody asked for, and those that aren't HTTP's, which net/http can't write.
+// The engine keeps the connection open.
+func TestStatusThatIsNoneIsNotDelivered(t *testing.T) {
+	for _, n := range []string{"000", "099", "101", "600", "999"} {
+		for _, not := range []string{"", gate.HeaderNotRun + ": true\r\n"} {
+			for _, stream := range []bool{false, true} {
+				i := is.New(t)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				i.NoErr(err)
+				s := &headServer{listener: l, answer: []byte("HTTP/1.1 " + n + " Odd\r\n" + not + "Content-Length: 2\r\n\r\nno")}
+				go s.run()
+				g := newMemoryGate(&httptest.Server{Listener: l}, model.ClassTerms{})
+				x, f := context.WithTimeout(t.Context(), 2*time.Second)
+				w := httptest.NewRecorder()
+				g.ServeHTTP(w, chatRequest(x, stream))
+				i.NoErr(x.Err()) // it was known at once
+				i.True(w.Code >= http.StatusInternalServerError && w.Code < 600)
+				i.True(w.Body.String() != "no")
+				i.Equal(w.Header().Get(gate.HeaderOutcome), model.OutcomeUnknown.String())
+				f()
+				g.Close()
+				i.NoErr(l.Close())
+			}
+		}
+	}
+}
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -197,6 +197,10 @@
 		return lost(relay.Unknown, fmt.Errorf("read the reply from another host: %w", err))
 	}
 	r := h.reply()
+	if h.HasBody && !relay.IsFinalStatus(h.Status) {
+		x.discard() // hosts of earlier builds pass such answers on
+		return relay.Reply{Verdict: relay.Unknown, Confidence: -1, Cause: &relay.StatusError{Status: h.Status}}, relay.Hop{}
+	}
 	_ = x.memory.Resize(memory.HeaderBytes(r.Header)) // if that is more than was taken, less of it is counted
 	if !h.HasBody {
 		x.release()
--- a/proxy/ending_test.go
+++ b/proxy/ending_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +59,20 @@
 	_, _ = io.Copy(io.Discard, d.body) // how it ends doesn't matter
 	_ = d.body.Close()
 }
+
+// Guards against statuses that no answer may have, which hosts of earlier builds pass on.
+func TestStatusThatIsNoneIsNotTakenFromOtherHosts(t *testing.T) {
+	for _, n := range []int{0, 99, 101, 600, 999} {
+		for _, v := range []relay.Verdict{relay.Ran, relay.Failed, relay.NotRun} {
+			i := is.New(t)
+			h := startHelping(t, func(context.Context) relay.Reply {
+				return relay.Reply{Verdict: v, Status: n, Confidence: -1, Length: 2, Body: io.NopCloser(strings.NewReader("no"))}
+			})
+			r, p := client().Send(t.Context(), helper(h.address), attempt())
+			i.Equal(p.Result, relay.Delivered)
+			i.Equal(r.Verdict, relay.Unknown)
+			i.Equal(r.Status, 0)
+			i.True(r.Body == nil)
+		}
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -180,6 +181,19 @@
 	Unreachable bool
 }
 
+// IsFinalStatus reports whether a final answer may have an HTTP status code: one from 200 to 599.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// maxStatus is the largest status code that HTTP has a meaning for.
+const maxStatus = 599
+
+// StatusError means that an answer has a status code that no final answer may have. It tells nothing of the request.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the endpoint answered with status %03d, which no answer may have", e.Status)
+}
+
 // Sender sends requests to endpoints and translates between this package and the protocol of the endpoints.
 type Sender interface {
 	// Send sends one attempt and returns once the head of the answer was read or the attempt has failed. Cancelling
