--- a/gate/engine.go
+++ b/gate/engine.go
@@ -28,6 +28,8 @@
 	endpointUserTimeout = (1 + probeCount) * probeInterval
 	// stallTimeout is how long an endpoint may send no part of a stream before another one is asked beside it.
 	stallTimeout = 10 * time.Second
+	// maxStatus is the largest status code that HTTP has a meaning for.
+	maxStatus = 599
 	// headerPriority carries the request's priority to the endpoint.
 	headerPriority = "X-Priority"
 	// headerAttemptID carries the attempt's id, "REQUEST.N", with attempts numbered from 0.
@@ -45,11 +47,15 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // DialEndpoint opens a TCP connection to an endpoint. The connection fails once its other side has acknowledged nothing for
-// endpointUserTimeout.
+// endpointUserTimeout. The end of what the endpoint sends is told from a reset, as dial.ProveEnd says.
 func DialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
 	c, f := context.WithTimeout(ctx, endpointDialTimeout)
 	defer f()
-	return endpointDialer.DialContext(c, network, address)
+	n, err := endpointDialer.DialContext(c, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return dial.ProveEnd(n), nil
 }
 
 var endpointDialer = dial.NewDialer(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}, endpointUserTimeout)
@@ -139,11 +145,14 @@
 }
 
 // classifyStatus returns the result of a call by the status of its response. Status 429 and 503 mean a failed
-// attempt, other statuses from 500 a faulty endpoint. HeaderNotRun proves that the request was not started.
+// attempt, other statuses from 500 and those that no final answer may have a faulty endpoint. HeaderNotRun proves that the request was
+// not started.
 // All other statuses, including 3xx and 4xx, are answers that the caller gets.
 func classifyStatus(r *http.Response) attemptResult {
 	err := errors.New("the endpoint answered " + r.Status)
 	switch {
+	case r.StatusCode < http.StatusOK || r.StatusCode > maxStatus:
+		return attemptResult{ending: core.EndedFaulty, mayHaveStarted: true, err: err}
 	case r.Header.Get(HeaderNotRun) == "true":
 		return attemptResult{ending: core.EndedFailed, err: err}
 	case r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable:
