--- a/proxy/register.go
+++ b/proxy/register.go
@@ -28,9 +28,9 @@
 	if now.Sub(r.swept) < callRetention {
 		return
 	}
-	expired := func(_ string, until time.Time) bool { return now.After(until) }
-	maps.DeleteFunc(r.begun, expired)
-	maps.DeleteFunc(r.revoked, expired)
+	f := func(_ string, until time.Time) bool { return now.After(until) }
+	maps.DeleteFunc(r.begun, f)
+	maps.DeleteFunc(r.revoked, f)
 	r.swept = now
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -205,9 +205,9 @@
 		l.Info("relay: another host asks whether an earlier start of this one has begun its request, it gets no answer")
 		return errFrame
 	}
-	revoked := c.server.calls.revoke(v.ID, time.Now())
-	l.WithField("begun", !revoked).Info("relay: another host asks whether its request was begun")
-	if revoked {
+	ok := c.server.calls.revoke(v.ID, time.Now())
+	l.WithField("begun", !ok).Info("relay: another host asks whether its request was begun")
+	if ok {
 		return writeJSON(c.conn, declinedFrame, refusal{Reason: "revoked"})
 	}
 	return writeFrame(c.conn, begunFrame, nil)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -63,7 +63,7 @@
 	// replied is set once the outcome was taken from signals.
 	replied bool
 	// notRunBy is who states that the attempt has not run.
-	notRunBy witness
+	notRunBy verdictSource
 	// received holds the signals that were taken while the attempt was a successor.
 	received []signal
 	// patience fires at due, when a successor has to be dropped. It is nil for other attempts.
@@ -107,7 +107,7 @@
 
 // handleOutcome records the outcome of the attempt, passes a usable answer on, and returns how the request continues.
 func (u *upstreamAttempt) handleOutcome(o *outcome) nextStep {
-	u.notRunBy = u.witnessOf(o.reply, o.hop)
+	u.notRunBy = u.sourceOf(o.reply, o.hop)
 	if o.hop.Result != Delivered {
 		return u.handleHop(o.reply, o.hop)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -14,7 +14,7 @@
 	"github.com/hickoryshelf/hickoryshelf/pick"
 )
 
-//go:generate go tool stringer -type=Verdict,Reason,Liveness,HopResult,nextStep,side,witness -linecomment -output=enum_string.go
+//go:generate go tool stringer -type=Verdict,Reason,Liveness,HopResult,nextStep,side,verdictSource -linecomment -output=enum_string.go
 
 // Prompt describes the size of a request, as declared by the caller.
 type Prompt struct {
