--- a/itest/tunnel.go
+++ b/itest/tunnel.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/dial"
 )
 
 //go:generate go tool stringer -type=Cut -linecomment -output=enum_string.go
@@ -211,6 +213,7 @@
 			continue
 		}
 		f.tunnel.track(f.port, c)
+		s = dial.ProveEnd(s)
 		a, b := copier{f.tunnel, f.port, c, s}, copier{f.tunnel, f.port, s, c}
 		go a.run()
 		go b.run()
@@ -236,24 +239,34 @@
 
 func (c copier) run() {
 	b := make([]byte, copyBytes)
-	for {
-		n, err := c.from.Read(b)
+	var err error
+	for err == nil {
+		var n int
+		n, err = c.from.Read(b)
 		c.tunnel.awaitSound(c.port)
 		if _, e := c.to.Write(b[:n]); err == nil {
 			err = e
 		}
-		if err != nil {
-			break
-		}
 	}
 	c.tunnel.lock.Lock()
 	defer c.tunnel.lock.Unlock()
 	delete(c.port.open, c.from)
 	delete(c.port.open, c.to)
+	if !errors.Is(err, io.EOF) {
+		resetOnClose(c.from)
+		resetOnClose(c.to)
+	}
 	_ = c.from.Close() // either side has ended
 	_ = c.to.Close()
 }
 
+// resetOnClose makes closing a connection reset it, as its other side was. It does nothing for those that dial.ProveEnd returns.
+func resetOnClose(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // awaitSound waits while a port is silent.
 func (u *Tunnel) awaitSound(p *tunnelPort) {
 	u.lock.Lock()
