An answer that breaks off shows to callers of HTTP/1.0

Answers to callers of HTTP/1.0 have no chunks, so that one without a length ends with its connection. If such an answer broke off, the host closed the connection, and the caller got the part as a whole answer.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -120,3 +120,11 @@
 	}
 	return nil
 }
+
+// SetLinger sets what closing the connection does with bytes that the caller hasn't acknowledged; see net.TCPConn.SetLinger.
+func (c *gateConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
