Write the control log to a new file after a failed write

A host whose write had failed opened the same file again. After a failed sync that file may be read from memory in parts that the system no longer means to write, and a further sync has no error: entries that aren't on the disk counted as synced, and were acknowledged to the leader when it sent them again. With a loss of power and one other disk lost, what was acknowledged would be gone. No disk that loses such parts was played. TestLogIsWrittenAgainAfterFailedSync, in which a sync fails once, was red before.

--- a/ctrl/writer.go
+++ b/ctrl/writer.go
@@ -132,15 +132,15 @@
 	}
 }
 
-// openWritable opens the disk and writes its hard state again, to check that the disk accepts writes.
+// openWritable opens the disk and writes the control log to a new file: parts of the old one may be in memory only, and the disk has to accept
+// writes.
 func (w *writer) openWritable() (*store.Disk, error) {
 	d, _, err := store.OpenDisk(w.host.settings.DataFolder)
 	if err != nil {
 		return nil, err
 	}
 	w.host.logTorn(d.Torn())
-	h := d.QuorumState().Hard
-	if err := d.Persist(quorum.Persist{Hard: &h}); err != nil {
+	if err := d.Renew(); err != nil {
 		if e := d.Close(); e != nil {
 			w.host.log.WithError(e).Warn("control: can't close the data folder after a failed write")
 		}
--- a/store/disk.go
+++ b/store/disk.go
@@ -189,6 +189,12 @@
 	for _, r := range toRecords(p) {
 		d.state = d.state.withRecord(r)
 	}
+	return d.Renew()
+}
+
+// Renew writes what the control log holds to a new file, syncs it and puts it in the place of the log file. After a failed sync of the old
+// one, parts of that may be in memory only, which no later sync of it writes.
+func (d *Disk) Renew() error {
 	var w [][]byte
 	for _, r := range toRecords(quorum.Persist{Snapshot: &d.state.Snapshot, Hard: &d.state.Hard, Entries: d.state.Entries}) {
 		b, err := json.Marshal(r)
