Test that new data folders are created in any form and beside other hosts

A control host whose data folder doesn't exist yet ended at its start with 'file exists' if the settings write the folder with a slash at the end, or if another host created a directory above it at the same time: since directories are created one by one in place of by os.MkdirAll, which takes both.

--- a/store/folder_test.go
+++ b/store/folder_test.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -50,3 +51,34 @@
 	i.Equal(*l, []string{filepath.Join(d, "quorum.log"), filepath.Join(d, "quorum.log"), d})
 	i.NoErr(k.Close())
 }
+
+// Guards against a control host that doesn't start, since the settings write its new data folder in another usual form.
+func TestNewDataFolderMayBeWrittenInAnyForm(t *testing.T) {
+	for _, v := range []string{"a/b/", "a//b", "a/./b", "a/../b", "a/b/."} {
+		t.Run(v, func(t *testing.T) {
+			i := is.New(t)
+			k, _, err := store.OpenDisk(t.TempDir() + "/" + v)
+			i.NoErr(err)
+			i.NoErr(k.Close())
+		})
+	}
+}
+
+// Guards against control hosts that don't start, since several create the folder above their data folders at the same time.
+func TestNewDataFoldersMayBeCreatedAtTheSameTime(t *testing.T) {
+	for range 50 {
+		d := filepath.Join(t.TempDir(), "a", "b")
+		var w sync.WaitGroup
+		for _, n := range []string{"1", "2", "3", "4"} {
+			w.Go(func() {
+				k, _, err := store.OpenDisk(filepath.Join(d, n))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_ = k.Close() // an error while closing doesn't affect the test
+			})
+		}
+		w.Wait()
+	}
+}
