Create a new data folder in any form and beside other hosts

A control host with a new data folder ended at its start with 'file exists' where the settings end the folder with a slash, or another host created a directory above it at the same time.

A directory that exists after os.Mkdir has failed is taken, and the directory above it synced by this host as well: the one that created it may not have done so yet. The path is cut without cleaning it, as os.MkdirAll does, so that elements like '..' lead where they lead in the calls that open the files.

--- a/store/disk.go
+++ b/store/disk.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/hickoryshelf/hickoryshelf/quorum"
 )
@@ -65,23 +66,41 @@
 	return &Disk{Identity: i, quorumLog: q, ledgerLog: b, state: h}, s, nil
 }
 
-// makeFolder creates a folder and the ones above it where they are missing, and syncs the directories that get an entry.
+// makeFolder creates a folder and the ones above it where they are missing, and syncs the directories that get an entry. Other hosts may
+// create the same ones meanwhile.
 func makeFolder(path string) error {
-	if s, err := os.Stat(path); err == nil && s.IsDir() {
+	if isFolder(path) {
 		return nil
 	}
-	p := filepath.Dir(path)
+	p := folderAbove(path)
 	if p != path {
 		if err := makeFolder(p); err != nil {
 			return err
 		}
 	}
-	if err := os.Mkdir(path, 0o700); err != nil {
+	if err := os.Mkdir(path, 0o700); err != nil && !isFolder(path) {
 		return err
 	}
 	return syncDirectory(p)
 }
 
+func isFolder(path string) bool {
+	s, err := os.Stat(path)
+	return err == nil && s.IsDir()
+}
+
+// folderAbove returns a path without its last element. Unlike filepath.Dir it keeps elements like "..", which may follow a link.
+func folderAbove(path string) string {
+	p, _ := filepath.Split(strings.TrimRight(path, "/"))
+	switch t := strings.TrimRight(p, "/"); {
+	case t != "":
+		return t
+	case p != "":
+		return "/"
+	}
+	return "."
+}
+
 // loadIdentity returns the disk identity in the folder. If there is none, it generates one and writes it.
 func loadIdentity(folder string) (string, error) {
 	p := filepath.Join(folder, identityFile)
