Test that endpoints are kept that a partial fleet no longer names

One that was restarted with its disk remembers endpoints, and removes after three heartbeats what hasn't reported since (rememberedHeartbeats). It tells entry hosts that these are gone while it still says that its fleet is partial, and they drop them: 503 for all requests if it hears of no endpoint, as when it is cut off from the control hosts to which they report.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -21,6 +21,8 @@
 	replies *atomic.Int64
 	// partial is the number of replies for which the control host hasn't heard of all endpoints.
 	partial int64
+	// gone are the endpoints that it remembered at its start, and no longer names from its second reply on.
+	gone []string
 }
 
 func (c fleetControl) Exchange(q ctlrpc.ExchangeRequest, n *ctlrpc.ExchangeReply) error {
@@ -33,6 +35,10 @@
 	if q.Known.Control != c.name || q.Known.FleetRevision != n.FleetRevision {
 		n.FleetNew, n.Reports = true, c.fleet
 	}
+	if len(c.gone) > 0 && q.Known.Control == c.name {
+		n.FleetRevision++
+		n.FleetNew, n.Reports, n.Gone = false, nil, c.gone
+	}
 	c.replies.Add(1)
 	return nil
 }
@@ -58,6 +64,23 @@
 	i.Equal(r.Endpoints.ReadyCounts()["s"], 1)
 }
 
+// Guards against an entry host that forgets endpoints, and refuses requests, since a control host that was restarted remembers them and
+// hasn't heard of them since: they report to another one.
+func TestEndpointsThatPartialFleetNoLongerNamesAreKept(t *testing.T) {
+	i := is.New(t)
+	l := []fleet.Report{{ID: "e", Born: 5, Service: "s", Sequence: 1}}
+	a := fleetControl{name: "a", current: true, fleet: l, once: true, replies: &atomic.Int64{}}
+	b := fleetControl{name: "b", current: true, fleet: l, gone: []string{"e"}, replies: &atomic.Int64{}, partial: 100}
+	p := listenService(t, a, 0, 0)
+	e, r := newEntry(hostOptions{port: p, seeds: []string{slowAddress(0) + ":1", slowAddress(1) + ":1"}, decode: decodeVersion})
+	t.Cleanup(e.Stop)
+	awaitReplies(a, 1)
+	listenService(t, b, 1, p)
+	awaitReplies(b, 4)
+	i.True(b.replies.Load() >= 4)
+	i.Equal(r.Endpoints.ReadyCounts()["s"], 1)
+}
+
 // Guards against an endpoint that an entry host keeps for good, since it is gone and the control host that answers has never heard of it.
 func TestWholeFleetReplacesEndpointsOnceControlHostHasHeardOfAll(t *testing.T) {
 	for _, v := range []struct {
