Keep endpoints that a partial fleet no longer names

What callers would see: 503 for all requests at an entry host whose control host was restarted with its disk while it is cut off from the others: after three heartbeats it removes the endpoints that it remembers and hasn't heard of, though they report to another one.

While a control host says that its fleet is partial it can't know that an endpoint is gone: one that it has heard of can't have been silent for nine heartbeats yet. Entry hosts now only add to their endpoints then; the whole fleet, for which they ask later, removes what is gone.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -71,12 +71,15 @@
 func isPartial(r ctlrpc.ExchangeReply) bool { return r.FleetPartial || !r.Sure }
 
 // applyFleet takes over what a reply tells of endpoints. A whole fleet replaces the endpoints that this host knows. One that may be partial
-// only adds to them; once the control host has heard of all, it is asked for the whole.
+// only adds to them: what the control host has removed may report to another one. Once it has heard of all, it is asked for the whole.
 func (e *Entry) applyFleet(r ctlrpc.ExchangeReply) {
 	p := isPartial(r)
-	if r.FleetNew && !p {
+	switch {
+	case p:
+		e.Set.Merge(r.Reports, nil)
+	case r.FleetNew:
 		e.Set.Replace(r.Reports)
-	} else {
+	default:
 		e.Set.Merge(r.Reports, r.Gone)
 	}
 	e.Relay.Prefill.Adopt(r.Reads)
