Test that the fleet of a control host that was suspended counts as partial

One that was suspended for more than nine heartbeats removes all endpoints at its first tick, before it has read the reports that wait, and gives what is left for the whole fleet: entry hosts drop the rest and refuse requests until the reports have come. Found by reading; the model shows it, no play of processes was run.

--- a/ctrl/partial_test.go
+++ b/ctrl/partial_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickoryshelf/hickoryshelf/ctlrpc"
 	"github.com/hickoryshelf/hickoryshelf/ctrl"
+	"github.com/hickoryshelf/hickoryshelf/fleet"
 )
 
 // silentHeartbeats is the number of heartbeats after which an endpoint that sends nothing is removed at all control hosts.
@@ -27,3 +28,20 @@
 		i.Equal(ctrl.NewReplyBuilder().Build(s, ctlrpc.ExchangeRequest{}, v.age).FleetPartial, v.want)
 	}
 }
+
+// Guards against entry hosts that forget endpoints, since a control host that was suspended removes those whose reports wait in its sockets or
+// went to others meanwhile, and says that its fleet is whole.
+func TestFleetIsPartialAfterSuspension(t *testing.T) {
+	i := is.New(t)
+	c := newCluster(t, 3)
+	c.run(2 * time.Second)
+	c.reduce(address(0), ctrl.EndpointReported{Report: fleet.Report{ID: "e", Born: 5, Service: "s", Address: "10.0.1.1:1", DataCentre: "a", Sequence: 1}})
+	s := c.hosts[address(0)].state
+	k := ctlrpc.EntryState{Control: s.StartID, FleetRevision: s.Fleet.Revision}
+	n := s.Now + 2*silentHeartbeats*s.Heartbeat
+	s, _ = ctrl.Reduce(s, n, ctrl.Tick{})
+	r := ctrl.NewReplyBuilder().Build(s, ctlrpc.ExchangeRequest{Known: k}, n)
+	i.True(r.FleetPartial || len(r.Gone) == 0)
+	r = ctrl.NewReplyBuilder().Build(s, ctlrpc.ExchangeRequest{}, n) // to an entry host that another control host answered before
+	i.True(r.FleetPartial || len(r.Reports) > 0)
+}
