Test that reads after a reset see no end

dial.ProveEnd promises io.EOF only if the peer has ended its half. The kernel reports a reset to one read; the reads after it return io.EOF. A reader that skips an error, as net/textproto does between two header lines, would take that for the end. No answer was found that is taken for whole in this way: heads aren't complete then, and bodies end with the first error.

--- a/dial/end_test.go
+++ b/dial/end_test.go
@@ -123,3 +123,19 @@
 	i.Equal(string(b), "whole")
 	i.NoErr(s.Close())
 }
+
+// Guards against the end of a connection that is taken for the end of an answer by a reader that has skipped the error of the read before: the
+// kernel reports a reset once, and reads see the same as at an end then.
+func TestReadsAfterAResetSeeNoEnd(t *testing.T) {
+	i := is.New(t)
+	a, l := listen(t)
+	c := get(t, dial.NewPool(), a)
+	defer c.Close() //nolint:errcheck // the test ends
+	s := accepted(l, c).(*net.TCPConn)
+	i.NoErr(s.SetLinger(0))
+	i.NoErr(s.Close())
+	for range 3 {
+		_, err := c.Read(make([]byte, 1))
+		i.True(errors.Is(err, syscall.ECONNRESET))
+	}
+}
