Reads after a reset see no end

A connection on which a read has failed returns io.EOF no more, as after a write that has failed: its reset was told once.

--- a/dial/end.go
+++ b/dial/end.go
@@ -32,13 +32,13 @@
 	// writing is the number of calls of Write in progress. idle is closed once that is 0, and nil unless it is awaited.
 	writing int
 	idle    chan struct{}
-	// failed is set once a write has failed for another reason than its deadline.
+	// failed is set once a read or a write has failed for another reason than its deadline.
 	failed bool
 }
 
 // ProveEnd returns a connection whose reads return io.EOF only if the peer has ended its half, and an error that wraps
-// syscall.ECONNRESET if a write that has failed or is in progress may have taken the news of a reset. It returns c as it is if that gives no
-// access to its socket.
+// syscall.ECONNRESET if a read or a write that has failed, or a write in progress, may have taken the news of a reset. It returns c as it
+// is if that gives no access to its socket.
 func ProveEnd(c net.Conn) net.Conn {
 	s, ok := c.(syscall.Conn)
 	if !ok {
@@ -72,22 +72,34 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.writing--
-	c.failed = c.failed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	c.failed = c.failed || isFailure(err)
 	if c.writing == 0 && c.idle != nil {
 		close(c.idle)
 		c.idle = nil
 	}
 }
 
+// isFailure reports whether a read or a write has failed for another reason than its deadline, and may have taken the news of a reset.
+func isFailure(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
+
 // Read reads from the connection.
 func (c *endConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err == io.EOF && !c.hasEnded() {
+	switch {
+	case err == io.EOF && !c.hasEnded():
 		err = errUnprovedEnd
+	case err != io.EOF && isFailure(err):
+		c.setFailed()
 	}
 	return n, err
 }
 
+func (c *endConn) setFailed() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.failed = true
+}
+
 // hasEnded reports, once a read has returned io.EOF, whether the peer has ended its half of the connection. A write in progress has up to
 // resetWait to fail; if it goes on then, the state of the connection decides.
 func (c *endConn) hasEnded() bool {
