Remove no endpoints as silent right after a control host was held up

What callers would see: a control host that was suspended for more than nine heartbeats removes all endpoints at its first tick, before it reads the reports that wait, and tells entry hosts that they are gone: 503 until the reports have come.

Cause: silence is counted over a time in which nothing could be heard.

Change: after a gap of more than a heartbeat between two ticks nothing is removed for two heartbeats, in which each endpoint that runs reports. Weighed: calling the fleet partial after each gap, which would make entry hosts of a control host short of processor time ask for the whole fleet again and again.

--- a/ctrl/partial_test.go
+++ b/ctrl/partial_test.go
@@ -45,3 +45,18 @@
 	r = ctrl.NewReplyBuilder().Build(s, ctlrpc.ExchangeRequest{}, n) // to an entry host that another control host answered before
 	i.True(r.FleetPartial || len(r.Reports) > 0)
 }
+
+// Guards against endpoints that a control host which was suspended never removes, though they have sent nothing since it went on.
+func TestSilentEndpointIsRemovedAfterSuspension(t *testing.T) {
+	i := is.New(t)
+	c := newCluster(t, 3)
+	c.run(2 * time.Second)
+	c.reduce(address(0), ctrl.EndpointReported{Report: fleet.Report{ID: "e", Born: 5, Service: "s", Address: "10.0.1.1:1", DataCentre: "a", Sequence: 1}})
+	s := c.hosts[address(0)].state
+	n := s.Now + 2*silentHeartbeats*s.Heartbeat
+	w := 2 * s.Heartbeat // each endpoint that runs reports in that time
+	for at := n; at <= n+w; at += s.Heartbeat / 10 {
+		s, _ = ctrl.Reduce(s, at, ctrl.Tick{})
+		i.Equal(len(s.Fleet.Reports()) == 0, at == n+w)
+	}
+}
--- a/ctrl/reduce.go
+++ b/ctrl/reduce.go
@@ -25,7 +25,7 @@
 		t.judgePoison()
 		t.runLeaderTasks()
 		t.sweepSpeeds()
-		t.Fleet = t.Fleet.WithoutSilent(now - maxMissedHeartbeats*t.Heartbeat)
+		t.removeSilent()
 	case MessagesReceived:
 		for _, m := range v.Messages {
 			t.receiveMessage(m)
@@ -55,6 +55,18 @@
 	return t.State, t.effects
 }
 
+// removeSilent removes the endpoints that have missed too many heartbeats. A host that was held up for longer than a heartbeat has heard
+// nothing meanwhile: for resumeHeartbeats it only takes reports, those that wait in its sockets and at other hosts among them.
+func (t *transition) removeSilent() {
+	if t.Now-t.tickedAt > t.Heartbeat {
+		t.heldUpAt = t.Now
+	}
+	t.tickedAt = t.Now
+	if t.heldUpAt == 0 || t.Now-t.heldUpAt >= resumeHeartbeats*t.Heartbeat {
+		t.Fleet = t.Fleet.WithoutSilent(t.Now - maxMissedHeartbeats*t.Heartbeat)
+	}
+}
+
 // transition is the state that Reduce changes for one event, with the effects collected so far.
 type transition struct {
 	State
--- a/ctrl/state.go
+++ b/ctrl/state.go
@@ -30,6 +30,8 @@
 	hostExpiry = time.Minute
 	// maxMissedHeartbeats is the number of heartbeats that an endpoint may miss before it is removed from the fleet.
 	maxMissedHeartbeats = 9
+	// resumeHeartbeats is the number of heartbeats for which none is removed once this host was held up: each that runs reports in that time.
+	resumeHeartbeats = 2
 	// overdueHeartbeats is the number of heartbeats that an endpoint may miss before entry hosts are asked whether they hear
 	// it, and maxOverdue bounds the endpoints that are asked about at once.
 	overdueHeartbeats = 3
@@ -143,8 +145,10 @@
 	// coldRevision is the revision of the fleet at which an endpoint last became cold.
 	coldRevision uint64
 
-	entryHosts    *immutable.Map[string, entryHost]
-	rolloutStarts map[string]rolloutStart
+	entryHosts *immutable.Map[string, entryHost]
+	// tickedAt is the time of the last tick. heldUpAt is when this host last went on after it was held up, or 0.
+	tickedAt, heldUpAt time.Duration
+	rolloutStarts      map[string]rolloutStart
 	// drainsLearned records when this host learned of the last change of each data centre.
 	drainsLearned map[string]drainLearned
 	// assessments holds the newest assessment of each running rollout by serial. nextAssessment is when they are due again.
