--- /dev/null
+++ b/review/overlap/platform/main.go
@@ -0,0 +1,459 @@
+// Command platform plays review case 11: an entry host without a path to endpoints sends a stream through another one, gets its path back,
+// and is cut off from the other entry hosts for a while then.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	peerPort, listenPort, adminPort, callerPort, readyPort, metricsPort = 7801, 7802, 7803, 7804, 7805, 7806
+	// cutTime is how long the link is cut; the bench cuts machines for up to 7 s.
+	cutTime = 4 * time.Second
+	// eventPause is the time between two events of a long stream, and eventCount their number.
+	eventPause = 150 * time.Millisecond
+	eventCount = 100
+	// pathEvent is the event after which the first entry host has its path to endpoints again, and cutEvent that after which it is cut off.
+	pathEvent = 4
+	cutEvent  = 30
+	// serverPort is the port of the first endpoint.
+	serverPort = 9001
+	// overlapLimit is the bound of the rule.
+	overlapLimit = 400 * time.Millisecond
+	heartbeat    = 1200 * time.Millisecond
+)
+
+// recorder writes what happened to a file.
+type recorder struct {
+	lock  sync.Mutex
+	file  io.Writer
+	begun time.Time
+}
+
+func (r *recorder) logf(format string, a ...any) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, a...))
+}
+
+// server is a stand-in for an endpoint.
+type server struct {
+	id, address string
+	record      *recorder
+	lock        sync.Mutex
+	runs        []*run
+}
+
+// run is one run of a long request.
+type run struct {
+	server, request    string
+	first, last, ended time.Time
+	count              int
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Instance-Id", s.id)
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if r.Header.Get("X-Expect-Instance") != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Server-Signature", "sig-"+s.id)
+	n, pause := eventCount, eventPause
+	if strings.HasSuffix(r.URL.Path, "/short") {
+		n, pause = 2, 5*time.Millisecond
+	}
+	b, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	v := &run{server: s.id, request: id}
+	if n == eventCount {
+		s.lock.Lock()
+		s.runs = append(s.runs, v)
+		s.lock.Unlock()
+		s.record.logf("server %s runs request %s after event %d", s.id, id, b)
+	}
+	for k := b + 1; k <= n; k++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", k, k); err != nil {
+			break
+		}
+		_ = http.NewResponseController(w).Flush()
+		s.note(v)
+		select {
+		case <-time.After(pause):
+			continue
+		case <-r.Context().Done():
+		}
+		break
+	}
+	s.lock.Lock()
+	v.ended = time.Now()
+	s.lock.Unlock()
+	if n == eventCount {
+		s.record.logf("server %s ends its run of %s after %d events, cut: %v", s.id, id, v.count, r.Context().Err() != nil)
+	}
+}
+
+func (s *server) note(v *run) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	v.last = time.Now()
+	if v.count++; v.count == 1 {
+		v.first = v.last
+	}
+}
+
+// report sends heartbeats to a control host until the context ends.
+func (s *server) report(ctx context.Context, control string) {
+	for n := 1; ctx.Err() == nil; n++ {
+		b, _ := json.Marshal(map[string]any{"service": "drafting", "addr": s.address, "zone": "z1", "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0, "seq": n})
+		if a, err := http.Post("http://"+control+"/instances/"+s.id+"/heartbeat", "application/json", bytes.NewReader(b)); err == nil {
+			_ = a.Body.Close()
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// link forwards connections and can be cut.
+type link struct {
+	name string
+	cut  atomic.Bool
+}
+
+func (l *link) serve(listen, target string) error {
+	n, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			c, err := n.Accept()
+			if err != nil {
+				return
+			}
+			go l.forward(c, target)
+		}
+	}()
+	return nil
+}
+
+func (l *link) forward(c net.Conn, target string) {
+	l.wait()
+	t, err := net.Dial("tcp", target)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	go l.pipe(t, c)
+	l.pipe(c, t)
+}
+
+// wait waits while the link is cut.
+func (l *link) wait() {
+	for l.cut.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// pipe copies until the end, which it passes on too once the link isn't cut.
+func (l *link) pipe(to, from net.Conn) {
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		l.wait()
+		if n > 0 {
+			if _, e := to.Write(b[:n]); e != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// deployment is three control hosts and three entry hosts.
+type deployment struct {
+	folder, subnet, binary string
+	commands               []*exec.Cmd
+}
+
+func (d *deployment) ip(n int) string { return fmt.Sprintf("%s.%d", d.subnet, n) }
+
+func (d *deployment) start(name string, n int, more map[string]any) error {
+	ip := d.ip(n)
+	seeds := []string{}
+	for k := 1; k <= 3; k++ {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", d.ip(k), adminPort))
+	}
+	v := map[string]any{
+		"part": "entry", "name": name, "data-centre": fmt.Sprintf("z%d", 1+(n-1)%3), "ip": ip, "peer-port": peerPort, "metrics-port": metricsPort,
+		"caller-address": fmt.Sprintf("%s:%d", ip, callerPort), "ready-address": fmt.Sprintf("%s:%d", ip, readyPort), "admin-address": fmt.Sprintf("%s:%d", ip, adminPort),
+		"seeds": seeds, "found": true, "data-folder": filepath.Join(d.folder, name), "memory-mb": 284, "descriptors": 4100,
+		"bounds": map[string]any{
+			"grace": "8s", "drain": "2000ms", "heartbeat": "1200ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58,
+			"exposure-share": 0.15, "exposure-extra": 30, "configuration-apply": "2000ms",
+		},
+	}
+	for k, x := range more {
+		v[k] = x
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	f := filepath.Join(d.folder, name+".json")
+	if err := os.WriteFile(f, b, 0o600); err != nil {
+		return err
+	}
+	l, err := os.Create(filepath.Join(d.folder, name+".log"))
+	if err != nil {
+		return err
+	}
+	c := exec.Command(d.binary, "serve", "--settings", f)
+	c.Stdout, c.Stderr = l, l
+	d.commands = append(d.commands, c)
+	return c.Start()
+}
+
+// openPath gives the first entry host its path to endpoints.
+func (d *deployment) openPath() error {
+	for k := range 2 {
+		l := &link{}
+		if err := l.serve(fmt.Sprintf("%s:%d", d.ip(99), serverPort+k), fmt.Sprintf("%s:%d", d.ip(201+k), serverPort+k)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) stop() {
+	for _, c := range d.commands {
+		if c.Process != nil {
+			_ = c.Process.Kill()
+			_ = c.Wait()
+		}
+	}
+}
+
+func (d *deployment) caller(n int) string { return fmt.Sprintf("http://%s:%d", d.ip(n), callerPort) }
+
+// send sends a request and returns the answer.
+func send(ctx context.Context, base, path, id string) (*http.Response, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, base+path, strings.NewReader("prompt"))
+	if err != nil {
+		return nil, err
+	}
+	q.Host = "drafts.example"
+	q.Header.Set("X-Request-Id", id)
+	q.Header.Set("X-Deadline-Ms", "20000")
+	return http.DefaultClient.Do(q)
+}
+
+const configuration = `{"version":1,"routes":[{"name":"r","host":"drafts.example","path-prefix":"/d/","type":"stream","timeout-ms":25000,"slo-ms":3000,
+"priority":0,"service":"drafting","attempts":3,"public":true,"sticky":false,"resumable":true,"itl-target-ms":1000}],
+"services":[{"name":"drafting","health-path":"/healthz","max-conns":370,"protocol":"h1","tls":false}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}`
+
+// prepare starts everything and waits until all entry hosts serve.
+func prepare(ctx context.Context, d *deployment, r *recorder, trouble bool) ([]*server, []*link, error) {
+	for k := 1; k <= 3; k++ {
+		if err := d.start(fmt.Sprintf("control%d", k), k, map[string]any{"part": "control"}); err != nil {
+			return nil, nil, err
+		}
+	}
+	// Until openPath nothing listens at this tunnel: the first entry host has no path to endpoints, its connections are refused.
+	if err := d.start("entry1", 11, map[string]any{"endpoint-tunnel": d.ip(99)}); err != nil {
+		return nil, nil, err
+	}
+	if !trouble {
+		if err := d.openPath(); err != nil {
+			return nil, nil, err
+		}
+	}
+	var links []*link
+	for k := 2; k <= 3; k++ {
+		l := &link{name: fmt.Sprintf("entry%d", k)}
+		if err := l.serve(fmt.Sprintf("%s:%d", d.ip(10+k), peerPort), fmt.Sprintf("%s:%d", d.ip(10+k), listenPort)); err != nil {
+			return nil, nil, err
+		}
+		links = append(links, l)
+		if err := d.start(l.name, 10+k, map[string]any{"peer-listen-port": listenPort}); err != nil {
+			return nil, nil, err
+		}
+	}
+	var servers []*server
+	for k := 1; k <= 2; k++ {
+		s := &server{id: fmt.Sprintf("i-%d", k), address: fmt.Sprintf("%s:%d", d.ip(200+k), serverPort+k-1), record: r}
+		n, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return nil, nil, err
+		}
+		h := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+		go func() { _ = h.Serve(n) }()
+		go s.report(ctx, fmt.Sprintf("%s:%d", d.ip(k), adminPort))
+		servers = append(servers, s)
+	}
+	for k := 0; ; k++ {
+		a, err := http.Post(fmt.Sprintf("http://%s:%d/config/put", d.ip(1), adminPort), "application/json", strings.NewReader(configuration))
+		if err == nil {
+			_ = a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if k > 100 {
+			return nil, nil, fmt.Errorf("the configuration isn't taken: %w", err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	// Other callers use the other entry hosts all the time.
+	for k := 12; k <= 13; k++ {
+		go func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				if a, err := send(ctx, d.caller(k), "/d/short", fmt.Sprintf("w%d-%d", k, n)); err == nil {
+					_, _ = io.Copy(io.Discard, a.Body)
+					_ = a.Body.Close()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
+	for k := 0; k < 150; k++ {
+		a, err := send(ctx, d.caller(11), "/d/short", fmt.Sprintf("p%d", k))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				return servers, links, nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil, nil, fmt.Errorf("the first entry host doesn't serve through another one")
+}
+
+// play sends the long request through the first entry host, and cuts the link on which its events come. It returns 0 to 2, see main.
+func play(ctx context.Context, d *deployment, r *recorder, trouble bool) int {
+	servers, links, err := prepare(ctx, d, r, trouble)
+	if err != nil {
+		r.logf("can't run: %v", err)
+		return 2
+	}
+	time.Sleep(time.Second)
+	a, err := send(ctx, d.caller(11), "/d/long", "long-1")
+	if err != nil || a.StatusCode != http.StatusOK {
+		r.logf("can't run: the long request isn't served")
+		return 2
+	}
+	r.logf("the caller gets the head of long-1 from entry1, by %s", a.Header.Get("X-Server-Signature"))
+	events, last := 0, time.Now()
+	s := bufio.NewScanner(a.Body)
+	for s.Scan() {
+		if !strings.HasPrefix(s.Text(), "id: ") {
+			continue
+		}
+		if g := time.Since(last); g > time.Second {
+			r.logf("the caller gets event %s after a pause of %.1f s", s.Text()[4:], g.Seconds())
+		}
+		last = time.Now()
+		events++
+		switch {
+		case !trouble:
+		case events == pathEvent:
+			if err := d.openPath(); err != nil {
+				r.logf("can't run: %v", err)
+				return 2
+			}
+			r.logf("entry1 has a path to all servers again")
+		case events == cutEvent:
+			go cutAll(links, r)
+		}
+	}
+	r.logf("the caller's answer ends after %d events: %v", events, s.Err())
+	time.Sleep(time.Second)
+	return judge(servers, r)
+}
+
+// cutAll cuts the first entry host off from the others.
+func cutAll(links []*link, r *recorder) {
+	for _, l := range links {
+		l.cut.Store(true)
+	}
+	r.logf("entry1 is cut off from the other entry hosts")
+	time.Sleep(cutTime)
+	for _, l := range links {
+		l.cut.Store(false)
+	}
+	r.logf("entry1 reaches the other entry hosts again")
+}
+
+// judge looks for two runs at work at the same time.
+func judge(servers []*server, r *recorder) int {
+	var l []*run
+	for _, s := range servers {
+		s.lock.Lock()
+		l = append(l, s.runs...)
+		s.lock.Unlock()
+	}
+	for _, a := range l {
+		for _, b := range l {
+			if a == b || a.server == b.server || b.count == 0 || !a.first.Before(b.first) {
+				continue
+			}
+			o := a.last.Sub(b.first)
+			r.logf("%s goes on at %s; %s still works on it %.0f ms later", a.request, b.server, a.server, float64(o.Milliseconds()))
+			if o > overlapLimit {
+				r.logf("TWICE is broken")
+				return 1
+			}
+		}
+	}
+	r.logf("TWICE held")
+	return 0
+}
+
+// main exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+func main() {
+	f, err := os.Create(os.Args[2])
+	if err != nil {
+		os.Exit(2)
+	}
+	r := &recorder{file: f, begun: time.Now()}
+	t, err := os.MkdirTemp("", "review")
+	if err != nil {
+		os.Exit(2)
+	}
+	d := &deployment{folder: t, subnet: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250), binary: os.Args[1]}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
+	c := play(ctx, d, r, os.Getenv("TROUBLE") != "0")
+	cancel()
+	d.stop()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(t)
+	} else {
+		r.logf("logs are in %s", t)
+	}
+	os.Exit(c)
+}
