--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/review-overlap ./review/overlap/platform
+go build -ldflags=-linkmode=external -o target/review-disks ./review/disks/platform
--- a/review/overlap/platform/main.go
+++ b/review/overlap/platform/main.go
@@ -1,4 +1,4 @@
-// Command platform plays review case 11: an entry host without a path to endpoints sends a stream through another one, gets its path back,
+// Command platform plays a review case: an entry host without a path to endpoints sends a stream through another one, gets its path back,
 // and is cut off from the other entry hosts for a while then.
 package main
 
@@ -12,17 +12,16 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hickoryshelf/hickoryshelf/review/cluster"
 )
 
 const (
-	peerPort, listenPort, adminPort, callerPort, readyPort, metricsPort = 7801, 7802, 7803, 7804, 7805, 7806
 	// cutTime is how long the link is cut; the bench cuts machines for up to 7 s.
 	cutTime = 4 * time.Second
 	// eventPause is the time between two events of a long stream, and eventCount their number.
@@ -38,23 +37,10 @@
 	heartbeat    = 1200 * time.Millisecond
 )
 
-// recorder writes what happened to a file.
-type recorder struct {
-	lock  sync.Mutex
-	file  io.Writer
-	begun time.Time
-}
-
-func (r *recorder) logf(format string, a ...any) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	_, _ = fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, a...))
-}
-
 // server is a stand-in for an endpoint.
 type server struct {
 	id, address string
-	record      *recorder
+	record      *cluster.Recorder
 	lock        sync.Mutex
 	runs        []*run
 }
@@ -90,7 +76,7 @@
 		s.lock.Lock()
 		s.runs = append(s.runs, v)
 		s.lock.Unlock()
-		s.record.logf("server %s runs request %s after event %d", s.id, id, b)
+		s.record.Logf("server %s runs request %s after event %d", s.id, id, b)
 	}
 	for k := b + 1; k <= n; k++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", k, k); err != nil {
@@ -109,7 +95,7 @@
 	v.ended = time.Now()
 	s.lock.Unlock()
 	if n == eventCount {
-		s.record.logf("server %s ends its run of %s after %d events, cut: %v", s.id, id, v.count, r.Context().Err() != nil)
+		s.record.Logf("server %s ends its run of %s after %d events, cut: %v", s.id, id, v.count, r.Context().Err() != nil)
 	}
 }
 
@@ -193,71 +179,19 @@
 	}
 }
 
-// deployment is three control hosts and three entry hosts.
-type deployment struct {
-	folder, subnet, binary string
-	commands               []*exec.Cmd
-}
-
-func (d *deployment) ip(n int) string { return fmt.Sprintf("%s.%d", d.subnet, n) }
-
-func (d *deployment) start(name string, n int, more map[string]any) error {
-	ip := d.ip(n)
-	seeds := []string{}
-	for k := 1; k <= 3; k++ {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", d.ip(k), adminPort))
-	}
-	v := map[string]any{
-		"part": "entry", "name": name, "data-centre": fmt.Sprintf("z%d", 1+(n-1)%3), "ip": ip, "peer-port": peerPort, "metrics-port": metricsPort,
-		"caller-address": fmt.Sprintf("%s:%d", ip, callerPort), "ready-address": fmt.Sprintf("%s:%d", ip, readyPort), "admin-address": fmt.Sprintf("%s:%d", ip, adminPort),
-		"seeds": seeds, "found": true, "data-folder": filepath.Join(d.folder, name), "memory-mb": 284, "descriptors": 4100,
-		"bounds": map[string]any{
-			"grace": "8s", "drain": "2000ms", "heartbeat": "1200ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58,
-			"exposure-share": 0.15, "exposure-extra": 30, "configuration-apply": "2000ms",
-		},
-	}
-	for k, x := range more {
-		v[k] = x
-	}
-	b, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	f := filepath.Join(d.folder, name+".json")
-	if err := os.WriteFile(f, b, 0o600); err != nil {
-		return err
-	}
-	l, err := os.Create(filepath.Join(d.folder, name+".log"))
-	if err != nil {
-		return err
-	}
-	c := exec.Command(d.binary, "serve", "--settings", f)
-	c.Stdout, c.Stderr = l, l
-	d.commands = append(d.commands, c)
-	return c.Start()
-}
-
 // openPath gives the first entry host its path to endpoints.
-func (d *deployment) openPath() error {
+func openPath(d *cluster.Cluster) error {
 	for k := range 2 {
 		l := &link{}
-		if err := l.serve(fmt.Sprintf("%s:%d", d.ip(99), serverPort+k), fmt.Sprintf("%s:%d", d.ip(201+k), serverPort+k)); err != nil {
+		if err := l.serve(d.Address(99, serverPort+k), d.Address(201+k, serverPort+k)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d *deployment) stop() {
-	for _, c := range d.commands {
-		if c.Process != nil {
-			_ = c.Process.Kill()
-			_ = c.Wait()
-		}
-	}
-}
-
-func (d *deployment) caller(n int) string { return fmt.Sprintf("http://%s:%d", d.ip(n), callerPort) }
+// caller returns the base URL of an entry host.
+func caller(c *cluster.Cluster, n int) string { return "http://" + c.Address(n, cluster.CallerPort) }
 
 // send sends a request and returns the answer.
 func send(ctx context.Context, base, path, id string) (*http.Response, error) {
@@ -277,46 +211,46 @@
 "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}`
 
 // prepare starts everything and waits until all entry hosts serve.
-func prepare(ctx context.Context, d *deployment, r *recorder, trouble bool) ([]*server, []*link, error) {
+func prepare(ctx context.Context, d *cluster.Cluster, r *cluster.Recorder, trouble bool) ([]*server, []*link, error) {
 	for k := 1; k <= 3; k++ {
-		if err := d.start(fmt.Sprintf("control%d", k), k, map[string]any{"part": "control"}); err != nil {
+		if err := d.Start(fmt.Sprintf("control%d", k), k, map[string]any{"part": "control"}); err != nil {
 			return nil, nil, err
 		}
 	}
 	// Until openPath nothing listens at this tunnel: the first entry host has no path to endpoints, its connections are refused.
-	if err := d.start("entry1", 11, map[string]any{"endpoint-tunnel": d.ip(99)}); err != nil {
+	if err := d.Start("entry1", 11, map[string]any{"endpoint-tunnel": d.IP(99)}); err != nil {
 		return nil, nil, err
 	}
 	if !trouble {
-		if err := d.openPath(); err != nil {
+		if err := openPath(d); err != nil {
 			return nil, nil, err
 		}
 	}
 	var links []*link
 	for k := 2; k <= 3; k++ {
 		l := &link{name: fmt.Sprintf("entry%d", k)}
-		if err := l.serve(fmt.Sprintf("%s:%d", d.ip(10+k), peerPort), fmt.Sprintf("%s:%d", d.ip(10+k), listenPort)); err != nil {
+		if err := l.serve(d.Address(10+k, cluster.PeerPort), d.Address(10+k, cluster.ListenPort)); err != nil {
 			return nil, nil, err
 		}
 		links = append(links, l)
-		if err := d.start(l.name, 10+k, map[string]any{"peer-listen-port": listenPort}); err != nil {
+		if err := d.Start(l.name, 10+k, map[string]any{"peer-listen-port": cluster.ListenPort}); err != nil {
 			return nil, nil, err
 		}
 	}
 	var servers []*server
 	for k := 1; k <= 2; k++ {
-		s := &server{id: fmt.Sprintf("i-%d", k), address: fmt.Sprintf("%s:%d", d.ip(200+k), serverPort+k-1), record: r}
+		s := &server{id: fmt.Sprintf("i-%d", k), address: d.Address(200+k, serverPort+k-1), record: r}
 		n, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return nil, nil, err
 		}
 		h := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 		go func() { _ = h.Serve(n) }()
-		go s.report(ctx, fmt.Sprintf("%s:%d", d.ip(k), adminPort))
+		go s.report(ctx, d.Address(k, cluster.AdminPort))
 		servers = append(servers, s)
 	}
 	for k := 0; ; k++ {
-		a, err := http.Post(fmt.Sprintf("http://%s:%d/config/put", d.ip(1), adminPort), "application/json", strings.NewReader(configuration))
+		a, err := http.Post("http://"+d.Address(1, cluster.AdminPort)+"/config/put", "application/json", strings.NewReader(configuration))
 		if err == nil {
 			_ = a.Body.Close()
 			if a.StatusCode == http.StatusOK {
@@ -332,7 +266,7 @@
 	for k := 12; k <= 13; k++ {
 		go func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				if a, err := send(ctx, d.caller(k), "/d/short", fmt.Sprintf("w%d-%d", k, n)); err == nil {
+				if a, err := send(ctx, caller(d, k), "/d/short", fmt.Sprintf("w%d-%d", k, n)); err == nil {
 					_, _ = io.Copy(io.Discard, a.Body)
 					_ = a.Body.Close()
 				}
@@ -341,7 +275,7 @@
 		}()
 	}
 	for k := 0; k < 150; k++ {
-		a, err := send(ctx, d.caller(11), "/d/short", fmt.Sprintf("p%d", k))
+		a, err := send(ctx, caller(d, 11), "/d/short", fmt.Sprintf("p%d", k))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, a.Body)
 			_ = a.Body.Close()
@@ -355,19 +289,19 @@
 }
 
 // play sends the long request through the first entry host, and cuts the link on which its events come. It returns 0 to 2, see main.
-func play(ctx context.Context, d *deployment, r *recorder, trouble bool) int {
+func play(ctx context.Context, d *cluster.Cluster, r *cluster.Recorder, trouble bool) int {
 	servers, links, err := prepare(ctx, d, r, trouble)
 	if err != nil {
-		r.logf("can't run: %v", err)
+		r.Logf("can't run: %v", err)
 		return 2
 	}
 	time.Sleep(time.Second)
-	a, err := send(ctx, d.caller(11), "/d/long", "long-1")
+	a, err := send(ctx, caller(d, 11), "/d/long", "long-1")
 	if err != nil || a.StatusCode != http.StatusOK {
-		r.logf("can't run: the long request isn't served")
+		r.Logf("can't run: the long request isn't served")
 		return 2
 	}
-	r.logf("the caller gets the head of long-1 from entry1, by %s", a.Header.Get("X-Server-Signature"))
+	r.Logf("the caller gets the head of long-1 from entry1, by %s", a.Header.Get("X-Server-Signature"))
 	events, last := 0, time.Now()
 	s := bufio.NewScanner(a.Body)
 	for s.Scan() {
@@ -375,42 +309,42 @@
 			continue
 		}
 		if g := time.Since(last); g > time.Second {
-			r.logf("the caller gets event %s after a pause of %.1f s", s.Text()[4:], g.Seconds())
+			r.Logf("the caller gets event %s after a pause of %.1f s", s.Text()[4:], g.Seconds())
 		}
 		last = time.Now()
 		events++
 		switch {
 		case !trouble:
 		case events == pathEvent:
-			if err := d.openPath(); err != nil {
-				r.logf("can't run: %v", err)
+			if err := openPath(d); err != nil {
+				r.Logf("can't run: %v", err)
 				return 2
 			}
-			r.logf("entry1 has a path to all servers again")
+			r.Logf("entry1 has a path to all servers again")
 		case events == cutEvent:
 			go cutAll(links, r)
 		}
 	}
-	r.logf("the caller's answer ends after %d events: %v", events, s.Err())
+	r.Logf("the caller's answer ends after %d events: %v", events, s.Err())
 	time.Sleep(time.Second)
 	return judge(servers, r)
 }
 
 // cutAll cuts the first entry host off from the others.
-func cutAll(links []*link, r *recorder) {
+func cutAll(links []*link, r *cluster.Recorder) {
 	for _, l := range links {
 		l.cut.Store(true)
 	}
-	r.logf("entry1 is cut off from the other entry hosts")
+	r.Logf("entry1 is cut off from the other entry hosts")
 	time.Sleep(cutTime)
 	for _, l := range links {
 		l.cut.Store(false)
 	}
-	r.logf("entry1 reaches the other entry hosts again")
+	r.Logf("entry1 reaches the other entry hosts again")
 }
 
 // judge looks for two runs at work at the same time.
-func judge(servers []*server, r *recorder) int {
+func judge(servers []*server, r *cluster.Recorder) int {
 	var l []*run
 	for _, s := range servers {
 		s.lock.Lock()
@@ -423,37 +357,33 @@
 				continue
 			}
 			o := a.last.Sub(b.first)
-			r.logf("%s goes on at %s; %s still works on it %.0f ms later", a.request, b.server, a.server, float64(o.Milliseconds()))
+			r.Logf("%s goes on at %s; %s still works on it %.0f ms later", a.request, b.server, a.server, float64(o.Milliseconds()))
 			if o > overlapLimit {
-				r.logf("TWICE is broken")
+				r.Logf("TWICE is broken")
 				return 1
 			}
 		}
 	}
-	r.logf("TWICE held")
+	r.Logf("TWICE held")
 	return 0
 }
 
 // main exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 func main() {
-	f, err := os.Create(os.Args[2])
+	r, err := cluster.NewRecorder(os.Args[2])
 	if err != nil {
 		os.Exit(2)
 	}
-	r := &recorder{file: f, begun: time.Now()}
-	t, err := os.MkdirTemp("", "review")
+	d, err := cluster.New(os.Args[1], map[string]any{
+		"grace": "8s", "drain": "2000ms", "heartbeat": "1200ms", "session-gap": "5s", "retry-ratio": 0.9, "retry-window": "10s", "retry-slack": 58,
+		"exposure-share": 0.15, "exposure-extra": 30, "configuration-apply": "2000ms",
+	})
 	if err != nil {
 		os.Exit(2)
 	}
-	d := &deployment{folder: t, subnet: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250), binary: os.Args[1]}
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
 	c := play(ctx, d, r, os.Getenv("TROUBLE") != "0")
 	cancel()
-	d.stop()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(t)
-	} else {
-		r.logf("logs are in %s", t)
-	}
+	d.Close()
 	os.Exit(c)
 }
