--- a/review/cluster/cluster.go
+++ b/review/cluster/cluster.go
@@ -8,8 +8,10 @@
 	"maps"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -49,15 +51,26 @@
 type Cluster struct {
 	folder, subnet, binary string
 	bounds                 map[string]any
+	lock                   sync.Mutex
 	processes              map[string]*exec.Cmd
+	closed                 bool
 }
 
-// New returns a cluster without processes, in a temporary folder. bounds are the settings of that name.
+// New returns a cluster without processes, in a temporary folder. bounds are the settings of that name. If the program is told to end, it
+// ends the processes before.
 func New(binary string, bounds map[string]any) (*Cluster, error) {
 	t, err := os.MkdirTemp("", "review")
-	return &Cluster{
+	c := &Cluster{
 		folder: t, subnet: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250), binary: binary, bounds: bounds, processes: map[string]*exec.Cmd{},
-	}, err
+	}
+	g := make(chan os.Signal, 1)
+	signal.Notify(g, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-g
+		c.Close()
+		os.Exit(2)
+	}()
+	return c, err
 }
 
 // IP returns the n-th IP.
@@ -93,6 +106,11 @@
 	defer l.Close() //nolint:errcheck // the process has its own descriptor
 	p := exec.Command(c.binary, "serve", "--settings", f)
 	p.Stdout, p.Stderr = l, l
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.closed {
+		return os.ErrClosed
+	}
 	c.processes[name] = p
 	return p.Start()
 }
@@ -102,6 +120,13 @@
 
 // Kill ends a process with SIGKILL.
 func (c *Cluster) Kill(name string) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.kill(name)
+}
+
+// kill is Kill for a caller that holds the lock.
+func (c *Cluster) kill(name string) {
 	if p := c.processes[name]; p != nil && p.Process != nil {
 		_ = p.Process.Kill() // it may have ended
 		_ = p.Wait()         // it says only that it was killed
@@ -114,8 +139,11 @@
 
 // Close ends all processes. It removes their logs unless the variable KEEP is set.
 func (c *Cluster) Close() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.closed = true
 	for n := range maps.Clone(c.processes) {
-		c.Kill(n)
+		c.kill(n)
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(c.folder) // nothing depends on it
