--- a/review/cluster/cluster.go
+++ b/review/cluster/cluster.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -15,16 +16,25 @@
 	"time"
 )
 
-// Ports of each process on its own IP. Other hosts connect to PeerPort; a process behind a link listens on ListenPort.
+// Ports of each process on its own IP, counted from the first port of the cluster. Other hosts connect to PeerPort; a process behind a link
+// listens on ListenPort. ServerPort and the one after it are those of servers.
+const (
+	PeerPort = iota
+	ListenPort
+	AdminPort
+	CallerPort
+	readyPort
+	metricsPort
+	ServerPort
+	portCount = ServerPort + 2
+)
+
 const (
-	PeerPort    = 7801
-	ListenPort  = 7802
-	AdminPort   = 7803
-	CallerPort  = 7804
-	readyPort   = 7805
-	metricsPort = 7806
 	// seedCount is the number of control hosts that the settings name.
 	seedCount = 3
+	// hostCount is the number of IPs that are tried before a cluster uses them, and triesCount that of first ports that are tried.
+	hostCount  = 210
+	triesCount = 50
 )
 
 // Recorder writes what happened to a file.
@@ -50,6 +60,7 @@
 // Cluster is a set of processes, each on a loopback IP of its own.
 type Cluster struct {
 	folder, subnet, binary string
+	firstPort              int
 	bounds                 map[string]any
 	lock                   sync.Mutex
 	processes              map[string]*exec.Cmd
@@ -60,6 +71,9 @@
 // ends the processes before.
 func New(binary string, bounds map[string]any) (*Cluster, error) {
 	t, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
 	c := &Cluster{
 		folder: t, subnet: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250), binary: binary, bounds: bounds, processes: map[string]*exec.Cmd{},
 	}
@@ -70,14 +84,46 @@
 		c.Close()
 		os.Exit(2)
 	}()
-	return c, err
+	if err := c.choosePorts(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// choosePorts chooses the first ports of which all are free on all IPs.
+func (c *Cluster) choosePorts() error {
+	for k := range triesCount {
+		c.firstPort = 7801 + 20*k
+		if c.isFree() {
+			return nil
+		}
+	}
+	return fmt.Errorf("no free ports on %s.0", c.subnet)
+}
+
+// isFree reports whether all ports are free on all IPs.
+func (c *Cluster) isFree() bool {
+	for n := 1; n <= hostCount; n++ {
+		for p := range portCount {
+			l, err := net.Listen("tcp", c.Address(n, p))
+			if err != nil {
+				return false
+			}
+			_ = l.Close() // nothing connected to it
+		}
+	}
+	return true
 }
 
 // IP returns the n-th IP.
 func (c *Cluster) IP(n int) string { return fmt.Sprintf("%s.%d", c.subnet, n) }
 
+// Port returns the number of a port.
+func (c *Cluster) Port(port int) int { return c.firstPort + port }
+
 // Address returns a port on the n-th IP.
-func (c *Cluster) Address(n, port int) string { return fmt.Sprintf("%s:%d", c.IP(n), port) }
+func (c *Cluster) Address(n, port int) string { return fmt.Sprintf("%s:%d", c.IP(n), c.Port(port)) }
 
 // Start starts a process on the n-th IP, with more settings than the usual ones. The first three IPs are those of the seeds.
 func (c *Cluster) Start(name string, n int, more map[string]any) error {
@@ -86,7 +132,7 @@
 		seeds = append(seeds, c.Address(k, AdminPort))
 	}
 	v := map[string]any{
-		"part": "entry", "name": name, "data-centre": fmt.Sprintf("z%d", 1+(n-1)%3), "ip": c.IP(n), "peer-port": PeerPort, "metrics-port": metricsPort,
+		"part": "entry", "name": name, "data-centre": fmt.Sprintf("z%d", 1+(n-1)%3), "ip": c.IP(n), "peer-port": c.Port(PeerPort), "metrics-port": c.Port(metricsPort),
 		"caller-address": c.Address(n, CallerPort), "ready-address": c.Address(n, readyPort), "admin-address": c.Address(n, AdminPort),
 		"seeds": seeds, "found": true, "data-folder": filepath.Join(c.folder, name), "memory-mb": 284, "descriptors": 4100, "bounds": c.bounds,
 	}
--- a/review/disks/platform/main.go
+++ b/review/disks/platform/main.go
@@ -153,11 +153,15 @@
 	}
 	time.Sleep(recoverTime)
 	o.record.Logf("the operator reads for %v", readTime)
-	s := map[string]int{}
+	s, last := map[string]int{}, map[int]string{}
 	for t := time.Now(); time.Since(t) < readTime; time.Sleep(200 * time.Millisecond) {
 		for n := 1; n <= controls; n++ {
 			c, v := o.get(n)
-			s[fmt.Sprintf("%s: status %d, version %d", name(n), c, v)]++
+			w := fmt.Sprintf("%s: status %d, version %d", name(n), c, v)
+			if s[w]++; last[n] != w {
+				o.record.Logf("%s", w) // equal answers after it are only counted
+				last[n] = w
+			}
 			if c == http.StatusOK && v < 2 {
 				o.record.Logf("%s answers version %d; CONFIG is broken", name(n), v)
 				return 1
--- a/review/overlap/platform/main.go
+++ b/review/overlap/platform/main.go
@@ -30,8 +30,6 @@
 	// pathEvent is the event after which the first entry host has its path to endpoints again, and cutEvent that after which it is cut off.
 	pathEvent = 4
 	cutEvent  = 30
-	// serverPort is the port of the first endpoint.
-	serverPort = 9001
 	// overlapLimit is the bound of the rule.
 	overlapLimit = 400 * time.Millisecond
 	heartbeat    = 1200 * time.Millisecond
@@ -76,14 +74,17 @@
 		s.lock.Lock()
 		s.runs = append(s.runs, v)
 		s.lock.Unlock()
-		s.record.Logf("server %s runs request %s after event %d", s.id, id, b)
 	}
+	s.record.Logf("server %s runs request %s after event %d", s.id, id, b)
 	for k := b + 1; k <= n; k++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", k, k); err != nil {
 			break
 		}
 		_ = http.NewResponseController(w).Flush()
 		s.note(v)
+		if n == eventCount {
+			s.record.Logf("server %s sends event %d of %s", s.id, k, id)
+		}
 		select {
 		case <-time.After(pause):
 			continue
@@ -183,7 +184,7 @@
 func openPath(d *cluster.Cluster) error {
 	for k := range 2 {
 		l := &link{}
-		if err := l.serve(d.Address(99, serverPort+k), d.Address(201+k, serverPort+k)); err != nil {
+		if err := l.serve(d.Address(99, cluster.ServerPort+k), d.Address(201+k, cluster.ServerPort+k)); err != nil {
 			return err
 		}
 	}
@@ -205,6 +206,19 @@
 	return http.DefaultClient.Do(q)
 }
 
+// ask sends a short request to the entry host on the n-th IP, reads the answer to its end, and returns the status, or 0 if there is none.
+func ask(ctx context.Context, d *cluster.Cluster, r *cluster.Recorder, n int, id string) int {
+	a, err := send(ctx, caller(d, n), "/d/short", id)
+	if err != nil {
+		r.Logf("the caller of %s gets no answer: %v", id, err)
+		return 0
+	}
+	_, err = io.Copy(io.Discard, a.Body)
+	_ = a.Body.Close()
+	r.Logf("the caller of %s gets status %d by %s, error %v", id, a.StatusCode, a.Header.Get("X-Server-Signature"), err)
+	return a.StatusCode
+}
+
 const configuration = `{"version":1,"routes":[{"name":"r","host":"drafts.example","path-prefix":"/d/","type":"stream","timeout-ms":25000,"slo-ms":3000,
 "priority":0,"service":"drafting","attempts":3,"public":true,"sticky":false,"resumable":true,"itl-target-ms":1000}],
 "services":[{"name":"drafting","health-path":"/healthz","max-conns":370,"protocol":"h1","tls":false}],
@@ -233,13 +247,13 @@
 			return nil, nil, err
 		}
 		links = append(links, l)
-		if err := d.Start(l.name, 10+k, map[string]any{"peer-listen-port": cluster.ListenPort}); err != nil {
+		if err := d.Start(l.name, 10+k, map[string]any{"peer-listen-port": d.Port(cluster.ListenPort)}); err != nil {
 			return nil, nil, err
 		}
 	}
 	var servers []*server
 	for k := 1; k <= 2; k++ {
-		s := &server{id: fmt.Sprintf("i-%d", k), address: d.Address(200+k, serverPort+k-1), record: r}
+		s := &server{id: fmt.Sprintf("i-%d", k), address: d.Address(200+k, cluster.ServerPort+k-1), record: r}
 		n, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return nil, nil, err
@@ -266,22 +280,14 @@
 	for k := 12; k <= 13; k++ {
 		go func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				if a, err := send(ctx, caller(d, k), "/d/short", fmt.Sprintf("w%d-%d", k, n)); err == nil {
-					_, _ = io.Copy(io.Discard, a.Body)
-					_ = a.Body.Close()
-				}
+				ask(ctx, d, r, k, fmt.Sprintf("w%d-%d", k, n))
 				time.Sleep(100 * time.Millisecond)
 			}
 		}()
 	}
 	for k := 0; k < 150; k++ {
-		a, err := send(ctx, caller(d, 11), "/d/short", fmt.Sprintf("p%d", k))
-		if err == nil {
-			_, _ = io.Copy(io.Discard, a.Body)
-			_ = a.Body.Close()
-			if a.StatusCode == http.StatusOK {
-				return servers, links, nil
-			}
+		if ask(ctx, d, r, 11, fmt.Sprintf("p%d", k)) == http.StatusOK {
+			return servers, links, nil
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -308,9 +314,7 @@
 		if !strings.HasPrefix(s.Text(), "id: ") {
 			continue
 		}
-		if g := time.Since(last); g > time.Second {
-			r.Logf("the caller gets event %s after a pause of %.1f s", s.Text()[4:], g.Seconds())
-		}
+		r.Logf("the caller gets event %s of long-1 after a pause of %.1f s", s.Text()[4:], time.Since(last).Seconds())
 		last = time.Now()
 		events++
 		switch {
